--- /dev/null
+++ b/Source/agent/admission_gate.cpp
@@ -0,0 +1,110 @@
+#include "agent/admission_gate.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rampgap {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr milliseconds shedInterval { 10 };
+
+    failure withdrawn()
+    {
+        return notRun(failure_reason::connection_lost, "the caller went away before its turn");
+    }
+
+} // namespace
+
+admission_gate::admission_gate(process_context& context, admission_limits limits, bool shedding)
+    : m_context(context)
+    , m_limits(limits)
+    , m_queue(limits)
+{
+    m_queue.setShedding(shedding);
+}
+
+void admission_gate::start()
+{
+    asio::co_spawn(m_context.io(), shedLoop(), asio::detached);
+}
+
+void admission_gate::setSlots(int slots)
+{
+    m_limits.slots = slots;
+    m_queue.setLimits(m_limits);
+}
+
+awaitable<result<admission_id>> admission_gate::enter(admission_request request, http_exchange& exchange)
+{
+    admission_outcome outcome;
+    const admission_id id = m_queue.offer(std::move(request), m_context.now(), outcome);
+    auto own = std::make_shared<waiter>(m_context.io());
+    m_waiters.emplace(id, own);
+    carryOut(outcome);
+    if (!own->started && !own->refused) {
+        exchange.onCallerGone([this, id] { withdraw(id); });
+        co_await own->signal.async_wait(asio::as_tuple(asio::use_awaitable));
+        exchange.onCallerGone(nullptr);
+    }
+    m_waiters.erase(id);
+    if (own->started)
+        co_return id;
+    co_return own->refused.value_or(withdrawn());
+}
+
+void admission_gate::leave(admission_id id, duration ran)
+{
+    admission_outcome outcome;
+    m_queue.finish(id, ran, m_context.now(), outcome);
+    carryOut(outcome);
+}
+
+void admission_gate::withdraw(admission_id id)
+{
+    const auto found = m_waiters.find(id);
+    if (found == m_waiters.end() || found->second->started)
+        return;
+    m_queue.withdraw(id);
+    found->second->refused = withdrawn();
+    found->second->signal.cancel();
+}
+
+void admission_gate::carryOut(const admission_outcome& outcome)
+{
+    for (const admission_id id : outcome.started) {
+        const auto found = m_waiters.find(id);
+        if (found == m_waiters.end())
+            continue;
+        found->second->started = true;
+        found->second->signal.cancel();
+    }
+    for (const auto& [id, refused] : outcome.refused) {
+        const auto found = m_waiters.find(id);
+        if (found == m_waiters.end())
+            continue;
+        found->second->refused = refused;
+        found->second->signal.cancel();
+    }
+    m_context.counters().set(metric::queued, m_queue.queued());
+}
+
+awaitable<void> admission_gate::shedLoop()
+{
+    asio::steady_timer timer(m_context.io());
+    for (;;) {
+        timer.expires_after(shedInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (m_queue.queued() == 0)
+            continue;
+        admission_outcome outcome;
+        m_queue.shed(m_context.now(), outcome);
+        carryOut(outcome);
+    }
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/agent/admission_gate.h
@@ -0,0 +1,48 @@
+// Lets requests wait for their turn at the admission queue.
+#pragma once
+
+#include "daemon/http_server.h"
+#include "policy/admission_queue.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <unordered_map>
+
+namespace rampgap {
+
+class admission_gate {
+public:
+    admission_gate(process_context&, admission_limits, bool shedding);
+
+    // Starts the loop that refuses what can no longer meet its deadline.
+    void start();
+    // Returns when the request may start, with the id to finish it by, or is refused; a
+    // request whose caller goes away while it waits is refused as not run.
+    awaitable<result<admission_id>> enter(admission_request, http_exchange&);
+    void leave(admission_id, duration ran);
+    void setSlots(int slots);
+
+    const admission_queue& queue() const { return m_queue; }
+
+private:
+    struct waiter {
+        explicit waiter(boost::asio::io_context& io)
+            : signal(io, instant::max())
+        {
+        }
+        boost::asio::steady_timer signal;
+        bool started = false;
+        std::optional<failure> refused;
+    };
+
+    awaitable<void> shedLoop();
+    void withdraw(admission_id);
+    void carryOut(const admission_outcome&);
+
+    process_context& m_context;
+    admission_limits m_limits;
+    admission_queue m_queue;
+    std::unordered_map<admission_id, std::shared_ptr<waiter>> m_waiters;
+};
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/agent/agent_server.cpp
@@ -0,0 +1,290 @@
+#include "agent/agent_server.h"
+
+#include "daemon/header_names.h"
+#include "daemon/log.h"
+#include "peer.pb.h"
+#include "platform/platform_source.h"
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rampgap {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr milliseconds leavingRetryAfter { 500 };
+    constexpr milliseconds pollPause { 10 };
+    constexpr std::size_t maxStoredAnswer = 262'144;
+    constexpr std::int64_t defaultTimeoutMs = 30'000;
+
+    ledger_limits ledgerLimits(const agent_settings& settings)
+    {
+        ledger_limits limits;
+        limits.maxIds = settings.ledgerIds;
+        limits.maxAnswerBytes = settings.ledgerAnswerBytes;
+        return limits;
+    }
+
+} // namespace
+
+result<std::unique_ptr<agent_server>> agent_server::start(process_context& context, agent_settings settings)
+{
+    std::unique_ptr<agent_server> made(new agent_server(context, std::move(settings)));
+    auto http = http_server::listen(context, made->m_settings.process.listen, made->m_settings.process.limits, *made);
+    if (!http)
+        return http.error();
+    made->m_http = std::move(http.value());
+    auto peer = peer_server::listen(context, made->m_settings.process.peerListen, *made);
+    if (!peer)
+        return peer.error();
+    made->m_peerServer = std::move(peer.value());
+    const std::string host = made->m_settings.process.peerListen.substr(0, made->m_settings.process.peerListen.rfind(':'));
+    made->m_configuration.start(host + ":" + std::to_string(made->peerPort()));
+    made->m_gate.start();
+    made->m_keeper.start();
+    return made;
+}
+
+agent_server::agent_server(process_context& context, agent_settings settings)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_client(context)
+    , m_peers(context)
+    , m_platform(platform_source::makeHttp(context, m_client, m_settings.process.platform))
+    , m_configuration(context, m_settings.process, *m_platform, m_peers, *this)
+    , m_pages(context, m_settings.process, m_configuration)
+    , m_permits(context.incarnation(), context.startedAt())
+    , m_ledger(ledgerLimits(m_settings))
+    , m_guard(m_settings.process.name, context.incarnation(), context.startedAt())
+    , m_keeper(context, m_peers, m_configuration, m_guard, m_ledger)
+    , m_gate(context, { 1, m_settings.maxQueued }, m_settings.shedding)
+{
+}
+
+agent_server::~agent_server() = default;
+
+void agent_server::onDeclaration(std::shared_ptr<const declaration> current)
+{
+    m_guard.apply(*current, m_context.now());
+    m_ledger.setIdLife(current->rules().idLife);
+    const backend_declaration* own = current->findBackend(m_settings.process.name);
+    m_declared = own && !own->stopped;
+    if (own)
+        m_gate.setSlots(own->slots);
+    m_keeper.poke();
+}
+
+awaitable<wire::ExchangeReply> agent_server::onExchange(wire::ExchangeRequest request)
+{
+    return m_configuration.onExchange(std::move(request));
+}
+
+awaitable<wire::HandoverReply> agent_server::onHandover(wire::HandoverRequest request)
+{
+    co_return m_keeper.answer(request);
+}
+
+awaitable<wire::DepositReply> agent_server::onDeposit(wire::DepositRequest request)
+{
+    co_return m_keeper.answer(request);
+}
+
+void agent_server::addOwnHeaders(http::fields& fields)
+{
+    const admission_queue& queue = m_gate.queue();
+    fields.set(header::load, std::to_string(queue.running()) + "," + std::to_string(queue.queued()) + "," + std::to_string(queue.averageRun().count()));
+    fields.set(header::permit, m_permits.issue(m_context.now()));
+    fields.set(header::clock, std::to_string(m_context.timeline().clock()));
+    fields.set(header::backend, m_settings.process.name);
+}
+
+awaitable<void> agent_server::handle(http_exchange& exchange)
+{
+    if (auto page = m_pages.answer(exchange.request())) {
+        co_await exchange.send(std::move(*page));
+        co_return;
+    }
+    if (exchange.request().target() == "/rampgap/permit") {
+        auto response = makeResponse(200, "text/plain", "");
+        addOwnHeaders(response);
+        co_await exchange.send(std::move(response));
+        co_return;
+    }
+    ++m_inFlight;
+    m_context.counters().set(metric::in_flight, m_inFlight);
+    co_await serveEntry(exchange);
+    --m_inFlight;
+    m_context.counters().set(metric::in_flight, m_inFlight);
+    m_context.counters().set(metric::ledger_ids, static_cast<double>(m_ledger.size()));
+}
+
+awaitable<void> agent_server::refuse(http_exchange& exchange, const failure& refused, const std::string& correlation)
+{
+    m_context.counters().countFailure(refused);
+    m_context.note(event_kind::request_refused, correlation, "reason=" + std::string(toString(refused.reason)) + " verdict=" + std::string(toString(refused.ran)));
+    auto response = makeFailure(refused);
+    addOwnHeaders(response);
+    co_await exchange.send(std::move(response));
+}
+
+result<agent_server::work_order> agent_server::readOrder(const http_request& request, instant receivedAt) const
+{
+    work_order order;
+    order.correlation = headerText(request, header::requestId);
+    order.admission.workspace = headerText(request, header::workspace);
+    const std::string service = headerText(request, header::service);
+    if (order.admission.workspace.empty() || service.empty())
+        return notRun(failure_reason::invalid_request, "requests come through an entry VM: workspace or service is missing");
+    if (headerText(request, header::backend) != m_settings.process.name)
+        return notRun(failure_reason::not_home, "the request was meant for another backend server", leavingRetryAfter);
+    order.admission.priority = static_cast<int>(headerNumber(request, header::priority, order.admission.priority));
+    order.admission.deadline = receivedAt + milliseconds(headerNumber(request, header::timeoutMs, defaultTimeoutMs));
+    if (!headerText(request, header::notRepeatable).empty()) {
+        order.onceId = request_id { order.admission.workspace, service, headerText(request, header::idempotencyKey) };
+        order.bodyDigest = hash64(request.body());
+    }
+    return order;
+}
+
+result<std::optional<stored_answer>> agent_server::claim(const http_request& request, const work_order& order)
+{
+    const instant now = m_context.now();
+    const auto permitted = m_permits.check(headerText(request, header::permit), now);
+    if (!permitted)
+        return permitted.error();
+    // What ran here is answered even when nothing new may run here.
+    const bool known = m_ledger.knows(*order.onceId, now);
+    const auto home = m_guard.check(*order.onceId, now);
+    if (!home && !known)
+        return home.error();
+    return m_ledger.claim(*order.onceId, order.bodyDigest, now);
+}
+
+awaitable<void> agent_server::serveEntry(http_exchange& exchange)
+{
+    m_context.counters().add(metric::requests_received);
+    const http_request& request = exchange.request();
+    m_context.timeline().observe(static_cast<std::uint64_t>(headerNumber(request, header::clock, 0)));
+    const auto order = readOrder(request, exchange.receivedAt());
+    if (!order) {
+        co_await refuse(exchange, order.error(), headerText(request, header::requestId));
+        co_return;
+    }
+    const std::string& correlation = order.value().correlation;
+    if (m_leaving || !m_declared) {
+        const auto reason = m_leaving ? failure_reason::leaving : failure_reason::not_ready;
+        co_await refuse(exchange, notRun(reason, m_leaving ? "this backend server is leaving" : "this backend server is not declared", leavingRetryAfter), correlation);
+        co_return;
+    }
+    if (order.value().onceId) {
+        auto claimed = claim(request, order.value());
+        if (!claimed) {
+            co_await refuse(exchange, claimed.error(), correlation);
+            co_return;
+        }
+        if (claimed.value()) {
+            m_context.counters().add(metric::duplicates_answered);
+            auto response = makeResponse(claimed.value()->status, claimed.value()->contentType, claimed.value()->body);
+            addOwnHeaders(response);
+            co_await exchange.send(std::move(response));
+            co_return;
+        }
+    }
+    const auto failed = co_await run(exchange, order.value());
+    if (!failed)
+        co_return;
+    if (exchange.begun())
+        exchange.abort();
+    else
+        co_await refuse(exchange, *failed, correlation);
+}
+
+awaitable<std::optional<failure>> agent_server::run(http_exchange& exchange, const work_order& order)
+{
+    auto admitted = co_await m_gate.enter(order.admission, exchange);
+    if (!admitted || exchange.callerGone()) {
+        if (admitted)
+            m_gate.leave(admitted.value(), duration::zero());
+        if (order.onceId)
+            m_ledger.release(*order.onceId);
+        co_return admitted ? std::nullopt : std::optional<failure>(admitted.error());
+    }
+    const instant startedAt = m_context.now();
+    m_context.note(event_kind::request_started, order.correlation, "workspace=" + order.admission.workspace);
+    auto failed = co_await callEngine(exchange, order);
+    m_gate.leave(admitted.value(), m_context.now() - startedAt);
+    m_context.note(event_kind::request_finished, order.correlation, failed ? "failed=" + failed->message : "");
+    co_return failed;
+}
+
+awaitable<std::optional<failure>> agent_server::callEngine(http_exchange& exchange, const work_order& order)
+{
+    const bool once = order.onceId.has_value();
+    http_request request = exchange.request();
+    const auto left = std::chrono::duration_cast<milliseconds>(order.admission.deadline - m_context.now());
+    request.set(header::timeoutMs, std::to_string(std::max<std::int64_t>(1, left.count())));
+    request.erase(std::string(header::permit));
+    http_call call(m_client);
+    // What may run only once is not cut off: its answer is kept for a repeat of the call.
+    if (!once)
+        exchange.onCallerGone([&call] { call.cancel(); });
+    auto head = co_await call.start(m_settings.engine, std::move(request), order.admission.deadline);
+    if (!head) {
+        failure failed = head.error();
+        if (failed.ran == verdict::not_run)
+            failed.reason = failure_reason::backend_error;
+        if (once && failed.ran == verdict::not_run)
+            m_ledger.release(*order.onceId);
+        else if (once)
+            m_ledger.finishWithoutAnswer(*order.onceId, m_context.now());
+        co_return failed;
+    }
+    const int status = static_cast<int>(head.value().result_int());
+    const std::string contentType(head.value()[http::field::content_type]);
+    addOwnHeaders(head.value());
+    relay_progress progress;
+    const auto outcome = co_await relayAnswer(call, std::move(head.value()), exchange, progress, { false, once, once ? maxStoredAnswer : 0 });
+    exchange.onCallerGone(nullptr);
+    m_context.counters().add(metric::bytes_relayed, static_cast<double>(progress.bytes));
+    if (once && outcome.recorded)
+        m_ledger.finish(*order.onceId, { status, contentType, *outcome.recorded }, m_context.now());
+    else if (once)
+        m_ledger.finishWithoutAnswer(*order.onceId, m_context.now());
+    if (outcome.end == relay_end::whole)
+        m_context.counters().add(metric::requests_answered);
+    if (outcome.end != relay_end::cut)
+        co_return std::nullopt;
+    failure cut = outcome.failed.value_or(failure {});
+    cut.ran = verdict::may_have_run;
+    cut.reason = failure_reason::backend_error;
+    co_return cut;
+}
+
+void agent_server::leave()
+{
+    if (std::exchange(m_leaving, true))
+        return;
+    m_pages.setLeaving();
+    m_context.note(event_kind::leaving, "", "");
+    logState("leaving", "");
+    asio::co_spawn(m_context.io(), leaveGracefully(), asio::detached);
+}
+
+awaitable<void> agent_server::leaveGracefully()
+{
+    co_await m_keeper.giveAway();
+    asio::steady_timer timer(m_context.io(), m_settings.process.linger);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    m_http->drain();
+    while (m_inFlight > 0 || m_http->openConnections() > 0) {
+        timer.expires_after(pollPause);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    logState("stopped", "");
+    m_context.io().stop();
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/agent/home_keeper.h
@@ -0,0 +1,41 @@
+// Carries out what the home guard needs from other agents: proofs, handovers, grants.
+#pragma once
+
+#include "daemon/configuration_node.h"
+#include "policy/home_guard.h"
+#include "policy/request_ledger.h"
+
+namespace rampgap {
+
+class home_keeper {
+public:
+    home_keeper(process_context&, peer_client&, const configuration_node&, home_guard&, request_ledger&);
+
+    void start();
+    // Asks at once instead of at the next turn.
+    void poke();
+    // On a planned stop: gives the ids to an agent that keeps them.
+    awaitable<void> giveAway();
+
+    wire::HandoverReply answer(const wire::HandoverRequest&);
+    wire::DepositReply answer(const wire::DepositRequest&);
+
+private:
+    awaitable<void> loop();
+    awaitable<void> askForProof(std::string name);
+    awaitable<void> askForHandover(std::string name);
+    awaitable<void> takeMemoryBack();
+    std::string peerAddress(const std::string& name) const;
+    wire::HandoverRequest makeRequest(bool takeBack, bool wantIds) const;
+    void notePeer(const wire::Standing&);
+
+    process_context& m_context;
+    peer_client& m_peers;
+    const configuration_node& m_configuration;
+    home_guard& m_guard;
+    request_ledger& m_ledger;
+    boost::asio::steady_timer m_timer;
+    bool m_askedForMemory = false;
+};
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/bench/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/Source/daemon/answer_relay.cpp
@@ -0,0 +1,150 @@
+#include "daemon/answer_relay.h"
+
+#include <algorithm>
+
+namespace rampgap {
+
+namespace {
+
+    // Answers of known length up to this go out in one write.
+    constexpr std::int64_t wholeAnswerBytes = 65'536;
+    constexpr std::string_view eventEnd = "\n\n";
+
+    void dropHopHeaders(http_head& head)
+    {
+        head.erase(http::field::connection);
+        head.erase(http::field::transfer_encoding);
+        head.erase(http::field::content_length);
+        head.erase(http::field::keep_alive);
+    }
+
+    // Holds back the start of an event until its end has come.
+    class event_splitter {
+    public:
+        // The whole events that `piece` completes.
+        std::string push(std::string_view piece)
+        {
+            m_partial.append(piece);
+            const auto end = m_partial.rfind(eventEnd);
+            if (end == std::string::npos)
+                return {};
+            std::string whole = m_partial.substr(0, end + eventEnd.size());
+            m_partial.erase(0, whole.size());
+            return whole;
+        }
+
+        std::string rest() { return std::exchange(m_partial, {}); }
+
+    private:
+        std::string m_partial;
+    };
+
+    std::uint64_t countEvents(std::string_view text)
+    {
+        std::uint64_t count = 0;
+        for (auto at = text.find(eventEnd); at != std::string_view::npos; at = text.find(eventEnd, at + eventEnd.size()))
+            ++count;
+        return count;
+    }
+
+    // Keeps the copy of an answer while it is within its limit.
+    class answer_copy {
+    public:
+        explicit answer_copy(std::size_t limit)
+            : m_limit(limit)
+            , m_fits(limit > 0)
+        {
+        }
+
+        void append(std::string_view piece)
+        {
+            m_fits = m_fits && m_text.size() + piece.size() <= m_limit;
+            if (m_fits)
+                m_text.append(piece);
+        }
+
+        std::optional<std::string> take() { return m_fits ? std::optional<std::string>(std::move(m_text)) : std::nullopt; }
+
+    private:
+        std::size_t m_limit;
+        bool m_fits;
+        std::string m_text;
+    };
+
+    relay_outcome endedEarly(bool callerGone, std::optional<failure> failed)
+    {
+        return { callerGone ? relay_end::caller_gone : relay_end::cut, std::move(failed), std::nullopt };
+    }
+
+    awaitable<relay_outcome> relayWhole(http_call& call, http_head head, http_exchange& exchange, relay_progress& progress, relay_options options)
+    {
+        auto body = co_await call.readAll(wholeAnswerBytes);
+        if (!body)
+            co_return endedEarly(exchange.callerGone(), body.error());
+        relay_outcome outcome;
+        if (options.recordLimit >= body.value().size())
+            outcome.recorded = body.value();
+        http_response response;
+        response.base() = std::move(head);
+        response.version(11);
+        progress.begun = true;
+        progress.bytes += body.value().size();
+        response.body() = std::move(body.value());
+        response.prepare_payload();
+        if (!co_await exchange.send(std::move(response)))
+            outcome.end = relay_end::caller_gone;
+        co_return outcome;
+    }
+
+} // namespace
+
+bool isEventStream(const http_head& head)
+{
+    const auto type = head[http::field::content_type];
+    return std::string_view(type.data(), type.size()).starts_with("text/event-stream");
+}
+
+awaitable<relay_outcome> relayAnswer(http_call& call, http_head head, http_exchange& exchange, relay_progress& progress, relay_options options)
+{
+    const std::int64_t length = head.find(http::field::content_length) == head.end() ? -1 : std::stoll("0" + std::string(head[http::field::content_length]));
+    const bool events = options.wholeEvents && isEventStream(head);
+    dropHopHeaders(head);
+    if (length >= 0 && length <= wholeAnswerBytes && !progress.begun)
+        co_return co_await relayWhole(call, std::move(head), exchange, progress, options);
+
+    bool callerThere = true;
+    if (!progress.begun) {
+        progress.begun = true;
+        callerThere = co_await exchange.begin(std::move(head));
+    }
+    event_splitter splitter;
+    answer_copy copy(options.recordLimit);
+    for (;;) {
+        if (!callerThere && !options.finishWithoutCaller)
+            co_return endedEarly(true, std::nullopt);
+        const auto piece = co_await call.read();
+        if (!piece)
+            co_return endedEarly(exchange.callerGone() && !options.finishWithoutCaller, piece.error());
+        const bool last = piece.value().empty();
+        copy.append(piece.value());
+        std::string whole;
+        if (events)
+            whole = last ? splitter.rest() : splitter.push(piece.value());
+        const std::string_view out = events ? std::string_view(whole) : piece.value();
+        if (callerThere && !out.empty()) {
+            callerThere = co_await exchange.write(out);
+            progress.events += events ? countEvents(out) : 0;
+            progress.bytes += out.size();
+        }
+        if (!last)
+            continue;
+        if (callerThere)
+            callerThere = co_await exchange.finish();
+        relay_outcome outcome;
+        outcome.end = callerThere ? relay_end::whole : relay_end::caller_gone;
+        outcome.recorded = copy.take();
+        co_return outcome;
+    }
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/answer_relay.h
@@ -0,0 +1,47 @@
+// Passes an upstream's answer on to a caller, piece by piece.
+#pragma once
+
+#include "daemon/http_client.h"
+#include "daemon/http_server.h"
+
+#include <optional>
+#include <string>
+
+namespace rampgap {
+
+// What has been passed on so far; kept over a resumed stream.
+struct relay_progress {
+    bool begun = false;
+    // Whole server-sent events that the caller has.
+    std::uint64_t events = 0;
+    std::uint64_t bytes = 0;
+};
+
+struct relay_options {
+    // Pass on only whole server-sent events, so that a cut falls between two.
+    bool wholeEvents = false;
+    // Read to the end even if the caller is gone: the request must not be cut off.
+    bool finishWithoutCaller = false;
+    // Keep a copy of the answer up to this size.
+    std::size_t recordLimit = 0;
+};
+
+enum class relay_end { whole,
+    caller_gone,
+    cut };
+
+struct relay_outcome {
+    relay_end end = relay_end::whole;
+    // Set when the answer was cut off.
+    std::optional<failure> failed;
+    // The copy, if asked for and within the limit.
+    std::optional<std::string> recorded;
+};
+
+// Relays head and body. A cut answer is left unfinished: the caller of this function
+// decides how it ends.
+awaitable<relay_outcome> relayAnswer(http_call&, http_head, http_exchange&, relay_progress&, relay_options);
+
+bool isEventStream(const http_head&);
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/boost_json.cpp
@@ -0,0 +1,3 @@
+// Compiles Boost.JSON into the library, so that no further package is needed.
+
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/Source/daemon/configuration_node.cpp
@@ -0,0 +1,299 @@
+#include "daemon/configuration_node.h"
+
+#include "daemon/log.h"
+#include "peer.pb.h"
+#include "platform/platform_source.h"
+#include "policy/rendezvous.h"
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rampgap {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t readersPerZone = 2;
+    constexpr int windowSize = 8;
+    constexpr milliseconds watchWait { 30'000 };
+    constexpr milliseconds retryPause { 500 };
+    constexpr milliseconds readerCheck { 1'000 };
+    constexpr milliseconds exchangeTimeout { 2'000 };
+    // Without word from any peer for this long, a process reads the service itself.
+    constexpr milliseconds lonelyAfter { 10'000 };
+    // A process whose peers are all out of reach serves what it has after this.
+    constexpr milliseconds confirmGrace { 2'000 };
+    constexpr int announceFanout = 4;
+    // One exchange in this many goes to another zone.
+    constexpr unsigned otherZoneOneIn = 4;
+
+} // namespace
+
+configuration_node::configuration_node(process_context& context, const process_settings& settings, platform_source& platform, peer_client& peers, configuration_listener& listener)
+    : m_context(context)
+    , m_settings(settings)
+    , m_platform(platform)
+    , m_peers(peers)
+    , m_listener(listener)
+    , m_lastPeer(context.now())
+{
+}
+
+void configuration_node::start(std::string peerAddress)
+{
+    m_peerAddress = std::move(peerAddress);
+    asio::co_spawn(m_context.io(), bootstrap(), asio::detached);
+}
+
+awaitable<void> configuration_node::sleep(duration time)
+{
+    asio::steady_timer timer(m_context.io(), time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+// Between 0.75 and 1.25 times `time`, so that processes do not act in step.
+duration configuration_node::jittered(duration time)
+{
+    return time * (750 + static_cast<int>(m_context.random()() % 501)) / 1000;
+}
+
+awaitable<void> configuration_node::bootstrap()
+{
+    for (const auto& address : m_settings.seedPeers)
+        co_await exchangeWith(address, address);
+    auto vms = co_await m_platform.watchVms(0, milliseconds(0));
+    if (vms)
+        takeVms(std::move(vms.value()));
+    co_await readWindow();
+    asio::co_spawn(m_context.io(), watchDeclarationsLoop(), asio::detached);
+    asio::co_spawn(m_context.io(), watchVmsLoop(), asio::detached);
+    asio::co_spawn(m_context.io(), exchangeLoop(), asio::detached);
+}
+
+// Reads the latest documents; for a process that has none in force.
+awaitable<void> configuration_node::readWindow()
+{
+    const auto window = co_await m_platform.latestDeclarations(windowSize);
+    if (!window)
+        co_return;
+    const std::uint64_t before = m_chain.revision();
+    for (const auto& outcome : m_chain.offerWindow(window.value()))
+        report(outcome, "service");
+    if (m_chain.revision() != before)
+        announce();
+}
+
+bool configuration_node::isReader() const
+{
+    std::vector<std::string> entries;
+    for (const auto& vm : m_vms.vms) {
+        if (vm.role == vm_role::entry && vm.zone == m_context.zone() && vm.state == vm_state::live)
+            entries.push_back(vm.name);
+    }
+    const auto readers = rendezvousRank("configuration-reader", entries, readersPerZone);
+    const bool chosen = std::find(readers.begin(), readers.end(), m_context.name()) != readers.end();
+    const bool lonely = m_context.now() - m_lastPeer > lonelyAfter;
+    return chosen || lonely || m_vms.vms.empty();
+}
+
+bool configuration_node::ready() const
+{
+    if (!m_chain.inForce())
+        return false;
+    return m_peerSeen || m_context.now() - m_context.startedAt() > confirmGrace;
+}
+
+awaitable<void> configuration_node::watchDeclarationsLoop()
+{
+    for (;;) {
+        if (!isReader()) {
+            co_await sleep(jittered(readerCheck));
+            continue;
+        }
+        if (!m_chain.inForce()) {
+            co_await readWindow();
+            co_await sleep(jittered(retryPause));
+            continue;
+        }
+        const auto texts = co_await m_platform.watchDeclarations(m_chain.highestSeen(), watchWait);
+        if (!texts) {
+            co_await sleep(jittered(retryPause));
+            continue;
+        }
+        for (const auto& text : texts.value())
+            takeDocument(text, document_source::service, "service");
+    }
+}
+
+awaitable<void> configuration_node::watchVmsLoop()
+{
+    for (;;) {
+        if (!isReader()) {
+            co_await sleep(jittered(readerCheck));
+            continue;
+        }
+        auto list = co_await m_platform.watchVms(m_vms.version, watchWait);
+        if (!list)
+            co_await sleep(jittered(retryPause));
+        else
+            takeVms(std::move(list.value()));
+    }
+}
+
+awaitable<void> configuration_node::exchangeLoop()
+{
+    for (;;) {
+        if (const auto peer = randomPeer())
+            co_await exchangeWith(peer->address, peer->name);
+        // Until it is ready, a process asks more often.
+        co_await sleep(jittered(ready() ? duration(m_settings.exchangeInterval) : duration(retryPause)));
+    }
+}
+
+std::vector<configuration_node::peer_place> configuration_node::peers() const
+{
+    std::vector<peer_place> places;
+    for (const auto& vm : m_vms.vms) {
+        if (vm.name != m_context.name() && !vm.peerAddress.empty())
+            places.push_back({ vm.name, vm.zone, vm.peerAddress });
+    }
+    for (const auto& address : m_settings.seedPeers)
+        places.push_back({ address, m_context.zone(), address });
+    return places;
+}
+
+std::optional<configuration_node::peer_place> configuration_node::randomPeer()
+{
+    const auto all = peers();
+    if (all.empty())
+        return std::nullopt;
+    const bool wantOther = m_context.random()() % otherZoneOneIn == 0;
+    std::vector<peer_place> wanted;
+    for (const auto& peer : all) {
+        if ((peer.zone != m_context.zone()) == wantOther)
+            wanted.push_back(peer);
+    }
+    const auto& from = wanted.empty() ? all : wanted;
+    return from[m_context.random()() % from.size()];
+}
+
+wire::ExchangeRequest configuration_node::makeRequest() const
+{
+    wire::ExchangeRequest request;
+    stamp(request);
+    request.set_vm_list_version(m_vms.version);
+    return request;
+}
+
+awaitable<result<void>> configuration_node::exchangeWith(std::string address, std::string name)
+{
+    auto request = makeRequest();
+    m_context.counters().add(metric::exchanges_sent);
+    m_context.counters().add(metric::exchange_bytes, static_cast<double>(request.ByteSizeLong()));
+    auto reply = co_await m_peers.exchange(std::move(address), std::move(request), exchangeTimeout);
+    if (!reply)
+        co_return reply.error();
+    m_context.counters().add(metric::exchange_bytes, static_cast<double>(reply.value().ByteSizeLong()));
+    m_context.timeline().observe(reply.value().sender().clock());
+    m_lastPeer = m_context.now();
+    m_peerSeen = m_peerSeen || reply.value().sender().revision() > 0;
+    for (const auto& document : reply.value().documents()) {
+        if (document.kind() == wire::Document::DECLARATION) {
+            takeDocument(document.text(), document_source::peer, name);
+            continue;
+        }
+        auto list = parseVmList(document.text());
+        if (list)
+            takeVms(std::move(list.value()));
+    }
+    co_return boost::outcome_v2::success();
+}
+
+awaitable<wire::ExchangeReply> configuration_node::onExchange(wire::ExchangeRequest request)
+{
+    m_context.counters().add(metric::exchanges_received);
+    m_context.counters().add(metric::exchange_bytes, static_cast<double>(request.ByteSizeLong()));
+    m_context.timeline().observe(request.sender().clock());
+    m_lastPeer = m_context.now();
+    wire::ExchangeReply reply;
+    stamp(reply);
+    reply.set_vm_list_version(m_vms.version);
+    for (auto& text : m_chain.after(request.sender().revision())) {
+        auto* document = reply.add_documents();
+        document->set_kind(wire::Document::DECLARATION);
+        document->set_text(std::move(text));
+    }
+    if (request.vm_list_version() < m_vms.version) {
+        auto* document = reply.add_documents();
+        document->set_kind(wire::Document::VM_LIST);
+        document->set_version(m_vms.version);
+        document->set_text(toJson(m_vms));
+    }
+    const bool behind = request.sender().revision() > m_chain.revision() || request.vm_list_version() > m_vms.version;
+    if (behind && !m_pulling && !m_context.isCut(request.sender().peer_address())) {
+        m_pulling = true;
+        asio::co_spawn(m_context.io(), pullFrom(request.sender().peer_address(), request.sender().name()), asio::detached);
+    }
+    m_context.counters().add(metric::exchange_bytes, static_cast<double>(reply.ByteSizeLong()));
+    co_return reply;
+}
+
+awaitable<void> configuration_node::pullFrom(std::string address, std::string name)
+{
+    co_await exchangeWith(std::move(address), std::move(name));
+    m_pulling = false;
+}
+
+// Tells a few random processes that there is something new; they fetch it.
+void configuration_node::announce()
+{
+    const auto all = peers();
+    for (int i = 0; i < announceFanout && !all.empty(); ++i)
+        asio::co_spawn(m_context.io(), announceTo(all[m_context.random()() % all.size()].address), asio::detached);
+}
+
+awaitable<void> configuration_node::announceTo(std::string address)
+{
+    co_await exchangeWith(address, address);
+}
+
+void configuration_node::takeDocument(const std::string& text, document_source source, const std::string& from)
+{
+    const auto outcome = m_chain.offer(text, source);
+    report(outcome, from);
+    if (outcome.kind == offer_kind::accepted)
+        announce();
+}
+
+void configuration_node::report(const offer_outcome& outcome, const std::string& from)
+{
+    const std::string revision = "revision=" + std::to_string(outcome.revision);
+    if (outcome.kind == offer_kind::refused) {
+        m_context.counters().add(metric::revisions_refused);
+        m_context.note(event_kind::revision_refused, "", revision + " from=" + from + " reason=" + outcome.reason);
+        logProblem("revision_refused", revision + " from=" + from + " reason=\"" + outcome.reason + "\"");
+        return;
+    }
+    if (outcome.kind != offer_kind::accepted)
+        return;
+    m_source = from;
+    m_inForceSince = m_context.now();
+    m_context.counters().add(metric::revisions_accepted);
+    m_context.counters().set(metric::revision_in_force, static_cast<double>(m_chain.revision()));
+    m_context.note(event_kind::revision_in_force, "", revision + " from=" + from);
+    logState("revision_in_force", revision + " from=" + from);
+    m_listener.onDeclaration(m_chain.inForce());
+}
+
+void configuration_node::takeVms(vm_list list)
+{
+    if (list.version <= m_vms.version)
+        return;
+    m_vms = std::move(list);
+    m_listener.onVmList(m_vms);
+    announce();
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/header_names.h
@@ -0,0 +1,31 @@
+// HTTP headers of rampgap.
+#pragma once
+
+#include <string_view>
+
+namespace rampgap::header {
+
+// From and to callers.
+inline constexpr std::string_view idempotencyKey = "Idempotency-Key";
+inline constexpr std::string_view notRepeatable = "Rampgap-Not-Repeatable";
+inline constexpr std::string_view timeoutMs = "Rampgap-Timeout-Ms";
+inline constexpr std::string_view priority = "Rampgap-Priority";
+inline constexpr std::string_view session = "Rampgap-Session";
+inline constexpr std::string_view revisionSeen = "Rampgap-Revision-Seen";
+inline constexpr std::string_view verdict = "Rampgap-Verdict";
+inline constexpr std::string_view reason = "Rampgap-Reason";
+inline constexpr std::string_view requestId = "Rampgap-Request-Id";
+inline constexpr std::string_view revision = "Rampgap-Revision";
+inline constexpr std::string_view backend = "Rampgap-Backend";
+inline constexpr std::string_view retryAfter = "Retry-After";
+
+// Between an entry VM and an agent; dropped from what callers send.
+inline constexpr std::string_view workspace = "Rampgap-Workspace";
+inline constexpr std::string_view service = "Rampgap-Service";
+inline constexpr std::string_view permit = "Rampgap-Permit";
+inline constexpr std::string_view clock = "Rampgap-Clock";
+inline constexpr std::string_view load = "Rampgap-Load";
+inline constexpr std::string_view entry = "Rampgap-Entry";
+inline constexpr std::string_view retryAfterMs = "Rampgap-Retry-After-Ms";
+
+} // namespace rampgap::header
--- /dev/null
+++ b/Source/daemon/http_client.cpp
@@ -0,0 +1,206 @@
+#include "daemon/http_client.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace rampgap {
+
+namespace beast = boost::beast;
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr std::size_t pieceBytes = 16'384;
+    constexpr std::size_t maxIdlePerAddress = 64;
+    // Below the servers' idle timeout, so that a pooled connection is seldom closed under us.
+    constexpr milliseconds idleLife { 10'000 };
+    constexpr milliseconds connectTimeout { 500 };
+    constexpr std::uint32_t maxHeadBytes = 65'536;
+
+    failure lost(verdict ran, const std::string& what, const beast::error_code& error)
+    {
+        const bool timedOut = error == beast::error::timeout;
+        return { ran, timedOut ? failure_reason::deadline : failure_reason::connection_lost, what + ": " + error.message(), std::nullopt };
+    }
+
+    // True if the server closed the connection or sent what nobody asked for.
+    bool isUnusable(tcp::socket& socket)
+    {
+        char byte = 0;
+        beast::error_code error;
+        socket.non_blocking(true, error);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error != asio::error::would_block;
+    }
+
+} // namespace
+
+struct http_call::connection {
+    explicit connection(asio::io_context& io)
+        : stream(io)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::array<char, pieceBytes> piece;
+    instant deadline;
+};
+
+http_call::http_call(http_client& client)
+    : m_client(client)
+{
+}
+
+http_call::~http_call() = default;
+
+void http_call::cancel()
+{
+    m_cancelled = true;
+    if (m_connection)
+        m_connection->stream.close();
+}
+
+awaitable<result<void>> http_call::connect(const std::string& address, instant deadline)
+{
+    m_connection = m_client.takeIdle(address);
+    if (m_connection)
+        co_return boost::outcome_v2::success();
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        co_return endpoint.error();
+    m_connection = std::make_unique<connection>(m_client.m_context.io());
+    m_connection->stream.expires_at(std::min(deadline, m_client.m_context.now() + connectTimeout));
+    const auto [error] = co_await m_connection->stream.async_connect(endpoint.value(), asTuple);
+    if (error) {
+        failure failed = lost(verdict::not_run, "cannot connect to " + address, error);
+        failed.reason = failure_reason::connection_lost;
+        co_return failed;
+    }
+    beast::error_code ignored;
+    m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return boost::outcome_v2::success();
+}
+
+awaitable<result<http_head>> http_call::start(std::string address, http_request request, instant deadline)
+{
+    m_address = std::move(address);
+    if (m_client.m_context.isCut(m_address))
+        co_return notRun(failure_reason::connection_lost, "cut off from " + m_address);
+    const auto connected = co_await connect(m_address, deadline);
+    if (!connected)
+        co_return connected.error();
+    if (m_cancelled)
+        co_return notRun(failure_reason::connection_lost, "the caller went away");
+
+    request.set(http::field::host, m_address);
+    request.keep_alive(true);
+    request.prepare_payload();
+    m_connection->stream.expires_at(deadline);
+    const auto [writeError, written] = co_await http::async_write(m_connection->stream, request, asTuple);
+    // A request that was not handed over whole is never run: the server waits for the rest.
+    if (writeError)
+        co_return lost(verdict::not_run, "cannot send to " + m_address, writeError);
+
+    m_connection->parser.emplace();
+    m_connection->parser->header_limit(maxHeadBytes);
+    m_connection->parser->body_limit(boost::none);
+    const auto [readError, bytes] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_connection->parser, asTuple);
+    if (readError)
+        co_return lost(verdict::may_have_run, "no answer from " + m_address, readError);
+    co_return m_connection->parser->get().base();
+}
+
+awaitable<result<std::string_view>> http_call::read()
+{
+    if (!m_connection || m_cancelled)
+        co_return mayHaveRun(failure_reason::connection_lost, "the call was cancelled");
+    auto& parser = *m_connection->parser;
+    while (!parser.is_done()) {
+        parser.get().body().data = m_connection->piece.data();
+        parser.get().body().size = pieceBytes;
+        auto [error, bytes] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, parser, asTuple);
+        if (error == http::error::need_buffer)
+            error = {};
+        if (error)
+            co_return lost(verdict::may_have_run, "the answer of " + m_address + " was cut off", error);
+        const std::size_t got = pieceBytes - parser.get().body().size;
+        if (got > 0)
+            co_return std::string_view(m_connection->piece.data(), got);
+    }
+    giveBack();
+    co_return std::string_view {};
+}
+
+awaitable<result<std::string>> http_call::readAll(std::size_t limit)
+{
+    std::string body;
+    for (;;) {
+        const auto piece = co_await read();
+        if (!piece)
+            co_return piece.error();
+        if (piece.value().empty())
+            co_return body;
+        if (body.size() + piece.value().size() > limit) {
+            cancel();
+            co_return mayHaveRun(failure_reason::too_large, "the answer of " + m_address + " is too large");
+        }
+        body.append(piece.value());
+    }
+}
+
+void http_call::giveBack()
+{
+    if (!m_connection->parser->keep_alive() || m_connection->buffer.size() > 0) {
+        m_connection.reset();
+        return;
+    }
+    m_connection->stream.expires_never();
+    auto& idle = m_client.m_idle[m_address];
+    if (idle.size() < maxIdlePerAddress)
+        idle.push_back({ std::move(m_connection), m_client.m_context.now() });
+    m_connection.reset();
+}
+
+http_client::http_client(process_context& context)
+    : m_context(context)
+{
+}
+
+http_client::~http_client() = default;
+
+std::unique_ptr<http_call::connection> http_client::takeIdle(const std::string& address)
+{
+    auto& idle = m_idle[address];
+    while (!idle.empty()) {
+        idle_connection last = std::move(idle.back());
+        idle.pop_back();
+        if (m_context.now() - last.since < idleLife && !isUnusable(last.connection->stream.socket()))
+            return std::move(last.connection);
+    }
+    return nullptr;
+}
+
+awaitable<result<http_response>> http_client::fetch(std::string address, http_request request, milliseconds timeout, std::size_t limit)
+{
+    http_call call(*this);
+    auto head = co_await call.start(std::move(address), std::move(request), m_context.now() + timeout);
+    if (!head)
+        co_return head.error();
+    auto body = co_await call.readAll(limit);
+    if (!body)
+        co_return body.error();
+    http_response response;
+    response.base() = std::move(head.value());
+    response.body() = std::move(body.value());
+    co_return response;
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/http_client.h
@@ -0,0 +1,70 @@
+// Sends requests over pooled HTTP/1.1 connections.
+#pragma once
+
+#include "daemon/http_message.h"
+#include "daemon/process_context.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace rampgap {
+
+class http_client;
+
+// One request to an upstream and its answer. The connection goes back to the pool only
+// after a whole answer, so nothing late can reach the next call.
+class http_call {
+public:
+    explicit http_call(http_client&);
+    ~http_call();
+    http_call(const http_call&) = delete;
+    http_call& operator=(const http_call&) = delete;
+
+    // Sends the request and reads the answer's head. The verdict of a failure tells
+    // whether the whole request was handed over.
+    awaitable<result<http_head>> start(std::string address, http_request, instant deadline);
+    // The next piece of the body; empty at its end. Valid until the next call.
+    awaitable<result<std::string_view>> read();
+    // Reads the rest of the body, up to `limit` bytes.
+    awaitable<result<std::string>> readAll(std::size_t limit);
+    // Closes the connection; a waiting call returns with a failure.
+    void cancel();
+
+private:
+    struct connection;
+    friend class http_client;
+
+    awaitable<result<void>> connect(const std::string& address, instant deadline);
+    void giveBack();
+
+    http_client& m_client;
+    std::string m_address;
+    std::unique_ptr<connection> m_connection;
+    bool m_cancelled = false;
+};
+
+class http_client {
+public:
+    explicit http_client(process_context&);
+    ~http_client();
+
+    // A call that buffers the whole answer, up to `limit` bytes.
+    awaitable<result<http_response>> fetch(std::string address, http_request, milliseconds timeout, std::size_t limit = 4'194'304);
+
+private:
+    friend class http_call;
+
+    struct idle_connection {
+        std::unique_ptr<http_call::connection> connection;
+        instant since;
+    };
+
+    std::unique_ptr<http_call::connection> takeIdle(const std::string& address);
+
+    process_context& m_context;
+    std::unordered_map<std::string, std::vector<idle_connection>> m_idle;
+};
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/http_server.cpp
@@ -0,0 +1,329 @@
+#include "daemon/http_server.h"
+
+#include "daemon/log.h"
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace rampgap {
+
+namespace beast = boost::beast;
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr milliseconds acceptBackoff { 20 };
+
+    failure parseFailure(const beast::error_code& error)
+    {
+        if (error == http::error::body_limit)
+            return notRun(failure_reason::too_large, "the body is larger than this server takes");
+        if (error == http::error::header_limit)
+            return notRun(failure_reason::too_large, "the headers are larger than this server takes");
+        return notRun(failure_reason::invalid_request, "malformed HTTP: " + error.message());
+    }
+
+} // namespace
+
+class http_server::connection : public http_exchange, public std::enable_shared_from_this<connection> {
+public:
+    connection(tcp::socket socket, const http_limits& limits)
+        : m_stream(std::move(socket))
+        , m_limits(limits)
+    {
+        beast::error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    }
+
+    // Reads the next request; false when the connection is to be closed.
+    awaitable<bool> readRequest(instant& idleSince)
+    {
+        m_parser.emplace();
+        m_parser->header_limit(m_limits.maxHeaderBytes);
+        m_parser->body_limit(m_limits.maxBodyBytes);
+        m_busy = false;
+        m_stream.expires_at(idleSince + m_limits.idleTimeout);
+        auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
+        m_receivedAt = std::chrono::steady_clock::now();
+        if (!error && beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+            error = co_await sendContinue();
+        if (!error)
+            std::tie(error, bytes) = co_await http::async_read(m_stream, m_buffer, *m_parser, asTuple);
+        if (error) {
+            const bool nothingRead = error == http::error::end_of_stream || !m_parser->got_some();
+            const bool lost = error == beast::error::timeout || error == asio::error::operation_aborted || error == asio::error::connection_reset
+                || error == http::error::partial_message || error == asio::error::eof;
+            if (!nothingRead && !lost) {
+                m_mustClose = true;
+                co_await send(makeFailure(parseFailure(error)));
+            }
+            co_return false;
+        }
+        if (m_dropped)
+            co_return false;
+        m_request = m_parser->release();
+        m_busy = true;
+        m_begun = false;
+        m_finished = false;
+        m_gone = false;
+        m_onGone = nullptr;
+        co_return true;
+    }
+
+    // Watches for the caller's going away while its request is worked on.
+    void watchCaller()
+    {
+        m_stream.socket().async_wait(tcp::socket::wait_read, [weak = weak_from_this()](beast::error_code error) {
+            const auto self = weak.lock();
+            if (error || !self || !self->m_busy)
+                return;
+            char byte = 0;
+            beast::error_code peekError;
+            self->m_stream.socket().non_blocking(true, peekError);
+            const auto count = self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+            const bool closed = (count == 0 && !peekError) || (peekError && peekError != asio::error::would_block);
+            if (closed)
+                self->noteGone();
+        });
+    }
+
+    void endWork()
+    {
+        m_busy = false;
+        m_onGone = nullptr;
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+
+    bool keepAlive() const { return m_request.keep_alive() && !m_mustClose && !m_gone && m_finished; }
+    bool busy() const { return m_busy; }
+    void closeAfterAnswer() { m_mustClose = true; }
+
+    void drop()
+    {
+        m_dropped = true;
+        close();
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        m_stream.close();
+    }
+
+    const http_request& request() const override { return m_request; }
+    instant receivedAt() const override { return m_receivedAt; }
+    bool begun() const override { return m_begun; }
+    bool callerGone() const override { return m_gone; }
+    void onCallerGone(std::function<void()> action) override { m_onGone = std::move(action); }
+
+    awaitable<bool> send(http_response response) override
+    {
+        m_begun = true;
+        response.keep_alive(m_request.keep_alive() && !m_mustClose);
+        if (!response.keep_alive())
+            m_mustClose = true;
+        m_stream.expires_after(m_limits.writeTimeout);
+        const auto [error, bytes] = co_await http::async_write(m_stream, response, asTuple);
+        m_finished = !error;
+        if (error)
+            noteGone();
+        co_return !error;
+    }
+
+    awaitable<bool> begin(http_head head) override
+    {
+        m_begun = true;
+        m_answer.emplace(std::move(head));
+        m_answer->chunked(true);
+        m_answer->keep_alive(m_request.keep_alive() && !m_mustClose);
+        m_answer->body().data = nullptr;
+        m_answer->body().more = true;
+        m_serializer.emplace(*m_answer);
+        m_stream.expires_after(m_limits.writeTimeout);
+        const auto [error, bytes] = co_await http::async_write_header(m_stream, *m_serializer, asTuple);
+        co_return checkWrite(error);
+    }
+
+    awaitable<bool> write(std::string_view bytes) override
+    {
+        m_answer->body().data = const_cast<char*>(bytes.data());
+        m_answer->body().size = bytes.size();
+        m_answer->body().more = true;
+        m_stream.expires_after(m_limits.writeTimeout);
+        const auto [error, written] = co_await http::async_write(m_stream, *m_serializer, asTuple);
+        co_return checkWrite(error);
+    }
+
+    awaitable<bool> finish() override
+    {
+        m_answer->body().data = nullptr;
+        m_answer->body().size = 0;
+        m_answer->body().more = false;
+        m_stream.expires_after(m_limits.writeTimeout);
+        const auto [error, written] = co_await http::async_write(m_stream, *m_serializer, asTuple);
+        m_finished = checkWrite(error);
+        co_return m_finished;
+    }
+
+    void abort() override
+    {
+        m_mustClose = true;
+        m_finished = false;
+    }
+
+private:
+    awaitable<beast::error_code> sendContinue()
+    {
+        http::response<http::empty_body> interim { http::status::continue_, 11 };
+        const auto [error, bytes] = co_await http::async_write(m_stream, interim, asTuple);
+        co_return error;
+    }
+
+    bool checkWrite(const beast::error_code& error)
+    {
+        if (!error || error == http::error::need_buffer)
+            return true;
+        noteGone();
+        return false;
+    }
+
+    void noteGone()
+    {
+        m_gone = true;
+        if (const auto action = std::exchange(m_onGone, nullptr))
+            action();
+    }
+
+    beast::tcp_stream m_stream;
+    const http_limits& m_limits;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http_request m_request;
+    instant m_receivedAt;
+    std::optional<http::response<http::buffer_body>> m_answer;
+    std::optional<http::response_serializer<http::buffer_body>> m_serializer;
+    std::function<void()> m_onGone;
+    bool m_busy = false;
+    bool m_begun = false;
+    bool m_finished = false;
+    bool m_mustClose = false;
+    bool m_gone = false;
+    bool m_dropped = false;
+};
+
+result<std::unique_ptr<http_server>> http_server::listen(process_context& context, const std::string& address, http_limits limits, http_handler& handler)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (!endpoint)
+        return endpoint.error();
+    tcp::acceptor acceptor(context.io());
+    beast::error_code error;
+    acceptor.open(endpoint.value().protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint.value(), error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return notRun(failure_reason::not_ready, "cannot listen on " + address + ": " + error.message());
+    std::unique_ptr<http_server> server(new http_server(context, std::move(acceptor), limits, handler));
+    asio::co_spawn(context.io(), server->acceptLoop(), asio::detached);
+    return server;
+}
+
+http_server::http_server(process_context& context, tcp::acceptor acceptor, http_limits limits, http_handler& handler)
+    : m_context(context)
+    , m_acceptor(std::move(acceptor))
+    , m_limits(limits)
+    , m_handler(handler)
+{
+}
+
+http_server::~http_server() = default;
+
+unsigned short http_server::port() const
+{
+    return m_acceptor.local_endpoint().port();
+}
+
+awaitable<void> http_server::acceptLoop()
+{
+    while (!m_draining) {
+        const std::uint64_t epoch = m_dropEpoch;
+        auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
+        if (m_draining)
+            co_return;
+        if (error) {
+            asio::steady_timer pause(m_context.io(), acceptBackoff);
+            co_await pause.async_wait(asTuple);
+            continue;
+        }
+        if (epoch != m_dropEpoch || openConnections() >= m_limits.maxConnections) {
+            socket.close(error);
+            continue;
+        }
+        const connection_id id = m_nextId++;
+        auto made = std::make_shared<connection>(std::move(socket), m_limits);
+        m_connections.emplace(id, made);
+        m_context.counters().set(metric::connections, openConnections());
+        asio::co_spawn(m_context.io(), serve(id, std::move(made)), asio::detached);
+    }
+}
+
+awaitable<void> http_server::serve(connection_id id, std::shared_ptr<connection> client)
+{
+    instant idleSince = m_context.now();
+    while (co_await client->readRequest(idleSince)) {
+        if (m_draining)
+            client->closeAfterAnswer();
+        client->watchCaller();
+        co_await m_handler.handle(*client);
+        client->endWork();
+        if (!client->keepAlive())
+            break;
+        idleSince = m_context.now();
+    }
+    client->close();
+    m_connections.erase(id);
+    m_context.counters().set(metric::connections, openConnections());
+}
+
+void http_server::drain()
+{
+    m_draining = true;
+    beast::error_code ignored;
+    m_acceptor.close(ignored);
+    for (auto& [id, client] : m_connections) {
+        if (client->busy())
+            client->closeAfterAnswer();
+        else
+            client->close();
+    }
+}
+
+void http_server::dropUnread()
+{
+    ++m_dropEpoch;
+    beast::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket waiting(m_context.io());
+        m_acceptor.accept(waiting, error);
+    }
+    for (auto& [id, client] : m_connections) {
+        if (!client->busy())
+            client->drop();
+    }
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/metrics.cpp
@@ -0,0 +1,94 @@
+#include "daemon/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace rampgap {
+
+namespace {
+
+    constexpr const char* failureName = "rampgap_requests_refused_total";
+    constexpr const char* failureHelp = "Requests that ended in a failure, by reason and verdict";
+
+    constexpr std::array<metric_row, 20> rows { {
+        { metric::requests_received, "rampgap_requests_received_total", "Requests received from callers or entry VMs", false },
+        { metric::requests_answered, "rampgap_requests_answered_total", "Requests answered whole by a backend server", false },
+        { metric::requests_lost, "rampgap_requests_lost_total", "Answers cut off after they had begun", false },
+        { metric::retries, "rampgap_retries_total", "Further tries of a request on another backend server", false },
+        { metric::permits_refused, "rampgap_permits_refused_total", "Requests refused for a stale permit", false },
+        { metric::duplicates_answered, "rampgap_duplicates_answered_total", "Repeated ids answered from the stored answer", false },
+        { metric::bytes_relayed, "rampgap_bytes_relayed_total", "Bytes of answers passed on", false },
+        { metric::revisions_accepted, "rampgap_revisions_accepted_total", "Declarations put in force", false },
+        { metric::revisions_refused, "rampgap_revisions_refused_total", "Declarations refused", false },
+        { metric::exchanges_sent, "rampgap_exchanges_sent_total", "Configuration exchanges begun with another process", false },
+        { metric::exchanges_received, "rampgap_exchanges_received_total", "Configuration exchanges answered", false },
+        { metric::exchange_bytes, "rampgap_exchange_bytes_total", "Bytes of messages of configuration exchanges, both ways", false },
+        { metric::platform_reads, "rampgap_platform_reads_total", "Reads and watches at the configuration service", false },
+        { metric::pauses_detected, "rampgap_pauses_detected_total", "Times that this process found it had been paused", false },
+        { metric::map_switches, "rampgap_map_switches_total", "Expert map switches committed", false },
+        { metric::revision_in_force, "rampgap_revision_in_force", "Revision of the declaration in force, 0 if none", true },
+        { metric::in_flight, "rampgap_requests_in_flight", "Requests being served", true },
+        { metric::queued, "rampgap_requests_queued", "Requests waiting for a slot of the backend", true },
+        { metric::connections, "rampgap_connections", "Open connections from callers or entry VMs", true },
+        { metric::ledger_ids, "rampgap_ledger_ids", "Ids of requests that may run at most once, in memory", true },
+    } };
+
+} // namespace
+
+const std::array<metric_row, 20>& metricTable()
+{
+    return rows;
+}
+
+metrics::metrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+{
+    for (const auto& row : rows) {
+        const auto index = static_cast<std::size_t>(row.id);
+        if (row.isGauge)
+            m_gauges[index] = &prometheus::BuildGauge().Name(row.name).Help(row.help).Register(*m_registry).Add({});
+        else
+            m_counters[index] = &prometheus::BuildCounter().Name(row.name).Help(row.help).Register(*m_registry).Add({});
+    }
+}
+
+metrics::~metrics() = default;
+
+void metrics::add(metric id, double amount)
+{
+    const auto index = static_cast<std::size_t>(id);
+    if (m_gauges[index])
+        m_gauges[index]->Increment(amount);
+    else
+        m_counters[index]->Increment(amount);
+}
+
+void metrics::set(metric id, double value)
+{
+    m_gauges[static_cast<std::size_t>(id)]->Set(value);
+}
+
+double metrics::value(metric id) const
+{
+    const auto index = static_cast<std::size_t>(id);
+    return m_gauges[index] ? m_gauges[index]->Value() : m_counters[index]->Value();
+}
+
+void metrics::countFailure(const failure& failed)
+{
+    prometheus::Counter*& counter = m_failures[{ failed.ran, failed.reason }];
+    if (!counter) {
+        auto& family = prometheus::BuildCounter().Name(failureName).Help(failureHelp).Register(*m_registry);
+        counter = &family.Add({ { "reason", std::string(toString(failed.reason)) }, { "verdict", std::string(toString(failed.ran)) } });
+    }
+    counter->Increment();
+}
+
+std::string metrics::serialize() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/metrics.h
@@ -0,0 +1,71 @@
+// Counters and gauges of one process, in the Prometheus text form.
+#pragma once
+
+#include "policy/verdict.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Registry;
+}
+
+namespace rampgap {
+
+// Each metric; its name and help stand in one table in the source.
+enum class metric {
+    requests_received,
+    requests_answered,
+    requests_lost,
+    retries,
+    permits_refused,
+    duplicates_answered,
+    bytes_relayed,
+    revisions_accepted,
+    revisions_refused,
+    exchanges_sent,
+    exchanges_received,
+    exchange_bytes,
+    platform_reads,
+    pauses_detected,
+    map_switches,
+    revision_in_force,
+    in_flight,
+    queued,
+    connections,
+    ledger_ids,
+};
+
+struct metric_row {
+    metric id;
+    const char* name;
+    const char* help;
+    bool isGauge;
+};
+
+const std::array<metric_row, 20>& metricTable();
+
+class metrics {
+public:
+    metrics();
+    ~metrics();
+
+    void add(metric, double amount = 1);
+    void set(metric, double value);
+    double value(metric) const;
+    // Counts a refusal under its reason and verdict.
+    void countFailure(const failure&);
+    std::string serialize() const;
+
+private:
+    std::shared_ptr<prometheus::Registry> m_registry;
+    std::array<prometheus::Counter*, 20> m_counters {};
+    std::array<prometheus::Gauge*, 20> m_gauges {};
+    std::map<std::pair<verdict, failure_reason>, prometheus::Counter*> m_failures;
+};
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/operator_pages.h
@@ -0,0 +1,41 @@
+// What every process answers over HTTP about itself: health, metrics, status, time line.
+#pragma once
+
+#include "daemon/http_server.h"
+
+namespace rampgap {
+
+class configuration_node;
+struct process_settings;
+
+class operator_pages {
+public:
+    operator_pages(process_context&, const process_settings&, const configuration_node&);
+
+    // The answer if the path is one of ours; empty if it is not.
+    std::optional<http_response> answer(const http_request&);
+    void setLeaving() { m_leaving = true; }
+
+private:
+    bool authorised(const http_request&) const;
+    http_response health() const;
+    http_response readiness() const;
+    http_response status() const;
+    http_response timelinePage() const;
+    http_response declarationPage() const;
+    http_response cutPeers(const http_request&);
+
+    process_context& m_context;
+    const process_settings& m_settings;
+    const configuration_node& m_configuration;
+    bool m_leaving = false;
+};
+
+// The value of `name` in the query of a request target, empty if absent.
+std::string queryValue(std::string_view target, std::string_view name);
+// The path of a request target, without its query.
+std::string pathOf(std::string_view target);
+// The bearer key of a request, empty if there is none.
+std::string bearerKey(const http_request&);
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/peer_link.cpp
@@ -0,0 +1,258 @@
+#include "daemon/peer_link.h"
+
+#include "peer.grpc.pb.h"
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <grpcpp/grpcpp.h>
+#include <grpcpp/resource_quota.h>
+#include <list>
+#include <unordered_map>
+
+namespace rampgap {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t maxChannels = 48;
+    constexpr int maxMessageBytes = 8 * 1'048'576;
+    constexpr int maxGrpcThreads = 4;
+
+    grpc::ChannelArguments channelArguments()
+    {
+        grpc::ChannelArguments arguments;
+        arguments.SetMaxReceiveMessageSize(maxMessageBytes);
+        arguments.SetCompressionAlgorithm(GRPC_COMPRESS_GZIP);
+        // Loopback and data-centre addresses are dialled as they are, never by a proxy.
+        arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+        arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+        arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1'000);
+        return arguments;
+    }
+
+    // Runs `method` of the handler on the Asio thread and finishes the call there.
+    template <class Request, class Reply>
+    grpc::ServerUnaryReactor* serveOn(asio::io_context& io, grpc::CallbackServerContext* context, const Request* request, Reply* reply,
+        peer_handler& handler, awaitable<Reply> (peer_handler::*method)(Request))
+    {
+        grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+        context->set_compression_algorithm(GRPC_COMPRESS_GZIP);
+        asio::co_spawn(
+            io,
+            [&handler, method, reactor, reply, request]() -> awaitable<void> {
+                *reply = co_await (handler.*method)(*request);
+                reactor->Finish(grpc::Status::OK);
+            },
+            asio::detached);
+        return reactor;
+    }
+
+    class peer_service : public wire::Peer::CallbackService {
+    public:
+        peer_service(asio::io_context& io, peer_handler& handler)
+            : m_io(io)
+            , m_handler(handler)
+        {
+        }
+
+        grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context, const wire::ExchangeRequest* request, wire::ExchangeReply* reply) override
+        {
+            return serveOn(m_io, context, request, reply, m_handler, &peer_handler::onExchange);
+        }
+
+        grpc::ServerUnaryReactor* Handover(grpc::CallbackServerContext* context, const wire::HandoverRequest* request, wire::HandoverReply* reply) override
+        {
+            return serveOn(m_io, context, request, reply, m_handler, &peer_handler::onHandover);
+        }
+
+        grpc::ServerUnaryReactor* Deposit(grpc::CallbackServerContext* context, const wire::DepositRequest* request, wire::DepositReply* reply) override
+        {
+            return serveOn(m_io, context, request, reply, m_handler, &peer_handler::onDeposit);
+        }
+
+        grpc::ServerUnaryReactor* Group(grpc::CallbackServerContext* context, const wire::GroupMessage* request, wire::GroupMessage* reply) override
+        {
+            return serveOn(m_io, context, request, reply, m_handler, &peer_handler::onGroup);
+        }
+
+    private:
+        asio::io_context& m_io;
+        peer_handler& m_handler;
+    };
+
+    // State of one outgoing call; it lives until gRPC has called back.
+    template <class Request, class Reply>
+    struct pending_call {
+        grpc::ClientContext context;
+        Request request;
+        Reply reply;
+    };
+
+} // namespace
+
+awaitable<wire::HandoverReply> peer_handler::onHandover(wire::HandoverRequest)
+{
+    co_return wire::HandoverReply();
+}
+
+awaitable<wire::DepositReply> peer_handler::onDeposit(wire::DepositRequest)
+{
+    co_return wire::DepositReply();
+}
+
+awaitable<wire::GroupMessage> peer_handler::onGroup(wire::GroupMessage)
+{
+    wire::GroupMessage refused;
+    refused.set_kind(wire::GroupMessage::REFUSED);
+    co_return refused;
+}
+
+struct peer_server::implementation {
+    implementation(asio::io_context& io, peer_handler& handler)
+        : service(io, handler)
+    {
+    }
+
+    peer_service service;
+    std::unique_ptr<grpc::Server> server;
+    int port = 0;
+};
+
+peer_server::peer_server(std::unique_ptr<implementation> made)
+    : m_implementation(std::move(made))
+{
+}
+
+peer_server::~peer_server()
+{
+    stop();
+}
+
+result<std::unique_ptr<peer_server>> peer_server::listen(process_context& context, const std::string& address, peer_handler& handler)
+{
+    auto made = std::make_unique<implementation>(context.io(), handler);
+    grpc::ServerBuilder builder;
+    grpc::ResourceQuota quota("rampgap");
+    quota.SetMaxThreads(maxGrpcThreads);
+    builder.SetResourceQuota(quota);
+    builder.SetMaxReceiveMessageSize(maxMessageBytes);
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.AddListeningPort(address, grpc::InsecureServerCredentials(), &made->port);
+    builder.RegisterService(&made->service);
+    made->server = builder.BuildAndStart();
+    if (!made->server || made->port == 0)
+        return notRun(failure_reason::not_ready, "cannot listen on " + address);
+    return std::unique_ptr<peer_server>(new peer_server(std::move(made)));
+}
+
+int peer_server::port() const
+{
+    return m_implementation->port;
+}
+
+void peer_server::stop()
+{
+    if (m_implementation->server)
+        m_implementation->server->Shutdown(std::chrono::system_clock::now());
+}
+
+struct peer_client::implementation {
+    explicit implementation(process_context& shared)
+        : context(shared)
+    {
+    }
+
+    struct channel {
+        std::string address;
+        std::shared_ptr<wire::Peer::Stub> stub;
+    };
+
+    // The least recently used channel gives way when there are too many.
+    std::shared_ptr<wire::Peer::Stub> stub(const std::string& address)
+    {
+        const auto found = byAddress.find(address);
+        if (found != byAddress.end()) {
+            channels.splice(channels.begin(), channels, found->second);
+            return channels.front().stub;
+        }
+        auto made = grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), channelArguments());
+        channels.push_front({ address, std::shared_ptr<wire::Peer::Stub>(wire::Peer::NewStub(made)) });
+        byAddress[address] = channels.begin();
+        if (channels.size() > maxChannels) {
+            byAddress.erase(channels.back().address);
+            channels.pop_back();
+        }
+        return channels.front().stub;
+    }
+
+    template <class Request, class Reply, class Start>
+    awaitable<result<Reply>> call(std::string address, Request request, milliseconds timeout, Start start)
+    {
+        if (context.isCut(address))
+            co_return notRun(failure_reason::connection_lost, "cut off from " + address);
+        auto pending = std::make_shared<pending_call<Request, Reply>>();
+        pending->request = std::move(request);
+        pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
+        const auto target = stub(address);
+        auto* async = target->async();
+        const grpc::Status status = co_await asio::async_initiate<const asio::use_awaitable_t<>&, void(grpc::Status)>(
+            [&](auto handler) {
+                auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+                auto work = std::make_shared<asio::executor_work_guard<asio::io_context::executor_type>>(context.io().get_executor());
+                asio::io_context& io = context.io();
+                start(async, &pending->context, &pending->request, &pending->reply, [shared, work, pending, target, &io](grpc::Status ended) {
+                    asio::post(io, [shared, work, ended]() mutable { (*shared)(ended); });
+                });
+            },
+            asio::use_awaitable);
+        if (!status.ok()) {
+            failure failed = notRun(failure_reason::connection_lost, address + ": " + status.error_message());
+            if (status.error_code() != grpc::StatusCode::UNAVAILABLE)
+                failed.ran = verdict::may_have_run;
+            co_return failed;
+        }
+        co_return std::move(pending->reply);
+    }
+
+    process_context& context;
+    std::list<channel> channels;
+    std::unordered_map<std::string, std::list<channel>::iterator> byAddress;
+};
+
+peer_client::peer_client(process_context& context)
+    : m_implementation(std::make_unique<implementation>(context))
+{
+}
+
+peer_client::~peer_client() = default;
+
+awaitable<result<wire::ExchangeReply>> peer_client::exchange(std::string address, wire::ExchangeRequest request, milliseconds timeout)
+{
+    return m_implementation->call<wire::ExchangeRequest, wire::ExchangeReply>(std::move(address), std::move(request), timeout,
+        [](auto* async, auto* context, auto* message, auto* reply, auto done) { async->Exchange(context, message, reply, std::move(done)); });
+}
+
+awaitable<result<wire::HandoverReply>> peer_client::handover(std::string address, wire::HandoverRequest request, milliseconds timeout)
+{
+    return m_implementation->call<wire::HandoverRequest, wire::HandoverReply>(std::move(address), std::move(request), timeout,
+        [](auto* async, auto* context, auto* message, auto* reply, auto done) { async->Handover(context, message, reply, std::move(done)); });
+}
+
+awaitable<result<wire::DepositReply>> peer_client::deposit(std::string address, wire::DepositRequest request, milliseconds timeout)
+{
+    return m_implementation->call<wire::DepositRequest, wire::DepositReply>(std::move(address), std::move(request), timeout,
+        [](auto* async, auto* context, auto* message, auto* reply, auto done) { async->Deposit(context, message, reply, std::move(done)); });
+}
+
+awaitable<result<wire::GroupMessage>> peer_client::group(std::string address, wire::GroupMessage request, milliseconds timeout)
+{
+    return m_implementation->call<wire::GroupMessage, wire::GroupMessage>(std::move(address), std::move(request), timeout,
+        [](auto* async, auto* context, auto* message, auto* reply, auto done) { async->Group(context, message, reply, std::move(done)); });
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/daemon/process_context.h
@@ -0,0 +1,51 @@
+// What every part of a process shares: its identity, clocks, metrics and time line.
+#pragma once
+
+#include "daemon/metrics.h"
+#include "policy/timeline.h"
+#include "policy/verdict.h"
+
+#include <boost/asio/io_context.hpp>
+#include <random>
+#include <set>
+#include <string>
+
+namespace rampgap {
+
+class process_context {
+public:
+    process_context(std::string name, std::string zone, std::string role);
+
+    boost::asio::io_context& io() { return m_io; }
+    const std::string& name() const { return m_name; }
+    const std::string& zone() const { return m_zone; }
+    const std::string& role() const { return m_role; }
+    // Rises with each start of the process: its start time in wall nanoseconds.
+    std::uint64_t incarnation() const { return m_incarnation; }
+    instant now() const { return std::chrono::steady_clock::now(); }
+    instant startedAt() const { return m_startedAt; }
+
+    metrics& counters() { return m_metrics; }
+    event_ring& timeline() { return m_timeline; }
+    std::mt19937_64& random() { return m_random; }
+
+    void note(event_kind, std::string correlation, std::string detail);
+
+    // Fault switch for tests: addresses that nothing is sent to.
+    void cut(std::set<std::string> addresses) { m_cut = std::move(addresses); }
+    bool isCut(const std::string& address) const { return m_cut.contains(address); }
+
+private:
+    boost::asio::io_context m_io { 1 };
+    std::string m_name;
+    std::string m_zone;
+    std::string m_role;
+    std::uint64_t m_incarnation;
+    instant m_startedAt;
+    metrics m_metrics;
+    event_ring m_timeline;
+    std::mt19937_64 m_random;
+    std::set<std::string> m_cut;
+};
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/platform/platform_source.cpp
@@ -0,0 +1,93 @@
+#include "platform/platform_source.h"
+
+#include "daemon/http_client.h"
+#include <boost/json.hpp>
+
+namespace rampgap {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr milliseconds readTimeout { 2'000 };
+
+    failure malformed(const std::string& what)
+    {
+        return notRun(failure_reason::backend_error, "configuration service: " + what);
+    }
+
+    class http_platform_source : public platform_source {
+    public:
+        http_platform_source(process_context& context, http_client& client, std::string address)
+            : m_context(context)
+            , m_client(client)
+            , m_address(std::move(address))
+        {
+        }
+
+        awaitable<result<std::vector<std::string>>> latestDeclarations(int count) override
+        {
+            return documents("/v1/declarations/last?count=" + std::to_string(count), readTimeout);
+        }
+
+        awaitable<result<std::vector<std::string>>> watchDeclarations(std::uint64_t revision, milliseconds wait) override
+        {
+            return documents("/v1/declarations?after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait.count()), wait + readTimeout);
+        }
+
+        awaitable<result<vm_list>> watchVms(std::uint64_t version, milliseconds wait) override
+        {
+            const auto body = co_await get("/v1/vms?after=" + std::to_string(version) + "&wait_ms=" + std::to_string(wait.count()), wait + readTimeout);
+            if (!body)
+                co_return body.error();
+            auto list = parseVmList(body.value());
+            if (!list)
+                co_return malformed(list.error());
+            co_return std::move(list.value());
+        }
+
+    private:
+        awaitable<result<std::string>> get(std::string target, milliseconds timeout)
+        {
+            m_context.counters().add(metric::platform_reads);
+            http_request request { http::verb::get, target, 11 };
+            auto response = co_await m_client.fetch(m_address, std::move(request), timeout);
+            if (!response)
+                co_return response.error();
+            if (response.value().result() != http::status::ok)
+                co_return malformed("status " + std::to_string(response.value().result_int()));
+            co_return std::move(response.value().body());
+        }
+
+        awaitable<result<std::vector<std::string>>> documents(std::string target, milliseconds timeout)
+        {
+            const auto body = co_await get(std::move(target), timeout);
+            if (!body)
+                co_return body.error();
+            boost::system::error_code error;
+            const json::value parsed = json::parse(body.value(), error);
+            const json::value* list = error ? nullptr : parsed.as_object().if_contains("documents");
+            if (!list || !list->is_array())
+                co_return malformed("no documents in the answer");
+            std::vector<std::string> texts;
+            for (const json::value& item : list->get_array()) {
+                if (!item.is_string())
+                    co_return malformed("a document is not text");
+                texts.emplace_back(item.get_string());
+            }
+            co_return texts;
+        }
+
+        process_context& m_context;
+        http_client& m_client;
+        std::string m_address;
+    };
+
+} // namespace
+
+std::unique_ptr<platform_source> platform_source::makeHttp(process_context& context, http_client& client, std::string address)
+{
+    return std::make_unique<http_platform_source>(context, client, std::move(address));
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/platform/vm_list.cpp
@@ -0,0 +1,59 @@
+#include "platform/vm_list.h"
+
+#include <boost/json.hpp>
+
+namespace rampgap {
+
+namespace json = boost::json;
+
+namespace {
+
+    std::string member(const json::object& object, const char* name)
+    {
+        const json::value* value = object.if_contains(name);
+        return value && value->is_string() ? std::string(value->get_string()) : std::string();
+    }
+
+} // namespace
+
+boost::outcome_v2::checked<vm_list, std::string> parseVmList(const std::string& text)
+{
+    boost::system::error_code error;
+    const json::value parsed = json::parse(text, error);
+    if (error || !parsed.is_object())
+        return std::string("the VM list is not a JSON object");
+    const json::object& object = parsed.get_object();
+    const json::value* version = object.if_contains("version");
+    const json::value* vms = object.if_contains("vms");
+    if (!version || !version->is_number() || !vms || !vms->is_array())
+        return std::string("the VM list has no version or no vms");
+    vm_list list;
+    list.version = version->to_number<std::uint64_t>(error);
+    for (const json::value& item : vms->get_array()) {
+        if (!item.is_object())
+            return std::string("an entry of the VM list is not an object");
+        const json::object& vm = item.get_object();
+        const vm_role role = member(vm, "role") == "agent" ? vm_role::agent : vm_role::entry;
+        const vm_state state = member(vm, "state") == "leaving" ? vm_state::leaving : vm_state::live;
+        list.vms.push_back({ member(vm, "name"), member(vm, "zone"), role, state, member(vm, "address"), member(vm, "peer_address") });
+    }
+    return list;
+}
+
+std::string toJson(const vm_list& list)
+{
+    json::array vms;
+    for (const auto& vm : list.vms) {
+        vms.push_back(json::object {
+            { "name", vm.name },
+            { "zone", vm.zone },
+            { "role", vm.role == vm_role::agent ? "agent" : "entry" },
+            { "state", vm.state == vm_state::leaving ? "leaving" : "live" },
+            { "address", vm.address },
+            { "peer_address", vm.peerAddress },
+        });
+    }
+    return json::serialize(json::object { { "version", list.version }, { "vms", std::move(vms) } });
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/backend_table.cpp
@@ -0,0 +1,172 @@
+#include "policy/backend_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rampgap {
+
+namespace {
+
+    constexpr milliseconds firstSuspicion { 500 };
+    constexpr int maxSuspicionDoublings = 5;
+    // An agent says "leaving" for its own stop; a restarted one is tried again after this.
+    constexpr milliseconds leavingLife { 2'000 };
+    constexpr milliseconds slowStart { 5'000 };
+    constexpr double slowStartFactor = 3;
+    constexpr double defaultRunMs = 50;
+
+    const std::vector<backend_id> emptyPool;
+
+} // namespace
+
+backend_table::backend_table(std::string zone)
+    : m_zone(std::move(zone))
+{
+}
+
+void backend_table::apply(const declaration& current, instant now)
+{
+    m_pools.clear();
+    m_zonePools.clear();
+    for (auto& view : m_views) {
+        if (!current.findBackend(view.name))
+            view.state = backend_state::stopped;
+    }
+    const bool first = m_views.empty();
+    for (const auto& declared : current.backends()) {
+        const auto [place, added] = m_ids.try_emplace(declared.name, static_cast<backend_id>(m_views.size()));
+        if (added) {
+            m_views.emplace_back();
+            // All are new to an entry VM that starts: only later ones start slowly.
+            m_views.back().joinedAt = first ? now - slowStart : now;
+        }
+        const backend_id id = place->second;
+        backend_view& view = m_views[id];
+        if (view.address != declared.address && !added)
+            view.state = backend_state::up;
+        view.name = declared.name;
+        view.zone = declared.zone;
+        view.address = declared.address;
+        view.serves = declared.serves;
+        view.slots = declared.slots;
+        view.sameZone = declared.zone == m_zone;
+        if (declared.stopped)
+            view.state = backend_state::stopped;
+        else if (declared.draining) {
+            view.state = backend_state::leaving;
+            view.suspectUntil = instant::max();
+        } else if (view.state == backend_state::stopped || view.suspectUntil == instant::max()) {
+            view.state = backend_state::up;
+            view.suspectUntil = now;
+        }
+        if (declared.stopped)
+            continue;
+        m_pools[declared.serves].push_back(id);
+        if (view.sameZone)
+            m_zonePools[declared.serves].push_back(id);
+    }
+}
+
+void backend_table::noteListedLeaving(const std::vector<std::string>& names)
+{
+    for (const auto& name : names) {
+        const backend_id id = find(name);
+        if (id == noBackend || m_views[id].state == backend_state::stopped)
+            continue;
+        m_views[id].state = backend_state::leaving;
+        m_views[id].suspectUntil = instant::max();
+    }
+}
+
+void backend_table::noteSent(backend_id id)
+{
+    ++m_views[id].ownInFlight;
+}
+
+void backend_table::noteAnswered(backend_id id, const load_report& load, instant now)
+{
+    backend_view& view = m_views[id];
+    view.load = load;
+    view.ownAtReport = view.ownInFlight;
+    view.reportedAt = now;
+    view.failuresInRow = 0;
+    if (view.state == backend_state::suspect)
+        view.state = backend_state::up;
+}
+
+void backend_table::noteConnectFailed(backend_id id, instant now)
+{
+    backend_view& view = m_views[id];
+    if (view.state == backend_state::stopped || view.suspectUntil == instant::max())
+        return;
+    const int doublings = std::min(view.failuresInRow, maxSuspicionDoublings);
+    ++view.failuresInRow;
+    view.state = backend_state::suspect;
+    view.suspectUntil = now + firstSuspicion * (1 << doublings);
+}
+
+void backend_table::noteLeaving(backend_id id, instant now)
+{
+    backend_view& view = m_views[id];
+    if (view.state == backend_state::stopped || view.suspectUntil == instant::max())
+        return;
+    view.state = backend_state::leaving;
+    view.suspectUntil = now + leavingLife;
+}
+
+void backend_table::noteEnded(backend_id id)
+{
+    if (m_views[id].ownInFlight > 0)
+        --m_views[id].ownInFlight;
+}
+
+bool backend_table::usable(backend_id id, instant now) const
+{
+    const backend_view& view = m_views[id];
+    if (view.state == backend_state::up)
+        return true;
+    return view.state != backend_state::stopped && now >= view.suspectUntil;
+}
+
+backend_id backend_table::find(const std::string& name) const
+{
+    const auto found = m_ids.find(name);
+    return found == m_ids.end() ? noBackend : found->second;
+}
+
+const std::vector<backend_id>& backend_table::pool(const std::string& service) const
+{
+    const auto found = m_pools.find(service);
+    return found == m_pools.end() ? emptyPool : found->second;
+}
+
+const std::vector<backend_id>& backend_table::zonePool(const std::string& service) const
+{
+    const auto found = m_zonePools.find(service);
+    return found == m_zonePools.end() ? emptyPool : found->second;
+}
+
+double backend_table::outstanding(backend_id id) const
+{
+    const backend_view& view = m_views[id];
+    const int others = std::max(0, view.load.running + view.load.queued - view.ownAtReport);
+    return others + view.ownInFlight;
+}
+
+double backend_table::predictedWaitMs(backend_id id, instant now) const
+{
+    const backend_view& view = m_views[id];
+    const double run = view.load.averageRunMs > 0 ? view.load.averageRunMs : defaultRunMs;
+    const double busy = outstanding(id) / view.slots;
+    const double queueing = std::max(0.0, outstanding(id) + 1 - view.slots) * run / view.slots;
+    // A filled batch slows each step, so a part of the run counts before the queue does.
+    double wait = queueing + run * busy * 0.25;
+    const duration age = now - view.joinedAt;
+    if (age < slowStart) {
+        const double youth = 1 - std::chrono::duration<double>(age) / std::chrono::duration<double>(slowStart);
+        wait = (wait + run * 0.25) * (1 + slowStartFactor * youth);
+    }
+    return wait;
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/rate_limiter.h
@@ -0,0 +1,34 @@
+// Rate and concurrency limits of workspaces at one entry VM, without a shared store.
+#pragma once
+
+#include "policy/declaration.h"
+#include "policy/verdict.h"
+
+#include <string>
+#include <unordered_map>
+
+namespace rampgap {
+
+// Token buckets per workspace. Each entry VM enforces its share of the declared limit.
+class rate_limiter {
+public:
+    // `share` in (0, 1]: this entry VM's part of the fleet's traffic.
+    void setShare(double share);
+
+    // Takes a place for one request or refuses it with the time until a token is there.
+    result<void> enter(const workspace_declaration&, instant now);
+    void leave(const std::string& workspace);
+
+private:
+    struct bucket {
+        double tokens = 0;
+        instant filledAt;
+        int running = 0;
+        bool fresh = true;
+    };
+
+    double m_share = 1;
+    std::unordered_map<std::string, bucket> m_buckets;
+};
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/verdict.h
@@ -0,0 +1,72 @@
+// Whether a request may have run, and the failure that carries the answer.
+#pragma once
+
+#include <boost/outcome.hpp>
+#include <chrono>
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rampgap {
+
+using instant = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+using milliseconds = std::chrono::milliseconds;
+
+// What is known about the execution of a request that failed.
+enum class verdict { not_run,
+    may_have_run,
+    ran };
+
+// Why a request failed; names the metric label and the error code of the answer.
+enum class failure_reason {
+    unauthenticated,
+    forbidden,
+    not_found,
+    invalid_request,
+    too_large,
+    rate_limited,
+    queue_full,
+    deadline,
+    no_backend,
+    retries_exhausted,
+    leaving,
+    not_ready,
+    not_home,
+    unproven,
+    stale_permit,
+    stale_revision,
+    duplicate,
+    key_reused,
+    connection_lost,
+    backend_error,
+};
+
+// A failure of one request. `retryAfter` is set where coming back helps.
+struct failure {
+    verdict ran = verdict::not_run;
+    failure_reason reason = failure_reason::invalid_request;
+    std::string message;
+    std::optional<milliseconds> retryAfter;
+
+    bool operator==(const failure&) const = default;
+};
+
+// A failure of a request that was not run.
+failure notRun(failure_reason, std::string message, std::optional<milliseconds> retryAfter = std::nullopt);
+// A failure of a request of which it is not known whether it ran.
+failure mayHaveRun(failure_reason, std::string message);
+
+template <class Value>
+using result = boost::outcome_v2::checked<Value, failure>;
+
+std::string_view toString(verdict);
+std::string_view toString(failure_reason);
+std::optional<verdict> parseVerdict(std::string_view);
+std::optional<failure_reason> parseFailureReason(std::string_view);
+
+// The HTTP status that a caller sees for a failure.
+int httpStatus(failure_reason);
+
+} // namespace rampgap
--- /dev/null
+++ b/Tests/support/main.cpp
@@ -0,0 +1,4 @@
+// The test runner of all areas.
+
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
