requests: hold at-most-once by one home, proof and handover

Cause: a random model of agents, configuration and messages found that two agents could wait for each other's handover for ever: each vouched only when it was settled itself. Ruled out: a longer wait (the wait is cyclic); dropping the handover (the model then shows a double run). Change: an agent vouches for its own runs alone; only a planned stop needs a settled agent. The quarantine counts from the proof.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -57,9 +57,8 @@
     , m_configuration(context, m_settings.process, *m_platform, m_peers, *this)
     , m_pages(context, m_settings.process, m_configuration)
     , m_permits(context.incarnation(), context.startedAt())
-    , m_ledger(ledgerLimits(m_settings))
-    , m_guard(m_settings.process.name, context.incarnation(), context.startedAt())
-    , m_keeper(context, m_peers, m_configuration, m_guard, m_ledger)
+    , m_guard(m_settings.process.name, context.incarnation(), context.startedAt(), ledgerLimits(m_settings))
+    , m_keeper(context, m_peers, m_configuration, m_guard)
     , m_gate(context, { 1, m_settings.maxQueued }, m_settings.shedding)
 {
 }
@@ -69,7 +68,6 @@
 void agent_server::onDeclaration(std::shared_ptr<const declaration> current)
 {
     m_guard.apply(*current, m_context.now());
-    m_ledger.setIdLife(current->rules().idLife);
     const backend_declaration* own = current->findBackend(m_settings.process.name);
     m_declared = own && !own->stopped;
     if (own)
@@ -118,7 +116,7 @@
     co_await serveEntry(exchange);
     --m_inFlight;
     m_context.counters().set(metric::in_flight, m_inFlight);
-    m_context.counters().set(metric::ledger_ids, static_cast<double>(m_ledger.size()));
+    m_context.counters().set(metric::ledger_ids, static_cast<double>(m_guard.ledger().size()));
 }
 
 awaitable<void> agent_server::refuse(http_exchange& exchange, const failure& refused, const std::string& correlation)
@@ -155,12 +153,7 @@
     const auto permitted = m_permits.check(headerText(request, header::permit), now);
     if (!permitted)
         return permitted.error();
-    // What ran here is answered even when nothing new may run here.
-    const bool known = m_ledger.knows(*order.onceId, now);
-    const auto home = m_guard.check(*order.onceId, now);
-    if (!home && !known)
-        return home.error();
-    return m_ledger.claim(*order.onceId, order.bodyDigest, now);
+    return m_guard.claim(*order.onceId, order.bodyDigest, now);
 }
 
 awaitable<void> agent_server::serveEntry(http_exchange& exchange)
@@ -209,7 +202,7 @@
         if (admitted)
             m_gate.leave(admitted.value(), duration::zero());
         if (order.onceId)
-            m_ledger.release(*order.onceId);
+            m_guard.ledger().release(*order.onceId);
         co_return admitted ? std::nullopt : std::optional<failure>(admitted.error());
     }
     const instant startedAt = m_context.now();
@@ -237,9 +230,9 @@
         if (failed.ran == verdict::not_run)
             failed.reason = failure_reason::backend_error;
         if (once && failed.ran == verdict::not_run)
-            m_ledger.release(*order.onceId);
+            m_guard.ledger().release(*order.onceId);
         else if (once)
-            m_ledger.finishWithoutAnswer(*order.onceId, m_context.now());
+            m_guard.ledger().finishWithoutAnswer(*order.onceId, m_context.now());
         co_return failed;
     }
     const int status = static_cast<int>(head.value().result_int());
@@ -250,9 +243,9 @@
     exchange.onCallerGone(nullptr);
     m_context.counters().add(metric::bytes_relayed, static_cast<double>(progress.bytes));
     if (once && outcome.recorded)
-        m_ledger.finish(*order.onceId, { status, contentType, *outcome.recorded }, m_context.now());
+        m_guard.ledger().finish(*order.onceId, { status, contentType, *outcome.recorded }, m_context.now());
     else if (once)
-        m_ledger.finishWithoutAnswer(*order.onceId, m_context.now());
+        m_guard.ledger().finishWithoutAnswer(*order.onceId, m_context.now());
     if (outcome.end == relay_end::whole)
         m_context.counters().add(metric::requests_answered);
     if (outcome.end != relay_end::cut)
--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -56,8 +56,7 @@
     configuration_node m_configuration;
     operator_pages m_pages;
     permit_office m_permits;
-    request_ledger m_ledger;
-    home_guard m_guard;
+    execution_guard m_guard;
     home_keeper m_keeper;
     admission_gate m_gate;
     std::unique_ptr<http_server> m_http;
--- a/Source/agent/home_keeper.cpp
+++ b/Source/agent/home_keeper.cpp
@@ -18,12 +18,11 @@
 
 } // namespace
 
-home_keeper::home_keeper(process_context& context, peer_client& peers, const configuration_node& configuration, home_guard& guard, request_ledger& ledger)
+home_keeper::home_keeper(process_context& context, peer_client& peers, const configuration_node& configuration, execution_guard& guard)
     : m_context(context)
     , m_peers(peers)
     , m_configuration(configuration)
     , m_guard(guard)
-    , m_ledger(ledger)
     , m_timer(context.io())
 {
 }
@@ -41,14 +40,14 @@
 awaitable<void> home_keeper::loop()
 {
     for (;;) {
-        if (!m_guard.settled()) {
-            for (const auto& name : m_guard.proofsMissing())
+        if (!m_guard.homes().settled()) {
+            for (const auto& name : m_guard.homes().proofsMissing())
                 co_await askForProof(name);
         }
-        for (const auto& name : m_guard.handoversMissing())
+        for (const auto& name : m_guard.homes().handoversMissing())
             co_await askForHandover(name);
         // Last, so that the keeper answers for the ids until this agent can.
-        if (m_guard.proven() && !std::exchange(m_askedForMemory, true))
+        if (m_guard.homes().proven() && !std::exchange(m_askedForMemory, true))
             co_await takeMemoryBack();
         m_timer.expires_after(askInterval);
         co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -71,10 +70,21 @@
     return request;
 }
 
-void home_keeper::notePeer(const wire::Standing& sender)
+agent_standing home_keeper::standingOf(const wire::Standing& sender)
 {
     m_context.timeline().observe(sender.clock());
-    m_guard.notePeer({ sender.name(), sender.incarnation(), sender.revision() });
+    return { sender.name(), sender.incarnation(), sender.revision() };
+}
+
+handover_answer home_keeper::answerOf(const wire::HandoverReply& reply)
+{
+    handover_answer answer;
+    answer.sender = standingOf(reply.sender());
+    answer.vouches = reply.vouches();
+    if (reply.gave_back())
+        answer.grantRevision = reply.grant_revision();
+    answer.ids.assign(reply.ids().begin(), reply.ids().end());
+    return answer;
 }
 
 awaitable<void> home_keeper::askForProof(std::string name)
@@ -84,7 +94,7 @@
         co_return;
     const auto reply = co_await m_peers.handover(address, makeRequest(false, false), askTimeout);
     if (reply && reply.value().sender().name() == name)
-        notePeer(reply.value().sender());
+        m_guard.homes().notePeer(standingOf(reply.value().sender()), m_context.now());
 }
 
 awaitable<void> home_keeper::askForHandover(std::string name)
@@ -95,23 +105,16 @@
     const auto reply = co_await m_peers.handover(address, makeRequest(false, true), askTimeout);
     if (!reply || reply.value().sender().name() != name)
         co_return;
-    notePeer(reply.value().sender());
-    if (!reply.value().vouches())
-        co_return;
-    m_ledger.inherit({ reply.value().ids().begin(), reply.value().ids().end() }, m_context.now());
-    m_guard.noteHandover(name, reply.value().sender().revision());
-    logState("handover", "from=" + name + " ids=" + std::to_string(reply.value().ids_size()));
+    if (m_guard.takeHandover(answerOf(reply.value()), m_context.now()))
+        logState("handover", "from=" + name + " ids=" + std::to_string(reply.value().ids_size()));
 }
 
 awaitable<void> home_keeper::takeMemoryBack()
 {
-    for (const auto& name : m_guard.keepers()) {
-        const std::string address = peerAddress(name);
-        const auto reply = co_await m_peers.handover(address, makeRequest(true, true), askTimeout);
-        if (!reply || !reply.value().gave_back())
+    for (const auto& name : m_guard.homes().keepers()) {
+        const auto reply = co_await m_peers.handover(peerAddress(name), makeRequest(true, true), askTimeout);
+        if (!reply || !m_guard.takeMemoryBack(answerOf(reply.value()), m_context.now()))
             continue;
-        m_ledger.inherit({ reply.value().ids().begin(), reply.value().ids().end() }, m_context.now());
-        m_guard.noteMemoryBack(reply.value().grant_revision());
         logState("memory_back", "from=" + name + " ids=" + std::to_string(reply.value().ids_size()));
         co_return;
     }
@@ -121,17 +124,16 @@
 // last that is asked, so that no two agents hold the same grant.
 awaitable<void> home_keeper::giveAway()
 {
-    const bool vouches = m_guard.vouches(m_context.now());
-    m_guard.giveAway();
-    const auto current = m_configuration.chain().inForce();
-    if (!vouches || !current)
+    const auto deposit = m_guard.giveAway(m_context.now());
+    if (!deposit)
         co_return;
     wire::DepositRequest request;
     m_configuration.stamp(request);
-    request.set_grant_ms(static_cast<std::uint64_t>(current->rules().idLife.count() / 2));
-    for (const std::uint64_t hash : m_ledger.liveIds(m_context.now()))
+    request.mutable_sender()->set_revision(deposit->owner.revision);
+    request.set_grant_ms(static_cast<std::uint64_t>(deposit->grantLife.count()));
+    for (const std::uint64_t hash : deposit->ids)
         request.add_ids(hash);
-    for (const auto& name : m_guard.keepers()) {
+    for (const auto& name : m_guard.homes().keepers()) {
         const auto reply = co_await m_peers.deposit(peerAddress(name), request, askTimeout);
         if (reply && reply.value().accepted()) {
             logState("ids_given_away", "to=" + name + " ids=" + std::to_string(request.ids_size()));
@@ -144,33 +146,29 @@
 
 wire::HandoverReply home_keeper::answer(const wire::HandoverRequest& request)
 {
-    notePeer(request.sender());
+    const auto made = m_guard.answerHandover(standingOf(request.sender()), request.take_back(), m_context.now());
     wire::HandoverReply reply;
-    if (request.take_back()) {
-        if (const auto revision = m_guard.withdrawGrant(request.sender().name(), m_context.now())) {
-            reply.set_gave_back(true);
-            reply.set_grant_revision(*revision);
-        }
-    }
-    reply.set_vouches(m_guard.vouches(m_context.now()));
     m_configuration.stamp(reply);
+    reply.set_vouches(made.vouches);
+    reply.set_gave_back(made.grantRevision.has_value());
+    reply.set_grant_revision(made.grantRevision.value_or(0));
     if (!request.want_ids())
         return reply;
-    for (const std::uint64_t hash : m_ledger.liveIds(m_context.now()))
+    for (const std::uint64_t hash : made.ids)
         reply.add_ids(hash);
     return reply;
 }
 
 wire::DepositReply home_keeper::answer(const wire::DepositRequest& request)
 {
-    notePeer(request.sender());
+    id_deposit deposit;
+    deposit.owner = standingOf(request.sender());
+    deposit.grantLife = milliseconds(request.grant_ms());
+    deposit.ids.assign(request.ids().begin(), request.ids().end());
     wire::DepositReply reply;
-    const instant until = m_context.now() + milliseconds(request.grant_ms());
-    if (m_guard.vouches(m_context.now()) && m_guard.acceptGrant(request.sender().name(), request.sender().revision(), until)) {
-        m_ledger.inherit({ request.ids().begin(), request.ids().end() }, m_context.now());
-        reply.set_accepted(true);
-        logState("grant_accepted", "owner=" + request.sender().name() + " ids=" + std::to_string(request.ids_size()));
-    }
+    reply.set_accepted(m_guard.takeDeposit(deposit, m_context.now()));
+    if (reply.accepted())
+        logState("grant_accepted", "owner=" + deposit.owner.name + " ids=" + std::to_string(deposit.ids.size()));
     m_configuration.stamp(reply);
     return reply;
 }
--- a/Source/agent/home_keeper.h
+++ b/Source/agent/home_keeper.h
@@ -2,14 +2,13 @@
 #pragma once
 
 #include "daemon/configuration_node.h"
-#include "policy/home_guard.h"
-#include "policy/request_ledger.h"
+#include "policy/execution_guard.h"
 
 namespace rampgap {
 
 class home_keeper {
 public:
-    home_keeper(process_context&, peer_client&, const configuration_node&, home_guard&, request_ledger&);
+    home_keeper(process_context&, peer_client&, const configuration_node&, execution_guard&);
 
     void start();
     // Asks at once instead of at the next turn.
@@ -27,13 +26,13 @@
     awaitable<void> takeMemoryBack();
     std::string peerAddress(const std::string& name) const;
     wire::HandoverRequest makeRequest(bool takeBack, bool wantIds) const;
-    void notePeer(const wire::Standing&);
+    agent_standing standingOf(const wire::Standing&);
+    handover_answer answerOf(const wire::HandoverReply&);
 
     process_context& m_context;
     peer_client& m_peers;
     const configuration_node& m_configuration;
-    home_guard& m_guard;
-    request_ledger& m_ledger;
+    execution_guard& m_guard;
     boost::asio::steady_timer m_timer;
     bool m_askedForMemory = false;
 };
--- a/Source/policy/home_guard.cpp
+++ b/Source/policy/home_guard.cpp
@@ -57,7 +57,7 @@
     m_peers = without(current.poolOf(service), m_self);
     m_revision = current.link().revision;
     m_declaration = current;
-    updateProof();
+    updateProof(now);
 }
 
 void home_guard::restartProof(instant now)
@@ -101,14 +101,15 @@
     });
 }
 
-void home_guard::notePeer(const agent_standing& peer)
+void home_guard::notePeer(const agent_standing& peer, instant now)
 {
+    m_highestShown = std::max(m_highestShown, peer.revision);
     agent_standing& known = m_standings[peer.name];
     // A late answer of an earlier incarnation or revision says nothing new.
     const bool older = peer.incarnation < known.incarnation || (peer.incarnation == known.incarnation && peer.revision < known.revision);
     if (!older)
         known = peer;
-    updateProof();
+    updateProof(now);
 }
 
 void home_guard::noteHandover(const std::string& owner, std::uint64_t revision)
@@ -170,23 +171,34 @@
 // After a start the agent knows neither whether its revision is stale nor which agents
 // still act on an older one. Both are settled once each agent of the pool shows the same
 // revision: an agent with a later one would show it, one with an older one would lag.
-void home_guard::updateProof()
+// The quarantine counts from then: until then others may have run ids that are ours.
+void home_guard::updateProof(instant now)
 {
-    if (!m_proven && m_revision > 0)
-        m_proven = proofsMissing().empty();
+    if (m_proven || m_revision == 0 || m_highestShown > m_revision || !proofsMissing().empty())
+        return;
+    m_proven = true;
+    m_quarantineFrom = now;
 }
 
 bool home_guard::inQuarantine(instant now) const
 {
-    return !m_memoryBack && now - m_quarantineFrom < m_idLife;
+    return !m_memoryBack && (!m_proven || now - m_quarantineFrom < m_idLife);
 }
 
+// Own runs are enough: who asks has its own record of every change of homes since its
+// proof, and asks each former home itself. To wait for handovers here as well would let
+// two agents wait for each other for ever.
 bool home_guard::vouches(instant now) const
+{
+    return m_proven && !inQuarantine(now);
+}
+
+bool home_guard::mayGiveAway(instant now) const
 {
     const bool settled = std::all_of(m_transitions.begin(), m_transitions.end(), [&](const transition& change) {
         return change.missing.empty() && (change.lost.empty() || now >= change.lostUntil);
     });
-    return m_proven && settled && !inQuarantine(now);
+    return vouches(now) && settled;
 }
 
 bool home_guard::isHome(const std::string& home, instant now) const
@@ -204,10 +216,10 @@
         return refuse(failure_reason::leaving, "this backend server is leaving", soon);
     if (!isHome(std::string(rendezvousPick(text, m_homes)), now))
         return refuse(failure_reason::not_home, "this backend server is not the home of the id", soon);
-    if (inQuarantine(now))
-        return refuse(failure_reason::unproven, "started without memory: it cannot prove that the id has not run", m_quarantineFrom + m_idLife - now);
     if (!m_proven)
         return refuse(failure_reason::unproven, "not all agents of the pool have shown the same revision since the start", soon);
+    if (inQuarantine(now))
+        return refuse(failure_reason::unproven, "started without memory: it cannot prove that the id has not run", m_quarantineFrom + m_idLife - now);
     for (const auto& change : m_transitions) {
         auto settled = checkTransition(change, text, now);
         if (!settled)
--- a/Source/policy/home_guard.h
+++ b/Source/policy/home_guard.h
@@ -23,9 +23,8 @@
 };
 
 // The home of an id is fixed by rendezvous hashing over the declared backends. The guard
-// refuses an id until (a) after a start, the id life has passed or the memory came back,
-// (b) after a start, every agent of the pool has shown that it has our revision, and
-// (c) after a change of homes, the previous home has handed its ids over.
+// refuses an id until (a) after a start, every agent of the pool has shown that it has our
+// revision, (b) the id life has passed since then, or the memory came back, and (c) after a change of homes, the previous home has handed its ids over.
 class home_guard {
 public:
     home_guard(std::string self, std::uint64_t incarnation, instant startedAt);
@@ -33,7 +32,7 @@
     // A declaration came in force; revisions only rise.
     void apply(const declaration&, instant now);
     // Another agent of the pool answered.
-    void notePeer(const agent_standing&);
+    void notePeer(const agent_standing&, instant now);
     // `owner` handed its ids over while it was at `revision`.
     void noteHandover(const std::string& owner, std::uint64_t revision);
     // The memory of the last incarnation, given away at `revision`, came back.
@@ -49,8 +48,10 @@
     result<void> check(const request_id&, instant now) const;
 
     agent_standing standing() const { return { m_self, m_incarnation, m_revision }; }
-    // True if this agent's memory answers for all ids that it is the home of.
+    // True if this agent remembers all that it ran within the id life.
     bool vouches(instant now) const;
+    // True if another agent may run this agent's ids with this agent's memory alone.
+    bool mayGiveAway(instant now) const;
     // Names of the agents whose handover is still missing.
     std::vector<std::string> handoversMissing() const;
     // Agents of the pool that have not yet shown our revision.
@@ -61,7 +62,7 @@
     // True once every agent of the pool has shown our revision after our start.
     bool proven() const { return m_proven; }
     // True if nothing is to be asked of other agents.
-    bool settled() const { return m_proven && m_transitions.empty(); }
+    bool settled() const { return m_proven && handoversMissing().empty() && majorityAtRevision(); }
 
 private:
     // One change of homes whose former homes may still hold ids.
@@ -80,7 +81,7 @@
     void restartProof(instant now);
     void addTransition(const std::vector<std::string>& previousHomes, const declaration&, instant now);
     void dropStoppedHomes(const declaration&, instant now);
-    void updateProof();
+    void updateProof(instant now);
     bool majorityAtRevision() const;
     bool isHome(const std::string& home, instant now) const;
     result<void> checkTransition(const transition&, const std::string& idText, instant now) const;
@@ -90,6 +91,8 @@
     instant m_quarantineFrom;
     milliseconds m_idLife { 0 };
     std::uint64_t m_revision = 0;
+    // The highest revision that another agent has shown.
+    std::uint64_t m_highestShown = 0;
     bool m_proven = false;
     bool m_memoryBack = false;
     bool m_gaveAway = false;
--- /dev/null
+++ b/Utilities/mutation-check.py
@@ -0,0 +1,96 @@
+#!/usr/bin/env python3
+"""Takes one protective rule at a time out of the policy and shows that a test turns red.
+
+Usage: Utilities/mutation-check.py [NAME]...   (all rules without a name; needs g++ only)
+Exit code 0 if every rule is caught, 1 if one is not.
+"""
+import os
+import subprocess
+import sys
+import tempfile
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# A generous number of random runs; the seed is fixed.
+RUNS = {"RC_PARAMS": "seed=20261202 max_success=30000"}
+
+# name, source file, text to replace, replacement, test sources
+RULES = [
+    ("no_quarantine", "home_guard.cpp", "if (inQuarantine(now))\n        return refuse", "if (false)\n        return refuse", "requests/at-most-once-property"),
+    ("quarantine_from_start", "home_guard.cpp", "    m_quarantineFrom = now;\n}\n\nbool home_guard::inQuarantine", "}\n\nbool home_guard::inQuarantine", "requests/at-most-once-property"),
+    ("no_proof", "home_guard.cpp", "if (!m_proven)\n        return refuse", "if (false)\n        return refuse", "requests/at-most-once-property"),
+    ("no_handover", "home_guard.cpp", "if (change.missing.contains(previous) ||", "if (false ||", "requests/at-most-once-property"),
+    ("no_wait_for_lost_homes", "home_guard.cpp", "if (change.lost.contains(previous) && now", "if (false && now", "requests/at-most-once-property"),
+    ("no_majority", "home_guard.cpp", "|| !majorityAtRevision())\n        return refuse", ")\n        return refuse", "requests/at-most-once-property"),
+    ("highest_shown_ignored", "home_guard.cpp", "m_highestShown > m_revision", "false", "requests/at-most-once-property"),
+    ("skip_not_proved", "home_guard.cpp", "const bool skipped = known &&", "const bool skipped = false && known &&", "requests/at-most-once-property"),
+    ("handover_at_any_revision", "home_guard.cpp", "if (revision < m_revision)\n        return;\n    for", "if (false)\n        return;\n    for", "requests/at-most-once-property"),
+    ("vouch_without_memory", "home_guard.cpp", "return m_proven && !inQuarantine(now);", "return true;", "requests/at-most-once-property"),
+    ("memory_back_at_any_revision", "home_guard.cpp", "if (revision == m_revision)\n        m_memoryBack", "if (true)\n        m_memoryBack", "requests/at-most-once-property"),
+    ("grant_at_any_revision", "home_guard.cpp", "if (revision != m_revision || m_gaveAway)", "if (m_gaveAway)", "requests/at-most-once-property"),
+    ("give_away_unsettled", "home_guard.cpp", "return vouches(now) && settled;", "return vouches(now);", "requests/at-most-once-property"),
+    ("runs_after_giving_away", "home_guard.cpp", "if (m_gaveAway)\n        return refuse", "if (false)\n        return refuse", "requests/at-most-once-property"),
+    ("grant_does_not_end", "execution_guard.cpp", "m_idLife / grantShareOfLife", "m_idLife * 100", "requests/at-most-once-property"),
+    ("ledger_forgets_running", "request_ledger.cpp", "found->second.state == phase::running) {\n            touch", "false) {\n            touch", "requests/ledger-property"),
+    ("ledger_ignores_life", "request_ledger.cpp", "now - m_expiries.front().touched >= m_limits.idLife", "now - m_expiries.front().touched >= m_limits.idLife / 2", "requests/ledger-property"),
+    ("retry_unsafe", "retry_policy.cpp", "question.last.ran == verdict::not_run || question.repeatable", "true", "requests/retry-property"),
+    ("retry_without_budget", "retry_policy.cpp", "return budget.take();", "return true;", "requests/retry-property"),
+    ("admission_unfair", "admission_queue.cpp", "served < least", "false", "requests/admission-property"),
+    ("stale_permit_taken", "permit_office.cpp", "age > permitLife", "false", "requests/permit-property"),
+    ("base_not_checked", "revision_chain.cpp", "if (source == document_source::service && m_inForce && !linked)", "if (false)", "config/chain-property"),
+    ("revision_may_fall", "revision_chain.cpp", "if (link.revision < revision())", "if (false)", "config/chain-property"),
+    ("unconfirmed_taken", "revision_chain.cpp", "if (link.planDigest.empty())", "if (false)", "config/chain-property"),
+    ("tampered_taken", "revision_chain.cpp", "if (link.planDigest != planDigest(", "if (false && link.planDigest != planDigest(", "config/chain-property"),
+    ("step_without_decision", "map_participant.cpp", "if (m_prepared && step >= m_prepared->step)", "if (false)", "groups/switch-property"),
+    ("commit_without_all", "map_coordinator.cpp", "if (m_answers.size() < m_ranks)", "if (m_answers.size() + 1 < m_ranks)", "groups/switch-property"),
+    ("old_fence_taken", "map_participant.cpp", "if (message.fence < m_fence)", "if (false)", "groups/switch-property"),
+    ("abort_after_commit", "map_coordinator.cpp", "if (anyCommitted())", "if (false)", "groups/switch-property"),
+]
+
+
+def caught(folder, rule):
+    name, source, old, new, tests = rule
+    path = os.path.join(ROOT, "Source/policy", source)
+    if not os.path.exists(path) or not os.path.isdir(os.path.join(ROOT, "Tests", tests)):
+        return None
+    text = open(path).read()
+    if old not in text:
+        sys.exit(f"{name}: the text to replace is not in {source}; mend the rule")
+    work = os.path.join(folder, name)
+    os.makedirs(work)
+    mutated = os.path.join(work, "mutated.cpp")
+    open(mutated, "w").write(text.replace(old, new, 1))
+    policy = os.path.join(ROOT, "Source/policy")
+    sources = [os.path.join(policy, f) for f in os.listdir(policy) if f.endswith(".cpp") and f != source]
+    cases = os.path.join(ROOT, "Tests", tests)
+    sources += [os.path.join(cases, f) for f in os.listdir(cases) if f.endswith(".cpp")]
+    sources += [mutated, os.path.join(ROOT, "Tests/support/main.cpp")]
+    program = os.path.join(work, "tests")
+    launcher = ["ccache"] if subprocess.run(["sh", "-c", "command -v ccache"], capture_output=True).returncode == 0 else []
+    objects = []
+    running = []
+    for index, path in enumerate(sources):
+        target = os.path.join(work, f"{index}.o")
+        objects.append(target)
+        running.append(subprocess.Popen(launcher + ["g++", "-std=c++20", "-O1", "-I" + os.path.join(ROOT, "Source"), "-I" + cases, "-c", path, "-o", target]))
+    if any(job.wait() != 0 for job in running):
+        sys.exit(f"{name}: does not compile")
+    subprocess.run(["g++", *objects, "-o", program, "-lrapidcheck", "-lcrypto", "-lxxhash"], check=True)
+    return subprocess.run([program], capture_output=True, env={**os.environ, **RUNS}).returncode != 0
+
+
+def main():
+    wanted = set(sys.argv[1:])
+    missed = 0
+    with tempfile.TemporaryDirectory() as folder:
+        for rule in RULES:
+            if wanted and rule[0] not in wanted:
+                continue
+            seen = caught(folder, rule)
+            print(f"{rule[0]}: {'not there' if seen is None else 'caught' if seen else 'NOT CAUGHT'}", flush=True)
+            missed += seen is False
+    print(f"{missed} rules not caught")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
