requests: prove at-most-once, drain and retries under real faults

Cause: real processes under kill, freeze, cut and rolling restart showed four faults. (1) An entry VM took a fresh permit for a request that it had read before a freeze: the id ran twice. (2) A permit of a restarted agent was taken for a pause. (3) A backend that left by itself and came back was not used while its peer left. (4) Refusals of a lost home had no Retry-After and waited a second each. Ruled out: longer permits (they widen the gap), retries outside the budget (they hide fault 3). Change: requests carry the pause count of their arrival; permits of another incarnation answer not_ready; a served request clears every suspicion; patience counts from the home's first failure.

--- a/Source/entry/caller_request.h
+++ b/Source/entry/caller_request.h
@@ -24,6 +24,8 @@
     // Hash of what the engine may have cached, 0 if unknown.
     std::uint64_t prefix = 0;
     bool resumable = false;
+    // The count of pauses of this process when the request was read.
+    std::uint64_t pauseEpoch = 0;
 
     // Resolves `request`; `correlation` is used unless the caller gave one.
     static result<caller_request> make(const http_request& request, std::shared_ptr<const fleet_snapshot>, instant receivedAt, std::string correlation);
--- a/Source/entry/entry_server.cpp
+++ b/Source/entry/entry_server.cpp
@@ -147,6 +147,7 @@
 awaitable<void> entry_server::serveCaller(http_exchange& exchange)
 {
     m_context.counters().add(metric::requests_received);
+    const std::uint64_t pauseEpoch = m_pauses.epoch();
     const std::string correlation = m_context.name() + "-" + std::to_string(m_context.incarnation() % 1'000'000) + "-" + std::to_string(m_nextRequest++);
     if (m_refusing || !m_configuration.ready() || !m_fleet) {
         const auto reason = m_refusing ? failure_reason::leaving : failure_reason::not_ready;
@@ -163,6 +164,7 @@
         co_await refuse(exchange, request.error(), correlation);
         co_return;
     }
+    request.value().pauseEpoch = pauseEpoch;
     const caller_request& made = request.value();
     const auto entered = m_limiter.enter(*made.workspace, m_context.now());
     if (!entered) {
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -90,7 +90,7 @@
     m_budget.noteRequest();
     std::optional<failure> failed;
     if (request.onceId)
-        failed = co_await runAtHome(exchange, request, m_pauses.epoch());
+        failed = co_await runAtHome(exchange, request);
     else
         failed = co_await runAnywhere(exchange, request);
     if (failed)
@@ -128,12 +128,17 @@
     }
 }
 
-awaitable<std::optional<failure>> request_dispatcher::runAtHome(http_exchange& exchange, const caller_request& request, std::uint64_t epoch)
+awaitable<std::optional<failure>> request_dispatcher::runAtHome(http_exchange& exchange, const caller_request& request)
 {
-    const instant patienceEnds = std::min(request.deadline, m_context.now() + handoverPatience);
+    const instant cameAt = m_context.now();
     for (;;) {
-        auto failed = co_await roundOfHomes(exchange, request, epoch);
-        if (!failed || !isHandoverReason(*failed) || m_context.now() + handoverPause > patienceEnds)
+        auto failed = co_await roundOfHomes(exchange, request);
+        if (!failed || !isHandoverReason(*failed))
+            co_return failed;
+        // A home that has failed for longer is not coming back in a moment.
+        const std::string home(rendezvousPick(request.onceId->text(), request.fleet->homes(request.service->name)));
+        const instant failingSince = std::min(cameAt, m_table.failingSince(m_table.find(home), cameAt));
+        if (m_context.now() + handoverPause > std::min(request.deadline, failingSince + handoverPatience))
             co_return failed;
         asio::steady_timer pause(m_context.io(), handoverPause);
         co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -144,7 +149,7 @@
 
 // The home first, then the agents that may keep the home's ids while it restarts. Each
 // agent refuses what it may not run, so asking all of them is safe.
-awaitable<std::optional<failure>> request_dispatcher::roundOfHomes(http_exchange& exchange, const caller_request& request, std::uint64_t epoch)
+awaitable<std::optional<failure>> request_dispatcher::roundOfHomes(http_exchange& exchange, const caller_request& request)
 {
     const auto& homes = request.fleet->homes(request.service->name);
     const std::string home(rendezvousPick(request.onceId->text(), homes));
@@ -157,7 +162,7 @@
         const backend_id id = m_table.find(name);
         if (id == noBackend)
             continue;
-        auto permitText = co_await permitFor(id, epoch);
+        auto permitText = co_await permitFor(id, request.pauseEpoch);
         std::optional<failure> failed;
         if (permitText) {
             relay_progress progress;
@@ -277,6 +282,7 @@
             co_await call.readAll(65'536);
             noteRefusal(id, *failed);
         } else {
+            m_table.noteServed(id);
             const relay_options options { request.resumable, false, 0 };
             head.value().erase(header::load);
             head.value().erase(header::permit);
@@ -302,6 +308,8 @@
     m_context.counters().countFailure(failed);
     m_context.note(event_kind::request_lost, request.correlation, "reason=" + std::string(toString(failed.reason)) + " verdict=" + std::string(toString(failed.ran)));
     if (!begun) {
+        if (failed.ran == verdict::not_run && !failed.retryAfter && httpStatus(failed.reason) >= 500)
+            failed.retryAfter = noBackendRetryAfter;
         // Callers refused together must not come back together.
         if (failed.retryAfter && failed.retryAfter->count() > 0)
             *failed.retryAfter += milliseconds(m_context.random()() % (static_cast<std::uint64_t>(failed.retryAfter->count()) / 2 + 1));
--- a/Source/entry/request_dispatcher.h
+++ b/Source/entry/request_dispatcher.h
@@ -41,8 +41,8 @@
     };
 
     awaitable<std::optional<failure>> runAnywhere(http_exchange&, const caller_request&);
-    awaitable<std::optional<failure>> runAtHome(http_exchange&, const caller_request&, std::uint64_t epoch);
-    awaitable<std::optional<failure>> roundOfHomes(http_exchange&, const caller_request&, std::uint64_t epoch);
+    awaitable<std::optional<failure>> runAtHome(http_exchange&, const caller_request&);
+    awaitable<std::optional<failure>> roundOfHomes(http_exchange&, const caller_request&);
     awaitable<std::optional<failure>> tryOn(http_exchange&, const caller_request&, backend_id, relay_progress&, std::string permitText);
     awaitable<result<std::string>> permitFor(backend_id, std::uint64_t epoch);
     http_request makeUpstream(const http_request&, const caller_request&, backend_id, const relay_progress&, const std::string& permitText) const;
--- a/Source/policy/backend_table.cpp
+++ b/Source/policy/backend_table.cpp
@@ -94,13 +94,20 @@
         view.state = backend_state::up;
 }
 
+void backend_table::noteServed(backend_id id)
+{
+    if (mayBeBack(id))
+        m_views[id].state = backend_state::up;
+}
+
 void backend_table::noteConnectFailed(backend_id id, instant now)
 {
     backend_view& view = m_views[id];
     if (view.state == backend_state::stopped || view.suspectUntil == instant::max())
         return;
     const int doublings = std::min(view.failuresInRow, maxSuspicionDoublings);
-    ++view.failuresInRow;
+    if (view.failuresInRow++ == 0)
+        view.failingSince = now;
     view.state = backend_state::suspect;
     view.suspectUntil = now + firstSuspicion * (1 << doublings);
 }
@@ -128,6 +135,17 @@
     return view.state != backend_state::stopped && now >= view.suspectUntil;
 }
 
+bool backend_table::mayBeBack(backend_id id) const
+{
+    const backend_view& view = m_views[id];
+    return view.state != backend_state::stopped && view.suspectUntil != instant::max();
+}
+
+instant backend_table::failingSince(backend_id id, instant fallback) const
+{
+    return id == noBackend || m_views[id].failuresInRow == 0 ? fallback : m_views[id].failingSince;
+}
+
 backend_id backend_table::find(const std::string& name) const
 {
     const auto found = m_ids.find(name);
--- a/Source/policy/backend_table.h
+++ b/Source/policy/backend_table.h
@@ -38,6 +38,7 @@
     backend_state state = backend_state::up;
     instant suspectUntil;
     int failuresInRow = 0;
+    instant failingSince;
     instant joinedAt;
     int ownInFlight = 0;
     load_report load;
@@ -55,13 +56,20 @@
     void noteListedLeaving(const std::vector<std::string>& names);
 
     void noteSent(backend_id);
+    // An agent answered, with whatever verdict.
     void noteAnswered(backend_id, const load_report&, instant now);
+    // The backend took a request: whatever was suspected of it is over.
+    void noteServed(backend_id);
     void noteConnectFailed(backend_id, instant now);
     void noteLeaving(backend_id, instant now);
     void noteEnded(backend_id);
 
     // May new work go there: up, or suspect past its time, and not leaving.
     bool usable(backend_id, instant now) const;
+    // True unless an operator or the platform's list took it out.
+    bool mayBeBack(backend_id) const;
+    // Since when every connection failed; `fallback` if the last one did not.
+    instant failingSince(backend_id, instant fallback) const;
     const backend_view& view(backend_id id) const { return m_views[id]; }
     std::size_t size() const { return m_views.size(); }
     backend_id find(const std::string& name) const;
--- a/Source/policy/home_guard.cpp
+++ b/Source/policy/home_guard.cpp
@@ -103,7 +103,6 @@
 
 void home_guard::notePeer(const agent_standing& peer, instant now)
 {
-    m_highestShown = std::max(m_highestShown, peer.revision);
     agent_standing& known = m_standings[peer.name];
     // A late answer of an earlier incarnation or revision says nothing new.
     const bool older = peer.incarnation < known.incarnation || (peer.incarnation == known.incarnation && peer.revision < known.revision);
@@ -174,7 +173,7 @@
 // The quarantine counts from then: until then others may have run ids that are ours.
 void home_guard::updateProof(instant now)
 {
-    if (m_proven || m_revision == 0 || m_highestShown > m_revision || !proofsMissing().empty())
+    if (m_proven || m_revision == 0 || !proofsMissing().empty())
         return;
     m_proven = true;
     m_quarantineFrom = now;
@@ -182,7 +181,7 @@
 
 bool home_guard::inQuarantine(instant now) const
 {
-    return !m_memoryBack && (!m_proven || now - m_quarantineFrom < m_idLife);
+    return !m_memoryBack && now - m_quarantineFrom < m_idLife;
 }
 
 // Own runs are enough: who asks has its own record of every change of homes since its
--- a/Source/policy/home_guard.h
+++ b/Source/policy/home_guard.h
@@ -91,8 +91,6 @@
     instant m_quarantineFrom;
     milliseconds m_idLife { 0 };
     std::uint64_t m_revision = 0;
-    // The highest revision that another agent has shown.
-    std::uint64_t m_highestShown = 0;
     bool m_proven = false;
     bool m_memoryBack = false;
     bool m_gaveAway = false;
--- a/Source/policy/permit_office.cpp
+++ b/Source/policy/permit_office.cpp
@@ -38,8 +38,9 @@
     const auto second = std::from_chars(first.ptr + 1, end, issued);
     if (second.ec != std::errc() || second.ptr != end)
         return stale("malformed permit");
+    // No sign of a pause of the entry VM: this agent restarted.
     if (incarnation != m_incarnation)
-        return stale("the permit is of an earlier start of this agent");
+        return notRun(failure_reason::not_ready, "the permit is of an earlier start of this agent", renewAtOnce);
     const auto age = std::chrono::duration_cast<milliseconds>(now - m_startedAt) - milliseconds(issued);
     if (age < milliseconds(0) || age > permitLife)
         return stale("the permit is too old");
--- a/Source/policy/permit_office.h
+++ b/Source/policy/permit_office.h
@@ -19,7 +19,7 @@
     permit_office(std::uint64_t incarnation, instant startedAt);
 
     std::string issue(instant now) const;
-    // Fails with `stale_permit` for a permit of an earlier incarnation or past its life.
+    // Fails with `stale_permit` past its life, with `not_ready` for an earlier incarnation.
     result<void> check(std::string_view permit, instant now) const;
 
 private:
--- a/Source/policy/routing_policy.cpp
+++ b/Source/policy/routing_policy.cpp
@@ -25,11 +25,11 @@
         return !contains(question.tried, id) && table.usable(id, question.now);
     }
 
-    // If nearly all look dead, the view is doubted rather than the pool emptied.
+    // If all look dead, the view is doubted rather than the pool emptied. A backend that
+    // left by itself may be back; if it is not, it refuses the request as not run.
     bool eligibleInDoubt(const routing_question& question, const backend_table& table, backend_id id)
     {
-        const backend_state state = table.view(id).state;
-        return !contains(question.tried, id) && (state == backend_state::up || state == backend_state::suspect);
+        return !contains(question.tried, id) && table.mayBeBack(id);
     }
 
     backend_id drawFrom(const std::vector<backend_id>& pool, const routing_question& question, const backend_table& table, std::mt19937_64& random)
@@ -50,21 +50,22 @@
         return noBackend;
     }
 
-    backend_id anyInDoubt(const routing_question& question, const backend_table& table, std::mt19937_64& random)
+    // Of those in doubt, the one whose bad sign is the oldest.
+    backend_id anyInDoubt(const routing_question& question, const backend_table& table)
     {
-        const auto& pool = table.pool(question.service);
-        const std::size_t offset = pool.empty() ? 0 : random() % pool.size();
-        for (std::size_t i = 0; i < pool.size(); ++i) {
-            const backend_id id = pool[(offset + i) % pool.size()];
-            if (eligibleInDoubt(question, table, id))
-                return id;
+        backend_id best = noBackend;
+        for (const backend_id id : table.pool(question.service)) {
+            if (!eligibleInDoubt(question, table, id))
+                continue;
+            if (best == noBackend || table.view(id).suspectUntil < table.view(best).suspectUntil)
+                best = id;
         }
-        return noBackend;
+        return best;
     }
 
     class round_robin : public routing_policy {
     public:
-        backend_id choose(const routing_question& question, const backend_table& table, std::mt19937_64& random) override
+        backend_id choose(const routing_question& question, const backend_table& table, std::mt19937_64&) override
         {
             const auto& pool = table.pool(question.service);
             for (std::size_t i = 0; i < pool.size(); ++i) {
@@ -72,7 +73,7 @@
                 if (eligible(question, table, id))
                     return id;
             }
-            return anyInDoubt(question, table, random);
+            return anyInDoubt(question, table);
         }
 
     private:
@@ -81,7 +82,7 @@
 
     class least_outstanding : public routing_policy {
     public:
-        backend_id choose(const routing_question& question, const backend_table& table, std::mt19937_64& random) override
+        backend_id choose(const routing_question& question, const backend_table& table, std::mt19937_64&) override
         {
             backend_id best = noBackend;
             double least = std::numeric_limits<double>::infinity();
@@ -91,7 +92,7 @@
                 best = id;
                 least = table.outstanding(id);
             }
-            return best == noBackend ? anyInDoubt(question, table, random) : best;
+            return best == noBackend ? anyInDoubt(question, table) : best;
         }
     };
 
@@ -102,7 +103,7 @@
             const auto& pool = table.pool(question.service);
             const backend_id first = drawFrom(pool, question, table, random);
             if (first == noBackend)
-                return anyInDoubt(question, table, random);
+                return anyInDoubt(question, table);
             const backend_id second = drawFrom(pool, question, table, random);
             return table.outstanding(second) < table.outstanding(first) ? second : first;
         }
@@ -119,7 +120,7 @@
                     return home;
             }
             const backend_id drawn = drawFrom(pool, question, table, random);
-            return drawn == noBackend ? anyInDoubt(question, table, random) : drawn;
+            return drawn == noBackend ? anyInDoubt(question, table) : drawn;
         }
     };
 
@@ -138,7 +139,7 @@
             for (int i = 0; i < candidateCount; ++i)
                 offer(best, drawFrom(table.zonePool(question.service), question, table, random), question, table);
             offer(best, drawFrom(table.pool(question.service), question, table, random), question, table);
-            return best.id == noBackend ? anyInDoubt(question, table, random) : best.id;
+            return best.id == noBackend ? anyInDoubt(question, table) : best.id;
         }
 
         void notePlaced(std::uint64_t prefix, backend_id backend, instant now) override
--- a/Tests/requests/at-most-once-property/once_model.cpp
+++ b/Tests/requests/at-most-once-property/once_model.cpp
@@ -81,6 +81,9 @@
         if (m_choices.below(2) == 0)
             leave(any());
         break;
+    case 14:
+        talk();
+        break;
     default:
         send();
     }
@@ -127,9 +130,22 @@
         std::advance(chosen, m_choices.below(static_cast<std::uint32_t>(m_ids.size())));
         key = chosen->first;
     }
-    agent& target = m_agents[m_choices.below(agentCount)];
-    if (target.alive)
-        tryRun(target, key);
+    const std::size_t first = m_choices.below(agentCount);
+    for (std::size_t i = 0; i < agentCount; ++i) {
+        agent& target = m_agents[(first + i) % agentCount];
+        if (target.alive)
+            tryRun(target, key);
+    }
+}
+
+void once_model::talk()
+{
+    for (std::size_t asker = 0; asker < agentCount; ++asker) {
+        for (std::size_t asked = 0; asked < agentCount; ++asked) {
+            if (asker != asked && m_agents[asker].alive && m_agents[asked].alive)
+                m_agents[asker].guard->takeHandover(m_agents[asked].guard->answerHandover(m_agents[asker].guard->homes().standing(), false, m_now), m_now);
+        }
+    }
 }
 
 bool once_model::tryRun(agent& target, const std::string& key)
@@ -242,12 +258,7 @@
             while (member.alive && member.revisionIndex + 1 < m_declarations.size())
                 learn(member, false);
         }
-        for (std::size_t asker = 0; asker < agentCount; ++asker) {
-            for (std::size_t asked = 0; asked < agentCount; ++asked) {
-                if (asker != asked && m_agents[asker].alive && m_agents[asked].alive)
-                    m_agents[asker].guard->takeHandover(m_agents[asked].guard->answerHandover(m_agents[asker].guard->homes().standing(), false, m_now), m_now);
-            }
-        }
+        talk();
         m_now += idLife + milliseconds(1);
     }
 }
--- a/Tests/requests/at-most-once-property/once_model.h
+++ b/Tests/requests/at-most-once-property/once_model.h
@@ -60,6 +60,8 @@
     void learn(agent&, bool skip);
     void send();
     void ask(std::size_t asker, std::size_t asked, bool takeBack);
+    // Every agent asks every other, without loss.
+    void talk();
     void deliverLate();
     void crash(std::size_t);
     void restart(std::size_t, std::size_t revisionIndex);
--- a/Tests/requests/ledger-property/test.cpp
+++ b/Tests/requests/ledger-property/test.cpp
@@ -52,6 +52,12 @@
         CHECK((again.error().ran == verdict::may_have_run));
         CHECK(again.error().retryAfter.has_value());
     }
+    SUBCASE("running for longer than its life: not forgotten")
+    {
+        const instant late = start + small.idLife * 3;
+        CHECK(ledger.claim(idOf(2), 5, late).has_value());
+        CHECK((ledger.claim(idOf(1), 5, late).error().ran == verdict::may_have_run));
+    }
     SUBCASE("finished: its own answer")
     {
         ledger.finish(idOf(1), { 200, "text/plain", "done" }, start);
