config: plan, confirm and distribute declarations that never revert

Cause: operators had no way to change a running fleet, and nothing decided which published text is in force. Ruled out: one key that operators overwrite (processes that missed the first text would take the second); readers chosen by the VM list alone (the list lags: with both readers killed no change came through). Found red first: a text without a readable revision was watched for again at once and for ever; a cut zone got news over a watch opened before.

--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -3,7 +3,7 @@
 #include "daemon/log.h"
 #include "peer.pb.h"
 #include "platform/platform_source.h"
-#include "policy/rendezvous.h"
+#include "policy/reader_choice.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,9 +15,10 @@
 
 namespace {
 
-    constexpr std::size_t readersPerZone = 2;
     constexpr int windowSize = 8;
-    constexpr milliseconds watchWait { 30'000 };
+    constexpr milliseconds watchWait { 5'000 };
+    // Every process looks at the service itself this often, should all readers be gone.
+    constexpr milliseconds ownLookEvery { 60'000 };
     constexpr milliseconds retryPause { 500 };
     constexpr milliseconds readerCheck { 1'000 };
     constexpr milliseconds exchangeTimeout { 2'000 };
@@ -26,8 +27,9 @@
     // A process whose peers are all out of reach serves what it has after this.
     constexpr milliseconds confirmGrace { 2'000 };
     constexpr int announceFanout = 4;
-    // One exchange in this many goes to another zone.
+    // One exchange in this many goes to another zone; a standby's every second one to a reader.
     constexpr unsigned otherZoneOneIn = 4;
+    constexpr unsigned readerOneIn = 2;
 
 } // namespace
 
@@ -72,30 +74,38 @@
     asio::co_spawn(m_context.io(), exchangeLoop(), asio::detached);
 }
 
-// Reads the latest documents; for a process that has none in force.
+// Reads the latest documents; for a process that has none in force. A window that does
+// not show what was in force is made longer, up to the whole history.
 awaitable<void> configuration_node::readWindow()
 {
-    const auto window = co_await m_platform.latestDeclarations(windowSize);
-    if (!window)
-        co_return;
-    const std::uint64_t before = m_chain.revision();
-    for (const auto& outcome : m_chain.offerWindow(window.value()))
-        report(outcome, "service");
-    if (m_chain.revision() != before)
+    for (int count = windowSize; !m_chain.inForce(); count *= windowSize) {
+        const auto window = co_await m_platform.latestDeclarations(count);
+        if (!window)
+            co_return;
+        const bool whole = window.value().size() < static_cast<std::size_t>(count);
+        for (const auto& outcome : m_chain.offerWindow(window.value(), whole))
+            report(outcome, "service");
+        if (whole)
+            break;
+    }
+    if (m_chain.inForce())
         announce();
 }
 
-bool configuration_node::isReader() const
+std::vector<std::string> configuration_node::ownReaderOrder() const
 {
     std::vector<std::string> entries;
     for (const auto& vm : m_vms.vms) {
         if (vm.role == vm_role::entry && vm.zone == m_context.zone() && vm.state == vm_state::live)
             entries.push_back(vm.name);
     }
-    const auto readers = rendezvousRank("configuration-reader", entries, readersPerZone);
-    const bool chosen = std::find(readers.begin(), readers.end(), m_context.name()) != readers.end();
+    return readerOrder(entries);
+}
+
+bool configuration_node::isReader() const
+{
     const bool lonely = m_context.now() - m_lastPeer > lonelyAfter;
-    return chosen || lonely || m_vms.vms.empty();
+    return lonely || m_vms.vms.empty() || isChosenReader(m_context.name(), ownReaderOrder(), m_unreachable);
 }
 
 bool configuration_node::ready() const
@@ -105,10 +115,20 @@
     return m_peerSeen || m_context.now() - m_context.startedAt() > confirmGrace;
 }
 
+// A reader always may; any other process once in a while.
+bool configuration_node::mayLook(instant& nextOwnLook)
+{
+    if (!isReader() && m_context.now() < nextOwnLook)
+        return false;
+    nextOwnLook = m_context.now() + jittered(ownLookEvery);
+    return true;
+}
+
 awaitable<void> configuration_node::watchDeclarationsLoop()
 {
+    instant nextOwnLook = m_context.now() + jittered(ownLookEvery);
     for (;;) {
-        if (!isReader()) {
+        if (!mayLook(nextOwnLook)) {
             co_await sleep(jittered(readerCheck));
             continue;
         }
@@ -117,20 +137,21 @@
             co_await sleep(jittered(retryPause));
             continue;
         }
-        const auto texts = co_await m_platform.watchDeclarations(m_chain.highestSeen(), watchWait);
-        if (!texts) {
+        const auto documents = co_await m_platform.watchDeclarations(m_chain.highestSeen(), watchWait);
+        if (!documents) {
             co_await sleep(jittered(retryPause));
             continue;
         }
-        for (const auto& text : texts.value())
-            takeDocument(text, document_source::service, "service");
+        for (const auto& document : documents.value())
+            takeOutcome(m_chain.offerPublished(document), "service");
     }
 }
 
 awaitable<void> configuration_node::watchVmsLoop()
 {
+    instant nextOwnLook = m_context.now() + jittered(ownLookEvery);
     for (;;) {
-        if (!isReader()) {
+        if (!mayLook(nextOwnLook)) {
             co_await sleep(jittered(readerCheck));
             continue;
         }
@@ -169,6 +190,13 @@
     const auto all = peers();
     if (all.empty())
         return std::nullopt;
+    const auto readers = lookedAfterBy(m_context.name(), ownReaderOrder());
+    if (!readers.empty() && m_context.random()() % readerOneIn == 0) {
+        const std::string& chosen = readers[m_context.random()() % readers.size()];
+        const auto place = std::find_if(all.begin(), all.end(), [&](const peer_place& peer) { return peer.name == chosen; });
+        if (place != all.end())
+            return *place;
+    }
     const bool wantOther = m_context.random()() % otherZoneOneIn == 0;
     std::vector<peer_place> wanted;
     for (const auto& peer : all) {
@@ -193,15 +221,18 @@
     m_context.counters().add(metric::exchanges_sent);
     m_context.counters().add(metric::exchange_bytes, static_cast<double>(request.ByteSizeLong()));
     auto reply = co_await m_peers.exchange(std::move(address), std::move(request), exchangeTimeout);
-    if (!reply)
+    if (!reply) {
+        m_unreachable.insert(name);
         co_return reply.error();
+    }
+    m_unreachable.erase(name);
     m_context.counters().add(metric::exchange_bytes, static_cast<double>(reply.value().ByteSizeLong()));
     m_context.timeline().observe(reply.value().sender().clock());
     m_lastPeer = m_context.now();
     m_peerSeen = m_peerSeen || reply.value().sender().revision() > 0;
     for (const auto& document : reply.value().documents()) {
         if (document.kind() == wire::Document::DECLARATION) {
-            takeDocument(document.text(), document_source::peer, name);
+            takeOutcome(m_chain.offer(document.text(), document_source::peer), name);
             continue;
         }
         auto list = parseVmList(document.text());
@@ -217,6 +248,7 @@
     m_context.counters().add(metric::exchange_bytes, static_cast<double>(request.ByteSizeLong()));
     m_context.timeline().observe(request.sender().clock());
     m_lastPeer = m_context.now();
+    m_unreachable.erase(request.sender().name());
     wire::ExchangeReply reply;
     stamp(reply);
     reply.set_vm_list_version(m_vms.version);
@@ -251,17 +283,16 @@
 {
     const auto all = peers();
     for (int i = 0; i < announceFanout && !all.empty(); ++i)
-        asio::co_spawn(m_context.io(), announceTo(all[m_context.random()() % all.size()].address), asio::detached);
+        asio::co_spawn(m_context.io(), announceTo(all[m_context.random()() % all.size()]), asio::detached);
 }
 
-awaitable<void> configuration_node::announceTo(std::string address)
+awaitable<void> configuration_node::announceTo(peer_place peer)
 {
-    co_await exchangeWith(address, address);
+    co_await exchangeWith(peer.address, peer.name);
 }
 
-void configuration_node::takeDocument(const std::string& text, document_source source, const std::string& from)
+void configuration_node::takeOutcome(const offer_outcome& outcome, const std::string& from)
 {
-    const auto outcome = m_chain.offer(text, source);
     report(outcome, from);
     if (outcome.kind == offer_kind::accepted)
         announce();
--- a/Source/daemon/configuration_node.h
+++ b/Source/daemon/configuration_node.h
@@ -64,9 +64,8 @@
     awaitable<result<void>> exchangeWith(std::string address, std::string name);
     awaitable<void> pullFrom(std::string address, std::string name);
     void announce();
-    awaitable<void> announceTo(std::string address);
     wire::ExchangeRequest makeRequest() const;
-    void takeDocument(const std::string& text, document_source, const std::string& from);
+    void takeOutcome(const offer_outcome&, const std::string& from);
     void report(const offer_outcome&, const std::string& from);
     void takeVms(vm_list);
     struct peer_place {
@@ -74,7 +73,10 @@
         std::string zone;
         std::string address;
     };
+    awaitable<void> announceTo(peer_place);
     std::vector<peer_place> peers() const;
+    std::vector<std::string> ownReaderOrder() const;
+    bool mayLook(instant& nextOwnLook);
     std::optional<peer_place> randomPeer();
     awaitable<void> sleep(duration);
     duration jittered(duration);
@@ -90,6 +92,8 @@
     std::string m_source;
     instant m_inForceSince;
     instant m_lastPeer;
+    // Names of processes whose last exchange with us failed.
+    std::set<std::string> m_unreachable;
     bool m_peerSeen = false;
     bool m_pulling = false;
 };
--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -115,6 +115,10 @@
     const auto [readError, bytes] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_connection->parser, asTuple);
     if (readError)
         co_return lost(verdict::may_have_run, "no answer from " + m_address, readError);
+    if (m_client.m_context.isCut(m_address)) {
+        cancel();
+        co_return mayHaveRun(failure_reason::connection_lost, "cut off from " + m_address);
+    }
     co_return m_connection->parser->get().base();
 }
 
--- a/Source/daemon/peer_link.cpp
+++ b/Source/daemon/peer_link.cpp
@@ -210,6 +210,8 @@
                 });
             },
             asio::use_awaitable);
+        if (context.isCut(address))
+            co_return mayHaveRun(failure_reason::connection_lost, "cut off from " + address);
         if (!status.ok()) {
             failure failed = notRun(failure_reason::connection_lost, address + ": " + status.error_message());
             if (status.error_code() != grpc::StatusCode::UNAVAILABLE)
--- a/Source/platform/platform_source.cpp
+++ b/Source/platform/platform_source.cpp
@@ -25,12 +25,12 @@
         {
         }
 
-        awaitable<result<std::vector<std::string>>> latestDeclarations(int count) override
+        awaitable<result<std::vector<published_document>>> latestDeclarations(int count) override
         {
             return documents("/v1/declarations/last?count=" + std::to_string(count), readTimeout);
         }
 
-        awaitable<result<std::vector<std::string>>> watchDeclarations(std::uint64_t revision, milliseconds wait) override
+        awaitable<result<std::vector<published_document>>> watchDeclarations(std::uint64_t revision, milliseconds wait) override
         {
             return documents("/v1/declarations?after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait.count()), wait + readTimeout);
         }
@@ -59,7 +59,7 @@
             co_return std::move(response.value().body());
         }
 
-        awaitable<result<std::vector<std::string>>> documents(std::string target, milliseconds timeout)
+        awaitable<result<std::vector<published_document>>> documents(std::string target, milliseconds timeout)
         {
             const auto body = co_await get(std::move(target), timeout);
             if (!body)
@@ -69,13 +69,16 @@
             const json::value* list = error ? nullptr : parsed.as_object().if_contains("documents");
             if (!list || !list->is_array())
                 co_return malformed("no documents in the answer");
-            std::vector<std::string> texts;
+            std::vector<published_document> published;
             for (const json::value& item : list->get_array()) {
-                if (!item.is_string())
-                    co_return malformed("a document is not text");
-                texts.emplace_back(item.get_string());
+                const json::object* const document = item.if_object();
+                const json::value* const number = document ? document->if_contains("number") : nullptr;
+                const json::value* const text = document ? document->if_contains("text") : nullptr;
+                if (!number || !number->is_number() || !text || !text->is_string())
+                    co_return malformed("a document without number or text");
+                published.push_back({ number->to_number<std::uint64_t>(error), std::string(text->get_string()) });
             }
-            co_return texts;
+            co_return published;
         }
 
         process_context& m_context;
--- a/Source/platform/platform_source.h
+++ b/Source/platform/platform_source.h
@@ -3,6 +3,7 @@
 
 #include "daemon/http_message.h"
 #include "platform/vm_list.h"
+#include "policy/revision_chain.h"
 
 #include <memory>
 #include <string>
@@ -18,9 +19,9 @@
     virtual ~platform_source() = default;
 
     // The latest declarations, oldest first, at most `count`.
-    virtual awaitable<result<std::vector<std::string>>> latestDeclarations(int count) = 0;
+    virtual awaitable<result<std::vector<published_document>>> latestDeclarations(int count) = 0;
     // Declarations after `revision`; waits up to `wait` for the first. Empty after that.
-    virtual awaitable<result<std::vector<std::string>>> watchDeclarations(std::uint64_t revision, milliseconds wait) = 0;
+    virtual awaitable<result<std::vector<published_document>>> watchDeclarations(std::uint64_t revision, milliseconds wait) = 0;
     // The VM list once it is newer than `version`; waits up to `wait`.
     virtual awaitable<result<vm_list>> watchVms(std::uint64_t version, milliseconds wait) = 0;
 
--- /dev/null
+++ b/Source/policy/change_plan.h
@@ -0,0 +1,55 @@
+// What an intent would change: the plan that an operator confirms.
+#pragma once
+
+#include "policy/declaration.h"
+
+#include <string>
+#include <vector>
+
+namespace rampgap {
+
+enum class change_kind { add,
+    remove,
+    modify };
+
+// One changed section or key of the declaration.
+struct declared_change {
+    change_kind kind = change_kind::modify;
+    std::string section;
+    std::string key;
+    std::string before;
+    std::string after;
+
+    bool operator==(const declared_change&) const = default;
+};
+
+class change_plan {
+public:
+    // The exact changes from `inForce` to `intent`, their cost and what may go wrong.
+    // `highestSeen` is the highest revision number that was ever published.
+    static change_plan make(const declaration& inForce, const declaration& intent, std::uint64_t highestSeen);
+    // The first declaration of a fleet, where nothing is in force.
+    static change_plan makeFirst(const declaration& intent);
+
+    const std::vector<declared_change>& changes() const { return m_changes; }
+    const std::vector<std::string>& costs() const { return m_costs; }
+    const std::vector<std::string>& warnings() const { return m_warnings; }
+    // The declaration to publish once the plan is confirmed.
+    const declaration& declared() const { return m_declared; }
+
+    std::string toText() const;
+    bool operator==(const change_plan&) const = default;
+
+private:
+    void compare(const declaration& inForce);
+    void weighHomes(const declaration& inForce);
+    void weighPools(const declaration& inForce);
+    void weighGroups(const declaration& inForce);
+
+    std::vector<declared_change> m_changes;
+    std::vector<std::string> m_costs;
+    std::vector<std::string> m_warnings;
+    declaration m_declared;
+};
+
+} // namespace rampgap
--- a/Source/policy/declaration.cpp
+++ b/Source/policy/declaration.cpp
@@ -283,6 +283,18 @@
     return sha256Hex(canonicalText());
 }
 
+std::optional<declaration> declaration::withDraining(std::string_view name) const
+{
+    if (!findBackend(name))
+        return std::nullopt;
+    declaration changed = *this;
+    for (auto& backend : changed.m_backends) {
+        if (backend.name == name)
+            backend.draining = true;
+    }
+    return changed;
+}
+
 declaration declaration::linkedAs(declaration_link link) const
 {
     declaration linked = *this;
--- a/Source/policy/declaration.h
+++ b/Source/policy/declaration.h
@@ -5,6 +5,7 @@
 #include "policy/verdict.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -110,6 +111,8 @@
     std::string canonicalText() const;
     std::string digest() const;
 
+    // The same declaration with one backend draining; empty if there is none of the name.
+    std::optional<declaration> withDraining(std::string_view backend) const;
     // The same body at another place in the chain.
     declaration linkedAs(declaration_link) const;
 
--- /dev/null
+++ b/Source/policy/reader_choice.h
@@ -0,0 +1,24 @@
+// Which processes of a zone read the configuration service.
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rampgap {
+
+inline constexpr std::size_t readersPerZone = 2;
+// Those who stand by, the readers included: they look after the ones before them.
+inline constexpr std::size_t readersAndStandbys = 6;
+
+// The entry VMs of the zone in the order in which they become readers; all processes that
+// see the same list agree on it.
+std::vector<std::string> readerOrder(const std::vector<std::string>& entries);
+
+// True if `self` is among the first readers, leaving out those that `self` cannot reach.
+bool isChosenReader(const std::string& self, const std::vector<std::string>& order, const std::set<std::string>& unreachable);
+
+// The processes that `self` looks after: all before it, if it stands by.
+std::vector<std::string> lookedAfterBy(const std::string& self, const std::vector<std::string>& order);
+
+} // namespace rampgap
--- a/Source/policy/revision_chain.cpp
+++ b/Source/policy/revision_chain.cpp
@@ -1,7 +1,6 @@
 #include "policy/revision_chain.h"
 
 #include <algorithm>
-#include <optional>
 #include <set>
 
 namespace rampgap {
@@ -71,44 +70,53 @@
         return lost ? refuse(link.revision, "a later revision is in force: plan again on it") : offer_outcome { offer_kind::known, link.revision, {} };
     }
     const bool linked = m_inForce ? link.baseDigest == m_digest : link.baseRevision == 0;
-    if (source == document_source::service && m_inForce && !linked)
-        return refuse(link.revision, "not based on revision " + std::to_string(revision()) + ", which is in force: plan again on it");
+    if (source == document_source::service && !linked)
+        return refuse(link.revision, m_inForce ? "not based on revision " + std::to_string(revision()) + ", which is in force: plan again on it" : "based on a revision that was never in force");
     putInForce(std::move(offered), std::move(digest));
     return { offer_kind::accepted, link.revision, {} };
 }
 
+offer_outcome revision_chain::offerPublished(const published_document& published)
+{
+    m_highestSeen = std::max(m_highestSeen, published.number);
+    offer_outcome outcome = offer(published.text, document_source::service);
+    if (outcome.revision == 0)
+        outcome.revision = published.number;
+    return outcome;
+}
+
 // Without memory it is unknown which of the latest documents was in force. One that
-// another names as its base was: the operators' plan was made on it.
-std::vector<offer_outcome> revision_chain::offerWindow(const std::vector<std::string>& texts)
+// another names as its base was: operators plan on what is in force.
+bool revision_chain::startInWindow(const std::vector<published_document>& window)
+{
+    std::set<std::string> bases;
+    std::vector<declaration> documents;
+    for (const auto& published : window) {
+        auto parsed = declaration::parse(published.text, "declaration");
+        if (!parsed || !selfFault(parsed.value()).empty())
+            continue;
+        bases.insert(parsed.value().link().baseDigest);
+        documents.push_back(std::move(parsed.value()));
+    }
+    const auto start = std::find_if(documents.begin(), documents.end(), [&](const declaration& document) { return bases.contains(document.digest()); });
+    if (start == documents.end())
+        return false;
+    std::string digest = start->digest();
+    putInForce(std::move(*start), std::move(digest));
+    m_highestSeen = std::max(m_highestSeen, revision());
+    return true;
+}
+
+std::vector<offer_outcome> revision_chain::offerWindow(const std::vector<published_document>& documents, bool wholeHistory)
 {
     std::vector<offer_outcome> outcomes;
-    if (!m_inForce) {
-        std::set<std::string> bases;
-        std::vector<std::optional<declaration>> documents;
-        for (const auto& text : texts) {
-            auto parsed = declaration::parse(text, "declaration");
-            const bool usable = parsed && selfFault(parsed.value()).empty();
-            documents.push_back(usable ? std::optional<declaration>(parsed.value()) : std::nullopt);
-            if (usable)
-                bases.insert(parsed.value().link().baseDigest);
-        }
-        const auto isStart = [&](const std::optional<declaration>& document) {
-            return document && (document->link().baseRevision == 0 || bases.contains(document->digest()));
-        };
-        auto start = std::find_if(documents.begin(), documents.end(), isStart);
-        if (start == documents.end())
-            start = std::find_if(documents.begin(), documents.end(), [](const auto& document) { return document.has_value(); });
-        if (start == documents.end()) {
-            for (const auto& text : texts)
-                outcomes.push_back(offer(text, document_source::service));
+    if (!m_inForce && !wholeHistory) {
+        if (!startInWindow(documents))
             return outcomes;
-        }
-        m_highestSeen = std::max(m_highestSeen, (*start)->link().revision);
-        putInForce(**start, (*start)->digest());
         outcomes.push_back({ offer_kind::accepted, revision(), {} });
     }
-    for (const auto& text : texts)
-        outcomes.push_back(offer(text, document_source::service));
+    for (const auto& published : documents)
+        outcomes.push_back(offerPublished(published));
     return outcomes;
 }
 
--- a/Source/policy/revision_chain.h
+++ b/Source/policy/revision_chain.h
@@ -18,6 +18,14 @@
     known,
     refused };
 
+// A document as the service holds it: under the number of its revision.
+struct published_document {
+    std::uint64_t number = 0;
+    std::string text;
+
+    bool operator==(const published_document&) const = default;
+};
+
 // What became of an offered document. `reason` is set for refused ones.
 struct offer_outcome {
     offer_kind kind = offer_kind::known;
@@ -32,8 +40,11 @@
     // Offers one document. From the service it must follow the one in force; a peer's
     // document was checked by that peer against its own chain.
     offer_outcome offer(const std::string& text, document_source);
-    // Offers what the service shows a process without memory: its latest documents.
-    std::vector<offer_outcome> offerWindow(const std::vector<std::string>& texts);
+    // Offers what the service holds; remembers its number even if it cannot be read.
+    offer_outcome offerPublished(const published_document&);
+    // Offers what the service shows a process without memory: its latest documents, oldest
+    // first, or its whole history. If nothing comes in force, a longer window is needed.
+    std::vector<offer_outcome> offerWindow(const std::vector<published_document>& documents, bool wholeHistory);
 
     // Null until a declaration is in force.
     std::shared_ptr<const declaration> inForce() const { return m_inForce; }
@@ -56,6 +67,7 @@
 
     offer_outcome refuse(std::uint64_t revision, std::string reason);
     void putInForce(declaration, std::string digest);
+    bool startInWindow(const std::vector<published_document>& documents);
 
     std::shared_ptr<const declaration> m_inForce;
     std::string m_digest;
--- a/Source/standin/platform_standin.cpp
+++ b/Source/standin/platform_standin.cpp
@@ -101,7 +101,7 @@
     json::array texts;
     for (const auto& [revision, text] : m_declarations) {
         if (revision > after && revision <= m_staleAt && texts.size() < most)
-            texts.emplace_back(text);
+            texts.push_back(json::object { { "number", revision }, { "text", text } });
     }
     return makeResponse(200, "application/json", json::serialize(json::object { { "documents", std::move(texts) } }));
 }
@@ -115,7 +115,7 @@
             revisions.push_back(revision);
     }
     const std::uint64_t after = revisions.size() > count ? revisions[revisions.size() - count - 1] : 0;
-    return documents(after, manyDocuments);
+    return documents(after, count);
 }
 
 awaitable<http_response> platform_standin::watch(const std::string& target)
