--- /dev/null
+++ b/Source/policy/rebalancer.cpp
@@ -0,0 +1,275 @@
+#include "policy/rebalancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+#include <queue>
+
+namespace rampgap {
+
+namespace {
+
+    constexpr double baseGainPerMove = 0.002;
+    constexpr double leastTarget = 1.02;
+    constexpr double mostTarget = 1.5;
+    constexpr double sameSpeed = 0.02;
+
+    class static_map : public rebalancer {
+    public:
+        expert_placement decide(const expert_placement& current, const std::vector<double>&, const std::vector<double>&) const override
+        {
+            return current;
+        }
+    };
+
+    // Replicas for the hottest, then longest-first onto the rank that would end first.
+    class full_rebalance : public rebalancer {
+    public:
+        expert_placement decide(const expert_placement& current, const std::vector<double>& popularity, const std::vector<double>& speeds) const override
+        {
+            const auto replicas = shareReplicas(current, popularity);
+            const auto ranks = assign(current, popularity, speeds, replicas);
+            return match(current, ranks, speeds);
+        }
+
+    private:
+        using rank_contents = std::vector<std::vector<expert_index>>;
+
+        static std::vector<std::uint16_t> shareReplicas(const expert_placement& current, const std::vector<double>& popularity)
+        {
+            std::vector<std::uint16_t> replicas(current.experts(), 1);
+            using entry = std::pair<double, expert_index>;
+            std::priority_queue<entry> hottest;
+            for (std::size_t expert = 0; expert < replicas.size(); ++expert)
+                hottest.emplace(popularity[expert], static_cast<expert_index>(expert));
+            for (std::size_t spare = current.slots().size() - replicas.size(); spare > 0; --spare) {
+                const expert_index expert = hottest.top().second;
+                hottest.pop();
+                ++replicas[expert];
+                hottest.emplace(popularity[expert] / replicas[expert], expert);
+            }
+            return replicas;
+        }
+
+        static rank_contents assign(const expert_placement& current, const std::vector<double>& popularity, const std::vector<double>& speeds, const std::vector<std::uint16_t>& replicas)
+        {
+            std::vector<std::pair<double, expert_index>> items;
+            for (std::size_t expert = 0; expert < replicas.size(); ++expert)
+                items.insert(items.end(), replicas[expert], { popularity[expert] / replicas[expert], static_cast<expert_index>(expert) });
+            std::sort(items.begin(), items.end(), std::greater<>());
+            rank_contents contents(current.ranks());
+            std::vector<double> load(current.ranks(), 0.0);
+            for (const auto& [share, expert] : items) {
+                std::size_t best = contents.size();
+                for (std::size_t rank = 0; rank < contents.size(); ++rank) {
+                    if (contents[rank].size() >= current.slotsPerRank())
+                        continue;
+                    if (best == contents.size() || (load[rank] + share) / speeds[rank] < (load[best] + share) / speeds[best])
+                        best = rank;
+                }
+                contents[best].push_back(expert);
+                load[best] += share;
+            }
+            return contents;
+        }
+
+        // Gives each new set of experts to the rank that holds most of it already.
+        static expert_placement match(const expert_placement& current, const rank_contents& contents, const std::vector<double>& speeds)
+        {
+            struct overlap {
+                int shared;
+                std::size_t set;
+                rank_index rank;
+            };
+            std::vector<overlap> overlaps;
+            for (std::size_t set = 0; set < contents.size(); ++set) {
+                for (rank_index rank = 0; rank < current.ranks(); ++rank) {
+                    // What was made for a slow rank stays with one.
+                    if (std::abs(speeds[set] - speeds[rank]) > sameSpeed)
+                        continue;
+                    int shared = 0;
+                    for (const expert_index expert : contents[set])
+                        shared += current.holds(rank, expert) ? 1 : 0;
+                    overlaps.push_back({ shared, set, rank });
+                }
+            }
+            std::stable_sort(overlaps.begin(), overlaps.end(), [](const overlap& a, const overlap& b) { return a.shared > b.shared; });
+            std::vector<bool> setDone(contents.size(), false);
+            std::vector<bool> rankDone(current.ranks(), false);
+            expert_placement placement = current;
+            for (const auto& best : overlaps) {
+                if (setDone[best.set] || rankDone[best.rank])
+                    continue;
+                setDone[best.set] = true;
+                rankDone[best.rank] = true;
+                for (std::size_t s = 0; s < current.slotsPerRank(); ++s)
+                    placement.set(best.rank * current.slotsPerRank() + s, contents[best.set][s]);
+            }
+            return placement;
+        }
+    };
+
+    // Takes the best single change for the slowest rank until none pays for its bytes.
+    class few_moves : public rebalancer {
+    public:
+        explicit few_moves(rebalance_settings settings)
+            : m_settings(settings)
+        {
+        }
+
+        expert_placement decide(const expert_placement& current, const std::vector<double>& popularity, const std::vector<double>& speeds) const override
+        {
+            search state { current, popularity, speeds, rankTimes(current, popularity, speeds) };
+            const double mean = std::accumulate(state.times.begin(), state.times.end(), 0.0) / static_cast<double>(state.times.size());
+            std::size_t moves = 0;
+            while (moves < m_settings.maxMoves && stepSkew(state.times) > m_settings.targetSkew) {
+                const candidate best = bestChange(state);
+                const double slowest = *std::max_element(state.times.begin(), state.times.end());
+                const double gain = (slowest - best.worst) / mean;
+                if (best.cost == 0 || gain < m_settings.gainPerMove * static_cast<double>(best.cost))
+                    break;
+                const expert_placement before = state.placement;
+                apply(state, best);
+                // The estimate of a change ignores replicas that share a rank.
+                if (*std::max_element(state.times.begin(), state.times.end()) >= slowest)
+                    return before;
+                moves += best.cost;
+            }
+            return state.placement;
+        }
+
+    private:
+        struct search {
+            expert_placement placement;
+            const std::vector<double>& popularity;
+            const std::vector<double>& speeds;
+            std::vector<double> times;
+        };
+
+        // A change of one or two slots and the slower of the ranks it leaves.
+        struct candidate {
+            std::size_t cost = 0;
+            double worst = std::numeric_limits<double>::infinity();
+            std::size_t firstSlot = 0;
+            expert_index firstExpert = 0;
+            std::size_t secondSlot = 0;
+            expert_index secondExpert = 0;
+
+            // Compares by the fall of the slowest rank per weight loaded.
+            bool betterThan(const candidate& other, double slowest) const
+            {
+                if (other.cost == 0)
+                    return worst < slowest;
+                return (slowest - worst) * static_cast<double>(other.cost) > (slowest - other.worst) * static_cast<double>(cost);
+            }
+        };
+
+        static double share(const search& state, expert_index expert)
+        {
+            return state.popularity[expert] / state.placement.replicas(expert);
+        }
+
+        static candidate bestChange(const search& state)
+        {
+            const auto slowestRank = static_cast<rank_index>(std::max_element(state.times.begin(), state.times.end()) - state.times.begin());
+            const double slowest = state.times[slowestRank];
+            candidate best;
+            const std::size_t width = state.placement.slotsPerRank();
+            for (std::size_t s = 0; s < width; ++s) {
+                const std::size_t slot = slowestRank * width + s;
+                for (std::size_t other = 0; other < state.placement.slots().size(); ++other) {
+                    const rank_index otherRank = state.placement.rankOf(other);
+                    if (otherRank == slowestRank)
+                        continue;
+                    offerReplica(state, slot, other, slowestRank, otherRank, slowest, best);
+                    offerSwap(state, slot, other, slowestRank, otherRank, slowest, best);
+                }
+            }
+            return best;
+        }
+
+        // One more replica of a hot expert, in a slot whose expert stands elsewhere too.
+        static void offerReplica(const search& state, std::size_t slot, std::size_t other, rank_index hot, rank_index cold, double slowest, candidate& best)
+        {
+            const expert_index expert = state.placement.at(slot);
+            const expert_index replaced = state.placement.at(other);
+            if (expert == replaced || state.placement.replicas(replaced) < 2 || state.placement.holds(cold, expert))
+                return;
+            const double now = share(state, expert);
+            const double after = state.popularity[expert] / (state.placement.replicas(expert) + 1);
+            const double dropped = share(state, replaced);
+            const double grown = state.popularity[replaced] / (state.placement.replicas(replaced) - 1) - dropped;
+            const double hotTime = state.times[hot] - (now - after) / state.speeds[hot] + (state.placement.holds(hot, replaced) ? grown / state.speeds[hot] : 0);
+            const double coldTime = state.times[cold] + (after - dropped) / state.speeds[cold];
+            const double worst = std::max({ hotTime, coldTime, growthElsewhere(state, replaced, cold, grown) });
+            take({ 1, worst, other, expert, other, expert }, slowest, best);
+        }
+
+        // The other replicas of a replaced expert take over its share.
+        static double growthElsewhere(const search& state, expert_index expert, rank_index leaving, double grown)
+        {
+            double worst = 0;
+            for (std::size_t slot = 0; slot < state.placement.slots().size(); ++slot) {
+                const rank_index rank = state.placement.rankOf(slot);
+                if (state.placement.at(slot) == expert && rank != leaving)
+                    worst = std::max(worst, state.times[rank] + grown / state.speeds[rank]);
+            }
+            return worst;
+        }
+
+        static void offerSwap(const search& state, std::size_t slot, std::size_t other, rank_index hot, rank_index cold, double slowest, candidate& best)
+        {
+            const expert_index expert = state.placement.at(slot);
+            const expert_index partner = state.placement.at(other);
+            if (expert == partner || state.placement.holds(cold, expert) || state.placement.holds(hot, partner))
+                return;
+            const double difference = share(state, expert) - share(state, partner);
+            if (difference <= 0)
+                return;
+            const double worst = std::max(state.times[hot] - difference / state.speeds[hot], state.times[cold] + difference / state.speeds[cold]);
+            take({ 2, worst, slot, partner, other, expert }, slowest, best);
+        }
+
+        static void take(const candidate& offered, double slowest, candidate& best)
+        {
+            if (offered.worst < slowest && offered.betterThan(best, slowest))
+                best = offered;
+        }
+
+        static void apply(search& state, const candidate& change)
+        {
+            state.placement.set(change.firstSlot, change.firstExpert);
+            if (change.cost == 2)
+                state.placement.set(change.secondSlot, change.secondExpert);
+            state.times = rankTimes(state.placement, state.popularity, state.speeds);
+        }
+
+        rebalance_settings m_settings;
+    };
+
+} // namespace
+
+// With both weights alike a move must take half a percent off; the user who weighs skew
+// more takes smaller gains and a lower target, the one who weighs cost more the reverse.
+rebalance_settings rebalance_settings::make(double skewWeight, double costWeight)
+{
+    const double ratio = std::clamp(costWeight / std::max(skewWeight, 1e-9), 0.01, 100.0);
+    rebalance_settings settings;
+    settings.gainPerMove = baseGainPerMove * ratio;
+    settings.targetSkew = std::clamp(1 + 0.05 * ratio, leastTarget, mostTarget);
+    return settings;
+}
+
+result<std::unique_ptr<rebalancer>> rebalancer::make(std::string_view name, rebalance_settings settings)
+{
+    if (name == "static")
+        return std::unique_ptr<rebalancer>(std::make_unique<static_map>());
+    if (name == "full")
+        return std::unique_ptr<rebalancer>(std::make_unique<full_rebalance>());
+    if (name == "few_moves")
+        return std::unique_ptr<rebalancer>(std::make_unique<few_moves>(settings));
+    return notRun(failure_reason::invalid_request, "no rebalancer named '" + std::string(name) + "'");
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/rebalancer.h
@@ -0,0 +1,37 @@
+// Decides which experts to move: few moves, each worth its bytes.
+#pragma once
+
+#include "policy/expert_placement.h"
+#include "policy/verdict.h"
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace rampgap {
+
+// How an operator weighs step-time skew against the cost of moves.
+struct rebalance_settings {
+    // Skew that is not worth a move.
+    double targetSkew = 1.05;
+    // Least fall of the slowest rank's time, as a share of the mean, that pays for one
+    // weight. Falls with the weight of skew, rises with the weight of cost.
+    double gainPerMove = 0.002;
+    std::size_t maxMoves = 64;
+
+    static rebalance_settings make(double skewWeight, double costWeight);
+    bool operator==(const rebalance_settings&) const = default;
+};
+
+// A policy gets the predicted popularity of one layer and the speeds of the ranks.
+class rebalancer {
+public:
+    virtual ~rebalancer() = default;
+
+    virtual expert_placement decide(const expert_placement& current, const std::vector<double>& popularity, const std::vector<double>& speeds) const = 0;
+
+    // "static", "full" (greedy anew, ranks matched to the old for few moves) or "few_moves".
+    static result<std::unique_ptr<rebalancer>> make(std::string_view name, rebalance_settings);
+};
+
+} // namespace rampgap
