groups: switch maps between real agents over gRPC

Cause: the state machines of the map switch had no processes around them. Ruled out: a coordinator elected by the ranks (the first rank's agent is declared, and all ranks are needed anyhow). Change: agents guard their rank's engine, the first rank's agent decides and coordinates; the group stand-in counts steps that mix maps.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -45,6 +45,7 @@
     made->m_configuration.start(host + ":" + std::to_string(made->peerPort()));
     made->m_gate.start();
     made->m_keeper.start();
+    made->m_group.start();
     return made;
 }
 
@@ -59,6 +60,7 @@
     , m_permits(context.incarnation(), context.startedAt())
     , m_guard(m_settings.process.name, context.incarnation(), context.startedAt(), ledgerLimits(m_settings))
     , m_keeper(context, m_peers, m_configuration, m_guard)
+    , m_group(context, m_client, m_peers, m_configuration, m_settings.engine, m_settings.rebalanceInterval)
     , m_gate(context, { 1, m_settings.maxQueued }, m_settings.shedding)
 {
 }
@@ -73,6 +75,7 @@
     if (own)
         m_gate.setSlots(own->slots);
     m_keeper.poke();
+    m_group.apply(*current);
 }
 
 awaitable<wire::ExchangeReply> agent_server::onExchange(wire::ExchangeRequest request)
@@ -80,6 +83,11 @@
     return m_configuration.onExchange(std::move(request));
 }
 
+awaitable<wire::GroupMessage> agent_server::onGroup(wire::GroupMessage message)
+{
+    return m_group.answer(std::move(message));
+}
+
 awaitable<wire::HandoverReply> agent_server::onHandover(wire::HandoverRequest request)
 {
     co_return m_keeper.answer(request);
@@ -111,6 +119,10 @@
         co_await exchange.send(std::move(response));
         co_return;
     }
+    if (exchange.request().target() == "/rampgap/group") {
+        co_await exchange.send(makeResponse(200, "application/json", m_group.describe()));
+        co_return;
+    }
     ++m_inFlight;
     m_context.counters().set(metric::in_flight, m_inFlight);
     co_await serveEntry(exchange);
--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "agent/admission_gate.h"
+#include "agent/group_member.h"
 #include "agent/home_keeper.h"
 #include "daemon/answer_relay.h"
 #include "daemon/operator_pages.h"
@@ -25,6 +26,7 @@
     awaitable<wire::ExchangeReply> onExchange(wire::ExchangeRequest) override;
     awaitable<wire::HandoverReply> onHandover(wire::HandoverRequest) override;
     awaitable<wire::DepositReply> onDeposit(wire::DepositRequest) override;
+    awaitable<wire::GroupMessage> onGroup(wire::GroupMessage) override;
     void onDeclaration(std::shared_ptr<const declaration>) override;
 
 private:
@@ -58,6 +60,7 @@
     permit_office m_permits;
     execution_guard m_guard;
     home_keeper m_keeper;
+    group_member m_group;
     admission_gate m_gate;
     std::unique_ptr<http_server> m_http;
     std::unique_ptr<peer_server> m_peerServer;
--- a/Source/daemon/peer_link.cpp
+++ b/Source/daemon/peer_link.cpp
@@ -107,9 +107,7 @@
 
 awaitable<wire::GroupMessage> peer_handler::onGroup(wire::GroupMessage)
 {
-    wire::GroupMessage refused;
-    refused.set_kind(wire::GroupMessage::REFUSED);
-    co_return refused;
+    co_return wire::GroupMessage();
 }
 
 struct peer_server::implementation {
--- a/Source/daemon/settings.cpp
+++ b/Source/daemon/settings.cpp
@@ -12,6 +12,7 @@
     constexpr number_range connectionRange { 1, 1'000'000, "connections" };
     constexpr number_range timeRange { 1, 86'400'000, "milliseconds" };
     constexpr number_range lingerRange { 0, 600'000, "milliseconds" };
+    constexpr number_range intervalRange { 0, 86'400'000, "milliseconds" };
     constexpr number_range queueRange { 0, 1'000'000, "requests" };
     constexpr number_range idRange { 16, 100'000'000, "ids" };
 
@@ -100,6 +101,7 @@
         { "agent", "max_queued", "requests", "256", "Requests that may wait for a slot" },
         { "agent", "shedding", "yes/no", "yes", "Refuse at once what the predicted wait would make late" },
         { "agent", "ledger_ids", "ids", "65536", "Ids of requests that may run at most once, kept in memory" },
+        { "agent", "rebalance_interval_ms", "milliseconds", "60000", "Time between two decisions on a group's expert map; 0 switches them off" },
         { "agent", "ledger_answer_bytes", "bytes", "16777216", "Bytes of finished answers kept for repeated ids" },
     };
     return table;
@@ -130,6 +132,7 @@
         settings.engine = reader.address("engine", "", false);
         settings.maxQueued = static_cast<int>(reader.number("max_queued", settings.maxQueued, queueRange));
         settings.shedding = reader.flag("shedding", true);
+        settings.rebalanceInterval = milliseconds(reader.number("rebalance_interval_ms", settings.rebalanceInterval.count(), intervalRange));
         settings.ledgerIds = static_cast<std::size_t>(reader.number("ledger_ids", static_cast<std::int64_t>(settings.ledgerIds), idRange));
         settings.ledgerAnswerBytes = static_cast<std::size_t>(reader.number("ledger_answer_bytes", static_cast<std::int64_t>(settings.ledgerAnswerBytes), byteRange));
     });
--- a/Source/daemon/settings.h
+++ b/Source/daemon/settings.h
@@ -40,6 +40,8 @@
     bool shedding = true;
     std::size_t ledgerIds = 65'536;
     std::size_t ledgerAnswerBytes = 16'777'216;
+    // 0 switches rebalancing off.
+    milliseconds rebalanceInterval { 60'000 };
 
     bool operator==(const agent_settings&) const = default;
 };
--- a/Source/policy/map_coordinator.cpp
+++ b/Source/policy/map_coordinator.cpp
@@ -171,7 +171,7 @@
 
 step_number map_coordinator::highestStep() const
 {
-    step_number highest = 0;
+    step_number highest = m_noted;
     for (const auto& state : m_states) {
         if (state)
             highest = std::max(highest, state->state.step);
--- a/Source/policy/map_coordinator.h
+++ b/Source/policy/map_coordinator.h
@@ -45,6 +45,7 @@
     map_id map() const { return m_map; }
     // The highest step that a rank reported.
     step_number highestStep() const;
+    void noteStep(step_number step) { m_noted = step; }
     std::uint64_t commits() const { return m_commits; }
 
 private:
@@ -61,6 +62,7 @@
     std::set<std::size_t> m_answers;
     map_id m_map = 0;
     step_number m_step = 0;
+    step_number m_noted = 0;
     std::uint64_t m_commits = 0;
 };
 
--- a/Source/standin/main.cpp
+++ b/Source/standin/main.cpp
@@ -3,6 +3,7 @@
 #include "daemon/daemon_main.h"
 #include "daemon/log.h"
 #include "standin/engine_standin.h"
+#include "standin/group_standin.h"
 #include "standin/platform_standin.h"
 
 #include <iostream>
@@ -39,6 +40,10 @@
         platform_standin platform(context);
         return serve(context, platform, flags);
     }
+    if (flags.ranks > 1) {
+        group_standin group(context, flags);
+        return group.serve();
+    }
     engine_standin engine(context, flags);
     engine.start();
     return serve(context, engine, flags);
--- a/Tests/support/child_process.cpp
+++ b/Tests/support/child_process.cpp
@@ -36,6 +36,9 @@
     FILE* const out = fdopen(ends[0], "r");
     char line[512] = "";
     while (fgets(line, sizeof line, out)) {
+        int rankPort = 0;
+        if (sscanf(line, "rank http=%d", &rankPort) == 1)
+            m_ranks.push_back("127.0.0.1:" + std::to_string(rankPort));
         if (sscanf(line, "ready http=%d peer=%d", &m_httpPort, &m_peerPort) == 2)
             break;
     }
--- a/Tests/support/child_process.h
+++ b/Tests/support/child_process.h
@@ -20,6 +20,8 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(m_httpPort); }
     std::string peerAddress() const { return "127.0.0.1:" + std::to_string(m_peerPort); }
     pid_t id() const { return m_id; }
+    // Addresses of the ranks that a group's stand-in serves.
+    const std::vector<std::string>& rankAddresses() const { return m_ranks; }
 
     void signal(int number) const;
     // Waits for the end; the exit code, or minus the signal's number.
@@ -30,6 +32,7 @@
     pid_t m_id = -1;
     int m_httpPort = 0;
     int m_peerPort = 0;
+    std::vector<std::string> m_ranks;
 };
 
 } // namespace rampgap::test
--- a/Tests/support/test_fleet.cpp
+++ b/Tests/support/test_fleet.cpp
@@ -66,7 +66,8 @@
         if (plan.name != name)
             continue;
         auto flags = settingFlags(name, plan.zone, httpPort, peerPort);
-        flags.insert(flags.end(), { "--set", "agent.engine=" + m_engines.at(name)->address() });
+        const std::string engine = plan.engine.empty() ? m_engines.at(name)->address() : plan.engine;
+        flags.insert(flags.end(), { "--set", "agent.engine=" + engine, "--set", "agent.rebalance_interval_ms=100" });
         m_agents[name] = std::make_unique<child_process>("rampgap-agent", flags);
     }
 }
@@ -81,7 +82,8 @@
     const bool isService = plan.serves == "filings";
     std::vector<std::string> flags { isService ? "service" : "engine", "--step-ms", "2", "--slots", std::to_string(plan.slots) };
     flags.insert(flags.end(), plan.standinFlags.begin(), plan.standinFlags.end());
-    m_engines[plan.name] = std::make_unique<child_process>("rampgap-standin", flags);
+    if (plan.engine.empty())
+        m_engines[plan.name] = std::make_unique<child_process>("rampgap-standin", flags);
     m_backends.push_back(plan);
     startAgent(plan.name, 0, 0);
 }
@@ -122,7 +124,7 @@
         if (added != extra.end())
             text += added->second + "\n";
     }
-    return text;
+    return text + m_extraSections;
 }
 
 std::uint64_t test_fleet::publish(const std::string& body)
--- a/Tests/support/test_fleet.h
+++ b/Tests/support/test_fleet.h
@@ -24,6 +24,8 @@
     std::string serves;
     int slots = 8;
     std::vector<std::string> standinFlags;
+    // Address of an engine that runs already; empty starts one.
+    std::string engine;
 };
 
 class test_fleet {
@@ -64,6 +66,8 @@
     std::int64_t totalRuns();
     std::uint64_t revision(const std::string& address) const;
     void setRules(const std::string& rules) { m_rules = rules; }
+    // Further sections of the declaration.
+    void setExtraSections(const std::string& sections) { m_extraSections = sections; }
     const declaration& lastPublished() const { return m_published; }
 
 private:
@@ -79,6 +83,7 @@
     std::map<std::string, std::unique_ptr<child_process>> m_agents;
     std::map<std::string, std::unique_ptr<child_process>> m_entries;
     std::string m_rules = "[rules]\nid_life_ms = 600\n";
+    std::string m_extraSections;
     declaration m_published;
     std::uint64_t m_vmVersion = 0;
 };
