bench: measure hop, routing, overload, skew, config and control

Cause: no figure stood behind the choices of policy. Ruled out: a cluster simulator; routing is tried before small fake engines in virtual time, all else on real processes. Two rules of the map switch that random schedules did not turn red got a case of their own.

--- a/Source/bench/main.cpp
+++ b/Source/bench/main.cpp
@@ -14,7 +14,12 @@
     if (const auto code = parseBenchFlags(argc, argv, flags))
         return *code;
     static const std::map<std::string, std::function<int(const bench_flags&)>> benchmarks {
+        { "hop", benchHop },
+        { "routing", benchRouting },
+        { "overload", benchOverload },
         { "skew", benchSkew },
+        { "config", benchConfig },
+        { "control", benchControl },
     };
     const auto found = benchmarks.find(flags.benchmark);
     if (found == benchmarks.end()) {
--- a/Source/ctl/commands.cpp
+++ b/Source/ctl/commands.cpp
@@ -106,7 +106,7 @@
 
     void printStatuses(const std::vector<process_status>& all)
     {
-        std::cout << std::left << std::setw(16) << "NAME" << std::setw(16) << "ZONE" << std::setw(8) << "ROLE" << std::setw(13) << "STATE"
+        std::cout << std::left << std::setw(22) << "NAME" << std::setw(16) << "ZONE" << std::setw(8) << "ROLE" << std::setw(13) << "STATE"
                   << std::setw(10) << "REVISION" << std::setw(10) << "AGE"
                   << "SOURCE\n";
         const bool colour = isatty(STDOUT_FILENO) != 0;
@@ -114,7 +114,7 @@
             const char* const state = !status.reachable ? "unreachable" : status.ready ? "ready"
                                                                                        : "not ready";
             const bool red = colour && !status.ready;
-            std::cout << (red ? "\033[31m" : "") << std::setw(16) << status.name << std::setw(16) << status.zone << std::setw(8) << status.role << std::setw(13) << state
+            std::cout << (red ? "\033[31m" : "") << std::setw(22) << status.name << std::setw(16) << status.zone << std::setw(8) << status.role << std::setw(13) << state
                       << std::setw(10) << status.revision << std::setw(10) << (std::to_string(status.ageMs / 1000) + " s") << status.source
                       << (status.reader ? " (reader)" : "") << (red ? "\033[0m" : "") << "\n";
         }
@@ -267,7 +267,7 @@
                 list.push_back(json::object { { "process", event.process }, { "zone", event.zone }, { "clock", event.clock }, { "wall_ns", event.wallNs }, { "kind", std::string(toString(event.kind)) }, { "request", event.correlation }, { "detail", event.detail } });
                 continue;
             }
-            std::cout << std::right << std::setw(8) << event.clock << "  " << event.wallNs / nsPerMicrosecond << "us  " << std::left << std::setw(12) << event.process
+            std::cout << std::right << std::setw(8) << event.clock << "  " << event.wallNs / nsPerMicrosecond << "us  " << std::left << std::setw(22) << event.process
                       << std::setw(20) << toString(event.kind) << event.correlation << (event.correlation.empty() ? "" : "  ") << event.detail << "\n";
         }
         if (flags.json)
--- a/Tests/support/child_process.cpp
+++ b/Source/harness/child_process.cpp
@@ -1,4 +1,4 @@
-#include "support/child_process.h"
+#include "harness/child_process.h"
 
 #include <csignal>
 #include <cstdio>
--- a/Tests/support/test_client.cpp
+++ b/Source/harness/test_client.cpp
@@ -1,4 +1,4 @@
-#include "support/test_client.h"
+#include "harness/test_client.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
--- a/Tests/support/test_fleet.cpp
+++ b/Source/harness/test_fleet.cpp
@@ -1,4 +1,4 @@
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include "platform/vm_list.h"
 #include "policy/digest.h"
@@ -68,13 +68,16 @@
         auto flags = settingFlags(name, plan.zone, httpPort, peerPort);
         const std::string engine = plan.engine.empty() ? m_engines.at(name)->address() : plan.engine;
         flags.insert(flags.end(), { "--set", "agent.engine=" + engine, "--set", "agent.rebalance_interval_ms=100" });
+        flags.insert(flags.end(), m_agentFlags.begin(), m_agentFlags.end());
         m_agents[name] = std::make_unique<child_process>("rampgap-agent", flags);
     }
 }
 
 void test_fleet::startEntry(const std::string& name, int httpPort, int peerPort)
 {
-    m_entries[name] = std::make_unique<child_process>("rampgap-entry", settingFlags(name, m_entryZones.at(name), httpPort, peerPort));
+    auto flags = settingFlags(name, m_entryZones.at(name), httpPort, peerPort);
+    flags.insert(flags.end(), m_entryFlags.begin(), m_entryFlags.end());
+    m_entries[name] = std::make_unique<child_process>("rampgap-entry", flags);
 }
 
 void test_fleet::addBackend(const backend_plan& plan)
--- a/Tests/support/test_fleet.h
+++ b/Source/harness/test_fleet.h
@@ -1,9 +1,9 @@
 // A small fleet of real processes on loopback with stand-ins for what is outside.
 #pragma once
 
+#include "harness/child_process.h"
+#include "harness/test_client.h"
 #include "policy/declaration.h"
-#include "support/child_process.h"
-#include "support/test_client.h"
 
 #include <functional>
 #include <map>
@@ -65,6 +65,9 @@
     int runsOf(const std::string& workspace, const std::string& key);
     std::int64_t totalRuns();
     std::uint64_t revision(const std::string& address) const;
+    // Further flags for the agents and entry VMs that are started from now on.
+    void setAgentFlags(std::vector<std::string> flags) { m_agentFlags = std::move(flags); }
+    void setEntryFlags(std::vector<std::string> flags) { m_entryFlags = std::move(flags); }
     void setRules(const std::string& rules) { m_rules = rules; }
     // Further sections of the declaration.
     void setExtraSections(const std::string& sections) { m_extraSections = sections; }
@@ -83,6 +86,8 @@
     std::map<std::string, std::unique_ptr<child_process>> m_agents;
     std::map<std::string, std::unique_ptr<child_process>> m_entries;
     std::string m_rules = "[rules]\nid_life_ms = 600\n";
+    std::vector<std::string> m_agentFlags;
+    std::vector<std::string> m_entryFlags;
     std::string m_extraSections;
     declaration m_published;
     std::uint64_t m_vmVersion = 0;
--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -92,7 +92,8 @@
 
 void engine_standin::start()
 {
-    asio::co_spawn(m_context.io(), stepLoop(), asio::detached);
+    if (m_flags.stepMs > 0)
+        asio::co_spawn(m_context.io(), stepLoop(), asio::detached);
 }
 
 awaitable<void> engine_standin::stepLoop()
@@ -223,7 +224,7 @@
 {
     const auto own = std::make_shared<sequence>(m_context.io());
     m_sequences.push_back(own);
-    while (own->steps == 0)
+    while (m_flags.stepMs > 0 && own->steps == 0)
         co_await nextStep(*own);
     m_sequences.remove(own);
     if (m_breakAfter == 0) {
--- a/Source/standin/standin_flags.cpp
+++ b/Source/standin/standin_flags.cpp
@@ -13,7 +13,7 @@
         std::cout << "Usage: rampgap-standin platform|engine|service [--listen IP:PORT] [options]\n\n"
                      "Small fakes of what rampgap meets outside, for tests and the demo.\n\n"
                      "  -l, --listen IP:PORT   address; port 0 asks the kernel (default 127.0.0.1:0)\n"
-                     "      --step-ms N        engine: time of one step (default 5)\n"
+                     "      --step-ms N        engine: time of one step (default 5); 0: a service answers at once\n"
                      "      --slots N          engine: requests in one batch (default 8)\n"
                      "      --prefill-steps N  engine: steps before the first token without a cached prefix (default 2)\n"
                      "      --cache N          engine: cached prefixes (default 64)\n"
@@ -84,7 +84,7 @@
     if (optind < argc)
         flags.kind = argv[optind];
     const bool known = flags.kind == "platform" || flags.kind == "engine" || flags.kind == "service";
-    if (!known || flags.stepMs < 1 || flags.slots < 1 || flags.ranks < 1 || flags.prefillSteps < 0) {
+    if (!known || flags.stepMs < 0 || flags.slots < 1 || flags.ranks < 1 || flags.prefillSteps < 0) {
         std::cerr << "rampgap-standin: name one of platform, engine, service and positive numbers; try --help\n";
         return 2;
     }
--- a/Tests/config/chain-property/test.cpp
+++ b/Tests/config/chain-property/test.cpp
@@ -202,6 +202,7 @@
     const declaration good = confirmed(1, 1, 0, "");
     const auto refused = [&](const std::string& text) { return chain.offer(text, document_source::peer).kind == offer_kind::refused; };
     CHECK(refused(good.linkedAs({ 1, 0, "", "" }).canonicalText()));
+    CHECK(chain.refusals().back().reason.find("not confirmed") == 0);
     CHECK(refused(intent(9).linkedAs(good.link()).canonicalText()));
     CHECK(refused(good.canonicalText().substr(0, good.canonicalText().size() / 2)));
     CHECK(refused("no ini"));
--- a/Tests/config/cut-and-outage/test.cpp
+++ b/Tests/config/cut-and-outage/test.cpp
@@ -1,6 +1,6 @@
 // Fault: a zone is cut off while the declaration changes.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/config/frozen-process/test.cpp
+++ b/Tests/config/frozen-process/test.cpp
@@ -1,6 +1,6 @@
 // Fault: processes are frozen while the declaration changes.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/Tests/config/operators-tool/test.cpp
+++ b/Tests/config/operators-tool/test.cpp
@@ -1,6 +1,6 @@
 // rampgapctl from plan to publication, against a running fleet.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <array>
 #include <boost/json.hpp>
--- a/Tests/config/refused-declarations/test.cpp
+++ b/Tests/config/refused-declarations/test.cpp
@@ -1,6 +1,6 @@
 // Fault: tampered, unconfirmed, cut, oversized and malformed declarations.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/config/replaced-processes/test.cpp
+++ b/Tests/config/replaced-processes/test.cpp
@@ -1,6 +1,6 @@
 // Fault: the readers of the configuration are killed and replaced, and the service dies.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/Tests/config/stale-service/test.cpp
+++ b/Tests/config/stale-service/test.cpp
@@ -1,6 +1,6 @@
 // Fault: the configuration service goes back to an older state, or is down, for long.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/groups/real-processes/test.cpp
+++ b/Tests/groups/real-processes/test.cpp
@@ -1,6 +1,6 @@
 // Faults: agents of a group killed, frozen and cut while maps are switched.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <boost/json.hpp>
 #include <csignal>
--- a/Tests/groups/switch-property/test.cpp
+++ b/Tests/groups/switch-property/test.cpp
@@ -103,6 +103,27 @@
     CHECK(switches > 1'000);
 }
 
+TEST_CASE("a rank refuses an old fence and what was meant for an earlier incarnation")
+{
+    const rank_state idle { 10, 0, 0, 0, 0 };
+    map_participant rank(5, idle);
+    const auto send = [&](map_message_kind kind, std::uint64_t fence, std::uint64_t incarnation) {
+        map_message message;
+        message.kind = kind;
+        message.fence = { fence, "c" };
+        message.incarnation = incarnation;
+        message.map = 1;
+        message.step = 20;
+        return rank.take(message, idle).answer.kind;
+    };
+    CHECK((send(map_message_kind::claim, 7, 0) == map_message_kind::state));
+    CHECK((send(map_message_kind::claim, 6, 0) == map_message_kind::refused));
+    CHECK((send(map_message_kind::prepare, 6, 5) == map_message_kind::refused));
+    CHECK((send(map_message_kind::prepare, 8, 5) == map_message_kind::refused));
+    CHECK((send(map_message_kind::prepare, 7, 4) == map_message_kind::refused));
+    CHECK((send(map_message_kind::prepare, 7, 5) == map_message_kind::prepared));
+}
+
 TEST_CASE("the good case delays no step")
 {
     group_model group(4, 1);
--- a/Tests/path/bad-input/test.cpp
+++ b/Tests/path/bad-input/test.cpp
@@ -1,6 +1,6 @@
 // Malformed and oversized requests, and engines that break: a clear error, and life goes on.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/path/callers-rights/test.cpp
+++ b/Tests/path/callers-rights/test.cpp
@@ -1,6 +1,6 @@
 // Who may call what: keys, workspaces, models and services.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/path/smoke-own-answers/test.cpp
+++ b/Tests/path/smoke-own-answers/test.cpp
@@ -1,6 +1,6 @@
 // 10,000 requests through 2 entry VMs and 3 agents in 3 zones: each answer is its request's own.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
--- a/Tests/requests/caller-gone/test.cpp
+++ b/Tests/requests/caller-gone/test.cpp
@@ -1,6 +1,6 @@
 // Fault: a caller goes away.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/requests/cut-zone/test.cpp
+++ b/Tests/requests/cut-zone/test.cpp
@@ -1,6 +1,6 @@
 // Fault: a zone is cut off from the others and from the platform.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/requests/drain-declared/test.cpp
+++ b/Tests/requests/drain-declared/test.cpp
@@ -1,6 +1,6 @@
 // Fault: a backend leaves by declaration, by the VM list, or by its own signal.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/Tests/requests/faults-together/test.cpp
+++ b/Tests/requests/faults-together/test.cpp
@@ -1,6 +1,6 @@
 // Faults: kill, freeze, cut and change of declaration, several at once, under load.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <atomic>
 #include <csignal>
--- a/Tests/requests/frozen-entry/test.cpp
+++ b/Tests/requests/frozen-entry/test.cpp
@@ -1,6 +1,6 @@
 // Fault: an entry VM is frozen with a request in hand and wakes after the id's life.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/Tests/requests/graceful-stop/test.cpp
+++ b/Tests/requests/graceful-stop/test.cpp
@@ -1,6 +1,6 @@
 // Fault: SIGTERM to each process in the path of a running stream.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/Tests/requests/kill-agent/test.cpp
+++ b/Tests/requests/kill-agent/test.cpp
@@ -1,6 +1,6 @@
 // Fault: an agent is killed and comes back with empty memory.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <csignal>
 #include <doctest/doctest.h>
--- a/Tests/requests/late-answers/test.cpp
+++ b/Tests/requests/late-answers/test.cpp
@@ -1,6 +1,6 @@
 // Fault: answers come after their caller's deadline.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/requests/overload/test.cpp
+++ b/Tests/requests/overload/test.cpp
@@ -1,6 +1,6 @@
 // Fault: more requests than the backend can serve.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
--- a/Tests/requests/platform-dead/test.cpp
+++ b/Tests/requests/platform-dead/test.cpp
@@ -1,6 +1,6 @@
 // Fault: the configuration service and the VM list are gone.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/requests/rolling-restart/test.cpp
+++ b/Tests/requests/rolling-restart/test.cpp
@@ -1,6 +1,6 @@
 // Fault: every process is stopped and started again, one after the other, under load.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <atomic>
 #include <csignal>
--- a/Tests/requests/stream-resume/test.cpp
+++ b/Tests/requests/stream-resume/test.cpp
@@ -1,6 +1,6 @@
 // Fault: an engine or an agent dies in the middle of a stream.
 
-#include "support/test_fleet.h"
+#include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
 #include <thread>
