--- a/Tests/groups/switch-property/test.cpp
+++ b/Tests/groups/switch-property/test.cpp
@@ -124,6 +124,56 @@
     CHECK((send(map_message_kind::prepare, 7, 5) == map_message_kind::prepared));
 }
 
+TEST_CASE("a rank refuses a switch that is too near, and a late order for a map that was decided")
+{
+    const rank_state idle { 10, 0, 0, 0, 0 };
+    map_participant rank(5, idle);
+    const auto send = [&](map_message_kind kind, step_number step, const rank_state& state) {
+        map_message message;
+        message.kind = kind;
+        message.fence = { 7, "c" };
+        message.incarnation = 5;
+        message.map = 1;
+        message.step = step;
+        return rank.take(message, state).answer.kind;
+    };
+    CHECK((send(map_message_kind::claim, 0, idle) == map_message_kind::state));
+    CHECK((send(map_message_kind::prepare, 11, idle) == map_message_kind::refused));
+    CHECK((send(map_message_kind::prepare, 12, idle) == map_message_kind::prepared));
+    CHECK((send(map_message_kind::abort, 12, { 10, 0, 0, 1, 12 }) == map_message_kind::aborted));
+    CHECK((send(map_message_kind::prepare, 12, idle) == map_message_kind::refused));
+}
+
+TEST_CASE("a coordinator counts no answer for another map")
+{
+    map_coordinator coordinator("c", 2);
+    coordinator.claim();
+    const auto answer = [&](std::size_t rank, map_message_kind kind, map_id map) {
+        map_message message;
+        message.kind = kind;
+        message.fence = { 1, "c" };
+        message.incarnation = 5;
+        message.map = map;
+        coordinator.take(rank, message);
+    };
+    for (const auto kind : { map_message_kind::state, map_message_kind::confirmed }) {
+        answer(0, kind, 0);
+        answer(1, kind, 0);
+    }
+    REQUIRE((coordinator.phase() == coordinator_phase::idle));
+    for (map_id map = 1; map <= 2; ++map) {
+        coordinator.propose(100 * map);
+        answer(0, map_message_kind::prepared, map);
+        // A late answer of the first switch comes again in the second.
+        answer(1, map_message_kind::prepared, 1);
+        if (map == 2)
+            break;
+        answer(0, map_message_kind::committed, map);
+        answer(1, map_message_kind::committed, map);
+    }
+    CHECK((coordinator.phase() == coordinator_phase::preparing));
+}
+
 TEST_CASE("the good case delays no step")
 {
     group_model group(4, 1);
