routing: agree on prefix homes and distrust old load reports

Change: others' load counts by the age of its report and by the pool's average after that; a prefix has two hash homes that all entry VMs know.

--- a/Source/agent/home_keeper.cpp
+++ b/Source/agent/home_keeper.cpp
@@ -15,6 +15,7 @@
 
     constexpr milliseconds askInterval { 100 };
     constexpr milliseconds askTimeout { 1'000 };
+    constexpr int mostMemoryTurns = 20;
 
 } // namespace
 
@@ -47,7 +48,7 @@
         for (const auto& name : m_guard.homes().handoversMissing())
             co_await askForHandover(name);
         // Last, so that the keeper answers for the ids until this agent can.
-        if (m_guard.homes().proven() && !std::exchange(m_askedForMemory, true))
+        if (m_guard.homes().proven() && !m_memorySought)
             co_await takeMemoryBack();
         m_timer.expires_after(askInterval);
         co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -109,15 +110,30 @@
         logState("handover", "from=" + name + " ids=" + std::to_string(reply.value().ids_size()));
 }
 
+// A keeper that does not answer may hold the memory: it is asked again for a while.
 awaitable<void> home_keeper::takeMemoryBack()
 {
+    const bool settled = co_await askKeepers();
+    m_memorySought = settled || ++m_memoryTurns >= mostMemoryTurns;
+    if (m_memorySought)
+        m_guard.homes().noteNoMemory();
+}
+
+awaitable<bool> home_keeper::askKeepers()
+{
+    bool allAnswered = true;
     for (const auto& name : m_guard.homes().keepers()) {
         const auto reply = co_await m_peers.handover(peerAddress(name), makeRequest(true, true), askTimeout);
-        if (!reply || !m_guard.takeMemoryBack(answerOf(reply.value()), m_context.now()))
+        if (!reply) {
+            allAnswered = false;
+            continue;
+        }
+        if (!m_guard.takeMemoryBack(answerOf(reply.value()), m_context.now()))
             continue;
         logState("memory_back", "from=" + name + " ids=" + std::to_string(reply.value().ids_size()));
-        co_return;
+        co_return true;
     }
+    co_return allAnswered;
 }
 
 // The ids are offered to one keeper after the other; one that may have taken them is the
--- a/Source/agent/home_keeper.h
+++ b/Source/agent/home_keeper.h
@@ -24,6 +24,8 @@
     awaitable<void> askForProof(std::string name);
     awaitable<void> askForHandover(std::string name);
     awaitable<void> takeMemoryBack();
+    // True once no further answer of a keeper can bring the memory back.
+    awaitable<bool> askKeepers();
     std::string peerAddress(const std::string& name) const;
     wire::HandoverRequest makeRequest(bool takeBack, bool wantIds) const;
     agent_standing standingOf(const wire::Standing&);
@@ -34,7 +36,8 @@
     const configuration_node& m_configuration;
     execution_guard& m_guard;
     boost::asio::steady_timer m_timer;
-    bool m_askedForMemory = false;
+    bool m_memorySought = false;
+    int m_memoryTurns = 0;
 };
 
 } // namespace rampgap
--- a/Source/bench/routing_lab.cpp
+++ b/Source/bench/routing_lab.cpp
@@ -193,7 +193,8 @@
             // The head of the answer carried the load of then; it is used later still.
             const load_report report { engine.running, static_cast<int>(engine.waiting.size()), m_runMs[id] };
             const double lag = m_case.reportLagMs;
-            plan(m_now + lag, [this, &table, id, report] { table.noteAnswered(id, report, at(m_now)); });
+            const instant madeAt = at(m_now);
+            plan(m_now + lag, [&table, id, report, madeAt] { table.noteAnswered(id, report, madeAt); });
         }
 
         routing_case m_case;
--- a/Source/policy/backend_table.cpp
+++ b/Source/policy/backend_table.cpp
@@ -13,7 +13,11 @@
     constexpr milliseconds leavingLife { 2'000 };
     constexpr milliseconds slowStart { 5'000 };
     constexpr double slowStartFactor = 3;
-    constexpr double defaultRunMs = 50;
+    constexpr double defaultRunMs = 400;
+    // A report of others' load is worth half after this time: many entry VMs that act on
+    // the same old report all go to the same backend.
+    constexpr std::chrono::duration<double> reportHalfLife { 0.05 };
+    constexpr double meanWeight = 0.05;
 
     const std::vector<backend_id> emptyPool;
 
@@ -83,12 +87,13 @@
     ++m_views[id].ownInFlight;
 }
 
-void backend_table::noteAnswered(backend_id id, const load_report& load, instant now)
+void backend_table::noteAnswered(backend_id id, const load_report& load, instant madeAt)
 {
     backend_view& view = m_views[id];
     view.load = load;
     view.ownAtReport = view.ownInFlight;
-    view.reportedAt = now;
+    view.reportedAt = madeAt;
+    m_meanOthers += meanWeight * (std::max(0, load.running + load.queued - view.ownAtReport) - m_meanOthers);
     view.failuresInRow = 0;
     if (view.state == backend_state::suspect)
         view.state = backend_state::up;
@@ -164,19 +169,21 @@
     return found == m_zonePools.end() ? emptyPool : found->second;
 }
 
-double backend_table::outstanding(backend_id id) const
+double backend_table::outstanding(backend_id id, instant now) const
 {
     const backend_view& view = m_views[id];
-    const int others = std::max(0, view.load.running + view.load.queued - view.ownAtReport);
-    return others + view.ownInFlight;
+    const double reported = std::max(0, view.load.running + view.load.queued - view.ownAtReport);
+    const double fresh = std::exp2(-std::chrono::duration<double>(now - view.reportedAt) / reportHalfLife);
+    return view.ownInFlight + fresh * reported + (1 - fresh) * m_meanOthers;
 }
 
 double backend_table::predictedWaitMs(backend_id id, instant now) const
 {
     const backend_view& view = m_views[id];
     const double run = view.load.averageRunMs > 0 ? view.load.averageRunMs : defaultRunMs;
-    const double busy = outstanding(id) / view.slots;
-    const double queueing = std::max(0.0, outstanding(id) + 1 - view.slots) * run / view.slots;
+    const double there = outstanding(id, now);
+    const double busy = there / view.slots;
+    const double queueing = std::max(0.0, there + 1 - view.slots) * run / view.slots;
     // A filled batch slows each step, so a part of the run counts before the queue does.
     double wait = queueing + run * busy * 0.25;
     const duration age = now - view.joinedAt;
--- a/Source/policy/backend_table.h
+++ b/Source/policy/backend_table.h
@@ -56,8 +56,8 @@
     void noteListedLeaving(const std::vector<std::string>& names);
 
     void noteSent(backend_id);
-    // An agent answered, with whatever verdict.
-    void noteAnswered(backend_id, const load_report&, instant now);
+    // An agent answered, with whatever verdict. `madeAt` is when its report was made.
+    void noteAnswered(backend_id, const load_report&, instant madeAt);
     // The backend took a request: whatever was suspected of it is over.
     void noteServed(backend_id);
     void noteConnectFailed(backend_id, instant now);
@@ -77,8 +77,9 @@
     const std::vector<backend_id>& pool(const std::string& service) const;
     const std::vector<backend_id>& zonePool(const std::string& service) const;
 
-    // Requests that wait or run there, by the last report and what was sent since.
-    double outstanding(backend_id) const;
+    // Requests that wait or run there: our own exactly, those of others by the last report
+    // while it is fresh and by the pool's average once it is old.
+    double outstanding(backend_id, instant now) const;
     // Predicted wait to a start, in milliseconds.
     double predictedWaitMs(backend_id, instant now) const;
 
@@ -88,6 +89,8 @@
     std::unordered_map<std::string, backend_id> m_ids;
     std::unordered_map<std::string, std::vector<backend_id>> m_pools;
     std::unordered_map<std::string, std::vector<backend_id>> m_zonePools;
+    // Average of what other entry VMs have at a backend.
+    double m_meanOthers = 0;
 };
 
 inline constexpr backend_id noBackend = UINT32_MAX;
--- a/Source/policy/home_guard.cpp
+++ b/Source/policy/home_guard.cpp
@@ -218,7 +218,7 @@
     if (!m_proven)
         return refuse(failure_reason::unproven, "not all agents of the pool have shown the same revision since the start", soon);
     if (inQuarantine(now))
-        return refuse(failure_reason::unproven, "started without memory: it cannot prove that the id has not run", m_quarantineFrom + m_idLife - now);
+        return refuse(failure_reason::unproven, "started without memory: it cannot prove that the id has not run", m_memorySought ? m_quarantineFrom + m_idLife - now : duration(soon));
     for (const auto& change : m_transitions) {
         auto settled = checkTransition(change, text, now);
         if (!settled)
--- a/Source/policy/home_guard.h
+++ b/Source/policy/home_guard.h
@@ -37,6 +37,8 @@
     void noteHandover(const std::string& owner, std::uint64_t revision);
     // The memory of the last incarnation, given away at `revision`, came back.
     void noteMemoryBack(std::uint64_t revision);
+    // No agent keeps our memory, as far as the keepers say: the quarantine is served out.
+    void noteNoMemory() { m_memorySought = true; }
     // Until `until`, ids of `owner` are ours by its own grant, made at `revision`.
     // False if our revision is another one.
     bool acceptGrant(const std::string& owner, std::uint64_t revision, instant until);
@@ -93,6 +95,7 @@
     std::uint64_t m_revision = 0;
     bool m_proven = false;
     bool m_memoryBack = false;
+    bool m_memorySought = false;
     bool m_gaveAway = false;
     std::optional<declaration> m_declaration;
     std::vector<std::string> m_homes;
--- a/Source/policy/rebalancer.cpp
+++ b/Source/policy/rebalancer.cpp
@@ -11,8 +11,9 @@
 namespace {
 
     constexpr double baseGainPerMove = 0.002;
-    constexpr double leastTarget = 1.02;
+    constexpr double leastTarget = 1.03;
     constexpr double mostTarget = 1.5;
+    constexpr double targetPerRatio = 0.035;
     constexpr double sameSpeed = 0.02;
 
     class static_map : public rebalancer {
@@ -119,6 +120,28 @@
         }
 
         expert_placement decide(const expert_placement& current, const std::vector<double>& popularity, const std::vector<double>& speeds) const override
+        {
+            const expert_placement local = searchLocally(current, popularity, speeds);
+            const double localSkew = stepSkew(rankTimes(local, popularity, speeds));
+            if (localSkew <= m_settings.targetSkew)
+                return local;
+            // Single changes can come to a dead end; a fresh placement has the same price a weight.
+            const expert_placement anew = full_rebalance().decide(current, popularity, speeds);
+            const double gain = localSkew - stepSkew(rankTimes(anew, popularity, speeds));
+            const auto moreMoves = static_cast<double>(weightsMoved(current, anew)) - static_cast<double>(weightsMoved(current, local));
+            const bool allowed = weightsMoved(current, anew) <= m_settings.maxMoves;
+            return allowed && gain > m_settings.gainPerMove * std::max(1.0, moreMoves) ? anew : local;
+        }
+
+    private:
+        struct search {
+            expert_placement placement;
+            const std::vector<double>& popularity;
+            const std::vector<double>& speeds;
+            std::vector<double> times;
+        };
+
+        expert_placement searchLocally(const expert_placement& current, const std::vector<double>& popularity, const std::vector<double>& speeds) const
         {
             search state { current, popularity, speeds, rankTimes(current, popularity, speeds) };
             const double mean = std::accumulate(state.times.begin(), state.times.end(), 0.0) / static_cast<double>(state.times.size());
@@ -131,7 +154,7 @@
                     break;
                 const expert_placement before = state.placement;
                 apply(state, best);
-                // The estimate of a change ignores replicas that share a rank.
+                // Another rank may be as slow: then this change bought nothing yet.
                 if (*std::max_element(state.times.begin(), state.times.end()) >= slowest)
                     return before;
                 moves += best.cost;
@@ -139,14 +162,6 @@
             return state.placement;
         }
 
-    private:
-        struct search {
-            expert_placement placement;
-            const std::vector<double>& popularity;
-            const std::vector<double>& speeds;
-            std::vector<double> times;
-        };
-
         // A change of one or two slots and the slower of the ranks it leaves.
         struct candidate {
             std::size_t cost = 0;
@@ -196,24 +211,33 @@
             const expert_index replaced = state.placement.at(other);
             if (expert == replaced || state.placement.replicas(replaced) < 2 || state.placement.holds(cold, expert))
                 return;
-            const double now = share(state, expert);
             const double after = state.popularity[expert] / (state.placement.replicas(expert) + 1);
+            const double relief = (share(state, expert) - after) * copiesOn(state, hot, expert);
             const double dropped = share(state, replaced);
             const double grown = state.popularity[replaced] / (state.placement.replicas(replaced) - 1) - dropped;
-            const double hotTime = state.times[hot] - (now - after) / state.speeds[hot] + (state.placement.holds(hot, replaced) ? grown / state.speeds[hot] : 0);
-            const double coldTime = state.times[cold] + (after - dropped) / state.speeds[cold];
-            const double worst = std::max({ hotTime, coldTime, growthElsewhere(state, replaced, cold, grown) });
-            take({ 1, worst, other, expert, other, expert }, slowest, best);
+            const double hotTime = state.times[hot] + (grown * copiesOn(state, hot, replaced) - relief) / state.speeds[hot];
+            const double coldTime = state.times[cold] + (after - dropped + grown * (copiesOn(state, cold, replaced) - 1)) / state.speeds[cold];
+            candidate offered { 1, std::max(hotTime, coldTime), other, expert, other, expert };
+            if (offered.worst >= slowest || !offered.betterThan(best, slowest))
+                return;
+            offered.worst = std::max(offered.worst, growthElsewhere(state, replaced, hot, cold, grown));
+            take(offered, slowest, best);
+        }
+
+        static double copiesOn(const search& state, rank_index rank, expert_index expert)
+        {
+            const auto first = state.placement.slots().begin() + static_cast<std::ptrdiff_t>(rank * state.placement.slotsPerRank());
+            return static_cast<double>(std::count(first, first + static_cast<std::ptrdiff_t>(state.placement.slotsPerRank()), expert));
         }
 
         // The other replicas of a replaced expert take over its share.
-        static double growthElsewhere(const search& state, expert_index expert, rank_index leaving, double grown)
+        static double growthElsewhere(const search& state, expert_index expert, rank_index hot, rank_index cold, double grown)
         {
             double worst = 0;
             for (std::size_t slot = 0; slot < state.placement.slots().size(); ++slot) {
                 const rank_index rank = state.placement.rankOf(slot);
-                if (state.placement.at(slot) == expert && rank != leaving)
-                    worst = std::max(worst, state.times[rank] + grown / state.speeds[rank]);
+                if (state.placement.at(slot) == expert && rank != hot && rank != cold)
+                    worst = std::max(worst, state.times[rank] + grown * copiesOn(state, rank, expert) / state.speeds[rank]);
             }
             return worst;
         }
@@ -257,7 +281,7 @@
     const double ratio = std::clamp(costWeight / std::max(skewWeight, 1e-9), 0.01, 100.0);
     rebalance_settings settings;
     settings.gainPerMove = baseGainPerMove * ratio;
-    settings.targetSkew = std::clamp(1 + 0.05 * ratio, leastTarget, mostTarget);
+    settings.targetSkew = std::clamp(1 + targetPerRatio * ratio, leastTarget, mostTarget);
     return settings;
 }
 
--- a/Source/policy/rebalancer.h
+++ b/Source/policy/rebalancer.h
@@ -17,7 +17,7 @@
     // Least fall of the slowest rank's time, as a share of the mean, that pays for one
     // weight. Falls with the weight of skew, rises with the weight of cost.
     double gainPerMove = 0.002;
-    std::size_t maxMoves = 64;
+    std::size_t maxMoves = 128;
 
     static rebalance_settings make(double skewWeight, double costWeight);
     bool operator==(const rebalance_settings&) const = default;
--- a/Source/policy/routing_policy.cpp
+++ b/Source/policy/routing_policy.cpp
@@ -14,6 +14,8 @@
     // The round trip to another zone and the prefill that a cached prefix saves.
     constexpr double otherZoneMs = 3;
     constexpr double prefixSavingMs = 40;
+    constexpr std::array<double, 2> homeConfidence { 0.9, 0.5 };
+    constexpr std::uint64_t homeSpread = 0x9E3779B97F4A7C15;
 
     bool contains(std::span<const backend_id> ids, backend_id id)
     {
@@ -87,10 +89,10 @@
             backend_id best = noBackend;
             double least = std::numeric_limits<double>::infinity();
             for (const backend_id id : table.pool(question.service)) {
-                if (!eligible(question, table, id) || table.outstanding(id) >= least)
+                if (!eligible(question, table, id) || table.outstanding(id, question.now) >= least)
                     continue;
                 best = id;
-                least = table.outstanding(id);
+                least = table.outstanding(id, question.now);
             }
             return best == noBackend ? anyInDoubt(question, table) : best;
         }
@@ -105,7 +107,7 @@
             if (first == noBackend)
                 return anyInDoubt(question, table);
             const backend_id second = drawFrom(pool, question, table, random);
-            return table.outstanding(second) < table.outstanding(first) ? second : first;
+            return table.outstanding(second, question.now) < table.outstanding(first, question.now) ? second : first;
         }
     };
 
@@ -125,7 +127,8 @@
     };
 
     // The least of predicted wait, distance and expected prefill, over two random
-    // candidates of the own zone, one of the whole pool and those that may hold the prefix.
+    // candidates of the own zone, one of the whole pool, those that lately got the prefix
+    // and the prefix's two hash homes, on which all entry VMs agree without a word.
     class scored : public routing_policy {
     public:
         backend_id choose(const routing_question& question, const backend_table& table, std::mt19937_64& random) override
@@ -136,6 +139,12 @@
                 if (guess.backend != noBackend && eligible(question, table, guess.backend) && table.view(guess.backend).serves == question.service)
                     best.offer(guess.backend, score(question, table, guess.backend) - prefixSavingMs * guess.confidence);
             }
+            const auto& pool = table.pool(question.service);
+            for (std::size_t i = 0; i < homeConfidence.size() && question.prefix != 0 && !pool.empty(); ++i) {
+                const backend_id home = pool[(question.prefix * (i + 1) * homeSpread >> 32) % pool.size()];
+                if (eligible(question, table, home))
+                    best.offer(home, score(question, table, home) - prefixSavingMs * homeConfidence[i]);
+            }
             for (int i = 0; i < candidateCount; ++i)
                 offer(best, drawFrom(table.zonePool(question.service), question, table, random), question, table);
             offer(best, drawFrom(table.pool(question.service), question, table, random), question, table);
