config: announce a change twice, look at the service less in large fleets

Cause: at 200 processes the last one had a change after 2.7 s: one round of announcements misses one in fifty, left to the slow exchange; and the own look of each process grew the reads with the fleet. Ruled out: a larger fan-out in one round (it misses in the same way when processes are busy). Change: a second round 300 ms later; the interval of own looks grows with the number of listed VMs.

--- a/Source/agent/admission_gate.cpp
+++ b/Source/agent/admission_gate.cpp
@@ -42,7 +42,7 @@
 awaitable<result<admission_id>> admission_gate::enter(admission_request request, http_exchange& exchange)
 {
     admission_outcome outcome;
-    const admission_id id = m_queue.offer(std::move(request), m_context.now(), outcome);
+    const admission_id id = m_queue.offer(request, m_context.now(), outcome);
     auto own = std::make_shared<waiter>(m_context.io());
     m_waiters.emplace(id, own);
     carryOut(outcome);
--- a/Source/bench/bench_skew.cpp
+++ b/Source/bench/bench_skew.cpp
@@ -23,6 +23,13 @@
     constexpr std::size_t layers = 6;
     constexpr double tokensPerInterval = 1e6;
 
+    double driftOf(const std::string& workload)
+    {
+        if (workload == "month_end")
+            return 0.02;
+        return workload == "zipf" ? 0.05 : 0.03;
+    }
+
     // Popularity of one layer over time.
     class popularity_source {
     public:
@@ -46,8 +53,7 @@
         std::vector<double> next()
         {
             std::normal_distribution<double> normal;
-            const double drift = m_workload == "month_end" ? 0.02 : m_workload == "zipf" ? 0.05
-                                                                                          : 0.03;
+            const double drift = driftOf(m_workload);
             // A shift to other experts over 20 intervals, or within one.
             const bool shifting = m_workload == "month_end" && m_time % 100 >= 60 && m_time % 100 < 80;
             const bool flash = m_workload == "flash" && m_time % 80 == 40;
--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -17,8 +17,10 @@
 
     constexpr int windowSize = 8;
     constexpr milliseconds watchWait { 5'000 };
-    // Every process looks at the service itself this often, should all readers be gone.
+    // Every process looks at the service itself this often for each hundred listed VMs,
+    // should all readers be gone: the reads of a growing fleet stay the same.
     constexpr milliseconds ownLookEvery { 60'000 };
+    constexpr std::size_t vmsPerLook = 100;
     constexpr milliseconds retryPause { 500 };
     constexpr milliseconds readerCheck { 1'000 };
     constexpr milliseconds exchangeTimeout { 2'000 };
@@ -27,6 +29,7 @@
     // A process whose peers are all out of reach serves what it has after this.
     constexpr milliseconds confirmGrace { 2'000 };
     constexpr int announceFanout = 4;
+    constexpr milliseconds secondAnnouncement { 300 };
     // One exchange in this many goes to another zone; a standby's every second one to a reader.
     constexpr unsigned otherZoneOneIn = 4;
     constexpr unsigned readerOneIn = 2;
@@ -115,18 +118,24 @@
     return m_peerSeen || m_context.now() - m_context.startedAt() > confirmGrace;
 }
 
+duration configuration_node::ownLookPause()
+{
+    const auto hundreds = static_cast<int>(1 + m_vms.vms.size() / vmsPerLook);
+    return jittered(ownLookEvery * hundreds);
+}
+
 // A reader always may; any other process once in a while.
 bool configuration_node::mayLook(instant& nextOwnLook)
 {
     if (!isReader() && m_context.now() < nextOwnLook)
         return false;
-    nextOwnLook = m_context.now() + jittered(ownLookEvery);
+    nextOwnLook = m_context.now() + ownLookPause();
     return true;
 }
 
 awaitable<void> configuration_node::watchDeclarationsLoop()
 {
-    instant nextOwnLook = m_context.now() + jittered(ownLookEvery);
+    instant nextOwnLook = m_context.now() + ownLookPause();
     for (;;) {
         if (!mayLook(nextOwnLook)) {
             co_await sleep(jittered(readerCheck));
@@ -149,7 +158,7 @@
 
 awaitable<void> configuration_node::watchVmsLoop()
 {
-    instant nextOwnLook = m_context.now() + jittered(ownLookEvery);
+    instant nextOwnLook = m_context.now() + ownLookPause();
     for (;;) {
         if (!mayLook(nextOwnLook)) {
             co_await sleep(jittered(readerCheck));
@@ -294,8 +303,18 @@
 void configuration_node::takeOutcome(const offer_outcome& outcome, const std::string& from)
 {
     report(outcome, from);
-    if (outcome.kind == offer_kind::accepted)
-        announce();
+    if (outcome.kind != offer_kind::accepted)
+        return;
+    announce();
+    asio::co_spawn(m_context.io(), announceLater(), asio::detached);
+}
+
+// One round of announcements misses a process in fifty; a second leaves next to none to
+// the slow exchange.
+awaitable<void> configuration_node::announceLater()
+{
+    co_await sleep(jittered(secondAnnouncement));
+    announce();
 }
 
 void configuration_node::report(const offer_outcome& outcome, const std::string& from)
--- a/Source/daemon/configuration_node.h
+++ b/Source/daemon/configuration_node.h
@@ -64,6 +64,8 @@
     awaitable<result<void>> exchangeWith(std::string address, std::string name);
     awaitable<void> pullFrom(std::string address, std::string name);
     void announce();
+    awaitable<void> announceLater();
+    duration ownLookPause();
     wire::ExchangeRequest makeRequest() const;
     void takeOutcome(const offer_outcome&, const std::string& from);
     void report(const offer_outcome&, const std::string& from);
--- a/Source/harness/test_fleet.h
+++ b/Source/harness/test_fleet.h
@@ -23,9 +23,9 @@
     std::string zone;
     std::string serves;
     int slots = 8;
-    std::vector<std::string> standinFlags;
+    std::vector<std::string> standinFlags {};
     // Address of an engine that runs already; empty starts one.
-    std::string engine;
+    std::string engine {};
 };
 
 class test_fleet {
--- a/Source/policy/admission_queue.cpp
+++ b/Source/policy/admission_queue.cpp
@@ -53,7 +53,7 @@
     return notRun(failure_reason::queue_full, "the predicted wait exceeds the deadline or the queue is full", retry);
 }
 
-admission_id admission_queue::offer(admission_request request, instant now, admission_outcome& outcome)
+admission_id admission_queue::offer(const admission_request& request, instant now, admission_outcome& outcome)
 {
     const admission_id id = m_nextId++;
     const duration wait = predictedWait(request.workspace, request.priority);
--- a/Source/policy/admission_queue.h
+++ b/Source/policy/admission_queue.h
@@ -43,7 +43,7 @@
     explicit admission_queue(admission_limits);
 
     // Takes a request in; `outcome` says at once whether it, or another, starts or is refused.
-    admission_id offer(admission_request, instant now, admission_outcome&);
+    admission_id offer(const admission_request&, instant now, admission_outcome&);
     // A started request ended after `ran`; frees its slot.
     void finish(admission_id, duration ran, instant now, admission_outcome&);
     // A waiting request was withdrawn by its caller.
--- a/Source/policy/expert_placement.cpp
+++ b/Source/policy/expert_placement.cpp
@@ -60,9 +60,9 @@
 std::size_t weightsMoved(const expert_placement& from, const expert_placement& to)
 {
     std::size_t moved = 0;
-    for (rank_index rank = 0; rank < to.ranks(); ++rank) {
+    for (std::size_t rank = 0; rank < to.ranks(); ++rank) {
         for (std::size_t s = 0; s < to.slotsPerRank(); ++s)
-            moved += from.holds(rank, to.at(rank * to.slotsPerRank() + s)) ? 0 : 1;
+            moved += from.holds(static_cast<rank_index>(rank), to.at(rank * to.slotsPerRank() + s)) ? 0 : 1;
     }
     return moved;
 }
--- a/Source/policy/rebalancer.cpp
+++ b/Source/policy/rebalancer.cpp
@@ -85,14 +85,14 @@
             };
             std::vector<overlap> overlaps;
             for (std::size_t set = 0; set < contents.size(); ++set) {
-                for (rank_index rank = 0; rank < current.ranks(); ++rank) {
+                for (std::size_t rank = 0; rank < current.ranks(); ++rank) {
                     // What was made for a slow rank stays with one.
                     if (std::abs(speeds[set] - speeds[rank]) > sameSpeed)
                         continue;
                     int shared = 0;
                     for (const expert_index expert : contents[set])
-                        shared += current.holds(rank, expert) ? 1 : 0;
-                    overlaps.push_back({ shared, set, rank });
+                        shared += current.holds(static_cast<rank_index>(rank), expert) ? 1 : 0;
+                    overlaps.push_back({ shared, set, static_cast<rank_index>(rank) });
                 }
             }
             std::stable_sort(overlaps.begin(), overlaps.end(), [](const overlap& a, const overlap& b) { return a.shared > b.shared; });
@@ -121,12 +121,12 @@
 
         expert_placement decide(const expert_placement& current, const std::vector<double>& popularity, const std::vector<double>& speeds) const override
         {
-            const expert_placement local = searchLocally(current, popularity, speeds);
+            expert_placement local = searchLocally(current, popularity, speeds);
             const double localSkew = stepSkew(rankTimes(local, popularity, speeds));
             if (localSkew <= m_settings.targetSkew)
                 return local;
             // Single changes can come to a dead end; a fresh placement has the same price a weight.
-            const expert_placement anew = full_rebalance().decide(current, popularity, speeds);
+            expert_placement anew = full_rebalance().decide(current, popularity, speeds);
             const double gain = localSkew - stepSkew(rankTimes(anew, popularity, speeds));
             const auto moreMoves = static_cast<double>(weightsMoved(current, anew)) - static_cast<double>(weightsMoved(current, local));
             const bool allowed = weightsMoved(current, anew) <= m_settings.maxMoves;
@@ -152,7 +152,7 @@
                 const double gain = (slowest - best.worst) / mean;
                 if (best.cost == 0 || gain < m_settings.gainPerMove * static_cast<double>(best.cost))
                     break;
-                const expert_placement before = state.placement;
+                expert_placement before = state.placement;
                 apply(state, best);
                 // Another rank may be as slow: then this change bought nothing yet.
                 if (*std::max_element(state.times.begin(), state.times.end()) >= slowest)
--- a/Source/policy/rendezvous.cpp
+++ b/Source/policy/rendezvous.cpp
@@ -35,6 +35,7 @@
     if (ranked.size() > count)
         ranked.resize(count);
     std::vector<std::string> names;
+    names.reserve(ranked.size());
     for (auto& entry : ranked)
         names.push_back(std::move(entry.second));
     return names;
--- a/Source/policy/section_reader.cpp
+++ b/Source/policy/section_reader.cpp
@@ -118,7 +118,7 @@
 std::string section_reader::address(std::string_view key, std::string_view fallback, bool allowZero)
 {
     const ini_entry* entry = take(key);
-    const std::string value = entry ? entry->value : std::string(fallback);
+    std::string value = entry ? entry->value : std::string(fallback);
     const auto colon = value.rfind(':');
     boost::system::error_code error;
     int port = -1;
--- a/Source/policy/straggler_detector.cpp
+++ b/Source/policy/straggler_detector.cpp
@@ -49,6 +49,7 @@
 std::vector<double> straggler_detector::speeds() const
 {
     std::vector<double> speeds;
+    speeds.reserve(m_verdicts.size());
     for (const auto& verdict : m_verdicts)
         speeds.push_back(verdict.speed);
     return speeds;
--- a/Tests/config/operators-tool/test.cpp
+++ b/Tests/config/operators-tool/test.cpp
@@ -7,7 +7,6 @@
 #include <cstdio>
 #include <doctest/doctest.h>
 #include <fstream>
-#include <sstream>
 #include <unistd.h>
 
 using namespace rampgap::test;
@@ -31,13 +30,6 @@
     return made;
 }
 
-std::string readAll(const std::string& path)
-{
-    std::ostringstream text;
-    text << std::ifstream(path).rdbuf();
-    return text.str();
-}
-
 } // namespace
 
 TEST_CASE("plan, confirm, publish, wait, status and timeline")
