daemon: share main functions and JSON reading

Cause: the two daemons' main functions and three small JSON readers stood twice or more. Ruled out: one program with two roles (an agent needs no entry code).

--- a/Source/ctl/fleet_reader.cpp
+++ b/Source/ctl/fleet_reader.cpp
@@ -1,4 +1,5 @@
 #include "ctl/fleet_reader.h"
+#include "platform/json_reading.h"
 
 #include <array>
 
@@ -10,25 +11,6 @@
 
     constexpr milliseconds readTimeout { 2'000 };
 
-    std::string textIn(const json::object& object, const char* name)
-    {
-        const json::value* value = object.if_contains(name);
-        return value && value->is_string() ? std::string(value->get_string()) : std::string();
-    }
-
-    std::uint64_t numberIn(const json::object& object, const char* name)
-    {
-        const json::value* value = object.if_contains(name);
-        boost::system::error_code error;
-        return value && value->is_number() ? value->to_number<std::uint64_t>(error) : 0;
-    }
-
-    bool flagIn(const json::object& object, const char* name)
-    {
-        const json::value* value = object.if_contains(name);
-        return value && value->is_bool() && value->get_bool();
-    }
-
     void fill(process_status& status, const json::object& page)
     {
         status.reachable = true;
--- a/Source/daemon/daemon_main.h
+++ b/Source/daemon/daemon_main.h
@@ -1,9 +1,12 @@
 // What the daemons' main functions share: flags, settings file, signals, the ready line.
 #pragma once
 
+#include "daemon/log.h"
 #include "daemon/settings.h"
 
 #include <functional>
+#include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +31,17 @@
 // Reads the settings text with the overrides applied.
 settings_result<std::string> readSettingsText(const daemon_flags&);
 
+// What a daemon is called and what it is for.
+struct daemon_identity {
+    const char* program;
+    const char* purpose;
+    const char* role;
+};
+
+// The main function of a daemon: `Server::start` begins its work, `leave` ends it.
+template <class Server, class Settings>
+int runDaemon(int argc, char** argv, const daemon_identity&, settings_result<Settings> (*parse)(const std::string& text, const std::string& file));
+
 // Prints the line that tells a starter the ports: "ready http=PORT peer=PORT".
 void printReady(int httpPort, int peerPort);
 
@@ -37,4 +51,33 @@
 // Runs the process until its io context ends, then leaves without unwinding gRPC.
 [[noreturn]] void runToEnd(process_context&);
 
+template <class Server, class Settings>
+int runDaemon(int argc, char** argv, const daemon_identity& identity, settings_result<Settings> (*parse)(const std::string& text, const std::string& file))
+{
+    daemon_flags flags;
+    if (const auto code = parseDaemonFlags(argc, argv, identity.program, identity.purpose, flags))
+        return *code;
+    const auto text = readSettingsText(flags);
+    const auto settings = text ? parse(text.value(), flags.settingsFile) : settings_result<Settings>(text.error());
+    if (!settings) {
+        std::cerr << toString(settings.error()) << "\n";
+        return exit_usage;
+    }
+    if (flags.checkOnly) {
+        std::cout << "settings are valid\n";
+        return exit_ok;
+    }
+    const process_settings& process = settings.value().process;
+    initLogging(process.name);
+    process_context context(process.name, process.zone, identity.role);
+    auto server = Server::start(context, settings.value());
+    if (!server) {
+        std::cerr << identity.program << ": " << server.error().message << "\n";
+        return exit_failed;
+    }
+    onStopSignal(context, [&] { server.value()->leave(); });
+    printReady(server.value()->httpPort(), server.value()->peerPort());
+    runToEnd(context);
+}
+
 } // namespace rampgap
--- /dev/null
+++ b/Source/platform/json_reading.h
@@ -0,0 +1,14 @@
+// Members of JSON objects, with a default where one is absent or of another kind.
+#pragma once
+
+#include <boost/json.hpp>
+#include <cstdint>
+#include <string>
+
+namespace rampgap {
+
+std::string textIn(const boost::json::object&, const char* name);
+std::uint64_t numberIn(const boost::json::object&, const char* name, std::uint64_t fallback = 0);
+bool flagIn(const boost::json::object&, const char* name);
+
+} // namespace rampgap
--- a/Source/platform/rank_engine.cpp
+++ b/Source/platform/rank_engine.cpp
@@ -1,6 +1,7 @@
 #include "platform/rank_engine.h"
 
 #include "daemon/http_client.h"
+#include "platform/json_reading.h"
 #include <boost/json.hpp>
 
 namespace rampgap {
@@ -11,19 +12,6 @@
 
     constexpr milliseconds engineTimeout { 1'000 };
 
-    std::uint64_t numberIn(const json::object& object, const char* name)
-    {
-        const json::value* value = object.if_contains(name);
-        boost::system::error_code error;
-        return value && value->is_number() ? value->to_number<std::uint64_t>(error) : 0;
-    }
-
-    bool flagIn(const json::object& object, const char* name)
-    {
-        const json::value* value = object.if_contains(name);
-        return value && value->is_bool() && value->get_bool();
-    }
-
     result<rank_report> parseReport(const std::string& text)
     {
         boost::system::error_code error;
--- a/Source/platform/vm_list.cpp
+++ b/Source/platform/vm_list.cpp
@@ -1,4 +1,5 @@
 #include "platform/vm_list.h"
+#include "platform/json_reading.h"
 
 #include <boost/json.hpp>
 
@@ -6,16 +7,6 @@
 
 namespace json = boost::json;
 
-namespace {
-
-    std::string member(const json::object& object, const char* name)
-    {
-        const json::value* value = object.if_contains(name);
-        return value && value->is_string() ? std::string(value->get_string()) : std::string();
-    }
-
-} // namespace
-
 boost::outcome_v2::checked<vm_list, std::string> parseVmList(const std::string& text)
 {
     boost::system::error_code error;
@@ -33,9 +24,9 @@
         if (!item.is_object())
             return std::string("an entry of the VM list is not an object");
         const json::object& vm = item.get_object();
-        const vm_role role = member(vm, "role") == "agent" ? vm_role::agent : vm_role::entry;
-        const vm_state state = member(vm, "state") == "leaving" ? vm_state::leaving : vm_state::live;
-        list.vms.push_back({ member(vm, "name"), member(vm, "zone"), role, state, member(vm, "address"), member(vm, "peer_address") });
+        const vm_role role = textIn(vm, "role") == "agent" ? vm_role::agent : vm_role::entry;
+        const vm_state state = textIn(vm, "state") == "leaving" ? vm_state::leaving : vm_state::live;
+        list.vms.push_back({ textIn(vm, "name"), textIn(vm, "zone"), role, state, textIn(vm, "address"), textIn(vm, "peer_address") });
     }
     return list;
 }
--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/header_names.h"
 #include "daemon/operator_pages.h"
+#include "platform/json_reading.h"
 #include "policy/digest.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -28,14 +29,6 @@
         bool chat = false;
     };
 
-    std::uint64_t numberIn(const json::object& object, const char* name, std::uint64_t fallback)
-    {
-        const json::value* value = object.if_contains(name);
-        boost::system::error_code error;
-        const auto number = value && value->is_number() ? value->to_number<std::uint64_t>(error) : fallback;
-        return error ? fallback : number;
-    }
-
     std::optional<completion> parseCompletion(const http_request& request)
     {
         boost::system::error_code error;
--- a/Source/standin/group_standin.cpp
+++ b/Source/standin/group_standin.cpp
@@ -1,6 +1,7 @@
 #include "standin/group_standin.h"
 
 #include "daemon/daemon_main.h"
+#include "platform/json_reading.h"
 #include "policy/digest.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -23,13 +24,6 @@
     // The hot experts move on after this many steps.
     constexpr std::uint64_t stepsPerDrift = 150;
 
-    std::uint64_t numberIn(const json::object& object, const char* name)
-    {
-        const json::value* value = object.if_contains(name);
-        boost::system::error_code error;
-        return value && value->is_number() ? value->to_number<std::uint64_t>(error) : 0;
-    }
-
 } // namespace
 
 group_standin::rank::rank(group_standin& group, std::size_t index)
