config: measure session consistency and a cut zone

Change: rampgap-bench config asks other entry VMs right after a change, with and without the revision seen, and cuts one zone in three.

--- a/Source/bench/bench_config.cpp
+++ b/Source/bench/bench_config.cpp
@@ -66,6 +66,69 @@
         std::cout << "processes=" << processes << " event=" << what << " in_force_ms_p50=" << percentile(times, 0.5) << " p95=" << percentile(times, 0.95) << " max=" << percentile(times, 1) << std::endl;
     }
 
+    // Callers who move on to another entry VM right after one has shown them a change: how
+    // many are answered by an older revision, without and with the revision that they saw.
+    void measureSessions(test::test_fleet& fleet, int processes)
+    {
+        constexpr int changes = 20;
+        constexpr std::size_t followed = 10;
+        const auto names = fleet.entryNames();
+        for (const bool carried : { false, true }) {
+            int asked = 0;
+            int stale = 0;
+            int refused = 0;
+            std::vector<double> waits;
+            for (int i = 0; i < changes; ++i) {
+                const auto revision = fleet.publish(fleet.declarationBody({ { "a1", i % 2 ? "checks_fencing = yes" : "" } }));
+                test::eventually([&] { return fleet.revision(fleet.entry(names.front()).address()) >= revision; });
+                for (std::size_t other = 1; other <= followed && other < names.size(); ++other) {
+                    auto request = test::completion(test::smallKey, "assistant", "session", 1, false);
+                    if (carried)
+                        request.headers.emplace_back("Rampgap-Revision-Seen", std::to_string(revision));
+                    const auto begin = std::chrono::steady_clock::now();
+                    const auto answer = test::test_client(fleet.entry(names[other]).address()).send(request);
+                    waits.push_back(std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - begin).count());
+                    ++asked;
+                    refused += answer.status == 503 ? 1 : 0;
+                    stale += answer.status == 200 && std::stoull("0" + answer.header("Rampgap-Revision")) < revision ? 1 : 0;
+                }
+            }
+            std::cout << "processes=" << processes << " event=session revision_carried=" << (carried ? "yes" : "no") << " asked=" << asked << " stale_answers=" << stale
+                      << " refused=" << refused << " answer_ms_p50=" << percentile(waits, 0.5) << " p99=" << percentile(waits, 0.99) << std::endl;
+        }
+    }
+
+    // One zone is cut off from the others and from the service while a change comes.
+    void measureCut(test::test_fleet& fleet, int processes)
+    {
+        std::vector<std::string> cutOff;
+        std::vector<std::string> others { "a1" };
+        const auto names = fleet.entryNames();
+        for (const auto& name : names)
+            (std::stoi(name.substr(1)) % 3 == 2 ? cutOff : others).push_back(name);
+        fleet.cut(cutOff, others, true);
+        const auto published = wallNs();
+        const auto revision = fleet.publish(fleet.declarationBody({ { "a1", "checks_fencing = yes\ndraining = no" } }));
+        std::vector<double> times;
+        for (const auto& name : others) {
+            if (name == "a1")
+                continue;
+            std::int64_t at = 0;
+            test::eventually([&] { return (at = inForceAt(fleet.entry(name).address(), revision)) != 0; });
+            times.push_back(static_cast<double>(at - published) / 1e6);
+        }
+        std::cout << "processes=" << processes << " event=change_while_a_zone_is_cut in_force_ms_p50=" << percentile(times, 0.5) << " p95=" << percentile(times, 0.95) << " max=" << percentile(times, 1) << std::endl;
+        const auto healed = wallNs();
+        fleet.heal();
+        times.clear();
+        for (const auto& name : cutOff) {
+            std::int64_t at = 0;
+            test::eventually([&] { return (at = inForceAt(fleet.entry(name).address(), revision)) != 0; });
+            times.push_back(static_cast<double>(at - healed) / 1e6);
+        }
+        std::cout << "processes=" << processes << " event=cut_zone_after_healing in_force_ms_p50=" << percentile(times, 0.5) << " p95=" << percentile(times, 0.95) << " max=" << percentile(times, 1) << std::endl;
+    }
+
     void measure(int processes, double idleSeconds)
     {
         test::test_fleet fleet;
@@ -100,6 +163,9 @@
                   << " messages_per_second_node=" << messages / idleSeconds << " core_share_node=" << (processorSeconds(process) - cpuBefore) / idleSeconds
                   << " mb_node=" << residentMb(process) << std::endl;
 
+        measureSessions(fleet, processes);
+        measureCut(fleet, processes);
+
         // All readers of all zones die at once, and the list of VMs does not say so.
         int killed = 0;
         for (const auto& name : fleet.entryNames()) {
