ctl: name states in a function, not in nested conditionals

Cause: nested conditional expressions read badly and are formatted in two ways by turns. Ruled out: breaking them by hand (the formatter joins them again). Before/after: same output; operators-tool and at-most-once-property pass. Conclusion: behaviour unchanged.

--- a/Source/ctl/commands.cpp
+++ b/Source/ctl/commands.cpp
@@ -104,6 +104,13 @@
         };
     }
 
+    const char* stateName(const process_status& status)
+    {
+        if (!status.reachable)
+            return "unreachable";
+        return status.ready ? "ready" : "not ready";
+    }
+
     void printStatuses(const std::vector<process_status>& all)
     {
         std::cout << std::left << std::setw(22) << "NAME" << std::setw(16) << "ZONE" << std::setw(8) << "ROLE" << std::setw(13) << "STATE"
@@ -111,8 +118,7 @@
                   << "SOURCE\n";
         const bool colour = isatty(STDOUT_FILENO) != 0;
         for (const auto& status : all) {
-            const char* const state = !status.reachable ? "unreachable" : status.ready ? "ready"
-                                                                                       : "not ready";
+            const char* const state = stateName(status);
             const bool red = colour && !status.ready;
             std::cout << (red ? "\033[31m" : "") << std::setw(22) << status.name << std::setw(16) << status.zone << std::setw(8) << status.role << std::setw(13) << state
                       << std::setw(10) << status.revision << std::setw(10) << (std::to_string(status.ageMs / 1000) + " s") << status.source
--- a/Tests/requests/at-most-once-property/once_model.cpp
+++ b/Tests/requests/at-most-once-property/once_model.cpp
@@ -15,6 +15,13 @@
         return "[backend " + name + "]\nzone = z\naddress = 127.0.0.1:1\npeer_address = 127.0.0.1:2\nserves = " + service + "\n" + flag + "\n";
     }
 
+    std::string flagOf(const backend_declaration& backend)
+    {
+        if (backend.stopped)
+            return "stopped = yes";
+        return backend.draining ? "draining = yes" : "";
+    }
+
     declaration parsed(const std::string& backends, std::uint64_t revision)
     {
         auto made = declaration::parse("[rules]\nid_life_ms = 1000\n[service " + service + "]\npath = /f\n" + backends, "model");
@@ -101,11 +108,11 @@
     std::string backends;
     for (std::size_t i = 0; i < agentCount; ++i) {
         const auto* backend = last.findBackend(nameOf(i));
-        std::string flag = backend->stopped ? "stopped = yes" : backend->draining ? "draining = yes"
-                                                                                  : "";
-        if (i == changed)
-            flag = !m_agents[i].alive && flag.empty() ? "stopped = yes" : flag.empty() ? "draining = yes"
-                                                                                       : "";
+        std::string flag = flagOf(*backend);
+        if (i == changed && flag.empty())
+            flag = m_agents[i].alive ? "draining = yes" : "stopped = yes";
+        else if (i == changed)
+            flag.clear();
         backends += backendSection(nameOf(i), flag);
     }
     m_declarations.push_back(parsed(backends, last.link().revision + 1));
