groups: answer one message of a switch after the other

Cause: found on reading the change: while an order to the engine was under way, another message was answered with the state before it; the state machine and its model take messages one by one. A claim could have shown a map as staged that was just being committed. Ruled out: refusing meanwhile (a refusal makes a coordinator claim anew). Change: a message waits until the one before it is answered.

--- a/Source/agent/group_member.cpp
+++ b/Source/agent/group_member.cpp
@@ -16,6 +16,7 @@
 
     constexpr milliseconds turn { 20 };
     constexpr milliseconds messageTimeout { 500 };
+    constexpr milliseconds orderPause { 1 };
     // How far ahead of the highest known step a switch is planned.
     constexpr step_number stepsAhead = 40;
     // An outranked coordinator that is still declared comes back after this many turns.
@@ -112,7 +113,22 @@
     return made;
 }
 
+// One message after the other, as the state machine takes them: another one in the midst
+// of an order to the engine would see a state that is about to change.
 awaitable<wire::GroupMessage> group_member::answer(wire::GroupMessage message)
+{
+    asio::steady_timer timer(m_context.io());
+    while (m_answering) {
+        timer.expires_after(orderPause);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    m_answering = true;
+    auto reply = co_await answerInTurn(std::move(message));
+    m_answering = false;
+    co_return reply;
+}
+
+awaitable<wire::GroupMessage> group_member::answerInTurn(wire::GroupMessage message)
 {
     m_context.timeline().observe(message.sender().clock());
     const map_message order = fromWire(message);
--- a/Source/agent/group_member.h
+++ b/Source/agent/group_member.h
@@ -26,6 +26,7 @@
     std::string describe() const;
 
 private:
+    awaitable<wire::GroupMessage> answerInTurn(wire::GroupMessage);
     struct coordination {
         coordination(const group_declaration&, std::string owner);
         map_coordinator coordinator;
@@ -59,6 +60,8 @@
     // Counts claims of this process, so that no two coordinators share an owner's name.
     std::uint64_t m_coordinations = 0;
     std::uint64_t m_outrankedTurns = 0;
+    // True while an answer is being worked out.
+    bool m_answering = false;
 };
 
 } // namespace rampgap
