groups: agents change the expert placement of the platform's engines

Change: an agent beside each engine reports its rank and expert counts to a leader (first listed engine that answers); the leader plans few copies and switches by prepare, hold, arm, release, with a fence on each order.

--- /dev/null
+++ b/Source/gateway/agent_process.cpp
@@ -0,0 +1,267 @@
+#include "gateway/agent_process.h"
+
+#include "gateway/rank_wire.h"
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rampgap {
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+namespace {
+
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    // Popularity changes within a second and a change of placement takes 0.4 s.
+    constexpr milliseconds reportInterval { 100 };
+    // One choice is reported for so many: shares need no more.
+    constexpr std::uint64_t choicesPerUnit = 16;
+    // Each report with counts costs a rank's link; larger groups report them less often.
+    constexpr std::size_t ranksPerCountsTick = 12;
+    constexpr milliseconds leadInterval { 25 };
+    // A leader that has not answered reports for so long is passed over.
+    constexpr milliseconds leaderPatience { 700 };
+    constexpr milliseconds leaderPenalty { 4'000 };
+    // An agent hears of entry VMs seldom; it needs only a few that answer.
+    constexpr milliseconds peerSilence { 15'000 };
+    constexpr milliseconds peerReportInterval { 1'000 };
+    constexpr milliseconds proofWanted { 700 };
+    constexpr milliseconds loadReportLife { 400 };
+    constexpr std::size_t largestDatagram = 65'536;
+    constexpr unsigned short reportPortOffset = 1;
+    constexpr unsigned short orderPortOffset = 2;
+    constexpr unsigned short metricsPort = 9'465;
+
+} // namespace
+
+agent_process::agent_process(process_context& context, decision_log& log, gateway_settings settings, const fleet_decoder& decoder, rank_port& port)
+    : m_context(context)
+    , m_log(log)
+    , m_settings(std::move(settings))
+    , m_port(port)
+    , m_state(context, log, decoder)
+    , m_loads(loadReportLife)
+    , m_link(context, log, port, static_cast<unsigned short>(m_settings.firstPeerPort + orderPortOffset))
+    , m_leader(context, log, m_state, m_link)
+    , m_choice(leaderPatience, leaderPenalty)
+    , m_socket(context.io())
+    , m_signals(context.io(), SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+agent_process::~agent_process() = default;
+
+result<std::unique_ptr<agent_process>> agent_process::start(process_context& context, decision_log& log, gateway_settings settings, const fleet_decoder& decoder, rank_port& port)
+{
+    std::unique_ptr<agent_process> process(new agent_process(context, log, std::move(settings), decoder, port));
+    const auto opened = process->openPorts();
+    if (!opened)
+        return opened.error();
+    process->m_state.onConfiguration([raw = process.get()] { raw->configure(); });
+    process->m_peers->start();
+    asio::co_spawn(context.io(), process->reportLoop(), asio::detached);
+    asio::co_spawn(context.io(), process->receiveLoop(), asio::detached);
+    asio::co_spawn(context.io(), process->leadLoop(), asio::detached);
+    asio::co_spawn(context.io(), process->watchSignals(), asio::detached);
+    asio::co_spawn(context.io(), flushLog(context, log), asio::detached);
+    log.line("started").add("role", "agent").add("zone", process->m_settings.zone).add("engine", process->m_settings.engineAddress).add("incarnation", context.incarnation());
+    return process;
+}
+
+result<void> agent_process::openPorts()
+{
+    m_metricsPages.add("/metrics", [this](const http_request&) {
+        return makeResponse(200, "text/plain; version=0.0.4", m_context.counters().serialize());
+    });
+    const auto portAt = [this](unsigned short offset) { return m_settings.host + ":" + std::to_string(m_settings.firstPeerPort + offset); };
+    auto orders = http_server::listen(m_context, portAt(orderPortOffset), {}, *this);
+    if (!orders)
+        return orders.error();
+    m_orders = std::move(orders.value());
+    auto metrics = http_server::listen(m_context, m_settings.host + ":" + std::to_string(metricsPort), {}, m_metricsPages);
+    if (!metrics)
+        return metrics.error();
+    m_metricsPort = std::move(metrics.value());
+    const auto endpoint = parseEndpoint(portAt(reportPortOffset));
+    if (!endpoint)
+        return endpoint.error();
+    boost::system::error_code error;
+    m_socket.open(udp::v4(), error);
+    if (!error)
+        m_socket.bind({ endpoint.value().address(), endpoint.value().port() }, error);
+    if (error)
+        return notRun(failure_reason::not_ready, "cannot receive reports on " + portAt(reportPortOffset) + ": " + error.message());
+    m_socket.non_blocking(true);
+    peer_exchange_settings exchange;
+    exchange.datagramPort = m_settings.firstPeerPort;
+    exchange.controlPort = m_settings.seedControlPort;
+    exchange.reportInterval = peerReportInterval;
+    exchange.proofWanted = proofWanted;
+    peer_table table({ m_settings.host, m_settings.zone, peer_role::agent, m_context.incarnation() }, m_settings.seedHosts, peerSilence);
+    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, std::move(table), exchange);
+    if (!peers)
+        return peers.error();
+    m_peers = std::move(peers.value());
+    return boost::outcome_v2::success();
+}
+
+void agent_process::configure()
+{
+    const auto* service = m_state.configuration()->findService(m_settings.engineService);
+    if (service && service->isModel && service->costs.layerSets > 0)
+        m_leader.configure(service->costs);
+}
+
+awaitable<void> agent_process::handle(http_exchange& exchange)
+{
+    if (exchange.request().target() != rankOrderPath) {
+        co_await exchange.send(makeResponse(404, "text/plain", "no such page\n"));
+        co_return;
+    }
+    auto response = co_await m_link.serve(exchange.request(), m_settings.engineAddress);
+    co_await exchange.send(std::move(response));
+}
+
+std::vector<std::string> agent_process::members()
+{
+    return m_state.backends().pool(m_settings.engineService);
+}
+
+const listed_backend* agent_process::ownBackend()
+{
+    return m_state.backends().findByAddress(m_settings.engineAddress);
+}
+
+awaitable<void> agent_process::reportLoop()
+{
+    for (std::uint64_t tick = 0;; ++tick) {
+        asio::steady_timer timer(m_context.io(), reportInterval);
+        co_await timer.async_wait(asTuple);
+        if (!m_leader.configured() || !ownBackend())
+            continue;
+        const auto view = co_await m_port.state(m_settings.engineAddress);
+        if (!view || view.value().groupSize == 0)
+            continue;
+        std::vector<std::uint64_t> choices;
+        const std::uint64_t ticksPerCounts = 1 + members().size() / (ranksPerCountsTick + 1);
+        if ((tick + view.value().rank) % ticksPerCounts == 0) {
+            auto counts = co_await m_port.counts(m_settings.engineAddress);
+            if (counts && counts.value().epoch == m_countsEpoch && counts.value().counts.size() == m_lastCounts.size()) {
+                choices = counts.value().counts;
+                for (std::size_t i = 0; i < choices.size(); ++i)
+                    choices[i] -= std::min(choices[i], m_lastCounts[i]);
+            }
+            if (counts) {
+                m_countsEpoch = counts.value().epoch;
+                m_lastCounts = std::move(counts.value().counts);
+            }
+        }
+        sendReport(view.value(), std::move(choices));
+    }
+}
+
+void agent_process::sendReport(const rank_view& view, std::vector<std::uint64_t> choices)
+{
+    const auto* own = ownBackend();
+    const std::string leader = m_choice.choose(members(), m_context.now());
+    if (leader.empty() || !own)
+        return;
+    if (leader == own->id) {
+        m_leader.observe({ own->id, view, std::move(choices) });
+        return;
+    }
+    gateway::agent_datagram datagram;
+    auto* report = datagram.mutable_report();
+    report->set_backend_id(own->id);
+    *report->mutable_view() = toWire(view);
+    report->set_number(++m_reports);
+    for (const auto count : choices)
+        report->add_choices(static_cast<std::uint32_t>(count / choicesPerUnit));
+    const auto endpoint = parseEndpoint(m_state.backends().find(leader)->address);
+    if (!endpoint)
+        return;
+    m_choice.noteReportSent(leader, m_context.now());
+    sendDatagram(datagram.SerializeAsString(), { endpoint.value().address(), static_cast<unsigned short>(m_settings.firstPeerPort + reportPortOffset) });
+}
+
+void agent_process::sendDatagram(const std::string& bytes, const udp::endpoint& to)
+{
+    boost::system::error_code error;
+    m_socket.send_to(asio::buffer(bytes), to, 0, error);
+    m_context.counters().add(error ? metric::datagrams_unsent : metric::exchanges_sent);
+}
+
+awaitable<void> agent_process::receiveLoop()
+{
+    std::string bytes(largestDatagram, '\0');
+    udp::endpoint from;
+    for (;;) {
+        const auto [error, size] = co_await m_socket.async_receive_from(asio::buffer(bytes), from, asTuple);
+        if (!error)
+            receive(bytes.substr(0, size), from);
+    }
+}
+
+void agent_process::receive(const std::string& bytes, const udp::endpoint& from)
+{
+    gateway::agent_datagram datagram;
+    if (!datagram.ParseFromString(bytes)) {
+        m_context.counters().add(metric::datagrams_refused);
+        return;
+    }
+    m_context.counters().add(metric::exchanges_received);
+    if (datagram.has_ack()) {
+        const auto* leader = m_state.backends().findByHost(from.address().to_string(), m_settings.engineService);
+        if (leader)
+            m_choice.noteAnswer(leader->id);
+        return;
+    }
+    if (!datagram.has_report() || !m_leader.configured())
+        return;
+    const auto& report = datagram.report();
+    rank_observation seen { report.backend_id(), fromWire(report.view()), {} };
+    for (const auto count : report.choices())
+        seen.choices.push_back(count * choicesPerUnit);
+    m_leader.observe(seen);
+    m_lastReportReceived = m_context.now();
+    gateway::agent_datagram answer;
+    answer.mutable_ack()->set_number(report.number());
+    sendDatagram(answer.SerializeAsString(), from);
+}
+
+awaitable<void> agent_process::leadLoop()
+{
+    for (;;) {
+        asio::steady_timer timer(m_context.io(), leadInterval);
+        co_await timer.async_wait(asTuple);
+        const auto ids = members();
+        const auto* own = ownBackend();
+        if (!own || m_choice.choose(ids, m_context.now()) != own->id)
+            continue;
+        const auto index = std::find(ids.begin(), ids.end(), own->id) - ids.begin();
+        const std::string ownId = own->id;
+        co_await m_leader.work(static_cast<std::uint32_t>(index), ownId);
+    }
+}
+
+awaitable<void> agent_process::watchSignals()
+{
+    for (;;) {
+        const auto [error, number] = co_await m_signals.async_wait(asTuple);
+        if (error)
+            co_return;
+        if (number == SIGHUP) {
+            m_log.line("reload_asked").add("signal", "SIGHUP").add("outcome", "nothing to reload");
+            continue;
+        }
+        m_log.line("stopping").add("signal", number);
+        m_log.flush();
+        m_context.io().stop();
+    }
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/gateway/agent_process.h
@@ -0,0 +1,57 @@
+// The process beside a model engine: reports the rank to its group's leader, carries out a
+// leader's orders, and leads the group when it is its turn.
+#pragma once
+
+#include "gateway/gateway_process.h"
+#include "gateway/group_leader.h"
+#include "policy/leader_choice.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+namespace rampgap {
+
+class agent_process : public http_handler {
+public:
+    static result<std::unique_ptr<agent_process>> start(process_context&, decision_log&, gateway_settings, const fleet_decoder&, rank_port&);
+    ~agent_process();
+
+    awaitable<void> handle(http_exchange&) override;
+
+private:
+    agent_process(process_context&, decision_log&, gateway_settings, const fleet_decoder&, rank_port&);
+
+    result<void> openPorts();
+    awaitable<void> reportLoop();
+    awaitable<void> receiveLoop();
+    awaitable<void> leadLoop();
+    awaitable<void> watchSignals();
+    void configure();
+    void sendReport(const rank_view&, std::vector<std::uint64_t> choices);
+    void receive(const std::string& bytes, const boost::asio::ip::udp::endpoint& from);
+    void sendDatagram(const std::string& bytes, const boost::asio::ip::udp::endpoint&);
+    // The engines of the group in a fixed order.
+    std::vector<std::string> members();
+    const listed_backend* ownBackend();
+
+    process_context& m_context;
+    decision_log& m_log;
+    gateway_settings m_settings;
+    rank_port& m_port;
+    fleet_state m_state;
+    load_board m_loads;
+    rank_link m_link;
+    group_leader m_leader;
+    leader_choice m_choice;
+    std::unique_ptr<peer_exchange> m_peers;
+    std::unique_ptr<http_server> m_orders;
+    std::unique_ptr<http_server> m_metricsPort;
+    page_handler m_metricsPages;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::signal_set m_signals;
+    std::vector<std::uint64_t> m_lastCounts;
+    std::uint64_t m_countsEpoch = 0;
+    std::uint64_t m_reports = 0;
+    instant m_lastReportReceived {};
+};
+
+} // namespace rampgap
--- a/Source/gateway/gateway_settings.h
+++ b/Source/gateway/gateway_settings.h
@@ -21,6 +21,8 @@
     std::string storeAddress;
     unsigned short firstPeerPort = 0;
     std::vector<std::string> seedHosts;
+    // Control port of the seeds, which all entry VMs share; 0 if there are no seeds.
+    unsigned short seedControlPort = 0;
     // The model engine on the same machine; agents only.
     std::string engineAddress;
     std::string engineService;
--- /dev/null
+++ b/Source/gateway/group_leader.cpp
@@ -0,0 +1,231 @@
+#include "gateway/group_leader.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rampgap {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    // Between two rounds of orders that were not confirmed.
+    constexpr milliseconds roundPause { 5 };
+    // While a step may be held the whole group may wait: then a change that is not confirmed
+    // is given up after this. Orders that get no answer are carried out seconds later.
+    constexpr milliseconds longestHold { 500 };
+    // Beyond the time that the copies take by the published figures.
+    constexpr milliseconds prepareMargin { 700 };
+    constexpr double bitsPerByte = 8;
+    constexpr double millisecondsPerSecond = 1'000;
+    // A rank whose agent is silent is asked directly, which pauses nothing but has its price.
+    constexpr milliseconds directLookInterval { 400 };
+    // New experts of a rank in one change. Each takes about 0.1 s to copy; with three the
+    // most loaded rank comes from 4.2 to 1.2 times the mean (a trial of the planner).
+    constexpr std::size_t newExpertsPerRank = 3;
+
+    std::uint64_t wallMilliseconds()
+    {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    }
+
+    // Counts the orders of a round that are not answered yet.
+    struct round_state {
+        explicit round_state(asio::io_context& io, std::size_t orders)
+            : left(orders)
+            , done(io, asio::steady_timer::time_point::max())
+        {
+        }
+
+        std::size_t left;
+        asio::steady_timer done;
+    };
+
+} // namespace
+
+group_leader::group_leader(process_context& context, decision_log& log, fleet_state& state, rank_link& link)
+    : m_context(context)
+    , m_log(log)
+    , m_state(state)
+    , m_link(link)
+{
+}
+
+void group_leader::configure(const engine_costs& costs)
+{
+    if (m_monitor && costs == m_costs)
+        return;
+    m_costs = costs;
+    monitor_settings settings;
+    settings.layerSets = static_cast<std::size_t>(costs.layerSets);
+    settings.experts = static_cast<std::size_t>(costs.experts);
+    settings.limits.slotsPerRank = static_cast<std::size_t>(costs.slotsPerRank);
+    settings.limits.newPerSet = static_cast<std::size_t>(costs.newExpertsPerPrepare);
+    settings.limits.newPerRank = newExpertsPerRank;
+    m_monitor.emplace(settings);
+}
+
+void group_leader::observe(const rank_observation& seen)
+{
+    if (m_monitor)
+        m_monitor->observe(seen, m_context.now());
+}
+
+// Higher with each change here, and higher than that of an earlier leader unless the time
+// of day was put back; then its engines say so.
+std::uint64_t group_leader::nextFence()
+{
+    m_lastFence = std::max(m_lastFence + 2, wallMilliseconds());
+    return m_lastFence;
+}
+
+awaitable<void> group_leader::work(std::uint32_t leaderIndex, const std::string& ownBackendId)
+{
+    if (!m_monitor)
+        co_return;
+    co_await lookAtMissing();
+    switch (m_monitor->decide(m_context.now())) {
+    case leader_task::none:
+        break;
+    case leader_task::clean_up:
+        co_await cleanUp();
+        break;
+    case leader_task::learn_placement:
+        co_await learnPlacement();
+        break;
+    case leader_task::change_placement:
+        co_await changePlacement(leaderIndex, ownBackendId);
+        break;
+    }
+}
+
+awaitable<void> group_leader::lookAtMissing()
+{
+    const instant now = m_context.now();
+    if (now - m_lastDirectLook < directLookInterval)
+        co_return;
+    m_lastDirectLook = now;
+    const auto ids = m_monitor->backendIds();
+    for (const auto rank : m_monitor->missing(now)) {
+        const auto* listed = rank < ids.size() ? m_state.backends().find(ids[rank]) : nullptr;
+        if (!listed)
+            continue;
+        const std::string id = ids[rank];
+        const auto seen = co_await m_link.view(*listed);
+        if (seen)
+            m_monitor->observe({ id, *seen, {} }, m_context.now());
+    }
+}
+
+awaitable<void> group_leader::learnPlacement()
+{
+    const std::uint64_t inUse = m_monitor->placementInUse();
+    if (inUse == 0) {
+        m_monitor->learn(0, initialPlacement(static_cast<std::size_t>(m_costs.layerSets), static_cast<std::size_t>(m_costs.experts), m_monitor->groupSize()));
+        co_return;
+    }
+    const auto ids = m_monitor->backendIds();
+    group_placement contents(static_cast<std::size_t>(m_costs.layerSets), std::vector<std::vector<std::uint16_t>>(ids.size()));
+    for (std::size_t rank = 0; rank < ids.size(); ++rank) {
+        const auto* listed = m_state.backends().find(ids[rank]);
+        if (!listed)
+            co_return;
+        const auto held = co_await m_link.experts(*listed);
+        if (!held || held->placement != inUse || held->sets.size() != contents.size())
+            co_return;
+        for (std::size_t set = 0; set < contents.size(); ++set)
+            contents[set][rank] = held->sets[set];
+    }
+    m_monitor->learn(inUse, std::move(contents));
+    m_log.line("placement_learned").add("placement", inUse).add("epoch", m_monitor->epoch());
+}
+
+awaitable<void> group_leader::changePlacement(std::uint32_t leaderIndex, const std::string& ownBackendId)
+{
+    const auto ids = m_monitor->backendIds();
+    const auto own = std::find(ids.begin(), ids.end(), ownBackendId);
+    if (own == ids.end())
+        co_return;
+    const instant began = m_context.now();
+    const auto contents = std::make_shared<const group_placement>(m_monitor->planned());
+    switch_settings settings;
+    settings.fence = nextFence();
+    map_switch change(m_monitor->nextPlacement(leaderIndex), contents, m_monitor->epoch(), ids.size(), static_cast<std::size_t>(own - ids.begin()), settings);
+    m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew());
+    const double copyMs = newExpertsPerRank * m_costs.expertMb * bitsPerByte * millisecondsPerSecond / std::max(1.0, m_costs.linkMbps);
+    co_await carryOut(change, milliseconds(static_cast<std::int64_t>(copyMs)) + prepareMargin);
+    if (change.phase() == switch_phase::done)
+        m_monitor->noteChanged(change.placement(), *contents, m_context.now());
+    else
+        m_monitor->noteEnded(m_context.now());
+    logEnd(change, began, "placement_change_ended");
+}
+
+awaitable<void> group_leader::cleanUp()
+{
+    const instant began = m_context.now();
+    auto change = map_switch::cleanUp(m_monitor->epoch(), m_monitor->groupSize(), m_monitor->holds(), m_monitor->armedPlacement(), nextFence());
+    m_log.line("cleanup_begun").add("holds", m_monitor->holds().size()).add("armed", m_monitor->armedPlacement()).add("epoch", m_monitor->epoch());
+    co_await carryOut(change, milliseconds(0));
+    m_monitor->noteEnded(m_context.now());
+    logEnd(change, began, "cleanup_ended");
+}
+
+void group_leader::logEnd(const map_switch& change, instant began, std::string_view what)
+{
+    const bool done = change.phase() == switch_phase::done;
+    if (done)
+        m_context.counters().add(metric::map_switches);
+    m_log.line(what).add("placement", change.placement()).add("step", change.heldStep()).add("took_ms", m_context.now() - began).add("outcome", done ? "done" : "failed").add("reason", change.reason().empty() ? "-" : change.reason());
+}
+
+awaitable<void> group_leader::carryOut(map_switch& change, milliseconds prepareTime)
+{
+    instant limit = m_context.now() + prepareTime;
+    bool holding = change.holding();
+    while (!change.ended()) {
+        co_await sendRound(change, prepareTime);
+        if (!holding && change.phase() != switch_phase::preparing) {
+            holding = true;
+            limit = m_context.now() + longestHold;
+        }
+        if (m_context.now() >= limit)
+            change.cancel();
+        asio::steady_timer timer(m_context.io(), roundPause);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+awaitable<void> group_leader::sendRound(map_switch& change, milliseconds prepareTime)
+{
+    const auto orders = change.pending();
+    const auto ids = m_monitor->backendIds();
+    auto round = std::make_shared<round_state>(m_context.io(), orders.size());
+    for (const auto& next : orders) {
+        const auto* listed = next.rank < ids.size() ? m_state.backends().find(ids[next.rank]) : nullptr;
+        if (!listed) {
+            change.cancel();
+            --round->left;
+            continue;
+        }
+        const milliseconds wait = next.order.kind == map_order_kind::prepare ? prepareTime : milliseconds(0);
+        asio::co_spawn(
+            m_context.io(), [this, &change, round, next, backend = *listed, wait]() -> awaitable<void> {
+                const auto outcome = co_await m_link.order(backend, next.order, wait);
+                if (outcome.after)
+                    m_monitor->observe({ backend.id, *outcome.after, {} }, m_context.now());
+                change.note(next.rank, next.order.kind, outcome.reply, outcome.after ? &*outcome.after : nullptr);
+                --round->left;
+                round->done.cancel();
+            },
+            asio::detached);
+    }
+    while (round->left > 0)
+        co_await round->done.async_wait(asTuple);
+}
+
+} // namespace rampgap
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -20,6 +20,8 @@
     // Every so many reports carry the known processes too.
     constexpr int reportsPerMembership = 10;
     constexpr std::size_t knownPerDatagram = 24;
+    // An agent has no work to tell; it only wants to go on knowing a few entry VMs.
+    constexpr std::size_t entriesToldByAgent = 1;
     constexpr milliseconds proofLookInterval { 150 };
     constexpr std::size_t peersAskedForProof = 2;
     // An answer that comes later than this is worth no more than a new question.
@@ -219,7 +221,9 @@
             work->set_requests(static_cast<std::uint32_t>(std::max(0, load.requests)));
             work->set_unread_tokens(static_cast<std::uint32_t>(std::max<std::int64_t>(0, load.unreadTokens)));
         }
-        for (const auto& peer : m_peers.live(peer_role::entry))
+        const bool tellsAll = m_peers.self().role == peer_role::entry;
+        const auto told = tellsAll ? m_peers.live(peer_role::entry) : m_peers.sample(peer_role::entry, entriesToldByAgent, m_context.random());
+        for (const auto& peer : told)
             send(peer.host, datagram);
         if (!withKnown)
             continue;
--- /dev/null
+++ b/Source/gateway/rank_link.cpp
@@ -0,0 +1,111 @@
+#include "gateway/rank_link.h"
+
+#include "gateway/rank_wire.h"
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rampgap {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    // A call to an agent holds one order of at most 120 ms and two short readings.
+    constexpr milliseconds agentTimeout { 250 };
+    constexpr milliseconds preparedPoll { 15 };
+
+    std::string hostOf(const std::string& address)
+    {
+        return address.substr(0, address.rfind(':'));
+    }
+
+} // namespace
+
+rank_link::rank_link(process_context& context, decision_log& log, rank_port& port, unsigned short agentPort)
+    : m_context(context)
+    , m_log(log)
+    , m_port(port)
+    , m_agentPort(agentPort)
+    , m_client(context)
+{
+}
+
+awaitable<order_outcome> rank_link::order(listed_backend backend, map_order order, milliseconds wait)
+{
+    gateway::rank_order wire = toWire(order);
+    wire.set_backend_id(backend.id);
+    if (order.kind == map_order_kind::prepare) {
+        wire.set_await_prepared(order.placement);
+        wire.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+    }
+    http_request request { http::verb::post, rankOrderPath, 11 };
+    request.body() = wire.SerializeAsString();
+    const std::string agent = hostOf(backend.address) + ":" + std::to_string(m_agentPort);
+    const auto response = co_await m_client.fetch(agent, std::move(request), agentTimeout + wait);
+    gateway::rank_order_result answer;
+    order_outcome outcome;
+    if (response && response.value().result() == http::status::ok && answer.ParseFromString(response.value().body())) {
+        outcome.reply = static_cast<order_reply>(answer.reply());
+        if (answer.has_view())
+            outcome.after = fromWire(answer.view());
+        co_return outcome;
+    }
+    m_log.line("agent_unreachable").add("agent", agent).add("order", toString(order.kind)).add("reason", response ? "unreadable answer" : response.error().message).add("outcome", "ordering the engine directly");
+    outcome.reply = co_await m_port.order(backend.address, backend.id, order);
+    const auto state = co_await m_port.state(backend.address);
+    if (state)
+        outcome.after = state.value();
+    co_return outcome;
+}
+
+awaitable<std::optional<rank_view>> rank_link::view(listed_backend backend)
+{
+    const auto state = co_await m_port.state(backend.address);
+    if (!state)
+        co_return std::nullopt;
+    co_return state.value();
+}
+
+awaitable<std::optional<rank_experts>> rank_link::experts(listed_backend backend)
+{
+    const auto held = co_await m_port.experts(backend.address);
+    if (!held) {
+        m_log.line("rank_experts_unknown").add("backend", backend.id).add("reason", held.error().message);
+        co_return std::nullopt;
+    }
+    co_return held.value();
+}
+
+awaitable<http_response> rank_link::serve(const http_request& request, std::string engineAddress)
+{
+    gateway::rank_order wire;
+    if (!wire.ParseFromString(request.body()) || !wire.has_order())
+        co_return makeResponse(400, "text/plain", "the body is not an order\n");
+    gateway::rank_order_result answer;
+    const map_order order = fromWire(wire);
+    const order_reply reply = co_await m_port.order(engineAddress, wire.backend_id(), order);
+    if (wire.await_prepared() != 0 && reply != order_reply::fenced && reply != order_reply::refused)
+        co_await awaitPrepared(engineAddress, wire.await_prepared(), milliseconds(wire.wait_ms()));
+    answer.set_reply(static_cast<std::uint32_t>(reply));
+    const auto state = co_await m_port.state(engineAddress);
+    if (state) {
+        *answer.mutable_view() = toWire(state.value());
+    }
+    m_log.line("rank_order").add("order", toString(order.kind)).add("placement", order.placement).add("step", order.step).add("epoch", order.epoch).add("fence", order.fence).add("outcome", toString(reply));
+    co_return makeResponse(200, "application/x-protobuf", answer.SerializeAsString());
+}
+
+awaitable<void> rank_link::awaitPrepared(const std::string& engineAddress, std::uint64_t placement, milliseconds wait)
+{
+    const instant until = m_context.now() + wait;
+    while (m_context.now() < until) {
+        const auto state = co_await m_port.state(engineAddress);
+        if (state && state.value().preparedPlacement >= placement)
+            co_return;
+        asio::steady_timer timer(m_context.io(), preparedPoll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/gateway/rank_link.h
@@ -0,0 +1,44 @@
+// Reaches the ranks of a group: through the agent on the rank's machine, whose view is
+// fresh, or the engine itself where the agent does not answer.
+#pragma once
+
+#include "daemon/decision_log.h"
+#include "daemon/http_client.h"
+#include "gateway/rank_port.h"
+#include "policy/backend_directory.h"
+
+namespace rampgap {
+
+struct order_outcome {
+    order_reply reply = order_reply::unanswered;
+    std::optional<rank_view> after;
+};
+
+class rank_link {
+public:
+    // `agentPort`: where agents take orders, on every machine.
+    rank_link(process_context&, decision_log&, rank_port&, unsigned short agentPort);
+
+    // Gives an order and reads the state after it. A preparation is answered when its copy
+    // is complete, or after `wait`.
+    awaitable<order_outcome> order(listed_backend, map_order, milliseconds wait);
+    awaitable<std::optional<rank_view>> view(listed_backend);
+    awaitable<std::optional<rank_experts>> experts(listed_backend);
+
+    // The agent's side: carries out what a leader asks of the engine here.
+    awaitable<http_response> serve(const http_request&, std::string engineAddress);
+
+private:
+    awaitable<void> awaitPrepared(const std::string& engineAddress, std::uint64_t placement, milliseconds wait);
+
+    process_context& m_context;
+    decision_log& m_log;
+    rank_port& m_port;
+    unsigned short m_agentPort;
+    http_client m_client;
+};
+
+// Where an agent takes orders.
+inline constexpr const char* rankOrderPath = "/rank/order";
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/gateway/rank_wire.cpp
@@ -0,0 +1,86 @@
+#include "gateway/rank_wire.h"
+
+namespace rampgap {
+
+gateway::rank_view toWire(const rank_view& view)
+{
+    gateway::rank_view wire;
+    wire.set_group(view.group);
+    wire.set_epoch(view.epoch);
+    wire.set_rank(view.rank);
+    wire.set_open(view.open);
+    wire.set_group_size(view.groupSize);
+    wire.set_step(view.step);
+    wire.set_placement_in_use(view.placementInUse);
+    wire.set_prepared_placement(view.preparedPlacement);
+    wire.set_armed_placement(view.armedPlacement);
+    wire.set_armed_step(view.armedStep);
+    wire.set_held_step(view.heldStep);
+    wire.set_orders(view.orders);
+    wire.set_queued(static_cast<std::uint32_t>(view.queued));
+    wire.set_active(static_cast<std::uint32_t>(view.active));
+    wire.set_pace(view.pace);
+    return wire;
+}
+
+rank_view fromWire(const gateway::rank_view& wire)
+{
+    rank_view view;
+    view.group = wire.group();
+    view.epoch = wire.epoch();
+    view.rank = wire.rank();
+    view.open = wire.open();
+    view.groupSize = wire.group_size();
+    view.step = wire.step();
+    view.placementInUse = wire.placement_in_use();
+    view.preparedPlacement = wire.prepared_placement();
+    view.armedPlacement = wire.armed_placement();
+    view.armedStep = wire.armed_step();
+    view.heldStep = wire.held_step();
+    view.orders = wire.orders();
+    view.queued = static_cast<int>(wire.queued());
+    view.active = static_cast<int>(wire.active());
+    view.pace = wire.pace();
+    return view;
+}
+
+gateway::rank_order toWire(const map_order& order)
+{
+    gateway::rank_order wire;
+    wire.set_has_order(true);
+    wire.set_kind(static_cast<std::uint32_t>(order.kind));
+    wire.set_placement(order.placement);
+    wire.set_step(order.step);
+    wire.set_epoch(order.epoch);
+    wire.set_fence(order.fence);
+    if (!order.contents)
+        return wire;
+    for (const auto& set : *order.contents) {
+        auto* layer = wire.add_contents();
+        for (const auto& experts : set)
+            layer->add_ranks()->mutable_experts()->Assign(experts.begin(), experts.end());
+    }
+    return wire;
+}
+
+map_order fromWire(const gateway::rank_order& wire)
+{
+    map_order order;
+    order.kind = static_cast<map_order_kind>(wire.kind());
+    order.placement = wire.placement();
+    order.step = wire.step();
+    order.epoch = wire.epoch();
+    order.fence = wire.fence();
+    if (wire.contents().empty())
+        return order;
+    auto contents = std::make_shared<group_placement>();
+    for (const auto& layer : wire.contents()) {
+        auto& set = contents->emplace_back();
+        for (const auto& rank : layer.ranks())
+            set.emplace_back(rank.experts().begin(), rank.experts().end());
+    }
+    order.contents = std::move(contents);
+    return order;
+}
+
+} // namespace rampgap
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -134,6 +134,16 @@
     return nullptr;
 }
 
+const listed_backend* backend_directory::findByHost(const std::string& host, const std::string& service) const
+{
+    for (const auto& [id, held] : m_entries) {
+        const auto& address = held.listed.address;
+        if (held.listed.service == service && address.substr(0, address.rfind(':')) == host && open(id))
+            return &held.listed;
+    }
+    return nullptr;
+}
+
 std::vector<std::string> backend_directory::pool(const std::string& service) const
 {
     std::vector<std::string> ids;
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -67,6 +67,8 @@
     const backend_health& health(const std::string& id) const;
     const listed_backend* find(const std::string& id) const;
     const listed_backend* findByAddress(const std::string& address) const;
+    // The open server of a service on a machine.
+    const listed_backend* findByHost(const std::string& host, const std::string& service) const;
     // Ids of the servers of a service that are open, in a fixed order.
     std::vector<std::string> pool(const std::string& service) const;
 
--- /dev/null
+++ b/Source/policy/group_monitor.cpp
@@ -0,0 +1,186 @@
+#include "policy/group_monitor.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rampgap {
+
+namespace {
+
+    // Numbers of placements leave room below for the index of the leader that made them.
+    constexpr std::uint64_t leadersPerNumber = 128;
+
+} // namespace
+
+group_monitor::group_monitor(monitor_settings settings)
+    : m_settings(settings)
+    , m_choices(settings.layerSets * settings.experts, 0.0)
+{
+}
+
+void group_monitor::reset(std::uint64_t epoch)
+{
+    m_epoch = epoch;
+    m_ranks.clear();
+    m_highestPlacement = 0;
+    m_knownPlacement.reset();
+    m_straySince.reset();
+}
+
+void group_monitor::observe(const rank_observation& seen, instant now)
+{
+    if (seen.view.epoch < m_epoch)
+        return;
+    if (seen.view.epoch > m_epoch)
+        reset(seen.view.epoch);
+    m_size = seen.view.groupSize;
+    m_highestPlacement = std::max({ m_highestPlacement, seen.view.placementInUse, seen.view.preparedPlacement, seen.view.armedPlacement });
+    m_ranks[seen.view.rank] = { seen, now };
+    addChoices(seen.choices, now);
+}
+
+void group_monitor::addChoices(const std::vector<std::uint64_t>& choices, instant now)
+{
+    if (choices.size() != m_choices.size())
+        return;
+    const double elapsed = std::chrono::duration<double, std::milli>(now - m_choicesAt).count();
+    const double keep = std::exp2(-elapsed / static_cast<double>(m_settings.halfLife.count()));
+    m_choicesAt = now;
+    m_choiceSum *= keep;
+    for (std::size_t i = 0; i < choices.size(); ++i) {
+        m_choices[i] = m_choices[i] * keep + static_cast<double>(choices[i]);
+        m_choiceSum += static_cast<double>(choices[i]);
+    }
+}
+
+void group_monitor::learn(std::uint64_t placement, group_placement contents)
+{
+    m_knownPlacement = placement;
+    m_current = std::move(contents);
+}
+
+void group_monitor::noteChanged(std::uint64_t placement, group_placement contents, instant now)
+{
+    m_highestPlacement = std::max(m_highestPlacement, placement);
+    learn(placement, std::move(contents));
+    noteEnded(now);
+}
+
+void group_monitor::noteEnded(instant now)
+{
+    m_pauseUntil = now + m_settings.pause;
+    m_straySince.reset();
+}
+
+bool group_monitor::complete(instant now) const
+{
+    if (m_size == 0 || m_ranks.size() != m_size)
+        return false;
+    return std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto& rank) {
+        return rank.second.last.view.open && now - rank.second.at < m_settings.observationLife;
+    });
+}
+
+std::vector<std::uint32_t> group_monitor::missing(instant now) const
+{
+    std::vector<std::uint32_t> ranks;
+    for (std::uint32_t rank = 0; rank < m_size; ++rank) {
+        const auto held = m_ranks.find(rank);
+        if (held == m_ranks.end() || now - held->second.at >= m_settings.observationLife)
+            ranks.push_back(rank);
+    }
+    return ranks;
+}
+
+leader_task group_monitor::decide(instant now)
+{
+    if (!holds().empty()) {
+        if (!m_straySince)
+            m_straySince = now;
+        return now - *m_straySince >= m_settings.strayLife ? leader_task::clean_up : leader_task::none;
+    }
+    m_straySince.reset();
+    // Armed without a hold: a change that was released and whose step is yet to begin. To
+    // disarm now could leave the ranks with two placements.
+    if (armedPlacement() != 0)
+        return leader_task::none;
+    if (now < m_pauseUntil || !complete(now) || m_choiceSum < m_settings.leastChoices)
+        return leader_task::none;
+    const std::uint64_t inUse = placementInUse();
+    const bool same = std::all_of(m_ranks.begin(), m_ranks.end(), [inUse](const auto& rank) { return rank.second.last.view.placementInUse == inUse; });
+    // Reports of the ranks are a moment apart: around a change they may differ.
+    if (!same)
+        return leader_task::none;
+    if (m_knownPlacement != inUse)
+        return leader_task::learn_placement;
+    const expert_shares estimate = shares();
+    m_currentSkew = groupSkew(m_current, estimate);
+    m_planned = planPlacement(m_current, estimate, m_settings.limits);
+    m_plannedSkew = groupSkew(m_planned, estimate);
+    return m_currentSkew - m_plannedSkew > m_settings.leastGain * m_currentSkew ? leader_task::change_placement : leader_task::none;
+}
+
+expert_shares group_monitor::shares() const
+{
+    expert_shares estimate(m_settings.layerSets, std::vector<double>(m_settings.experts, 0.0));
+    for (std::size_t set = 0; set < m_settings.layerSets; ++set) {
+        double sum = 0;
+        for (std::size_t e = 0; e < m_settings.experts; ++e)
+            sum += m_choices[set * m_settings.experts + e];
+        for (std::size_t e = 0; e < m_settings.experts; ++e)
+            estimate[set][e] = sum > 0 ? m_choices[set * m_settings.experts + e] / sum : 1.0 / static_cast<double>(m_settings.experts);
+    }
+    return estimate;
+}
+
+std::uint64_t group_monitor::nextPlacement(std::uint32_t leader) const
+{
+    return (m_highestPlacement / leadersPerNumber + 1) * leadersPerNumber + leader % leadersPerNumber;
+}
+
+std::vector<std::string> group_monitor::backendIds() const
+{
+    std::vector<std::string> ids(m_size);
+    for (const auto& [rank, held] : m_ranks) {
+        if (rank < m_size)
+            ids[rank] = held.last.backendId;
+    }
+    return ids;
+}
+
+std::optional<rank_view> group_monitor::view(std::uint32_t rank) const
+{
+    const auto held = m_ranks.find(rank);
+    if (held == m_ranks.end())
+        return std::nullopt;
+    return held->second.last.view;
+}
+
+std::vector<std::pair<std::size_t, std::uint64_t>> group_monitor::holds() const
+{
+    std::vector<std::pair<std::size_t, std::uint64_t>> found;
+    for (const auto& [rank, held] : m_ranks) {
+        if (held.last.view.heldStep != 0)
+            found.emplace_back(rank, held.last.view.heldStep);
+    }
+    return found;
+}
+
+std::uint64_t group_monitor::armedPlacement() const
+{
+    for (const auto& [rank, held] : m_ranks) {
+        if (held.last.view.armedPlacement != 0)
+            return held.last.view.armedPlacement;
+    }
+    return 0;
+}
+
+std::uint64_t group_monitor::placementInUse() const
+{
+    std::uint64_t newest = 0;
+    for (const auto& [rank, held] : m_ranks)
+        newest = std::max(newest, held.last.view.placementInUse);
+    return newest;
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/group_monitor.h
@@ -0,0 +1,110 @@
+// What the leader of an expert group knows of its ranks, and what it decides to do.
+#pragma once
+
+#include "policy/placement_planner.h"
+#include "policy/rank_types.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rampgap {
+
+struct rank_observation {
+    std::string backendId;
+    rank_view view;
+    // Choices of experts since the last observation of the same rank; empty if not known.
+    std::vector<std::uint64_t> choices;
+};
+
+enum class leader_task {
+    none,
+    // A step is held by nobody who is at work.
+    clean_up,
+    // The contents of the placement in use are not known: ask the ranks.
+    learn_placement,
+    change_placement,
+};
+
+struct monitor_settings {
+    planner_limits limits;
+    std::size_t layerSets = 0;
+    std::size_t experts = 0;
+    // A rank that was not observed for so long is not known.
+    milliseconds observationLife { 800 };
+    // Weight of the past falls by half in this time: popularity changes within a second.
+    milliseconds halfLife { 350 };
+    // A change must take at least this share off the predicted step time of the experts.
+    double leastGain = 0.06;
+    // Choices that must have been seen before they mean anything.
+    double leastChoices = 20'000;
+    // Between two changes: the copies lengthen the steps meanwhile.
+    milliseconds pause { 150 };
+    // A hold that nobody at work explains for so long is cleared away.
+    milliseconds strayLife { 250 };
+
+    bool operator==(const monitor_settings&) const = default;
+};
+
+class group_monitor {
+public:
+    explicit group_monitor(monitor_settings);
+
+    void observe(const rank_observation&, instant now);
+    // All ranks told their experts of the placement in use.
+    void learn(std::uint64_t placement, group_placement contents);
+    // The change to `contents` was begun, and how it ended.
+    void noteChanged(std::uint64_t placement, group_placement contents, instant now);
+    void noteEnded(instant now);
+
+    leader_task decide(instant now);
+    // The contents that `change_placement` asks for.
+    const group_placement& planned() const { return m_planned; }
+    double currentSkew() const { return m_currentSkew; }
+    double plannedSkew() const { return m_plannedSkew; }
+
+    // Known and current: every rank of an open group, all in one epoch.
+    bool complete(instant now) const;
+    std::uint64_t epoch() const { return m_epoch; }
+    std::uint32_t groupSize() const { return m_size; }
+    // The next number for a placement; `leader` tells those of two leaders apart.
+    std::uint64_t nextPlacement(std::uint32_t leader) const;
+    // The server of each rank, by rank; empty where it is not known.
+    std::vector<std::string> backendIds() const;
+    std::optional<rank_view> view(std::uint32_t rank) const;
+    // Rank and step of the holds that were seen, and a placement that some rank is armed with.
+    std::vector<std::pair<std::size_t, std::uint64_t>> holds() const;
+    std::uint64_t armedPlacement() const;
+    std::uint64_t placementInUse() const;
+    // Ranks that were not observed for the life of an observation.
+    std::vector<std::uint32_t> missing(instant now) const;
+
+private:
+    struct held_rank {
+        rank_observation last;
+        instant at;
+    };
+
+    void reset(std::uint64_t epoch);
+    void addChoices(const std::vector<std::uint64_t>&, instant now);
+    expert_shares shares() const;
+
+    monitor_settings m_settings;
+    std::map<std::uint32_t, held_rank> m_ranks;
+    std::uint64_t m_epoch = 0;
+    std::uint32_t m_size = 0;
+    std::vector<double> m_choices;
+    double m_choiceSum = 0;
+    instant m_choicesAt {};
+    std::uint64_t m_highestPlacement = 0;
+    std::optional<std::uint64_t> m_knownPlacement;
+    group_placement m_current;
+    group_placement m_planned;
+    double m_currentSkew = 1;
+    double m_plannedSkew = 1;
+    instant m_pauseUntil {};
+    std::optional<instant> m_straySince;
+};
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/map_switch.cpp
@@ -0,0 +1,186 @@
+#include "policy/map_switch.h"
+
+#include <algorithm>
+
+namespace rampgap {
+
+map_switch::map_switch(std::uint64_t placement, std::shared_ptr<const group_placement> contents, std::uint64_t epoch, std::size_t ranks, std::size_t holder, switch_settings settings)
+    : m_placement(placement)
+    , m_contents(std::move(contents))
+    , m_epoch(epoch)
+    , m_holder(holder)
+    , m_settings(settings)
+    , m_confirmed(ranks, false)
+{
+}
+
+map_switch map_switch::cleanUp(std::uint64_t epoch, std::size_t ranks, std::vector<std::pair<std::size_t, std::uint64_t>> holds, std::uint64_t armedPlacement, std::uint64_t fence)
+{
+    map_switch made(armedPlacement, nullptr, epoch, ranks, 0, { 0, fence });
+    made.m_holds = std::move(holds);
+    made.m_holdMayStand = true;
+    made.m_reason = "left by an earlier leader";
+    made.enter(switch_phase::disarming);
+    return made;
+}
+
+void map_switch::enter(switch_phase phase)
+{
+    m_phase = phase;
+    std::fill(m_confirmed.begin(), m_confirmed.end(), false);
+    if (phase == switch_phase::releasing_aborted && m_holds.empty())
+        m_phase = switch_phase::failed;
+}
+
+bool map_switch::allConfirmed() const
+{
+    return std::all_of(m_confirmed.begin(), m_confirmed.end(), [](bool confirmed) { return confirmed; });
+}
+
+std::vector<rank_order_to_send> map_switch::pending() const
+{
+    std::vector<rank_order_to_send> orders;
+    map_order order;
+    order.placement = m_placement;
+    order.epoch = m_epoch;
+    order.fence = m_settings.fence;
+    switch (m_phase) {
+    case switch_phase::preparing:
+        order.kind = map_order_kind::prepare;
+        order.contents = m_contents;
+        break;
+    case switch_phase::holding:
+        order.kind = map_order_kind::hold;
+        order.placement = 0;
+        order.step = m_step;
+        return { { m_holder, order } };
+    case switch_phase::arming:
+        order.kind = map_order_kind::arm;
+        order.step = m_step;
+        break;
+    case switch_phase::disarming:
+        order.kind = map_order_kind::disarm;
+        break;
+    case switch_phase::releasing:
+    case switch_phase::releasing_aborted:
+        order.kind = map_order_kind::release;
+        order.placement = 0;
+        for (const auto& [rank, step] : m_holds) {
+            order.step = step;
+            orders.push_back({ rank, order });
+        }
+        return orders;
+    case switch_phase::done:
+    case switch_phase::failed:
+        return {};
+    }
+    for (std::size_t rank = 0; rank < m_confirmed.size(); ++rank) {
+        if (!m_confirmed[rank])
+            orders.push_back({ rank, order });
+    }
+    return orders;
+}
+
+void map_switch::note(std::size_t rank, map_order_kind kind, order_reply reply, const rank_view* after)
+{
+    // Another epoch has map 0 and nothing prepared, armed or held.
+    if (after && after->epoch > m_epoch) {
+        m_reason = "the group has a new epoch";
+        m_phase = switch_phase::failed;
+        return;
+    }
+    if (after)
+        m_newestStep = std::max(m_newestStep, after->step);
+    if (reply == order_reply::fenced) {
+        // Another leader has taken over and clears away what this one left.
+        m_reason = "another leader has a higher fence";
+        m_phase = switch_phase::failed;
+        return;
+    }
+    if (kind == map_order_kind::prepare && m_phase == switch_phase::preparing)
+        notePrepared(rank, reply, after);
+    else if (kind == map_order_kind::hold && m_phase == switch_phase::holding)
+        noteHeld(reply, after);
+    else if (kind == map_order_kind::arm && m_phase == switch_phase::arming)
+        noteArmed(rank, reply, after);
+    else if (kind == map_order_kind::disarm && m_phase == switch_phase::disarming)
+        noteDisarmed(rank, reply, after);
+    else if (kind == map_order_kind::release && (m_phase == switch_phase::releasing || m_phase == switch_phase::releasing_aborted))
+        noteReleased(rank, reply, after);
+}
+
+void map_switch::notePrepared(std::size_t rank, order_reply reply, const rank_view* after)
+{
+    if (after && after->preparedPlacement == m_placement)
+        m_confirmed[rank] = true;
+    else if (after && reply == order_reply::conflict && after->preparedPlacement > m_placement)
+        abort("a rank has prepared a newer placement");
+    else if (reply == order_reply::refused)
+        abort("a rank refused to prepare");
+    if (m_phase == switch_phase::preparing && allConfirmed()) {
+        m_step = m_newestStep + m_settings.stepsAhead;
+        enter(switch_phase::holding);
+    }
+}
+
+void map_switch::noteHeld(order_reply reply, const rank_view* after)
+{
+    m_holdMayStand = true;
+    m_holds = { { m_holder, m_step } };
+    if (after && after->heldStep == m_step && after->step < m_step) {
+        enter(switch_phase::arming);
+        return;
+    }
+    if (reply == order_reply::conflict || reply == order_reply::refused)
+        abort("the step could not be held");
+}
+
+void map_switch::noteArmed(std::size_t rank, order_reply reply, const rank_view* after)
+{
+    if (after && after->armedPlacement == m_placement && after->armedStep == m_step)
+        m_confirmed[rank] = true;
+    else if (reply == order_reply::conflict || reply == order_reply::refused)
+        abort("a rank could not be armed");
+    if (m_phase == switch_phase::arming && allConfirmed())
+        enter(switch_phase::releasing);
+}
+
+// An order to arm that is still on its way carries a lower fence than the order to disarm:
+// where that was answered, the late one is refused.
+void map_switch::noteDisarmed(std::size_t rank, order_reply reply, const rank_view* after)
+{
+    const bool answered = reply == order_reply::accepted || reply == order_reply::already || reply == order_reply::conflict;
+    if (answered && after && after->armedPlacement == 0)
+        m_confirmed[rank] = true;
+    if (allConfirmed())
+        enter(switch_phase::releasing_aborted);
+}
+
+void map_switch::noteReleased(std::size_t rank, order_reply, const rank_view* after)
+{
+    std::erase_if(m_holds, [&](const auto& hold) { return hold.first == rank && after && (after->heldStep != hold.second || after->step >= hold.second); });
+    if (m_holds.empty())
+        m_phase = m_phase == switch_phase::releasing ? switch_phase::done : switch_phase::failed;
+}
+
+void map_switch::cancel()
+{
+    if (m_phase == switch_phase::preparing || m_phase == switch_phase::holding || m_phase == switch_phase::arming)
+        abort("a rank did not confirm in time");
+}
+
+void map_switch::abort(std::string reason)
+{
+    m_reason = std::move(reason);
+    // Before the first hold nothing can be armed.
+    if (m_phase == switch_phase::preparing) {
+        m_phase = switch_phase::failed;
+        return;
+    }
+    m_holdMayStand = true;
+    m_holds = { { m_holder, m_step } };
+    ++m_settings.fence;
+    enter(switch_phase::disarming);
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/map_switch.h
@@ -0,0 +1,88 @@
+// One change of the placement of experts in a group: prepare at all ranks, hold a step at
+// one, arm all, and release. No rank can begin the held step before the release, and the
+// release follows only if every rank has shown that it is armed.
+#pragma once
+
+#include "policy/rank_types.h"
+
+#include <vector>
+
+namespace rampgap {
+
+enum class switch_phase {
+    preparing,
+    holding,
+    arming,
+    // All ranks are armed: the change happens once the held step begins.
+    releasing,
+    // Something failed: no rank may stay armed before the held step begins.
+    disarming,
+    releasing_aborted,
+    done,
+    failed,
+};
+
+struct rank_order_to_send {
+    std::size_t rank = 0;
+    map_order order;
+};
+
+struct switch_settings {
+    // Steps between the newest one seen and the held one: the arming should be over before
+    // the group gets there, and an order that comes late must find the step begun.
+    std::uint64_t stepsAhead = 2;
+    // Number that orders carry; a cancelled change goes on with the next one.
+    std::uint64_t fence = 0;
+};
+
+class map_switch {
+public:
+    // `holder`: index of the rank at which the step is held.
+    map_switch(std::uint64_t placement, std::shared_ptr<const group_placement> contents, std::uint64_t epoch, std::size_t ranks, std::size_t holder, switch_settings);
+
+    // Clears away what an earlier leader left: disarms all ranks, releases the holds that
+    // were seen, and changes no placement.
+    static map_switch cleanUp(std::uint64_t epoch, std::size_t ranks, std::vector<std::pair<std::size_t, std::uint64_t>> holds, std::uint64_t armedPlacement, std::uint64_t fence);
+
+    // Orders that are not confirmed yet; sent again until they are.
+    std::vector<rank_order_to_send> pending() const;
+    // The reply to an order and, if it could be had, the state of the rank after it.
+    void note(std::size_t rank, map_order_kind, order_reply, const rank_view* after);
+    // Gives the change up, after a timeout; ignored once the release has begun.
+    void cancel();
+
+    switch_phase phase() const { return m_phase; }
+    bool ended() const { return m_phase == switch_phase::done || m_phase == switch_phase::failed; }
+    // True if a step may be held now: time counts.
+    bool holding() const { return m_holdMayStand && !ended(); }
+    std::uint64_t placement() const { return m_placement; }
+    std::uint64_t heldStep() const { return m_step; }
+    // Why it failed, for the log.
+    const std::string& reason() const { return m_reason; }
+
+private:
+    void notePrepared(std::size_t rank, order_reply, const rank_view* after);
+    void noteHeld(order_reply, const rank_view* after);
+    void noteArmed(std::size_t rank, order_reply, const rank_view* after);
+    void noteDisarmed(std::size_t rank, order_reply, const rank_view* after);
+    void noteReleased(std::size_t rank, order_reply, const rank_view* after);
+    void enter(switch_phase);
+    void abort(std::string reason);
+    bool allConfirmed() const;
+
+    std::uint64_t m_placement;
+    std::shared_ptr<const group_placement> m_contents;
+    std::uint64_t m_epoch;
+    std::size_t m_holder;
+    switch_settings m_settings;
+    switch_phase m_phase = switch_phase::preparing;
+    std::vector<bool> m_confirmed;
+    // Rank and step of holds to release.
+    std::vector<std::pair<std::size_t, std::uint64_t>> m_holds;
+    std::uint64_t m_newestStep = 0;
+    std::uint64_t m_step = 0;
+    bool m_holdMayStand = false;
+    std::string m_reason;
+};
+
+} // namespace rampgap
