gateway: refuse or hold requests by the state of their expert group

Change: agents tell the entry VMs their group's epoch and state; the first try of a caller is refused at once with Retry-After, a later one waits for the group for up to four tenths of its time.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -28,9 +28,10 @@
     constexpr milliseconds leaderPenalty { 4'000 };
     // An agent hears of entry VMs seldom; it needs only a few that answer.
     constexpr milliseconds peerSilence { 15'000 };
-    constexpr milliseconds peerReportInterval { 1'000 };
+    constexpr milliseconds peerReportInterval { 400 };
     constexpr milliseconds proofWanted { 700 };
     constexpr milliseconds loadReportLife { 400 };
+    constexpr milliseconds groupNewsLife { 1'500 };
     constexpr std::size_t largestDatagram = 65'536;
     constexpr unsigned short reportPortOffset = 1;
     constexpr unsigned short orderPortOffset = 2;
@@ -45,6 +46,7 @@
     , m_port(port)
     , m_state(context, log, decoder)
     , m_loads(loadReportLife)
+    , m_groups(groupNewsLife)
     , m_link(context, log, port, static_cast<unsigned short>(m_settings.firstPeerPort + orderPortOffset))
     , m_leader(context, log, m_state, m_link)
     , m_choice(leaderPatience, leaderPenalty)
@@ -102,7 +104,7 @@
     exchange.reportInterval = peerReportInterval;
     exchange.proofWanted = proofWanted;
     peer_table table({ m_settings.host, m_settings.zone, peer_role::agent, m_context.incarnation() }, m_settings.seedHosts, peerSilence);
-    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, std::move(table), exchange);
+    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, m_groups, std::move(table), exchange);
     if (!peers)
         return peers.error();
     m_peers = std::move(peers.value());
@@ -146,6 +148,7 @@
         const auto view = co_await m_port.state(m_settings.engineAddress);
         if (!view || view.value().groupSize == 0)
             continue;
+        m_peers->tellGroup({ view.value().group, m_settings.engineService, { view.value().epoch, view.value().open } }, backendHash(ownBackend()->id));
         std::vector<std::uint64_t> choices;
         const std::uint64_t ticksPerCounts = 1 + members().size() / (ranksPerCountsTick + 1);
         if ((tick + view.value().rank) % ticksPerCounts == 0) {
@@ -242,9 +245,8 @@
         const auto* own = ownBackend();
         if (!own || m_choice.choose(ids, m_context.now()) != own->id)
             continue;
-        const auto index = std::find(ids.begin(), ids.end(), own->id) - ids.begin();
         const std::string ownId = own->id;
-        co_await m_leader.work(static_cast<std::uint32_t>(index), ownId);
+        co_await m_leader.work(ownId);
     }
 }
 
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -39,6 +39,7 @@
     rank_port& m_port;
     fleet_state m_state;
     load_board m_loads;
+    group_board m_groups;
     rank_link m_link;
     group_leader m_leader;
     leader_choice m_choice;
--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -111,7 +111,7 @@
         m_log.line("backend_unlisted").add("backend", id).add("source", source).add("outcome", doubtful ? "kept for now" : "removed");
         return;
     }
-    const auto decoded = m_decoder.backend(change.item.key, change.item.value);
+    const auto decoded = m_decoder.backend(change.item);
     if (!decoded) {
         m_log.line("backend_entry_refused").add("backend", id).add("reason", decoded.error().message);
         return;
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -21,6 +21,8 @@
     constexpr milliseconds watchWait { 1'000 };
     // Reports of work come every 100 ms; after three lost ones they say nothing.
     constexpr milliseconds loadReportLife { 400 };
+    // Agents confirm a group's state to one entry VM each 400 ms, and these tell the others.
+    constexpr milliseconds groupNewsLife { 1'500 };
     constexpr milliseconds peerSilence { 3'000 };
     // A process with an older proof lets callers go where there is a newer one.
     constexpr milliseconds readyProofAge { 2'600 };
@@ -81,7 +83,8 @@
     , m_adapter(std::move(adapter))
     , m_state(context, log, m_adapter.decoder)
     , m_loads(loadReportLife)
-    , m_dispatcher(context, log, m_adapter.codec, m_state, m_loads, m_settings.retries)
+    , m_groups(groupNewsLife)
+    , m_dispatcher(context, log, m_adapter.codec, m_state, m_loads, m_groups, m_settings.retries)
     , m_front(context, log, m_adapter.codec, m_state, m_dispatcher, freshness_rule(m_settings.strictRevocation, m_settings.revocationBound, readingMargin))
     , m_follower(context, log, m_adapter.source, m_state, watchWait)
     , m_signals(context.io(), SIGTERM, SIGINT, SIGHUP)
@@ -152,7 +155,7 @@
     peer_exchange_settings exchange;
     exchange.datagramPort = m_settings.firstPeerPort;
     exchange.controlPort = portOf(m_settings.controlAddress);
-    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, peer_table(selfOf(m_context, m_settings), m_settings.seedHosts, peerSilence), exchange);
+    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, m_groups, peer_table(selfOf(m_context, m_settings), m_settings.seedHosts, peerSilence), exchange);
     if (!peers)
         return peers.error();
     m_peers = std::move(peers.value());
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -57,6 +57,7 @@
     platform_adapter m_adapter;
     fleet_state m_state;
     load_board m_loads;
+    group_board m_groups;
     upstream_dispatcher m_dispatcher;
     gateway_server m_front;
     store_follower m_follower;
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -83,7 +83,7 @@
     return m_lastFence;
 }
 
-awaitable<void> group_leader::work(std::uint32_t leaderIndex, const std::string& ownBackendId)
+awaitable<void> group_leader::work(const std::string& ownBackendId)
 {
     if (!m_monitor)
         co_return;
@@ -98,7 +98,7 @@
         co_await learnPlacement();
         break;
     case leader_task::change_placement:
-        co_await changePlacement(leaderIndex, ownBackendId);
+        co_await changePlacement(ownBackendId);
         break;
     }
 }
@@ -144,7 +144,7 @@
     m_log.line("placement_learned").add("placement", inUse).add("epoch", m_monitor->epoch());
 }
 
-awaitable<void> group_leader::changePlacement(std::uint32_t leaderIndex, const std::string& ownBackendId)
+awaitable<void> group_leader::changePlacement(const std::string& ownBackendId)
 {
     const auto ids = m_monitor->backendIds();
     const auto own = std::find(ids.begin(), ids.end(), ownBackendId);
@@ -154,7 +154,9 @@
     const auto contents = std::make_shared<const group_placement>(m_monitor->planned());
     switch_settings settings;
     settings.fence = nextFence();
-    map_switch change(m_monitor->nextPlacement(leaderIndex), contents, m_monitor->epoch(), ids.size(), static_cast<std::size_t>(own - ids.begin()), settings);
+    const auto ownRank = static_cast<std::size_t>(own - ids.begin());
+    const auto placement = m_monitor->nextPlacement(static_cast<std::uint32_t>(ownRank), wallMilliseconds());
+    map_switch change(placement, contents, m_monitor->epoch(), ids.size(), ownRank, settings);
     m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew());
     const double copyMs = newExpertsPerRank * m_costs.expertMb * bitsPerByte * millisecondsPerSecond / std::max(1.0, m_costs.linkMbps);
     co_await carryOut(change, milliseconds(static_cast<std::int64_t>(copyMs)) + prepareMargin);
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/group_leader.h
@@ -17,12 +17,12 @@
     bool configured() const { return m_monitor.has_value(); }
     void observe(const rank_observation&);
     // One look at what there is to do; returns when it is done. Call again and again.
-    awaitable<void> work(std::uint32_t leaderIndex, const std::string& ownBackendId);
+    awaitable<void> work(const std::string& ownBackendId);
 
 private:
     awaitable<void> lookAtMissing();
     awaitable<void> learnPlacement();
-    awaitable<void> changePlacement(std::uint32_t leaderIndex, const std::string& ownBackendId);
+    awaitable<void> changePlacement(const std::string& ownBackendId);
     awaitable<void> cleanUp();
     // Sends the orders of a change until it has ended.
     awaitable<void> carryOut(map_switch&, milliseconds prepareTime);
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -47,7 +47,7 @@
 
 } // namespace
 
-result<std::unique_ptr<peer_exchange>> peer_exchange::open(process_context& context, decision_log& log, fleet_state& state, load_board& loads, peer_table peers, peer_exchange_settings settings)
+result<std::unique_ptr<peer_exchange>> peer_exchange::open(process_context& context, decision_log& log, fleet_state& state, load_board& loads, group_board& groups, peer_table peers, peer_exchange_settings settings)
 {
     boost::system::error_code error;
     udp::socket socket(context.io());
@@ -59,14 +59,15 @@
     if (error)
         return notRun(failure_reason::not_ready, "cannot receive datagrams on " + peers.self().host + ":" + std::to_string(settings.datagramPort) + ": " + error.message());
     socket.non_blocking(true);
-    return std::unique_ptr<peer_exchange>(new peer_exchange(context, log, state, loads, std::move(peers), settings, std::move(socket)));
+    return std::unique_ptr<peer_exchange>(new peer_exchange(context, log, state, loads, groups, std::move(peers), settings, std::move(socket)));
 }
 
-peer_exchange::peer_exchange(process_context& context, decision_log& log, fleet_state& state, load_board& loads, peer_table peers, peer_exchange_settings settings, udp::socket socket)
+peer_exchange::peer_exchange(process_context& context, decision_log& log, fleet_state& state, load_board& loads, group_board& groups, peer_table peers, peer_exchange_settings settings, udp::socket socket)
     : m_context(context)
     , m_log(log)
     , m_state(state)
     , m_loads(loads)
+    , m_groups(groups)
     , m_peers(std::move(peers))
     , m_settings(settings)
     , m_socket(std::move(socket))
@@ -108,6 +109,46 @@
     }
 }
 
+void peer_exchange::addGroups(gateway::peer_datagram& datagram) const
+{
+    for (const auto& [news, age] : m_groups.news(m_context.now())) {
+        auto* added = datagram.add_groups();
+        added->set_group(news.group);
+        added->set_service(news.service);
+        added->set_epoch(news.phase.epoch);
+        added->set_open(news.phase.open);
+        added->set_age_ms(static_cast<std::uint32_t>(age.count()));
+    }
+    if (m_memberHash != 0) {
+        datagram.set_member_hash(m_memberHash);
+        datagram.set_member_group(m_memberGroup);
+    }
+}
+
+void peer_exchange::takeGroups(const gateway::peer_datagram& datagram)
+{
+    for (const auto& told : datagram.groups()) {
+        const group_news news { told.group(), told.service(), { told.epoch(), told.open() } };
+        if (m_groups.note(news, milliseconds(told.age_ms()), m_context.now()))
+            m_log.line("group_state").add("group", news.group).add("epoch", news.phase.epoch).add("state", news.phase.open ? "open" : "closed").add("age_ms", told.age_ms());
+    }
+    if (datagram.member_hash() != 0)
+        m_groups.noteMember(datagram.member_hash(), datagram.member_group());
+}
+
+void peer_exchange::tellGroup(const group_news& news, std::uint32_t memberHash)
+{
+    m_memberHash = memberHash;
+    m_memberGroup = news.group;
+    if (!m_groups.note(news, milliseconds(0), m_context.now()))
+        return;
+    m_log.line("group_state").add("group", news.group).add("epoch", news.phase.epoch).add("state", news.phase.open ? "open" : "closed").add("source", "own engine");
+    auto datagram = makeDatagram();
+    addGroups(datagram);
+    for (const auto& peer : m_peers.live(peer_role::entry))
+        send(peer.host, datagram);
+}
+
 void peer_exchange::send(const std::string& host, const gateway::peer_datagram& datagram)
 {
     boost::system::error_code error;
@@ -156,6 +197,7 @@
         m_log.line("peer_joined").add("peer", host).add("zone", sender.zone).add("incarnation", sender.incarnation);
     for (const auto& known : datagram.known())
         m_peers.noteTold(fromWire(known.process()), milliseconds(known.age_ms()), now);
+    takeGroups(datagram);
     load_report_by_hash loads;
     for (const auto& work : datagram.work())
         loads[work.backend_hash()] = { static_cast<int>(work.requests()), work.unread_tokens() };
@@ -213,6 +255,7 @@
         }
         const bool withKnown = count++ % reportsPerMembership == 0;
         auto datagram = makeDatagram();
+        addGroups(datagram);
         if (withKnown)
             addKnown(datagram);
         for (const auto& [hash, load] : m_loads.report()) {
@@ -279,7 +322,7 @@
     published_snapshot snapshot;
     snapshot.revision = wire.revision();
     for (const auto& item : wire.items())
-        snapshot.items.push_back({ item.key(), item.value(), item.revision() });
+        snapshot.items.push_back({ item.key(), item.value(), item.revision(), item.created() });
     m_state.take(snapshot, wire.proven() ? provenAt : instant {}, "peer " + host);
 }
 
@@ -297,6 +340,7 @@
             added->set_key(item.key);
             added->set_value(item.value);
             added->set_revision(item.revision);
+            added->set_created(item.created);
         }
     }
     return makeResponse(200, "application/x-protobuf", wire.SerializeAsString());
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/fleet_state.h"
+#include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/peer_table.h"
 
@@ -29,19 +30,21 @@
 
 class peer_exchange {
 public:
-    static result<std::unique_ptr<peer_exchange>> open(process_context&, decision_log&, fleet_state&, load_board&, peer_table, peer_exchange_settings);
+    static result<std::unique_ptr<peer_exchange>> open(process_context&, decision_log&, fleet_state&, load_board&, group_board&, peer_table, peer_exchange_settings);
     ~peer_exchange();
 
     void start();
     // Tells all peers that this process stops.
     void announceLeaving();
     const peer_table& peers() const { return m_peers; }
+    // Tells the entry VMs that are known of a change in a group; agents only.
+    void tellGroup(const group_news&, std::uint32_t memberHash);
     void setSeeds(std::vector<std::string> hosts) { m_peers.setSeeds(std::move(hosts)); }
     // The answer to a peer's request for the fleet's state; `heldRevision` is what it has.
     http_response snapshotFor(store_revision heldRevision) const;
 
 private:
-    peer_exchange(process_context&, decision_log&, fleet_state&, load_board&, peer_table, peer_exchange_settings, boost::asio::ip::udp::socket);
+    peer_exchange(process_context&, decision_log&, fleet_state&, load_board&, group_board&, peer_table, peer_exchange_settings, boost::asio::ip::udp::socket);
 
     awaitable<void> receiveLoop();
     awaitable<void> reportLoop();
@@ -51,6 +54,8 @@
     void answerQuestion(const gateway::peer_datagram&, const std::string& host);
     void takeAnswer(const gateway::peer_datagram&, const std::string& host);
     gateway::peer_datagram makeDatagram() const;
+    void addGroups(gateway::peer_datagram&) const;
+    void takeGroups(const gateway::peer_datagram&);
     void addKnown(gateway::peer_datagram&) const;
     void send(const std::string& host, const gateway::peer_datagram&);
     void askForProof();
@@ -59,6 +64,7 @@
     decision_log& m_log;
     fleet_state& m_state;
     load_board& m_loads;
+    group_board& m_groups;
     peer_table m_peers;
     peer_exchange_settings m_settings;
     boost::asio::ip::udp::socket m_socket;
@@ -67,6 +73,8 @@
     std::map<std::uint64_t, instant> m_questions;
     bool m_fetching = false;
     bool m_leaving = false;
+    std::uint32_t m_memberHash = 0;
+    std::string m_memberGroup;
 };
 
 // Where a process serves the fleet's state to its peers.
--- a/Source/gateway/published_source.h
+++ b/Source/gateway/published_source.h
@@ -37,7 +37,7 @@
     virtual bool isBackend(const std::string& itemKey) const = 0;
     virtual std::string backendId(const std::string& itemKey) const = 0;
     virtual result<std::shared_ptr<const fleet_configuration>> configuration(const std::string& value) const = 0;
-    virtual result<listed_backend> backend(const std::string& itemKey, const std::string& value) const = 0;
+    virtual result<listed_backend> backend(const published_item&) const = 0;
 };
 
 } // namespace rampgap
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -2,9 +2,14 @@
 
 #include "policy/retry_policy.h"
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
+namespace asio = boost::asio;
+
 namespace {
 
     // Several times a round trip between zones; a lost packet is sent again only after a
@@ -18,6 +23,17 @@
     constexpr milliseconds streamSilence { 1'750 };
     // Below this no server can do anything for the caller.
     constexpr milliseconds leastTimeLeft { 20 };
+    // A group that lost a rank stalls for 1.5 s and forms again in 0.6 s.
+    constexpr milliseconds longestReopening { 2'600 };
+    // Callers keep to a pause of up to a third of the time that they have left.
+    constexpr int retryAfterPart = 3;
+    // A caller with less than this of its route's time has been here before.
+    constexpr int firstTimeTenths = 9;
+    // Share of a caller's time after which waiting here would keep it from anything else.
+    constexpr int longestWaitTenths = 4;
+    // A begun stream whose caller leaves after a gap of two seconds.
+    constexpr milliseconds resumeWait { 300 };
+    constexpr milliseconds groupPoll { 20 };
     constexpr milliseconds noBackendRetryAfter { 300 };
     constexpr milliseconds fullRetryAfter { 200 };
 
@@ -28,14 +44,15 @@
 
 } // namespace
 
-upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, retry_bounds bounds)
+upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, retry_bounds bounds)
     : m_context(context)
     , m_log(log)
     , m_codec(codec)
     , m_state(state)
     , m_loads(loads)
+    , m_groups(groups)
     , m_client(context, connectTimeout)
-    , m_budget(bounds)
+    , m_budget(bounds, context.startedAt())
 {
 }
 
@@ -66,6 +83,10 @@
         }
         if (last && !mayTryAgain(request, state, *last))
             co_return last->failed;
+        if (auto closed = co_await awaitGroup(exchange, request, state))
+            co_return closed;
+        if (exchange.callerGone())
+            co_return std::nullopt;
         const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now };
         const std::string id = m_choice.choose(question, m_state.backends(), m_loads, m_context.random());
         if (id.empty()) {
@@ -87,6 +108,33 @@
     }
 }
 
+// A caller that comes for the first time is told at once when to come back: served in time
+// then, it has lost less than by waiting. One that comes again waits here; after the time
+// that `longestWaitShare` allows it is refused too, while it can still go elsewhere.
+awaitable<std::optional<failure>> upstream_dispatcher::awaitGroup(http_exchange& exchange, const admitted_request& request, const progress& state)
+{
+    if (!request.costs || !m_groups.closed(request.service, m_context.now()))
+        co_return std::nullopt;
+    const auto left = timeLeft(request, request.receivedAt);
+    failure refused { state.worst, failure_reason::no_backend, "the expert group of the service is not open", std::nullopt };
+    refused.retryAfter = std::min(longestReopening, timeLeft(request, m_context.now()) / retryAfterPart);
+    const bool firstTime = left >= request.route.timeout * firstTimeTenths / 10;
+    const bool begun = state.relay.begun;
+    if (firstTime && !begun && state.arrivals == 0)
+        co_return refused;
+    const instant until = begun ? m_context.now() + resumeWait : request.receivedAt + left * longestWaitTenths / 10;
+    exchange.onCallerGone(nullptr);
+    while (m_groups.closed(request.service, m_context.now())) {
+        if (exchange.callerGone())
+            co_return std::nullopt;
+        if (m_context.now() >= until)
+            co_return refused;
+        asio::steady_timer timer(m_context.io(), groupPoll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_return std::nullopt;
+}
+
 bool upstream_dispatcher::mayTryAgain(const admitted_request& request, const progress& state, const try_outcome& last)
 {
     const bool ranSurely = last.failed->ran != verdict::not_run;
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -5,6 +5,7 @@
 #include "gateway/fleet_state.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/request_codec.h"
+#include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/upstream_choice.h"
 
@@ -26,7 +27,7 @@
 
 class upstream_dispatcher {
 public:
-    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, retry_bounds);
+    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, retry_bounds);
 
     // Answers the exchange, whatever happens.
     awaitable<void> dispatch(http_exchange&, const admitted_request&);
@@ -48,6 +49,8 @@
         try_result result = try_result::answered;
     };
 
+    // Waits while the service's expert group is closed, as far as that serves the caller.
+    awaitable<std::optional<failure>> awaitGroup(http_exchange&, const admitted_request&, const progress&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
     awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, http_call&, http_head, std::int64_t& unread);
@@ -60,6 +63,7 @@
     const request_codec& m_codec;
     fleet_state& m_state;
     load_board& m_loads;
+    group_board& m_groups;
     http_client m_client;
     shared_retry_budget m_budget;
     upstream_choice m_choice;
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -41,6 +41,20 @@
     auto& held = m_entries[listed.id];
     held.listed = listed;
     held.missingSince.reset();
+    auto& newest = m_newestAt[listed.address];
+    newest = std::max(newest, listed.createdAt);
+}
+
+// After an entry has gone, an older one at its address counts again.
+void backend_directory::noteNewestAt(const std::string& address)
+{
+    m_newestAt.erase(address);
+    for (const auto& [id, held] : m_entries) {
+        if (held.listed.address == address) {
+            auto& newest = m_newestAt[address];
+            newest = std::max(newest, held.listed.createdAt);
+        }
+    }
 }
 
 void backend_directory::unlist(const std::string& id, instant now, bool doubtful)
@@ -48,20 +62,26 @@
     const auto held = m_entries.find(id);
     if (held == m_entries.end())
         return;
-    if (doubtful && !held->second.listed.draining)
+    if (doubtful && !held->second.listed.draining) {
         held->second.missingSince = now;
-    else
-        m_entries.erase(held);
+        return;
+    }
+    const std::string address = held->second.listed.address;
+    m_entries.erase(held);
+    noteNewestAt(address);
 }
 
 void backend_directory::settle(instant now, bool doubtful)
 {
     if (doubtful)
         return;
-    std::erase_if(m_entries, [&](const auto& held) {
-        const auto& since = held.second.missingSince;
-        return since && now - *since >= m_tentative;
-    });
+    std::vector<std::string> expired;
+    for (const auto& [id, held] : m_entries) {
+        if (held.missingSince && now - *held.missingSince >= m_tentative)
+            expired.push_back(id);
+    }
+    for (const auto& id : expired)
+        unlist(id, now, false);
 }
 
 void backend_directory::noteResult(const std::string& id, try_result result, instant now)
@@ -105,7 +125,10 @@
 bool backend_directory::open(const std::string& id) const
 {
     const auto held = m_entries.find(id);
-    return held != m_entries.end() && !held->second.listed.draining && !held->second.leaving && !held->second.replaced;
+    if (held == m_entries.end() || held->second.listed.draining || held->second.leaving || held->second.replaced)
+        return false;
+    const auto newest = m_newestAt.find(held->second.listed.address);
+    return newest == m_newestAt.end() || held->second.listed.createdAt >= newest->second;
 }
 
 bool backend_directory::avoided(const std::string& id, instant now) const
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -19,6 +19,8 @@
     std::string zone;
     int capacity = 1;
     bool draining = false;
+    // Revision at which the entry was created: of two with one address the newer one lives.
+    std::uint64_t createdAt = 0;
 
     bool operator==(const listed_backend&) const = default;
 };
@@ -61,7 +63,7 @@
     // The server itself said that it leaves.
     void noteLeaving(const std::string& id);
 
-    // May get new work: listed, not leaving and not replaced.
+    // May get new work: listed, not leaving, and not replaced by a newer one at its address.
     bool open(const std::string& id) const;
     bool avoided(const std::string& id, instant now) const;
     const backend_health& health(const std::string& id) const;
@@ -82,8 +84,12 @@
         bool replaced = false;
     };
 
+    void noteNewestAt(const std::string& address);
+
     milliseconds m_tentative;
     std::map<std::string, entry> m_entries;
+    // Highest creation revision of the entries with an address.
+    std::map<std::string, std::uint64_t> m_newestAt;
 };
 
 } // namespace rampgap
--- /dev/null
+++ b/Source/policy/group_board.cpp
@@ -0,0 +1,69 @@
+#include "policy/group_board.h"
+
+#include <algorithm>
+
+namespace rampgap {
+
+group_board::group_board(milliseconds life)
+    : m_life(life)
+{
+}
+
+bool group_board::note(const group_news& news, milliseconds age, instant now)
+{
+    const instant at = now - age;
+    const auto held = m_groups.find(news.group);
+    if (held == m_groups.end()) {
+        m_groups[news.group] = { news, at };
+        return true;
+    }
+    const auto known = held->second.news.phase.rank();
+    if (news.phase.rank() < known)
+        return false;
+    const bool changed = news.phase.rank() > known;
+    held->second.confirmedAt = changed ? at : std::max(held->second.confirmedAt, at);
+    held->second.news = news;
+    return changed;
+}
+
+void group_board::noteMember(std::uint32_t backendHash, const std::string& group)
+{
+    m_members[backendHash] = group;
+}
+
+bool group_board::knownClosed(const entry& held, instant now) const
+{
+    return !held.news.phase.open && now - held.confirmedAt < m_life;
+}
+
+bool group_board::closed(const std::string& service, instant now) const
+{
+    bool any = false;
+    for (const auto& [name, held] : m_groups) {
+        if (held.news.service != service)
+            continue;
+        if (!knownClosed(held, now))
+            return false;
+        any = true;
+    }
+    return any;
+}
+
+bool group_board::memberClosed(std::uint32_t backendHash, instant now) const
+{
+    const auto member = m_members.find(backendHash);
+    if (member == m_members.end())
+        return false;
+    const auto group = m_groups.find(member->second);
+    return group != m_groups.end() && knownClosed(group->second, now);
+}
+
+std::vector<std::pair<group_news, milliseconds>> group_board::news(instant now) const
+{
+    std::vector<std::pair<group_news, milliseconds>> all;
+    for (const auto& [name, held] : m_groups)
+        all.emplace_back(held.news, std::chrono::duration_cast<milliseconds>(now - held.confirmedAt));
+    return all;
+}
+
+} // namespace rampgap
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    // Numbers of placements leave room below for the index of the leader that made them.
+    // Numbers of placements leave room below for the rank of the leader that made them.
     constexpr std::uint64_t leadersPerNumber = 128;
 
 } // namespace
@@ -133,9 +133,9 @@
     return estimate;
 }
 
-std::uint64_t group_monitor::nextPlacement(std::uint32_t leader) const
+std::uint64_t group_monitor::nextPlacement(std::uint32_t leaderRank, std::uint64_t wallMs) const
 {
-    return (m_highestPlacement / leadersPerNumber + 1) * leadersPerNumber + leader % leadersPerNumber;
+    return std::max(m_highestPlacement / leadersPerNumber + 1, wallMs) * leadersPerNumber + leaderRank % leadersPerNumber;
 }
 
 std::vector<std::string> group_monitor::backendIds() const
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -36,7 +36,7 @@
     // Weight of the past falls by half in this time: popularity changes within a second.
     milliseconds halfLife { 350 };
     // A change must take at least this share off the predicted step time of the experts.
-    double leastGain = 0.06;
+    double leastGain = 0.12;
     // Choices that must have been seen before they mean anything.
     double leastChoices = 20'000;
     // Between two changes: the copies lengthen the steps meanwhile.
@@ -68,8 +68,9 @@
     bool complete(instant now) const;
     std::uint64_t epoch() const { return m_epoch; }
     std::uint32_t groupSize() const { return m_size; }
-    // The next number for a placement; `leader` tells those of two leaders apart.
-    std::uint64_t nextPlacement(std::uint32_t leader) const;
+    // A number for a placement that no leader of this epoch has used: above all that were
+    // seen, from the leader's rank, and from its time of day, since it may have been restarted.
+    std::uint64_t nextPlacement(std::uint32_t leaderRank, std::uint64_t wallMs) const;
     // The server of each rank, by rank; empty where it is not known.
     std::vector<std::string> backendIds() const;
     std::optional<rank_view> view(std::uint32_t rank) const;
--- a/Source/policy/published_state.h
+++ b/Source/policy/published_state.h
@@ -16,7 +16,9 @@
 struct published_item {
     std::string key;
     std::string value;
+    // Of the last change and of the creation.
     store_revision revision = 0;
+    store_revision created = 0;
 
     bool operator==(const published_item&) const = default;
 };
--- a/Source/policy/shared_retry_budget.cpp
+++ b/Source/policy/shared_retry_budget.cpp
@@ -4,8 +4,9 @@
 
 namespace rampgap {
 
-shared_retry_budget::shared_retry_budget(retry_bounds bounds)
+shared_retry_budget::shared_retry_budget(retry_bounds bounds, instant startedAt)
     : m_bounds(bounds)
+    , m_startedAt(startedAt)
 {
 }
 
@@ -33,7 +34,9 @@
 {
     auto& held = m_services[service];
     forgetOld(held, now);
-    const double share = m_bounds.ratio * static_cast<double>(held.requests.size()) + m_bounds.allowance / static_cast<double>(m_sharers);
+    const bool started = now - m_startedAt < m_bounds.window;
+    const double allowance = started ? 0 : m_bounds.allowance / static_cast<double>(m_sharers);
+    const double share = m_bounds.ratio * static_cast<double>(held.requests.size()) + allowance;
     if (static_cast<double>(held.tries.size() + 1) > m_bounds.caution * share)
         return false;
     held.tries.push_back(now);
--- a/Source/policy/shared_retry_budget.h
+++ b/Source/policy/shared_retry_budget.h
@@ -26,7 +26,9 @@
 // and an equal part of the allowance.
 class shared_retry_budget {
 public:
-    explicit shared_retry_budget(retry_bounds);
+    // A process that starts may follow one that had used its part of the allowance: it has
+    // none of its own for a first window.
+    shared_retry_budget(retry_bounds, instant startedAt);
 
     // Entry VMs that may be sharing the allowance now.
     void setSharers(std::size_t count);
@@ -43,6 +45,7 @@
     void forgetOld(window&, instant now) const;
 
     retry_bounds m_bounds;
+    instant m_startedAt;
     std::size_t m_sharers = 1;
     std::map<std::string, window> m_services;
 };
--- /dev/null
+++ b/Tests/platform/backend-list/test.cpp
@@ -0,0 +1,96 @@
+// Which listed servers get work: lapses during an outage, reused addresses, bad outcomes.
+#include "policy/backend_directory.h"
+
+#include <doctest/doctest.h>
+
+using namespace rampgap;
+
+namespace {
+
+const instant zero {};
+constexpr milliseconds tentative { 2'000 };
+
+listed_backend server(const std::string& id, const std::string& address, std::uint64_t createdAt)
+{
+    return { id, "model", address, "a", 12, false, createdAt };
+}
+
+} // namespace
+
+TEST_CASE("of two entries with one address the newer one lives")
+{
+    backend_directory list(tentative);
+    list.list(server("new", "10.0.0.1:80", 9));
+    list.list(server("old", "10.0.0.1:80", 3));
+    list.list(server("other", "10.0.0.2:80", 1));
+    CHECK(list.pool("model") == std::vector<std::string> { "new", "other" });
+    CHECK(list.findByAddress("10.0.0.1:80")->id == "new");
+    list.unlist("old", zero, false);
+    CHECK(list.open("new"));
+}
+
+TEST_CASE("an entry that goes without doubt is gone at once, and an older one counts again")
+{
+    backend_directory list(tentative);
+    list.list(server("first", "10.0.0.1:80", 3));
+    list.list(server("second", "10.0.0.1:80", 9));
+    list.unlist("second", zero, false);
+    CHECK(list.pool("model") == std::vector<std::string> { "first" });
+}
+
+TEST_CASE("an entry that lapses while the list is in doubt stays until the doubt is over")
+{
+    backend_directory list(tentative);
+    list.list(server("a", "10.0.0.1:80", 1));
+    list.unlist("a", zero, true);
+    list.settle(zero + milliseconds(60'000), true);
+    CHECK(list.open("a"));
+    SUBCASE("it comes back")
+    {
+        list.list(server("a", "10.0.0.1:80", 1));
+        list.settle(zero + milliseconds(90'000), false);
+        CHECK(list.open("a"));
+    }
+    SUBCASE("it stays away")
+    {
+        list.settle(zero + milliseconds(90'000), false);
+        CHECK(list.pool("model").empty());
+    }
+}
+
+TEST_CASE("a draining server gets nothing, and one that lapsed while draining is not kept")
+{
+    backend_directory list(tentative);
+    auto leaving = server("a", "10.0.0.1:80", 1);
+    leaving.draining = true;
+    list.list(leaving);
+    CHECK_FALSE(list.open("a"));
+    list.unlist("a", zero, true);
+    CHECK(list.find("a") == nullptr);
+}
+
+TEST_CASE("a server that cannot be reached is avoided for longer each time, then tried again")
+{
+    backend_directory list(tentative);
+    list.list(server("a", "10.0.0.1:80", 1));
+    list.noteResult("a", try_result::unreachable, zero);
+    const auto first = list.health("a").avoidedUntil - zero;
+    list.noteResult("a", try_result::unreachable, zero);
+    CHECK(list.health("a").avoidedUntil - zero > first);
+    CHECK(list.avoided("a", zero));
+    CHECK_FALSE(list.avoided("a", zero + milliseconds(10'000)));
+    CHECK(list.open("a"));
+}
+
+TEST_CASE("a server that fails half of its tries is avoided, one that fails rarely is not")
+{
+    backend_directory list(tentative);
+    list.list(server("grey", "10.0.0.1:80", 1));
+    list.list(server("good", "10.0.0.2:80", 1));
+    for (int i = 0; i < 20; ++i) {
+        list.noteResult("grey", i % 2 == 0 ? try_result::failed : try_result::answered, zero);
+        list.noteResult("good", i % 20 == 0 ? try_result::failed : try_result::answered, zero);
+    }
+    CHECK(list.avoided("grey", zero));
+    CHECK_FALSE(list.avoided("good", zero));
+}
