http: close only idle connections when a server drains

Ruled out: the kill (grace had 5 s left) and the engine. Change: idle is who has sent nothing of a next request; answers of a leaving VM ask for a new connection from the start.

--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -65,7 +65,9 @@
         m_busy = false;
         if (m_buffer.size() == 0) {
             m_stream.expires_at(idleSince + m_limits.idleTimeout);
+            m_idle = true;
             const auto [waitError, first] = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
+            m_idle = false;
             if (waitError)
                 co_return false;
             m_buffer.commit(first);
@@ -130,6 +132,12 @@
 
     bool keepAlive() const { return m_request.keep_alive() && !m_mustClose && !m_gone && m_finished; }
     bool busy() const { return m_busy; }
+    // True if not a byte of a next request has come, also none that is still to be read.
+    bool idle()
+    {
+        beast::error_code error;
+        return m_idle && m_stream.socket().available(error) == 0;
+    }
     void closeAfterAnswer() override { m_mustClose = true; }
 
     void drop()
@@ -238,6 +246,7 @@
     std::optional<http::response<http::buffer_body>> m_answer;
     std::optional<http::response_serializer<http::buffer_body>> m_serializer;
     std::function<void()> m_onGone;
+    bool m_idle = false;
     bool m_busy = false;
     bool m_begun = false;
     bool m_finished = false;
@@ -330,10 +339,10 @@
     beast::error_code ignored;
     m_acceptor.close(ignored);
     for (auto& [id, client] : m_connections) {
-        if (client->busy())
-            client->closeAfterAnswer();
-        else
+        if (client->idle())
             client->close();
+        else
+            client->closeAfterAnswer();
     }
 }
 
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -241,8 +241,9 @@
     const instant killAt = m_context.now() + m_settings.stopGrace - stopMargin;
     noteReadiness();
     m_peers->announceLeaving();
-    co_await pauseFor(m_context, outOfRotationAfter);
+    // Callers that get an answer now come back through the balancer, soon to another VM.
     m_frontPort->announceClose();
+    co_await pauseFor(m_context, outOfRotationAfter);
     m_frontPort->drain();
     while (m_context.now() < killAt && (m_front.inFlight() > 0 || m_frontPort->openConnections() > 0))
         co_await pauseFor(m_context, stopPoll);
