gateway: one reader of the store a zone, loads of ranks from their leader

Change: one entry VM of a zone reads; the others ask it for proofs and for what changed; who has no proof for 1.3 s reads itself. The leader of a group tells entry VMs the requests at each rank; reports of work go to 12 peers.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -18,11 +18,13 @@
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     // Popularity changes within a second and a change of placement takes 0.4 s.
     constexpr milliseconds reportInterval { 100 };
-    // One choice is reported for so many: shares need no more.
-    constexpr std::uint64_t choicesPerUnit = 16;
+    // Counts are reported in units so that the highest takes one byte: shares need no more.
+    constexpr std::uint64_t highestUnits = 127;
     // Each report with counts costs a rank's link; larger groups report them less often.
     constexpr std::size_t ranksPerCountsTick = 12;
     constexpr milliseconds leadInterval { 25 };
+    // How often entry VMs hear how many requests are at each rank.
+    constexpr milliseconds ranksToldInterval { 150 };
     // A leader that has not answered reports for so long is passed over.
     constexpr milliseconds leaderPatience { 700 };
     constexpr milliseconds leaderPenalty { 4'000 };
@@ -68,6 +70,7 @@
     asio::co_spawn(context.io(), process->reportLoop(), asio::detached);
     asio::co_spawn(context.io(), process->receiveLoop(), asio::detached);
     asio::co_spawn(context.io(), process->leadLoop(), asio::detached);
+    asio::co_spawn(context.io(), process->tellLoop(), asio::detached);
     asio::co_spawn(context.io(), process->watchSignals(), asio::detached);
     asio::co_spawn(context.io(), flushLog(context, log), asio::detached);
     log.line("started").add("role", "agent").add("zone", process->m_settings.zone).add("engine", process->m_settings.engineAddress).add("incarnation", context.incarnation());
@@ -185,8 +188,11 @@
     report->set_backend_id(own->id);
     *report->mutable_view() = toWire(view);
     report->set_number(++m_reports);
+    const std::uint64_t highest = choices.empty() ? 0 : *std::max_element(choices.begin(), choices.end());
+    const std::uint64_t unit = highest / highestUnits + 1;
+    report->set_choices_unit(static_cast<std::uint32_t>(unit));
     for (const auto count : choices)
-        report->add_choices(static_cast<std::uint32_t>(count / choicesPerUnit));
+        report->add_choices(static_cast<std::uint32_t>((count + unit / 2) / unit));
     const auto endpoint = parseEndpoint(m_state.backends().find(leader)->address);
     if (!endpoint)
         return;
@@ -231,28 +237,42 @@
     const auto& report = datagram.report();
     rank_observation seen { report.backend_id(), fromWire(report.view()), {} };
     for (const auto count : report.choices())
-        seen.choices.push_back(count * choicesPerUnit);
+        seen.choices.push_back(static_cast<std::uint64_t>(count) * report.choices_unit());
     m_leader.observe(seen);
-    m_lastReportReceived = m_context.now();
     gateway::agent_datagram answer;
     answer.mutable_ack()->set_number(report.number());
     sendDatagram(answer.SerializeAsString(), from);
 }
 
+bool agent_process::leads()
+{
+    const auto* own = ownBackend();
+    return own && m_choice.choose(members(), m_context.now()) == own->id;
+}
+
 awaitable<void> agent_process::leadLoop()
 {
     for (;;) {
         asio::steady_timer timer(m_context.io(), leadInterval);
         co_await timer.async_wait(asTuple);
-        const auto ids = members();
-        const auto* own = ownBackend();
-        if (!own || m_choice.choose(ids, m_context.now()) != own->id)
+        if (!leads())
             continue;
-        const std::string ownId = own->id;
+        const std::string ownId = ownBackend()->id;
         co_await m_leader.work(ownId);
     }
 }
 
+// Beside the leading: a change of placement takes longer than counts of requests last.
+awaitable<void> agent_process::tellLoop()
+{
+    for (;;) {
+        asio::steady_timer timer(m_context.io(), ranksToldInterval);
+        co_await timer.async_wait(asTuple);
+        if (leads())
+            m_peers->tellRanks(m_leader.rankLoads());
+    }
+}
+
 awaitable<void> agent_process::watchSignals()
 {
     for (;;) {
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -24,6 +24,8 @@
     awaitable<void> reportLoop();
     awaitable<void> receiveLoop();
     awaitable<void> leadLoop();
+    awaitable<void> tellLoop();
+    bool leads();
     awaitable<void> watchSignals();
     void configure();
     void sendReport(const rank_view&, std::vector<std::uint64_t> choices);
@@ -52,7 +54,6 @@
     std::vector<std::uint64_t> m_lastCounts;
     std::uint64_t m_countsEpoch = 0;
     std::uint64_t m_reports = 0;
-    instant m_lastReportReceived {};
 };
 
 } // namespace rampgap
--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -18,18 +18,27 @@
 {
 }
 
-void fleet_state::take(const published_snapshot& snapshot, instant askedAt, const std::string& source)
+void fleet_state::take(const published_snapshot& snapshot, instant askedAt)
 {
-    apply(m_published.take(snapshot), source);
+    apply(m_published.take(snapshot), "store", listDoubtful());
     m_published.noteProof(snapshot.revision, askedAt);
 }
 
 void fleet_state::take(const published_update& update, instant askedAt)
 {
-    apply(m_published.take(update.changes, update.revision), "store");
+    apply(m_published.take(update.changes, update.revision), "store", listDoubtful());
     m_published.noteProof(update.revision, askedAt);
 }
 
+void fleet_state::take(const published_delta& delta, std::optional<instant> provenAt, bool doubtful, const std::string& peer)
+{
+    if (doubtful)
+        m_peerDoubtAt = m_context.now();
+    apply(m_published.take(delta), "peer " + peer, doubtful || listDoubtful());
+    if (provenAt)
+        m_published.noteProof(delta.revision, *provenAt);
+}
+
 void fleet_state::noteProof(store_revision revision, instant askedAt)
 {
     m_published.noteProof(revision, askedAt);
@@ -54,7 +63,8 @@
 
 void fleet_state::settle()
 {
-    m_backends.settle(m_context.now(), m_lostAt.has_value());
+    const bool peerDoubts = m_context.now() - m_peerDoubtAt < lapsedEntriesReturn;
+    m_backends.settle(m_context.now(), m_lostAt.has_value() || peerDoubts);
 }
 
 std::optional<milliseconds> fleet_state::proofAge() const
@@ -70,7 +80,7 @@
     return m_lostAt || (m_regainedAt && m_context.now() - *m_regainedAt < lapsedEntriesReturn);
 }
 
-void fleet_state::apply(const std::vector<published_change>& changes, const std::string& source)
+void fleet_state::apply(const std::vector<published_change>& changes, const std::string& source, bool doubtful)
 {
     for (const auto& change : changes) {
         if (m_decoder.isConfiguration(change.item.key)) {
@@ -79,7 +89,7 @@
             else
                 applyConfiguration(change.item, source);
         } else if (m_decoder.isBackend(change.item.key)) {
-            applyBackend(change, source);
+            applyBackend(change, source, doubtful);
         }
     }
 }
@@ -102,11 +112,10 @@
         m_onConfiguration();
 }
 
-void fleet_state::applyBackend(const published_change& change, const std::string& source)
+void fleet_state::applyBackend(const published_change& change, const std::string& source, bool doubtful)
 {
     const std::string id = m_decoder.backendId(change.item.key);
     if (change.removed) {
-        const bool doubtful = listDoubtful();
         m_backends.unlist(id, m_context.now(), doubtful);
         m_log.line("backend_unlisted").add("backend", id).add("source", source).add("outcome", doubtful ? "kept for now" : "removed");
         return;
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_process.h"
 
+#include "policy/store_reading.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,7 +19,7 @@
     constexpr milliseconds readingMargin { 1'400 };
     // Each answered watch renews the proof of freshness; the bound on withdrawn keys is five
     // seconds, and each call has its price.
-    constexpr milliseconds watchWait { 1'000 };
+    constexpr milliseconds watchWait { 800 };
     // Reports of work come every 100 ms; after three lost ones they say nothing.
     constexpr milliseconds loadReportLife { 400 };
     // Agents confirm a group's state to one entry VM each 400 ms, and these tell the others.
@@ -101,6 +102,8 @@
     if (!opened)
         return opened.error();
     process->m_state.onConfiguration([raw = process.get()] { raw->applyLimits(); });
+    process->m_follower.setWanted([raw = process.get()] { return shouldRead(raw->m_peers->peers(), raw->m_state.proofAge(), reading_settings {}); });
+    process->m_follower.onNews([raw = process.get()] { raw->m_peers->announceRevision(); });
     process->m_follower.start();
     process->m_peers->start();
     asio::co_spawn(context.io(), process->housekeeping(), asio::detached);
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -75,6 +75,20 @@
         m_monitor->observe(seen, m_context.now());
 }
 
+load_report_by_hash group_leader::rankLoads() const
+{
+    load_report_by_hash loads;
+    if (!m_monitor)
+        return loads;
+    const auto ids = m_monitor->backendIds();
+    for (std::uint32_t rank = 0; rank < ids.size(); ++rank) {
+        const auto view = m_monitor->view(rank);
+        if (view && view->open)
+            loads[backendHash(ids[rank])] = { view->active + view->queued, 0 };
+    }
+    return loads;
+}
+
 // Higher with each change here, and higher than that of an earlier leader unless the time
 // of day was put back; then its engines say so.
 std::uint64_t group_leader::nextFence()
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/group_leader.h
@@ -4,6 +4,7 @@
 #include "gateway/fleet_state.h"
 #include "gateway/rank_link.h"
 #include "policy/group_monitor.h"
+#include "policy/load_board.h"
 #include "policy/map_switch.h"
 
 namespace rampgap {
@@ -16,6 +17,8 @@
     void configure(const engine_costs&);
     bool configured() const { return m_monitor.has_value(); }
     void observe(const rank_observation&);
+    // Requests at each rank that was observed lately.
+    load_report_by_hash rankLoads() const;
     // One look at what there is to do; returns when it is done. Call again and again.
     awaitable<void> work(const std::string& ownBackendId);
 
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -18,7 +18,7 @@
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr std::size_t largestDatagram = 8'192;
     // Every so many reports carry the known processes too.
-    constexpr int reportsPerMembership = 10;
+    constexpr int reportsPerMembership = 4;
     constexpr std::size_t knownPerDatagram = 24;
     // An agent has no work to tell; it only wants to go on knowing a few entry VMs.
     constexpr std::size_t entriesToldByAgent = 1;
@@ -97,6 +97,7 @@
 {
     gateway::peer_datagram datagram;
     *datagram.mutable_sender() = toWire(m_peers.self());
+    datagram.set_revision(m_state.published().revision());
     return datagram;
 }
 
@@ -201,8 +202,16 @@
     load_report_by_hash loads;
     for (const auto& work : datagram.work())
         loads[work.backend_hash()] = { static_cast<int>(work.requests()), work.unread_tokens() };
-    if (!datagram.has_question() && !datagram.has_answer())
+    if (datagram.has_report())
         m_loads.notePeer(host, std::move(loads), now);
+    if (!datagram.ranks().empty()) {
+        load_report_by_hash ranks;
+        for (const auto& work : datagram.ranks())
+            ranks[work.backend_hash()] = { static_cast<int>(work.requests()), 0 };
+        m_loads.noteRanks(ranks, now);
+    }
+    if (datagram.revision() > m_state.published().revision() && sender.role == peer_role::entry && !m_fetching)
+        asio::co_spawn(m_context.io(), fetchSnapshot(host), asio::detached);
     if (datagram.has_question())
         answerQuestion(datagram, host);
     if (datagram.has_answer())
@@ -255,6 +264,7 @@
         }
         const bool withKnown = count++ % reportsPerMembership == 0;
         auto datagram = makeDatagram();
+        datagram.set_has_report(true);
         addGroups(datagram);
         if (withKnown)
             addKnown(datagram);
@@ -265,7 +275,8 @@
             work->set_unread_tokens(static_cast<std::uint32_t>(std::max<std::int64_t>(0, load.unreadTokens)));
         }
         const bool tellsAll = m_peers.self().role == peer_role::entry;
-        const auto told = tellsAll ? m_peers.live(peer_role::entry) : m_peers.sample(peer_role::entry, entriesToldByAgent, m_context.random());
+        const std::size_t fanout = tellsAll ? m_settings.reportFanout : entriesToldByAgent;
+        const auto told = m_peers.sample(peer_role::entry, fanout, m_context.random());
         for (const auto& peer : told)
             send(peer.host, datagram);
         if (!withKnown)
@@ -276,6 +287,29 @@
     }
 }
 
+void peer_exchange::announceRevision()
+{
+    if (m_announced >= m_state.published().revision())
+        return;
+    m_announced = m_state.published().revision();
+    const auto datagram = makeDatagram();
+    for (const auto& peer : m_peers.live(peer_role::entry))
+        send(peer.host, datagram);
+}
+
+void peer_exchange::tellRanks(const load_report_by_hash& ranks)
+{
+    auto datagram = makeDatagram();
+    addGroups(datagram);
+    for (const auto& [hash, load] : ranks) {
+        auto* work = datagram.add_ranks();
+        work->set_backend_hash(hash);
+        work->set_requests(static_cast<std::uint32_t>(std::max(0, load.requests)));
+    }
+    for (const auto& peer : m_peers.live(peer_role::entry))
+        send(peer.host, datagram);
+}
+
 awaitable<void> peer_exchange::proofLoop()
 {
     for (;;) {
@@ -314,16 +348,15 @@
         m_log.line("peer_snapshot_failed").add("peer", host).add("reason", response ? "unreadable answer" : response.error().message);
         co_return;
     }
-    const instant provenAt = askedAt - milliseconds(wire.proof_age_ms() + 1);
-    if (wire.items().empty()) {
-        m_state.noteProof(wire.revision(), provenAt);
-        co_return;
-    }
-    published_snapshot snapshot;
-    snapshot.revision = wire.revision();
+    std::optional<instant> provenAt;
+    if (wire.proven())
+        provenAt = askedAt - milliseconds(wire.proof_age_ms() + 1);
+    published_delta delta;
+    delta.revision = wire.revision();
+    delta.keys.assign(wire.keys().begin(), wire.keys().end());
     for (const auto& item : wire.items())
-        snapshot.items.push_back({ item.key(), item.value(), item.revision(), item.created() });
-    m_state.take(snapshot, wire.proven() ? provenAt : instant {}, "peer " + host);
+        delta.items.push_back({ item.key(), item.value(), item.revision(), item.created() });
+    m_state.take(delta, provenAt, wire.list_doubtful(), host);
 }
 
 http_response peer_exchange::snapshotFor(store_revision heldRevision) const
@@ -334,14 +367,16 @@
     const auto age = m_state.proofAge();
     wire.set_proven(age.has_value());
     wire.set_proof_age_ms(static_cast<std::uint32_t>(age.value_or(milliseconds(0)).count()));
-    if (published.revision() > heldRevision) {
-        for (const auto& [key, item] : published.items()) {
-            auto* added = wire.add_items();
-            added->set_key(item.key);
-            added->set_value(item.value);
-            added->set_revision(item.revision);
-            added->set_created(item.created);
-        }
+    wire.set_list_doubtful(m_state.listDoubtful());
+    const published_delta delta = published.since(heldRevision);
+    for (const auto& key : delta.keys)
+        wire.add_keys(key);
+    for (const auto& item : delta.items) {
+        auto* added = wire.add_items();
+        added->set_key(item.key);
+        added->set_value(item.value);
+        added->set_revision(item.revision);
+        added->set_created(item.created);
     }
     return makeResponse(200, "application/x-protobuf", wire.SerializeAsString());
 }
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -23,9 +23,11 @@
     // Port of every process's control interface; 0 for a process without one.
     unsigned short controlPort = 0;
     // Between two reports of work to each peer.
-    milliseconds reportInterval { 100 };
+    milliseconds reportInterval { 250 };
+    // Peers that get a report; all of a small fleet.
+    std::size_t reportFanout = 12;
     // A proof older than this is looked for at peers.
-    milliseconds proofWanted { 1'800 };
+    milliseconds proofWanted { 500 };
 };
 
 class peer_exchange {
@@ -37,6 +39,10 @@
     // Tells all peers that this process stops.
     void announceLeaving();
     const peer_table& peers() const { return m_peers; }
+    // Tells all peers at once that something newer is published.
+    void announceRevision();
+    // Tells the entry VMs how many requests are at each rank; leaders of groups only.
+    void tellRanks(const load_report_by_hash&);
     // Tells the entry VMs that are known of a change in a group; agents only.
     void tellGroup(const group_news&, std::uint32_t memberHash);
     void setSeeds(std::vector<std::string> hosts) { m_peers.setSeeds(std::move(hosts)); }
@@ -73,6 +79,7 @@
     std::map<std::uint64_t, instant> m_questions;
     bool m_fetching = false;
     bool m_leaving = false;
+    store_revision m_announced = 0;
     std::uint32_t m_memberHash = 0;
     std::string m_memberGroup;
 };
--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/store_follower.cpp
@@ -18,6 +18,9 @@
     constexpr milliseconds firstPause { 100 };
     constexpr milliseconds longestPause { 600 };
 
+    // A process that lives on its peers' readings looks so often whether it must read itself.
+    constexpr milliseconds idlePause { 50 };
+
 } // namespace
 
 store_follower::store_follower(process_context& context, decision_log& log, published_source& source, fleet_state& state, milliseconds wait)
@@ -38,6 +41,13 @@
 {
     milliseconds pause = firstPause;
     for (;;) {
+        if (m_wanted && !m_wanted()) {
+            // What peers send meanwhile is newer than what a reading left off at.
+            m_needAll = m_state.published().empty();
+            asio::steady_timer timer(m_context.io(), idlePause);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
         bool done = false;
         if (m_needAll)
             done = co_await readAll();
@@ -63,7 +73,7 @@
         co_return false;
     }
     m_state.noteSourceRegained();
-    m_state.take(snapshot.value(), askedAt, "store");
+    m_state.take(snapshot.value(), askedAt);
     m_needAll = false;
     co_return true;
 }
@@ -84,6 +94,8 @@
         co_return true;
     }
     m_state.take(update.value(), askedAt);
+    if (m_onNews)
+        m_onNews();
     co_return true;
 }
 
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -11,6 +11,10 @@
     store_follower(process_context&, decision_log&, published_source&, fleet_state&, milliseconds wait);
 
     void start();
+    // Called after each reading that brought something.
+    void onNews(std::function<void()> action) { m_onNews = std::move(action); }
+    // Whether this process is to read now; asked before each reading.
+    void setWanted(std::function<bool()> wanted) { m_wanted = std::move(wanted); }
 
 private:
     awaitable<void> run();
@@ -22,6 +26,8 @@
     published_source& m_source;
     fleet_state& m_state;
     milliseconds m_wait;
+    std::function<bool()> m_wanted;
+    std::function<void()> m_onNews;
     bool m_needAll = true;
 };
 
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -164,7 +164,7 @@
     if (request.route.repeat == repeat_rule::non_idempotent)
         call.useFreshConnection();
     std::int64_t unread = request.said.promptTokens;
-    m_loads.noteSent(backend.id, unread);
+    m_loads.noteSent(backend.id, unread, sentAt);
 
     instant headDeadline = request.deadline;
     if (request.route.repeat == repeat_rule::idempotent && state.arrivals + 1 < request.route.maxAttempts)
--- a/Source/policy/load_board.cpp
+++ b/Source/policy/load_board.cpp
@@ -5,6 +5,14 @@
 
 namespace rampgap {
 
+namespace {
+
+    // From an engine's count to its arrival here: an agent looks each 100 ms, a leader tells
+    // each 150 ms. Requests sent since then are not in the count.
+    constexpr milliseconds countLag { 200 };
+
+} // namespace
+
 backend_load backend_load::operator+(const backend_load& other) const
 {
     return { requests + other.requests, unreadTokens + other.unreadTokens };
@@ -20,8 +28,12 @@
 {
 }
 
-void load_board::noteSent(const std::string& id, std::int64_t promptTokens)
+void load_board::noteSent(const std::string& id, std::int64_t promptTokens, instant now)
 {
+    auto& sent = m_sent[id];
+    while (!sent.empty() && now - sent.front() > countLag)
+        sent.pop_front();
+    sent.push_back(now);
     auto& load = m_own[id];
     ++load.requests;
     load.unreadTokens += promptTokens;
@@ -46,6 +58,20 @@
     m_peers[peer] = { std::move(loads), now };
 }
 
+void load_board::noteRanks(const load_report_by_hash& counts, instant now)
+{
+    for (const auto& [hash, load] : counts)
+        m_ranks[hash] = { load.requests, now };
+}
+
+int load_board::sentLately(const std::string& id, instant now) const
+{
+    const auto sent = m_sent.find(id);
+    if (sent == m_sent.end())
+        return 0;
+    return static_cast<int>(std::count_if(sent->second.begin(), sent->second.end(), [now](instant at) { return now - at <= countLag; }));
+}
+
 void load_board::forgetPeer(const std::string& peer)
 {
     m_peers.erase(peer);
@@ -61,6 +87,11 @@
 {
     backend_load sum = own(id);
     const std::uint32_t hash = backendHash(id);
+    const auto counted = m_ranks.find(hash);
+    if (counted != m_ranks.end() && now - counted->second.at < m_reportLife) {
+        sum.requests = std::max(sum.requests, counted->second.requests + sentLately(id, now));
+        return sum;
+    }
     for (const auto& [peer, report] : m_peers) {
         const auto load = report.loads.find(hash);
         if (load != report.loads.end() && now - report.at < m_reportLife)
--- a/Source/policy/load_board.h
+++ b/Source/policy/load_board.h
@@ -4,6 +4,7 @@
 #include "policy/verdict.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -31,12 +32,14 @@
     // Reports older than `reportLife` no longer count.
     explicit load_board(milliseconds reportLife);
 
-    void noteSent(const std::string& id, std::int64_t promptTokens);
+    void noteSent(const std::string& id, std::int64_t promptTokens, instant now);
     // The first byte of the answer came: the prompt is read.
     void noteBegun(const std::string& id, std::int64_t promptTokens);
     void noteEnded(const std::string& id, std::int64_t unreadTokens);
     void notePeer(const std::string& peer, load_report_by_hash, instant now);
     void forgetPeer(const std::string& peer);
+    // Requests at each rank as the engines themselves count them.
+    void noteRanks(const load_report_by_hash&, instant now);
 
     backend_load own(const std::string& id) const;
     backend_load total(const std::string& id, instant now) const;
@@ -49,8 +52,17 @@
         instant at;
     };
 
+    struct rank_count {
+        int requests = 0;
+        instant at;
+    };
+
+    int sentLately(const std::string& id, instant now) const;
+
     milliseconds m_reportLife;
     std::map<std::string, backend_load> m_own;
+    std::map<std::string, std::deque<instant>> m_sent;
+    std::map<std::uint32_t, rank_count> m_ranks;
     std::map<std::string, peer_report> m_peers;
 };
 
--- a/Source/policy/published_state.cpp
+++ b/Source/policy/published_state.cpp
@@ -1,6 +1,7 @@
 #include "policy/published_state.h"
 
 #include <algorithm>
+#include <set>
 
 namespace rampgap {
 
@@ -56,13 +57,34 @@
         m_provenAt = askedAt;
 }
 
-published_snapshot published_state::snapshot() const
+std::vector<published_change> published_state::take(const published_delta& delta)
 {
-    published_snapshot all;
-    all.revision = m_revision;
-    for (const auto& [key, item] : m_items)
-        all.items.push_back(item);
-    return all;
+    if (delta.revision < m_revision)
+        return {};
+    published_snapshot whole;
+    whole.revision = delta.revision;
+    whole.items = delta.items;
+    std::set<std::string> fresh;
+    for (const auto& item : delta.items)
+        fresh.insert(item.key);
+    for (const auto& key : delta.keys) {
+        const auto held = m_items.find(key);
+        if (held != m_items.end() && !fresh.contains(key))
+            whole.items.push_back(held->second);
+    }
+    return take(whole);
+}
+
+published_delta published_state::since(store_revision revision) const
+{
+    published_delta delta;
+    delta.revision = m_revision;
+    for (const auto& [key, item] : m_items) {
+        delta.keys.push_back(key);
+        if (item.revision > revision)
+            delta.items.push_back(item);
+    }
+    return delta;
 }
 
 freshness_rule::freshness_rule(bool strict, milliseconds bound, milliseconds margin)
--- a/Source/policy/published_state.h
+++ b/Source/policy/published_state.h
@@ -38,6 +38,15 @@
     bool operator==(const published_snapshot&) const = default;
 };
 
+// What one holder has that another lacks: changed items, and the keys of all that exist.
+struct published_delta {
+    std::vector<published_item> items;
+    std::vector<std::string> keys;
+    store_revision revision = 0;
+
+    bool operator==(const published_delta&) const = default;
+};
+
 // Copy of the store's items. Its revision only rises, whoever it was learned from.
 class published_state {
 public:
@@ -45,6 +54,10 @@
     std::vector<published_change> take(const published_snapshot&);
     // Takes changes after the held revision, up to `upTo`; returns those that were new.
     std::vector<published_change> take(const std::vector<published_change>&, store_revision upTo);
+    // Takes what another holder sent; an older state than held changes nothing.
+    std::vector<published_change> take(const published_delta&);
+    // What a holder of an earlier revision lacks.
+    published_delta since(store_revision) const;
     // A reading sent at `askedAt` showed nothing newer than `upTo`. Counts only if that is
     // what is held, since a proof about older items says nothing about these.
     void noteProof(store_revision upTo, instant askedAt);
@@ -54,7 +67,6 @@
     // When the newest reading that proved the held items was sent; empty if there was none.
     std::optional<instant> provenAt() const { return m_provenAt; }
     const std::map<std::string, published_item>& items() const { return m_items; }
-    published_snapshot snapshot() const;
 
 private:
     std::map<std::string, published_item> m_items;
--- /dev/null
+++ b/Source/policy/store_reading.h
@@ -0,0 +1,22 @@
+// Which entry VMs read the users' store; the others live on their readings.
+#pragma once
+
+#include "policy/peer_table.h"
+
+#include <optional>
+
+namespace rampgap {
+
+struct reading_settings {
+    // Entry VMs of a zone that read.
+    std::size_t readersPerZone = 1;
+    // Whoever has no newer proof than this reads by itself, whoever was chosen.
+    milliseconds oldestProof { 1'300 };
+
+    bool operator==(const reading_settings&) const = default;
+};
+
+// True if this process is to read the store now.
+bool shouldRead(const peer_table&, std::optional<milliseconds> proofAge, const reading_settings&);
+
+} // namespace rampgap
