--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -14,9 +14,9 @@
     constexpr double otherZoneMs = 3;
     // What a failed try costs: its time and a unit of the retry budget.
     constexpr double failedTryMs = 600;
-    // Servers within this of the best are taken as equal, so that entry VMs with the same
-    // picture do not all choose the same one.
-    constexpr double equalMs = 2;
+    // Servers that one choice compares. Of 40 entry VMs with counts 0.2 s old, all choosing
+    // the least loaded of 63 made queues of 16 there.
+    constexpr std::size_t comparedServers = 3;
 
 } // namespace
 
@@ -54,10 +54,15 @@
     const bool anyGood = std::any_of(candidates.begin(), candidates.end(), [](const candidate& c) { return !c.avoided; });
     if (anyGood)
         std::erase_if(candidates, [](const candidate& c) { return c.avoided; });
-    const auto best = std::min_element(candidates.begin(), candidates.end(), [](const candidate& a, const candidate& b) { return a.delay < b.delay; });
-    const double limit = best->delay + equalMs;
-    std::erase_if(candidates, [limit](const candidate& c) { return c.delay > limit; });
-    return candidates[std::uniform_int_distribution<std::size_t>(0, candidates.size() - 1)(random)].id;
+    // Entry VMs see the same counts, and until the next ones all would choose the same
+    // server: each compares a few at random, and all only if those are full.
+    std::shuffle(candidates.begin(), candidates.end(), random);
+    const auto byDelay = [](const candidate& a, const candidate& b) { return a.delay < b.delay; };
+    const auto few = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(comparedServers, candidates.size()));
+    const auto best = std::min_element(candidates.begin(), few, byDelay);
+    if (best->delay < overCapacityMs)
+        return best->id;
+    return std::min_element(candidates.begin(), candidates.end(), byDelay)->id;
 }
 
 } // namespace rampgap
