--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/http_client.h"
 #include "gateway.pb.h"
+#include "policy/store_reading.h"
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -24,6 +26,8 @@
     constexpr std::size_t entriesToldByAgent = 1;
     constexpr milliseconds proofLookInterval { 150 };
     constexpr std::size_t peersAskedForProof = 2;
+    // With an older proof the chosen readers may be gone or cut off.
+    constexpr milliseconds doubtReadersAfter { 1'750 };
     // An answer that comes later than this is worth no more than a new question.
     constexpr milliseconds questionLife { 1'000 };
     constexpr milliseconds snapshotTimeout { 800 };
@@ -326,12 +330,24 @@
 
 void peer_exchange::askForProof()
 {
-    for (const auto& peer : m_peers.sample(peer_role::entry, peersAskedForProof, m_context.random())) {
+    // A reader of the own zone and one of another; any peer where the readers give no proof.
+    auto asked = chosenReaders(m_peers, reading_settings {});
+    std::erase(asked, m_peers.self().host);
+    if (asked.size() > 1)
+        std::shuffle(asked.begin() + 1, asked.end(), m_context.random());
+    if (asked.size() > peersAskedForProof)
+        asked.resize(peersAskedForProof);
+    const auto age = m_state.proofAge();
+    if (!age || *age > doubtReadersAfter) {
+        for (const auto& peer : m_peers.sample(peer_role::entry, 1, m_context.random()))
+            asked.push_back(peer.host);
+    }
+    for (const auto& host : asked) {
         auto datagram = makeDatagram();
         datagram.mutable_question()->set_nonce(++m_nonce);
         datagram.mutable_question()->set_revision(m_state.published().revision());
         m_questions[m_nonce] = m_context.now();
-        send(peer.host, datagram);
+        send(host, datagram);
     }
 }
 
--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/store_follower.cpp
@@ -41,7 +41,12 @@
 {
     milliseconds pause = firstPause;
     for (;;) {
-        if (m_wanted && !m_wanted()) {
+        const bool wanted = !m_wanted || m_wanted();
+        if (wanted != m_reading) {
+            m_reading = wanted;
+            m_log.line(wanted ? "reading_begun" : "reading_ended").add("dependency", "store").add("revision", m_state.published().revision()).add("proof_age_ms", m_state.proofAge().value_or(milliseconds(-1)));
+        }
+        if (!wanted) {
             // What peers send meanwhile is newer than what a reading left off at.
             m_needAll = m_state.published().empty();
             asio::steady_timer timer(m_context.io(), idlePause);
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -28,6 +28,7 @@
     milliseconds m_wait;
     std::function<bool()> m_wanted;
     std::function<void()> m_onNews;
+    bool m_reading = false;
     bool m_needAll = true;
 };
 
--- a/Source/policy/store_reading.cpp
+++ b/Source/policy/store_reading.cpp
@@ -2,21 +2,33 @@
 
 #include "policy/reader_choice.h"
 #include <algorithm>
+#include <map>
 
 namespace rampgap {
 
+std::vector<std::string> chosenReaders(const peer_table& peers, const reading_settings& settings)
+{
+    std::map<std::string, std::vector<std::string>> zones;
+    const peer_info& self = peers.self();
+    if (self.role == peer_role::entry)
+        zones[self.zone].push_back(self.host);
+    for (const auto& peer : peers.live(peer_role::entry))
+        zones[peer.zone].push_back(peer.host);
+    std::vector<std::string> chosen;
+    for (const auto& [zone, hosts] : zones) {
+        const auto order = readerOrder(hosts);
+        const auto count = static_cast<std::ptrdiff_t>(std::min(settings.readersPerZone, order.size()));
+        chosen.insert(zone == self.zone ? chosen.begin() : chosen.end(), order.begin(), order.begin() + count);
+    }
+    return chosen;
+}
+
 bool shouldRead(const peer_table& peers, std::optional<milliseconds> proofAge, const reading_settings& settings)
 {
     if (!proofAge || *proofAge > settings.oldestProof)
         return true;
-    std::vector<std::string> zone { peers.self().host };
-    for (const auto& peer : peers.live(peer_role::entry)) {
-        if (peer.zone == peers.self().zone)
-            zone.push_back(peer.host);
-    }
-    const auto order = readerOrder(zone);
-    const auto last = order.begin() + static_cast<std::ptrdiff_t>(std::min(settings.readersPerZone, order.size()));
-    return std::find(order.begin(), last, peers.self().host) != last;
+    const auto chosen = chosenReaders(peers, settings);
+    return std::find(chosen.begin(), chosen.end(), peers.self().host) != chosen.end();
 }
 
 } // namespace rampgap
