groups: prepare again where unanswered, relieve slow ranks

Ruled out: the copies themselves, which take 0.36 s. Change: an agent gives an unanswered preparation again at once; the planner weighs the load of a rank by its pace, and routing sends there last.

--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -86,7 +86,7 @@
     for (std::uint32_t rank = 0; rank < ids.size(); ++rank) {
         const auto view = m_monitor->view(rank);
         if (view && view->open)
-            loads[backendHash(ids[rank])] = { view->active + view->queued, 0 };
+            loads[backendHash(ids[rank])] = { view->active + view->queued, 0, std::max(1.0, view->pace) };
     }
     return loads;
 }
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -18,6 +18,7 @@
 namespace {
 
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr double percent = 100;
     constexpr std::size_t largestDatagram = 8'192;
     // Every so many reports carry the known processes too.
     constexpr int reportsPerMembership = 4;
@@ -205,13 +206,13 @@
     takeGroups(datagram);
     load_report_by_hash loads;
     for (const auto& work : datagram.work())
-        loads[work.backend_hash()] = { static_cast<int>(work.requests()), work.unread_tokens() };
+        loads[work.backend_hash()] = { static_cast<int>(work.requests()), work.unread_tokens(), 1 };
     if (datagram.has_report())
         m_loads.notePeer(host, std::move(loads), now);
     if (!datagram.ranks().empty()) {
         load_report_by_hash ranks;
         for (const auto& work : datagram.ranks())
-            ranks[work.backend_hash()] = { static_cast<int>(work.requests()), 0 };
+            ranks[work.backend_hash()] = { static_cast<int>(work.requests()), 0, std::max(1.0, work.pace_percent() / percent) };
         m_loads.noteRanks(ranks, now);
     }
     if (datagram.revision() > m_state.published().revision() && sender.role == peer_role::entry && !m_fetching)
@@ -309,6 +310,7 @@
         auto* work = datagram.add_ranks();
         work->set_backend_hash(hash);
         work->set_requests(static_cast<std::uint32_t>(std::max(0, load.requests)));
+        work->set_pace_percent(static_cast<std::uint32_t>(load.pace * percent));
     }
     for (const auto& peer : m_peers.live(peer_role::entry))
         send(peer.host, datagram);
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -84,9 +84,14 @@
         co_return makeResponse(400, "text/plain", "the body is not an order\n");
     gateway::rank_order_result answer;
     const map_order order = fromWire(wire);
-    const order_reply reply = co_await m_port.order(engineAddress, wire.backend_id(), order);
+    const instant until = m_context.now() + milliseconds(wire.wait_ms());
+    order_reply reply = co_await m_port.order(engineAddress, wire.backend_id(), order);
+    // A preparation without an answer may be carried out seconds later; given again, it
+    // begins now, and the late one finds its number used.
+    while (reply == order_reply::unanswered && m_context.now() < until)
+        reply = co_await m_port.order(engineAddress, wire.backend_id(), order);
     if (wire.await_prepared() != 0 && reply != order_reply::fenced && reply != order_reply::refused)
-        co_await awaitPrepared(engineAddress, wire.await_prepared(), milliseconds(wire.wait_ms()));
+        co_await awaitPrepared(engineAddress, wire.await_prepared(), until);
     answer.set_reply(static_cast<std::uint32_t>(reply));
     const auto state = co_await m_port.state(engineAddress);
     if (state) {
@@ -96,9 +101,8 @@
     co_return makeResponse(200, "application/x-protobuf", answer.SerializeAsString());
 }
 
-awaitable<void> rank_link::awaitPrepared(const std::string& engineAddress, std::uint64_t placement, milliseconds wait)
+awaitable<void> rank_link::awaitPrepared(const std::string& engineAddress, std::uint64_t placement, instant until)
 {
-    const instant until = m_context.now() + wait;
     while (m_context.now() < until) {
         const auto state = co_await m_port.state(engineAddress);
         if (state && state.value().preparedPlacement >= placement)
--- a/Source/gateway/rank_link.h
+++ b/Source/gateway/rank_link.h
@@ -29,7 +29,7 @@
     awaitable<http_response> serve(const http_request&, std::string engineAddress);
 
 private:
-    awaitable<void> awaitPrepared(const std::string& engineAddress, std::uint64_t placement, milliseconds wait);
+    awaitable<void> awaitPrepared(const std::string& engineAddress, std::uint64_t placement, instant until);
 
     process_context& m_context;
     decision_log& m_log;
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -114,9 +114,10 @@
     if (m_knownPlacement != inUse)
         return leader_task::learn_placement;
     const expert_shares estimate = shares();
-    m_currentSkew = groupSkew(m_current, estimate);
-    m_planned = planPlacement(m_current, estimate, m_settings.limits);
-    m_plannedSkew = groupSkew(m_planned, estimate);
+    const rank_paces pace = paces();
+    m_currentSkew = groupSkew(m_current, estimate, pace);
+    m_planned = planPlacement(m_current, estimate, pace, m_settings.limits);
+    m_plannedSkew = groupSkew(m_planned, estimate, pace);
     return m_currentSkew - m_plannedSkew > m_settings.leastGain * m_currentSkew ? leader_task::change_placement : leader_task::none;
 }
 
@@ -133,6 +134,16 @@
     return estimate;
 }
 
+rank_paces group_monitor::paces() const
+{
+    rank_paces all(m_size, 1.0);
+    for (const auto& [rank, held] : m_ranks) {
+        if (rank < m_size)
+            all[rank] = std::max(1.0, held.last.view.pace);
+    }
+    return all;
+}
+
 std::uint64_t group_monitor::nextPlacement(std::uint32_t leaderRank, std::uint64_t wallMs) const
 {
     return std::max(m_highestPlacement / leadersPerNumber + 1, wallMs) * leadersPerNumber + leaderRank % leadersPerNumber;
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -90,6 +90,7 @@
     void reset(std::uint64_t epoch);
     void addChoices(const std::vector<std::uint64_t>&, instant now);
     expert_shares shares() const;
+    rank_paces paces() const;
 
     monitor_settings m_settings;
     std::map<std::uint32_t, held_rank> m_ranks;
--- a/Source/policy/load_board.cpp
+++ b/Source/policy/load_board.cpp
@@ -15,7 +15,7 @@
 
 backend_load backend_load::operator+(const backend_load& other) const
 {
-    return { requests + other.requests, unreadTokens + other.unreadTokens };
+    return { requests + other.requests, unreadTokens + other.unreadTokens, std::max(pace, other.pace) };
 }
 
 std::uint32_t backendHash(const std::string& id)
@@ -61,7 +61,7 @@
 void load_board::noteRanks(const load_report_by_hash& counts, instant now)
 {
     for (const auto& [hash, load] : counts)
-        m_ranks[hash] = { load.requests, now };
+        m_ranks[hash] = { load.requests, load.pace, now };
 }
 
 int load_board::sentLately(const std::string& id, instant now) const
@@ -90,6 +90,7 @@
     const auto counted = m_ranks.find(hash);
     if (counted != m_ranks.end() && now - counted->second.at < m_reportLife) {
         sum.requests = std::max(sum.requests, counted->second.requests + sentLately(id, now));
+        sum.pace = counted->second.pace;
         return sum;
     }
     for (const auto& [peer, report] : m_peers) {
--- a/Source/policy/load_board.h
+++ b/Source/policy/load_board.h
@@ -17,6 +17,8 @@
     int requests = 0;
     // Prompt tokens of those whose first answer byte has not come.
     std::int64_t unreadTokens = 0;
+    // How much longer than usual the server takes for the same work.
+    double pace = 1;
 
     backend_load operator+(const backend_load&) const;
     bool operator==(const backend_load&) const = default;
@@ -54,6 +56,7 @@
 
     struct rank_count {
         int requests = 0;
+        double pace = 1;
         instant at;
     };
 
--- a/Source/policy/placement_planner.cpp
+++ b/Source/policy/placement_planner.cpp
@@ -21,10 +21,11 @@
     // Layer sets share the budget of new experts of each rank.
     class layer_planner {
     public:
-        layer_planner(layer_ranks ranks, const std::vector<double>& shares, const planner_limits& limits, std::vector<std::size_t>& newLeft)
+        layer_planner(layer_ranks ranks, const std::vector<double>& shares, const rank_paces& paces, const planner_limits& limits, std::vector<std::size_t>& newLeft)
             : m_before(ranks)
             , m_ranks(std::move(ranks))
             , m_shares(shares)
+            , m_paces(paces)
             , m_limits(limits)
             , m_newLeft(newLeft)
             , m_replicas(shares.size(), 0)
@@ -65,7 +66,7 @@
             m_loads.assign(m_ranks.size(), 0);
             for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
                 for (const expert e : m_ranks[rank])
-                    m_loads[rank] += share(e);
+                    m_loads[rank] += share(e) * m_paces[rank];
             }
         }
 
@@ -97,7 +98,7 @@
             std::iota(order.begin(), order.end(), 0);
             std::sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) { return m_loads[a] < m_loads[b]; });
             const double before = m_loads[hot];
-            const double gain = share(e) - m_shares[e] / (m_replicas[e] + 1);
+            const double gain = (share(e) - m_shares[e] / (m_replicas[e] + 1)) * m_paces[hot];
             if (gain < leastGain)
                 return false;
             for (const std::size_t rank : order) {
@@ -158,6 +159,7 @@
         layer_ranks m_before;
         layer_ranks m_ranks;
         const std::vector<double>& m_shares;
+        const rank_paces& m_paces;
         const planner_limits& m_limits;
         std::vector<std::size_t>& m_newLeft;
         std::vector<int> m_replicas;
@@ -168,7 +170,7 @@
 
 } // namespace
 
-double layerSkew(const layer_ranks& ranks, const std::vector<double>& shares)
+double layerSkew(const layer_ranks& ranks, const std::vector<double>& shares, const rank_paces& paces)
 {
     std::vector<int> replicas(shares.size(), 0);
     for (const auto& held : ranks) {
@@ -176,21 +178,21 @@
             ++replicas[e];
     }
     double worst = 0;
-    for (const auto& held : ranks) {
+    for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
         double load = 0;
-        for (const expert e : held)
+        for (const expert e : ranks[rank])
             load += shares[e] / replicas[e];
-        worst = std::max(worst, load);
+        worst = std::max(worst, load * paces[rank]);
     }
     const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
     return sum > 0 ? worst * static_cast<double>(ranks.size()) / sum : 1;
 }
 
-double groupSkew(const group_placement& placement, const expert_shares& shares)
+double groupSkew(const group_placement& placement, const expert_shares& shares, const rank_paces& paces)
 {
     double sum = 0;
     for (std::size_t set = 0; set < placement.size(); ++set)
-        sum += layerSkew(placement[set], shares[set]);
+        sum += layerSkew(placement[set], shares[set], paces);
     return placement.empty() ? 1 : sum / static_cast<double>(placement.size());
 }
 
@@ -202,7 +204,7 @@
     return group_placement(sets, dealt);
 }
 
-group_placement planPlacement(const group_placement& current, const expert_shares& shares, const planner_limits& limits)
+group_placement planPlacement(const group_placement& current, const expert_shares& shares, const rank_paces& paces, const planner_limits& limits)
 {
     if (current.empty())
         return current;
@@ -210,7 +212,7 @@
     std::vector<layer_planner> layers;
     layers.reserve(current.size());
     for (std::size_t set = 0; set < current.size(); ++set)
-        layers.emplace_back(current[set], shares[set], limits, newLeft);
+        layers.emplace_back(current[set], shares[set], paces, limits, newLeft);
     // The worst layer set first, so that they share the budget of copies fairly.
     std::vector<bool> done(layers.size(), false);
     for (;;) {
--- a/Source/policy/placement_planner.h
+++ b/Source/policy/placement_planner.h
@@ -23,16 +23,20 @@
 // Share of the choices of each expert, by layer set.
 using expert_shares = std::vector<std::vector<double>>;
 
-// Load of the most loaded rank over the mean, for one layer set.
-double layerSkew(const std::vector<std::vector<std::uint16_t>>& ranks, const std::vector<double>& shares);
+// How much longer than usual each rank takes for the same work; 1 is usual.
+using rank_paces = std::vector<double>;
+
+// Time of the slowest rank over that of a rank with the mean load and the usual pace, for
+// one layer set.
+double layerSkew(const std::vector<std::vector<std::uint16_t>>& ranks, const std::vector<double>& shares, const rank_paces&);
 // Mean of the layer sets: what a pass's expert part is lengthened by.
-double groupSkew(const group_placement&, const expert_shares&);
+double groupSkew(const group_placement&, const expert_shares&, const rank_paces&);
 
 // Placement 0, as engines have it when a group opens: experts are dealt to the ranks in turn.
 group_placement initialPlacement(std::size_t sets, std::size_t experts, std::size_t ranks);
 
 // A better placement within the limits; the given one if there is none.
-group_placement planPlacement(const group_placement& current, const expert_shares&, const planner_limits&);
+group_placement planPlacement(const group_placement& current, const expert_shares&, const rank_paces&, const planner_limits&);
 
 // Most new experts of a rank over all layer sets.
 std::size_t mostNewExperts(const group_placement& from, const group_placement& to);
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -10,6 +10,8 @@
     constexpr double plainRequestMs = 60;
     // A server beyond its capacity makes new requests wait for an earlier one's end.
     constexpr double overCapacityMs = 400;
+    // For each unit of pace over the usual.
+    constexpr double slowRankMs = 150;
     // Added for a server in another zone: a round trip between zones, and its bytes' price.
     constexpr double otherZoneMs = 3;
     // What a failed try costs: its time and a unit of the retry budget.
@@ -27,7 +29,8 @@
         return plainRequestMs * static_cast<double>(load.requests) / std::max(1, capacity) + overCapacityMs * over;
     const double reading = static_cast<double>(load.unreadTokens + promptTokens) / costs->prefillTokensPerMs;
     const double writing = (costs->stepMs + costs->perSequenceMs * load.requests) * costs->stepsPerPass;
-    return reading + writing + overCapacityMs * over;
+    // In lock-step a slow rank's own part holds all others back: it gets work last.
+    return (reading + writing) * load.pace + overCapacityMs * over + slowRankMs * (load.pace - 1);
 }
 
 std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, std::mt19937_64& random) const
--- a/Tests/platform/placement-plan/test.cpp
+++ b/Tests/platform/placement-plan/test.cpp
@@ -58,12 +58,13 @@
         std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
         planner_limits limits;
         limits.newPerRank = *rc::gen::inRange<std::size_t>(1, 6);
+        const rank_paces usual(4, 1.0);
         group_placement placement = initialPlacement(2, 24, 4);
         for (int change = 0; change < 3; ++change) {
             const auto shares = skewedShares(2, 24, random);
-            const auto planned = planPlacement(placement, shares, limits);
+            const auto planned = planPlacement(placement, shares, usual, limits);
             RC_ASSERT(withinLimits(placement, planned, limits, 24));
-            RC_ASSERT(groupSkew(planned, shares) <= groupSkew(placement, shares) + 1e-9);
+            RC_ASSERT(groupSkew(planned, shares, usual) <= groupSkew(placement, shares, usual) + 1e-9);
             placement = planned;
         }
     }));
@@ -76,7 +77,22 @@
     const auto before = initialPlacement(4, 72, 12);
     planner_limits limits;
     limits.newPerRank = 3;
-    const auto after = planPlacement(before, shares, limits);
-    CHECK(groupSkew(before, shares) > 3);
-    CHECK(groupSkew(after, shares) < 1.4);
+    const rank_paces usual(12, 1.0);
+    const auto after = planPlacement(before, shares, usual, limits);
+    CHECK(groupSkew(before, shares, usual) > 3);
+    CHECK(groupSkew(after, shares, usual) < 1.4);
+}
+
+TEST_CASE("a slow rank is relieved of experts until it holds the others back little")
+{
+    const expert_shares even(4, std::vector<double>(72, 1.0 / 72));
+    rank_paces paces(12, 1.0);
+    paces[3] = 5;
+    planner_limits limits;
+    auto placement = initialPlacement(4, 72, 12);
+    const double before = groupSkew(placement, even, paces);
+    CHECK(before > 4.5);
+    for (int change = 0; change < 4; ++change)
+        placement = planPlacement(placement, even, paces, limits);
+    CHECK(groupSkew(placement, even, paces) < 2.2);
 }
--- a/Tests/platform/upstream-choice/test.cpp
+++ b/Tests/platform/upstream-choice/test.cpp
@@ -48,7 +48,7 @@
     addServers(made, 60);
     load_report_by_hash counts;
     for (int i = 0; i < 60; ++i)
-        counts[backendHash("s" + std::to_string(i))] = { i == 0 ? 0 : 5, 0 };
+        counts[backendHash("s" + std::to_string(i))] = { i == 0 ? 0 : 5, 0, 1 };
     made.loads.noteRanks(counts, zero);
     const upstream_choice choice;
     std::map<std::string, int> chosen;
@@ -64,7 +64,7 @@
     addServers(made, 20);
     load_report_by_hash counts;
     for (int i = 0; i < 20; ++i)
-        counts[backendHash("s" + std::to_string(i))] = { i == 7 ? 3 : 12, 0 };
+        counts[backendHash("s" + std::to_string(i))] = { i == 7 ? 3 : 12, 0, 1 };
     made.loads.noteRanks(counts, zero);
     const upstream_choice choice;
     for (int i = 0; i < 30; ++i)
@@ -87,9 +87,9 @@
 TEST_CASE("counts of the engines go before reports of peers, and grow by what was sent since")
 {
     load_board loads(milliseconds(600));
-    loads.notePeer("p", { { backendHash("s"), { 9, 100 } } }, zero);
+    loads.notePeer("p", { { backendHash("s"), { 9, 100, 1 } } }, zero);
     CHECK(loads.total("s", zero).requests == 9);
-    loads.noteRanks({ { backendHash("s"), { 4, 0 } } }, zero);
+    loads.noteRanks({ { backendHash("s"), { 4, 0, 1 } } }, zero);
     CHECK(loads.total("s", zero).requests == 4);
     loads.noteSent("s", 50, zero);
     CHECK(loads.total("s", zero).requests == 5);
