routing: keep requests off slow ranks while others have room

Cause: with 12 requests a rank at pace 5.5 lengthens each pass by its own part; the experts had been moved away already (skew 6.3 to 1.2).

--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -173,7 +173,7 @@
     const auto ownRank = static_cast<std::size_t>(own - ids.begin());
     const auto placement = m_monitor->nextPlacement(static_cast<std::uint32_t>(ownRank), wallMilliseconds());
     map_switch change(placement, contents, m_monitor->epoch(), ids.size(), ownRank, settings);
-    m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew());
+    m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew());
     const double copyMs = newExpertsPerRank * m_costs.expertMb * bitsPerByte * millisecondsPerSecond / std::max(1.0, m_costs.linkMbps);
     co_await carryOut(change, milliseconds(static_cast<std::int64_t>(copyMs)) + prepareMargin);
     if (change.phase() == switch_phase::done)
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -144,6 +144,12 @@
     return all;
 }
 
+double group_monitor::slowestPace() const
+{
+    const rank_paces all = paces();
+    return all.empty() ? 1 : *std::max_element(all.begin(), all.end());
+}
+
 std::uint64_t group_monitor::nextPlacement(std::uint32_t leaderRank, std::uint64_t wallMs) const
 {
     return std::max(m_highestPlacement / leadersPerNumber + 1, wallMs) * leadersPerNumber + leaderRank % leadersPerNumber;
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -62,6 +62,7 @@
     // The contents that `change_placement` asks for.
     const group_placement& planned() const { return m_planned; }
     double currentSkew() const { return m_currentSkew; }
+    double slowestPace() const;
     double plannedSkew() const { return m_plannedSkew; }
 
     // Known and current: every rank of an open group, all in one epoch.
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -11,7 +11,7 @@
     // A server beyond its capacity makes new requests wait for an earlier one's end.
     constexpr double overCapacityMs = 400;
     // For each unit of pace over the usual.
-    constexpr double slowRankMs = 150;
+    constexpr double slowRankMs = 2'000;
     // Added for a server in another zone: a round trip between zones, and its bytes' price.
     constexpr double otherZoneMs = 3;
     // What a failed try costs: its time and a unit of the retry budget.
