gateway: first comers to full groups are told to come back later

Cause: after a slow rank the engines' queues stayed full for eight seconds and every stream was late by its first event.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -34,6 +34,8 @@
     // A begun stream whose caller leaves after a gap of two seconds.
     constexpr milliseconds resumeWait { 300 };
     constexpr milliseconds groupPoll { 20 };
+    // Of the longest pause that a caller keeps to: when one that met full engines comes back.
+    constexpr double shortestPauseShare = 0.4;
     constexpr milliseconds noBackendRetryAfter { 300 };
     constexpr milliseconds fullRetryAfter { 200 };
 
@@ -42,6 +44,12 @@
         return std::chrono::duration_cast<milliseconds>(request.deadline - now);
     }
 
+    // The caller has not been refused before, as far as its time tells.
+    bool isFirstTime(const admitted_request& request)
+    {
+        return timeLeft(request, request.receivedAt) >= request.route.timeout * firstTimeTenths / 10;
+    }
+
 } // namespace
 
 upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, retry_bounds bounds)
@@ -88,6 +96,8 @@
         if (exchange.callerGone())
             co_return std::nullopt;
         const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now };
+        if (request.costs && state.tried.empty() && isFirstTime(request) && allFull(question, m_state.backends(), m_loads))
+            co_return notRun(failure_reason::queue_full, "all ranks have requests waiting", overloadPause(request));
         const std::string id = m_choice.choose(question, m_state.backends(), m_loads, m_context.random());
         if (id.empty()) {
             if (last)
@@ -118,9 +128,8 @@
     const auto left = timeLeft(request, request.receivedAt);
     failure refused { state.worst, failure_reason::no_backend, "the expert group of the service is not open", std::nullopt };
     refused.retryAfter = std::min(longestReopening, timeLeft(request, m_context.now()) / retryAfterPart);
-    const bool firstTime = left >= request.route.timeout * firstTimeTenths / 10;
     const bool begun = state.relay.begun;
-    if (firstTime && !begun && state.arrivals == 0)
+    if (isFirstTime(request) && !begun && state.arrivals == 0)
         co_return refused;
     const instant until = begun ? m_context.now() + resumeWait : request.receivedAt + left * longestWaitTenths / 10;
     exchange.onCallerGone(nullptr);
@@ -135,6 +144,14 @@
     co_return std::nullopt;
 }
 
+// Spread, so that those who are refused together do not come back together.
+milliseconds upstream_dispatcher::overloadPause(const admitted_request& request)
+{
+    const auto longest = std::min(longestReopening, timeLeft(request, m_context.now()) / retryAfterPart);
+    const double draw = std::uniform_real_distribution<double>(shortestPauseShare, 1)(m_context.random());
+    return milliseconds(static_cast<std::int64_t>(draw * static_cast<double>(longest.count())));
+}
+
 bool upstream_dispatcher::mayTryAgain(const admitted_request& request, const progress& state, const try_outcome& last)
 {
     const bool ranSurely = last.failed->ran != verdict::not_run;
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -51,6 +51,7 @@
 
     // Waits while the service's expert group is closed, as far as that serves the caller.
     awaitable<std::optional<failure>> awaitGroup(http_exchange&, const admitted_request&, const progress&);
+    milliseconds overloadPause(const admitted_request&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
     awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, http_call&, http_head, std::int64_t& unread);
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -33,6 +33,14 @@
     return (reading + writing) * load.pace + overCapacityMs * over + slowRankMs * (load.pace - 1);
 }
 
+bool allFull(const upstream_question& question, const backend_directory& backends, const load_board& loads)
+{
+    const auto pool = backends.pool(question.service);
+    return !pool.empty() && std::all_of(pool.begin(), pool.end(), [&](const std::string& id) {
+        return loads.total(id, question.now).requests > backends.find(id)->capacity;
+    });
+}
+
 std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, std::mt19937_64& random) const
 {
     struct candidate {
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -25,6 +25,10 @@
 // alone in its pass; for plain services its queue in units of its capacity.
 double expectedDelay(const backend_load&, int capacity, const std::optional<engine_costs>&, std::int64_t promptTokens);
 
+// True if no server of the service has room: a new request would wait behind others on
+// every one of them.
+bool allFull(const upstream_question&, const backend_directory&, const load_board&);
+
 class upstream_choice {
 public:
     // The id of the server; empty if the service has none.
