gateway: wait for a closed group while the caller does, then come back

Change: decideGroupWait (policy, with a property test): a first comer near the usual end of an outage is told when to come back; others wait until just before their patience ends.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -1,6 +1,6 @@
 #include "gateway/upstream_dispatcher.h"
 
-#include "policy/retry_policy.h"
+#include "policy/group_wait.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -29,8 +29,6 @@
     constexpr int retryAfterPart = 3;
     // A caller with less than this of its route's time has been here before.
     constexpr int firstTimeTenths = 9;
-    // Share of a caller's time after which waiting here would keep it from anything else.
-    constexpr int longestWaitTenths = 4;
     // A begun stream whose caller leaves after a gap of two seconds.
     constexpr milliseconds resumeWait { 300 };
     constexpr milliseconds groupPoll { 20 };
@@ -118,26 +116,26 @@
     }
 }
 
-// A caller that comes for the first time is told at once when to come back: served in time
-// then, it has lost less than by waiting. One that comes again waits here; after the time
-// that `longestWaitShare` allows it is refused too, while it can still go elsewhere.
 awaitable<std::optional<failure>> upstream_dispatcher::awaitGroup(http_exchange& exchange, const admitted_request& request, const progress& state)
 {
     if (!request.costs || !m_groups.closed(request.service, m_context.now()))
         co_return std::nullopt;
-    const auto left = timeLeft(request, request.receivedAt);
-    failure refused { state.worst, failure_reason::no_backend, "the expert group of the service is not open", std::nullopt };
-    refused.retryAfter = std::min(longestReopening, timeLeft(request, m_context.now()) / retryAfterPart);
-    const bool begun = state.relay.begun;
-    if (isFirstTime(request) && !begun && state.arrivals == 0)
-        co_return refused;
-    const instant until = begun ? m_context.now() + resumeWait : request.receivedAt + left * longestWaitTenths / 10;
+    group_wait_question question;
+    question.closedFor = m_groups.closedFor(request.service, m_context.now());
+    question.timeLeft = timeLeft(request, m_context.now());
+    question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
+    question.firstTime = isFirstTime(request) && !state.relay.begun && state.arrivals == 0;
+    group_wait_decision decision = decideGroupWait(question);
+    // The caller of a begun stream has been waiting since its last event.
+    if (state.relay.begun)
+        decision.wait = resumeWait;
+    const instant until = m_context.now() + decision.wait;
     exchange.onCallerGone(nullptr);
     while (m_groups.closed(request.service, m_context.now())) {
         if (exchange.callerGone())
             co_return std::nullopt;
         if (m_context.now() >= until)
-            co_return refused;
+            co_return failure { state.worst, failure_reason::no_backend, "the expert group of the service is not open", decision.retryAfter };
         asio::steady_timer timer(m_context.io(), groupPoll);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -14,7 +14,7 @@
     const instant at = now - age;
     const auto held = m_groups.find(news.group);
     if (held == m_groups.end()) {
-        m_groups[news.group] = { news, at };
+        m_groups[news.group] = { news, at, at };
         return true;
     }
     const auto known = held->second.news.phase.rank();
@@ -22,6 +22,8 @@
         return false;
     const bool changed = news.phase.rank() > known;
     held->second.confirmedAt = changed ? at : std::max(held->second.confirmedAt, at);
+    if (changed)
+        held->second.changedAt = at;
     held->second.news = news;
     return changed;
 }
@@ -49,6 +51,16 @@
     return any;
 }
 
+milliseconds group_board::closedFor(const std::string& service, instant now) const
+{
+    milliseconds shortest = milliseconds::max();
+    for (const auto& [name, held] : m_groups) {
+        if (held.news.service == service && !held.news.phase.open)
+            shortest = std::min(shortest, std::chrono::duration_cast<milliseconds>(now - held.changedAt));
+    }
+    return shortest == milliseconds::max() ? milliseconds(0) : shortest;
+}
+
 bool group_board::memberClosed(std::uint32_t backendHash, instant now) const
 {
     const auto member = m_members.find(backendHash);
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -40,6 +40,8 @@
 
     // True if the service's only groups are known to be closed.
     bool closed(const std::string& service, instant now) const;
+    // How long the service's groups have been closed, as far as this process knows.
+    milliseconds closedFor(const std::string& service, instant now) const;
     // True if the server's group is known to be closed while another of the service is open.
     bool memberClosed(std::uint32_t backendHash, instant now) const;
     // What is known, with its age, for peers.
@@ -49,6 +51,7 @@
     struct entry {
         group_news news;
         instant confirmedAt;
+        instant changedAt;
     };
 
     bool knownClosed(const entry&, instant now) const;
--- /dev/null
+++ b/Source/policy/group_wait.cpp
@@ -0,0 +1,39 @@
+#include "policy/group_wait.h"
+
+#include <algorithm>
+
+namespace rampgap {
+
+namespace {
+
+    // Cuts and crashes of the users' list last about 5.5 s, and a group forms in 0.6 s.
+    constexpr milliseconds usualOutage { 6'100 };
+    // A longer outage is looked at again this often.
+    constexpr milliseconds leastRemaining { 400 };
+    // Callers keep to a pause of up to a third of the time that they have left.
+    constexpr int pausePart = 3;
+    // Kept for the refusal to reach a caller that is about to give up.
+    constexpr milliseconds patienceMargin { 200 };
+    constexpr milliseconds leastPatience { 2'000 };
+    constexpr int patienceTargets = 4;
+    constexpr int patienceGaps = 8;
+
+} // namespace
+
+group_wait_decision decideGroupWait(const group_wait_question& question)
+{
+    const milliseconds remaining = std::max(leastRemaining, usualOutage - question.closedFor);
+    const milliseconds longestPause = question.timeLeft / pausePart;
+    if (question.firstTime && remaining <= longestPause)
+        return { milliseconds(0), remaining };
+    const milliseconds wait = std::max(milliseconds(0), std::min(question.patience - patienceMargin, question.timeLeft - patienceMargin));
+    const milliseconds pauseThen = std::max(milliseconds(0), question.timeLeft - wait) / pausePart;
+    return { wait, std::min(pauseThen, std::max(leastRemaining, remaining - wait)) };
+}
+
+milliseconds callerPatience(milliseconds latencyTarget, milliseconds gapTarget)
+{
+    return std::max({ leastPatience, latencyTarget * patienceTargets, gapTarget * patienceGaps });
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/group_wait.h
@@ -0,0 +1,37 @@
+// What a request does whose expert group is closed: wait here, or come back.
+#pragma once
+
+#include "policy/verdict.h"
+
+#include <optional>
+
+namespace rampgap {
+
+struct group_wait_question {
+    // How long the group has been closed.
+    milliseconds closedFor { 0 };
+    // Until the caller's deadline.
+    milliseconds timeLeft { 0 };
+    // Silence after which the caller gives up by itself.
+    milliseconds patience { 2'000 };
+    // The caller was not refused before, as far as can be told.
+    bool firstTime = true;
+};
+
+struct group_wait_decision {
+    // Wait so long for the group to open; 0: refuse at once.
+    milliseconds wait { 0 };
+    // When the refused caller should come back.
+    milliseconds retryAfter { 0 };
+
+    bool operator==(const group_wait_decision&) const = default;
+};
+
+// A caller that comes back in time and is then served at once has lost less than one that
+// waited, but it comes back only once and keeps to a pause of a third of its time.
+group_wait_decision decideGroupWait(const group_wait_question&);
+
+// Silence after which callers of streams give up.
+milliseconds callerPatience(milliseconds latencyTarget, milliseconds gapTarget);
+
+} // namespace rampgap
--- /dev/null
+++ b/Tests/platform/group-state/wait.cpp
@@ -0,0 +1,36 @@
+// Requests whose expert group is closed.
+#include "policy/group_wait.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace rampgap;
+
+TEST_CASE("a first comer late in an outage comes back after it, an early one waits first")
+{
+    group_wait_question question;
+    question.timeLeft = milliseconds(8'000);
+    question.closedFor = milliseconds(5'000);
+    CHECK(decideGroupWait(question).wait == milliseconds(0));
+    CHECK(decideGroupWait(question).retryAfter == milliseconds(1'100));
+    question.closedFor = milliseconds(500);
+    CHECK(decideGroupWait(question).wait == milliseconds(1'800));
+    question.closedFor = milliseconds(5'000);
+    question.firstTime = false;
+    CHECK(decideGroupWait(question).wait == milliseconds(1'800));
+}
+
+TEST_CASE("nobody is kept beyond its patience, its time, or the pause that callers keep to")
+{
+    CHECK(rc::check([] {
+        group_wait_question question;
+        question.timeLeft = milliseconds(*rc::gen::inRange(0, 10'000));
+        question.closedFor = milliseconds(*rc::gen::inRange(0, 20'000));
+        question.firstTime = *rc::gen::arbitrary<bool>();
+        const auto decision = decideGroupWait(question);
+        RC_ASSERT(decision.wait >= milliseconds(0));
+        RC_ASSERT(decision.wait < question.patience);
+        RC_ASSERT(decision.wait <= question.timeLeft);
+        RC_ASSERT(decision.retryAfter <= (question.timeLeft - decision.wait) / 3 + milliseconds(1));
+    }));
+}
