--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -2,8 +2,8 @@
 
 #include "daemon/header_names.h"
 #include "daemon/log.h"
-#include "peer.pb.h"
 #include "discovery/platform_source.h"
+#include "peer.pb.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -1,8 +1,8 @@
 #include "daemon/configuration_node.h"
 
 #include "daemon/log.h"
-#include "peer.pb.h"
 #include "discovery/platform_source.h"
+#include "peer.pb.h"
 #include "policy/reader_choice.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/Source/daemon/decision_log.h
+++ b/Source/daemon/decision_log.h
@@ -26,8 +26,8 @@
     // In whole milliseconds.
     log_line& add(std::string_view key, duration value);
     template <class Number>
-        requires std::is_arithmetic_v<Number>
-    log_line& add(std::string_view key, Number value)
+    requires std::is_arithmetic_v<Number>
+        log_line& add(std::string_view key, Number value)
     {
         return m_admitted ? add(key, std::string_view(std::to_string(value))) : *this;
     }
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -61,7 +61,6 @@
     // Far above a round trip between zones, below the wait for a lost packet.
     static constexpr milliseconds defaultConnectTimeout { 500 };
 
-
     explicit http_client(process_context&, milliseconds connectTimeout = defaultConnectTimeout);
     ~http_client();
 
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -35,9 +36,22 @@
         { metric::ledger_ids, "rampgap_ledger_ids", "Ids of requests that may run at most once, in memory", true },
         { metric::datagrams_unsent, "rampgap_datagrams_unsent_total", "Datagrams to peers that the kernel refused", false },
         { metric::datagrams_refused, "rampgap_datagrams_refused_total", "Datagrams received that could not be read", false },
-        { metric::log_lines_dropped, "rampgap_log_lines_dropped_total", "Log lines dropped by their budget or a full pipe", false },
+        { metric::log_lines_dropped, "rampgap_log_lines_dropped", "Log lines dropped by their budget or a full pipe since the start", true },
     } };
 
+    struct latency_row {
+        const char* name;
+        const char* help;
+    };
+
+    constexpr std::array<latency_row, latencyCount> latencyRows { {
+        { "rampgap_request_seconds", "Time from a request's arrival to its final answer" },
+        { "rampgap_first_byte_seconds", "Time from a request's arrival to the first byte of a server's answer" },
+    } };
+
+    // Seconds; around the targets of the users' routes (0.3 and 0.5) and their timeouts (1.5, 4 and 8).
+    const prometheus::Histogram::BucketBoundaries latencyBounds { 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 4, 8 };
+
 } // namespace
 
 const std::array<metric_row, metricCount>& metricTable()
@@ -59,6 +73,15 @@
 
 metrics::~metrics() = default;
 
+// Made at the first observation: programs without requests do not show it.
+void metrics::observe(latency id, duration elapsed)
+{
+    const auto index = static_cast<std::size_t>(id);
+    if (!m_latencies[index])
+        m_latencies[index] = &prometheus::BuildHistogram().Name(latencyRows[index].name).Help(latencyRows[index].help).Register(*m_registry).Add({}, latencyBounds);
+    m_latencies[index]->Observe(std::chrono::duration<double>(elapsed).count());
+}
+
 void metrics::add(metric id, double amount)
 {
     const auto index = static_cast<std::size_t>(id);
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -11,6 +11,7 @@
 namespace prometheus {
 class Counter;
 class Gauge;
+class Histogram;
 class Registry;
 }
 
@@ -54,6 +55,16 @@
 
 const std::array<metric_row, metricCount>& metricTable();
 
+// Each latency histogram; its name and help stand in one table in the source.
+enum class latency {
+    // From a request's arrival to its final answer.
+    request,
+    // From a request's arrival to the first byte of a server's answer.
+    first_byte,
+};
+
+inline constexpr std::size_t latencyCount = 2;
+
 class metrics {
 public:
     metrics();
@@ -62,6 +73,7 @@
     void add(metric, double amount = 1);
     void set(metric, double value);
     double value(metric) const;
+    void observe(latency, duration);
     // Counts a refusal under its reason and verdict.
     void countFailure(const failure&);
     std::string serialize() const;
@@ -70,6 +82,7 @@
     std::shared_ptr<prometheus::Registry> m_registry;
     std::array<prometheus::Counter*, metricCount> m_counters {};
     std::array<prometheus::Gauge*, metricCount> m_gauges {};
+    std::array<prometheus::Histogram*, latencyCount> m_latencies {};
     std::map<std::pair<verdict, failure_reason>, prometheus::Counter*> m_failures;
 };
 
--- a/Source/entry/main.cpp
+++ b/Source/entry/main.cpp
@@ -1,8 +1,8 @@
 // rampgap-entry: the process of an entry VM.
 
 #include "daemon/daemon_main.h"
-#include "entry/entry_server.h"
 #include "discovery/platform_source.h"
+#include "entry/entry_server.h"
 
 int main(int argc, char** argv)
 {
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -128,6 +128,7 @@
     });
     m_metricsPages.add("/metrics", [this](const http_request&) {
         m_context.counters().set(metric::in_flight, m_front.inFlight());
+        m_context.counters().set(metric::log_lines_dropped, static_cast<double>(m_log.dropped()));
         return makeResponse(200, "text/plain; version=0.0.4", m_context.counters().serialize());
     });
 }
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -13,7 +13,7 @@
 namespace rampgap {
 
 namespace gateway {
-class peer_datagram;
+    class peer_datagram;
 }
 
 class http_client;
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -68,6 +68,7 @@
     progress state;
     state.relay.lastEventId = request.said.lastEventId;
     auto failed = co_await run(exchange, request, state);
+    m_context.counters().observe(latency::request, m_context.now() - request.receivedAt);
     if (failed)
         co_await refuse(exchange, request, state, std::move(*failed));
     else
@@ -225,6 +226,7 @@
     if (streams && request.route.resumable)
         options.silenceLimit = streamSilence;
     options.onFirstBytes = [&] {
+        m_context.counters().observe(latency::first_byte, m_context.now() - request.receivedAt);
         m_loads.noteBegun(backend.id, unread);
         unread = 0;
     };
--- a/Tests/platform/upstream-choice/test.cpp
+++ b/Tests/platform/upstream-choice/test.cpp
@@ -14,7 +14,6 @@
     backend_directory backends { milliseconds(2'000) };
     load_board loads { milliseconds(600) };
     std::mt19937_64 random { 5 };
-
 };
 
 void addServers(fleet& made, int servers)
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -4,5 +4,5 @@
 cd "$(dirname "$0")/.."
 git ls-files '*.h' '*.cpp' | grep -v '/generated/' | xargs clang-format --dry-run --Werror
 echo "format: clean"
-git ls-files 'Source/policy/*.cpp' | xargs -P 8 -n 4 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p build/ci
+git ls-files 'Source/policy/*.cpp' 'Source/gateway/*.cpp' 'platform/*.cpp' | xargs -P 8 -n 4 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p build/ci
 echo "lint: clean"
