groups: exchange experts between ranks, budget copies by time, order by difference

Cause: at the grown sites planned placements ended at 1.3 times the mean: a gain had to be 12 in 100 of the mean, three new experts were allowed though a copy takes 14 ms there, and experts were never exchanged; a change took 0.5 s since the whole placement went to 63 agents over 8 Mbit/s. Change: gains count against the mean, the planner exchanges experts, the budget is 0.3 s of copies, agents get what differs from a placement that they hold. Ruled out on the way: an aggregate temporary in a co_await (agents died).

--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -26,9 +26,12 @@
     constexpr double millisecondsPerSecond = 1'000;
     // A rank whose agent is silent is asked directly, which pauses nothing but has its price.
     constexpr milliseconds directLookInterval { 400 };
-    // New experts of a rank in one change. Each takes about 0.1 s to copy; with three the
-    // most loaded rank comes from 4.2 to 1.2 times the mean (a trial of the planner).
-    constexpr std::size_t newExpertsPerRank = 3;
+    // How long the copies of one change may take. Of today's experts (0.1 s each) three fit:
+    // with them the most loaded rank comes from 4.2 to 1.2 times the mean (a trial).
+    constexpr double longestCopyMs = 300;
+    // Least gain of a change: one that costs nothing, and for each second of a copy.
+    constexpr double freeChangeGain = 0.03;
+    constexpr double gainPerCopySecond = 0.9;
 
     std::uint64_t wallMilliseconds()
     {
@@ -67,10 +70,16 @@
     settings.experts = static_cast<std::size_t>(costs.experts);
     settings.limits.slotsPerRank = static_cast<std::size_t>(costs.slotsPerRank);
     settings.limits.newPerSet = static_cast<std::size_t>(costs.newExpertsPerPrepare);
-    settings.limits.newPerRank = newExpertsPerRank;
+    settings.limits.newPerRank = std::max<std::size_t>(1, static_cast<std::size_t>(longestCopyMs / copyMs()));
+    settings.leastGain = freeChangeGain + gainPerCopySecond * copyMs() / millisecondsPerSecond;
     m_monitor.emplace(settings);
 }
 
+double group_leader::copyMs() const
+{
+    return std::max(1.0, m_costs.expertMb * bitsPerByte * millisecondsPerSecond / std::max(1.0, m_costs.linkMbps));
+}
+
 void group_leader::observe(const rank_observation& seen)
 {
     if (m_monitor)
@@ -174,8 +183,7 @@
     const auto placement = m_monitor->nextPlacement(static_cast<std::uint32_t>(ownRank), wallMilliseconds());
     map_switch change(placement, contents, m_monitor->epoch(), ids.size(), ownRank, settings);
     m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew());
-    const double copyMs = newExpertsPerRank * m_costs.expertMb * bitsPerByte * millisecondsPerSecond / std::max(1.0, m_costs.linkMbps);
-    co_await carryOut(change, milliseconds(static_cast<std::int64_t>(copyMs)) + prepareMargin);
+    co_await carryOut(change, milliseconds(static_cast<std::int64_t>(longestCopyMs)) + prepareMargin);
     if (change.phase() == switch_phase::done)
         m_monitor->noteChanged(change.placement(), *contents, m_context.now());
     else
@@ -233,7 +241,8 @@
         const milliseconds wait = next.order.kind == map_order_kind::prepare ? prepareTime : milliseconds(0);
         asio::co_spawn(
             m_context.io(), [this, &change, round, next, backend = *listed, wait]() -> awaitable<void> {
-                const auto outcome = co_await m_link.order(backend, next.order, wait);
+                const numbered_placement base = m_monitor->current();
+                const auto outcome = co_await m_link.order(backend, next.order, wait, base);
                 if (outcome.after)
                     m_monitor->observe({ backend.id, *outcome.after, {} }, m_context.now());
                 change.note(next.rank, next.order.kind, outcome.reply, outcome.after ? &*outcome.after : nullptr);
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/group_leader.h
@@ -30,6 +30,8 @@
     // Sends the orders of a change until it has ended.
     awaitable<void> carryOut(map_switch&, milliseconds prepareTime);
     awaitable<void> sendRound(map_switch&, milliseconds prepareTime);
+    // Time to copy one expert to a rank, by the published figures.
+    double copyMs() const;
     std::uint64_t nextFence();
     void logEnd(const map_switch&, instant began, std::string_view what);
 
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -14,6 +14,8 @@
     // A call to an agent holds one order of at most 120 ms and two short readings.
     constexpr milliseconds agentTimeout { 250 };
     constexpr milliseconds preparedPoll { 15 };
+    // The one in use, the one being prepared, and those of changes that failed between.
+    constexpr std::size_t placementsKept = 4;
 
     std::string hostOf(const std::string& address)
     {
@@ -31,18 +33,32 @@
 {
 }
 
-awaitable<order_outcome> rank_link::order(listed_backend backend, map_order order, milliseconds wait)
+awaitable<result<http_response>> rank_link::send(const std::string& agent, gateway::rank_order wire, milliseconds wait)
 {
-    gateway::rank_order wire = toWire(order);
-    wire.set_backend_id(backend.id);
-    if (order.kind == map_order_kind::prepare) {
-        wire.set_await_prepared(order.placement);
-        wire.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
-    }
     http_request request { http::verb::post, rankOrderPath, 11 };
     request.body() = wire.SerializeAsString();
+    co_return co_await m_client.fetch(agent, std::move(request), agentTimeout + wait);
+}
+
+awaitable<order_outcome> rank_link::order(listed_backend backend, map_order order, milliseconds wait, numbered_placement base)
+{
+    const bool prepares = order.kind == map_order_kind::prepare;
+    const auto complete = [&](gateway::rank_order wire) {
+        wire.set_backend_id(backend.id);
+        if (prepares) {
+            wire.set_await_prepared(order.placement);
+            wire.set_wait_ms(static_cast<std::uint32_t>(wait.count()));
+        }
+        return wire;
+    };
     const std::string agent = hostOf(backend.address) + ":" + std::to_string(m_agentPort);
-    const auto response = co_await m_client.fetch(agent, std::move(request), agentTimeout + wait);
+    const bool byDifference = prepares && base.number != 0 && base.contents;
+    const gateway::rank_order first = complete(byDifference ? toWire(order, base) : toWire(order));
+    auto response = co_await send(agent, first, wait);
+    if (byDifference && response && response.value().result() == http::status::conflict) {
+        const gateway::rank_order whole = complete(toWire(order));
+        response = co_await send(agent, whole, wait);
+    }
     gateway::rank_order_result answer;
     order_outcome outcome;
     if (response && response.value().result() == http::status::ok && answer.ParseFromString(response.value().body())) {
@@ -83,7 +99,15 @@
     if (!wire.ParseFromString(request.body()) || !wire.has_order())
         co_return makeResponse(400, "text/plain", "the body is not an order\n");
     gateway::rank_order_result answer;
-    const map_order order = fromWire(wire);
+    const auto base = m_prepared.find(wire.base_placement());
+    if (wire.base_placement() != 0 && base == m_prepared.end())
+        co_return makeResponse(409, "text/plain", "the base placement is not known here\n");
+    const map_order order = fromWire(wire, base == m_prepared.end() ? nullptr : base->second.get());
+    if (order.contents) {
+        m_prepared[order.placement] = order.contents;
+        while (m_prepared.size() > placementsKept)
+            m_prepared.erase(m_prepared.begin());
+    }
     const instant until = m_context.now() + milliseconds(wire.wait_ms());
     order_reply reply = co_await m_port.order(engineAddress, wire.backend_id(), order);
     // A preparation without an answer may be carried out seconds later; given again, it
--- a/Source/gateway/rank_link.h
+++ b/Source/gateway/rank_link.h
@@ -7,8 +7,14 @@
 #include "gateway/rank_port.h"
 #include "policy/backend_directory.h"
 
+#include <map>
+
 namespace rampgap {
 
+namespace gateway {
+class rank_order;
+}
+
 struct order_outcome {
     order_reply reply = order_reply::unanswered;
     std::optional<rank_view> after;
@@ -20,8 +26,9 @@
     rank_link(process_context&, decision_log&, rank_port&, unsigned short agentPort);
 
     // Gives an order and reads the state after it. A preparation is answered when its copy
-    // is complete, or after `wait`.
-    awaitable<order_outcome> order(listed_backend, map_order, milliseconds wait);
+    // is complete, or after `wait`. `base`: what the agents hold already, without contents
+    // if that is not known.
+    awaitable<order_outcome> order(listed_backend, map_order, milliseconds wait, numbered_placement base);
     awaitable<std::optional<rank_view>> view(listed_backend);
     awaitable<std::optional<rank_experts>> experts(listed_backend);
 
@@ -29,6 +36,7 @@
     awaitable<http_response> serve(const http_request&, std::string engineAddress);
 
 private:
+    awaitable<result<http_response>> send(const std::string& agent, gateway::rank_order, milliseconds wait);
     awaitable<void> awaitPrepared(const std::string& engineAddress, std::uint64_t placement, instant until);
 
     process_context& m_context;
@@ -36,6 +44,8 @@
     rank_port& m_port;
     unsigned short m_agentPort;
     http_client m_client;
+    // Placements that were prepared here, the last few.
+    std::map<std::uint64_t, std::shared_ptr<const group_placement>> m_prepared;
 };
 
 // Where an agent takes orders.
--- a/Source/gateway/rank_wire.cpp
+++ b/Source/gateway/rank_wire.cpp
@@ -63,7 +63,27 @@
     return wire;
 }
 
-map_order fromWire(const gateway::rank_order& wire)
+gateway::rank_order toWire(const map_order& order, const numbered_placement& base)
+{
+    map_order bare = order;
+    bare.contents = nullptr;
+    gateway::rank_order wire = toWire(bare);
+    wire.set_base_placement(base.number);
+    for (std::size_t set = 0; set < order.contents->size(); ++set) {
+        const auto& ranks = (*order.contents)[set];
+        for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
+            if (ranks[rank] == (*base.contents)[set][rank])
+                continue;
+            auto* change = wire.add_changes();
+            change->set_set(static_cast<std::uint32_t>(set));
+            change->set_rank(static_cast<std::uint32_t>(rank));
+            change->mutable_experts()->Assign(ranks[rank].begin(), ranks[rank].end());
+        }
+    }
+    return wire;
+}
+
+map_order fromWire(const gateway::rank_order& wire, const group_placement* base)
 {
     map_order order;
     order.kind = static_cast<map_order_kind>(wire.kind());
@@ -71,6 +91,15 @@
     order.step = wire.step();
     order.epoch = wire.epoch();
     order.fence = wire.fence();
+    if (base && wire.base_placement() != 0) {
+        auto changed = std::make_shared<group_placement>(*base);
+        for (const auto& change : wire.changes()) {
+            if (change.set() < changed->size() && change.rank() < (*changed)[change.set()].size())
+                (*changed)[change.set()][change.rank()].assign(change.experts().begin(), change.experts().end());
+        }
+        order.contents = std::move(changed);
+        return order;
+    }
     if (wire.contents().empty())
         return order;
     auto contents = std::make_shared<group_placement>();
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -56,7 +56,7 @@
 void group_monitor::learn(std::uint64_t placement, group_placement contents)
 {
     m_knownPlacement = placement;
-    m_current = std::move(contents);
+    m_current = std::make_shared<const group_placement>(std::move(contents));
 }
 
 void group_monitor::noteChanged(std::uint64_t placement, group_placement contents, instant now)
@@ -115,8 +115,14 @@
         return leader_task::learn_placement;
     const expert_shares estimate = shares();
     const rank_paces pace = paces();
-    m_currentSkew = groupSkew(m_current, estimate, pace);
-    m_planned = planPlacement(m_current, estimate, pace, m_settings.limits);
+    m_currentSkew = groupSkew(*m_current, estimate, pace);
+    // A plan costs processor time: none is made where it could not gain enough, and not
+    // again before there is something new to plan from.
+    const double best = m_settings.limits.targetSkew;
+    if (m_currentSkew - best < m_settings.leastGain * m_currentSkew)
+        return leader_task::none;
+    m_pauseUntil = now + m_settings.planPause;
+    m_planned = planPlacement(*m_current, estimate, pace, m_settings.limits);
     m_plannedSkew = groupSkew(m_planned, estimate, pace);
     return m_currentSkew - m_plannedSkew > m_settings.leastGain * m_currentSkew ? leader_task::change_placement : leader_task::none;
 }
@@ -144,6 +150,13 @@
     return all;
 }
 
+numbered_placement group_monitor::current() const
+{
+    if (!m_knownPlacement)
+        return {};
+    return { *m_knownPlacement, m_current };
+}
+
 double group_monitor::slowestPace() const
 {
     const rank_paces all = paces();
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -41,6 +41,8 @@
     double leastChoices = 20'000;
     // Between two changes: the copies lengthen the steps meanwhile.
     milliseconds pause { 150 };
+    // Between two plans; counts come each 100 ms.
+    milliseconds planPause { 100 };
     // A hold that nobody at work explains for so long is cleared away.
     milliseconds strayLife { 250 };
 
@@ -61,6 +63,8 @@
     leader_task decide(instant now);
     // The contents that `change_placement` asks for.
     const group_placement& planned() const { return m_planned; }
+    // The placement in use, without contents if they are not known.
+    numbered_placement current() const;
     double currentSkew() const { return m_currentSkew; }
     double slowestPace() const;
     double plannedSkew() const { return m_plannedSkew; }
@@ -102,7 +106,7 @@
     instant m_choicesAt {};
     std::uint64_t m_highestPlacement = 0;
     std::optional<std::uint64_t> m_knownPlacement;
-    group_placement m_current;
+    std::shared_ptr<const group_placement> m_current = std::make_shared<group_placement>();
     group_placement m_planned;
     double m_currentSkew = 1;
     double m_plannedSkew = 1;
--- a/Source/policy/placement_planner.cpp
+++ b/Source/policy/placement_planner.cpp
@@ -10,8 +10,11 @@
     using expert = std::uint16_t;
     using layer_ranks = std::vector<std::vector<expert>>;
 
-    // Below this a copy moves less load than the estimate is sure of.
-    constexpr double leastGain = 0.002;
+    // Of the mean load: below this a copy moves less than the estimate is sure of.
+    constexpr double leastGainOfMean = 0.02;
+
+    // Least loaded ranks that are tried for one replica: the first mostly fits.
+    constexpr std::size_t mostRanksTried = 4;
 
     bool contains(const std::vector<expert>& held, expert wanted)
     {
@@ -36,6 +39,7 @@
                     ++m_replicas[e];
             }
             m_mean = std::accumulate(shares.begin(), shares.end(), 0.0) / static_cast<double>(m_ranks.size());
+            m_leastGain = leastGainOfMean * m_mean;
             measure();
         }
 
@@ -53,7 +57,7 @@
                 if (replicate(hot, e))
                     return true;
             }
-            return drop(hot);
+            return swap(hot) || drop(hot);
         }
 
         layer_ranks take() { return std::move(m_ranks); }
@@ -99,35 +103,78 @@
             std::sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) { return m_loads[a] < m_loads[b]; });
             const double before = m_loads[hot];
             const double gain = (share(e) - m_shares[e] / (m_replicas[e] + 1)) * m_paces[hot];
-            if (gain < leastGain)
+            if (gain < m_leastGain)
                 return false;
+            std::size_t tries = 0;
             for (const std::size_t rank : order) {
                 if (rank == hot || contains(m_ranks[rank], e) || !mayGrow(rank, e))
                     continue;
-                const layer_ranks savedRanks = m_ranks;
-                const auto savedReplicas = m_replicas;
+                if (++tries > mostRanksTried)
+                    break;
+                const std::vector<expert> saved = m_ranks[rank];
+                expert gone = e;
                 if (m_ranks[rank].size() >= m_limits.slotsPerRank) {
                     const expert* given = cheapest(rank, e);
                     if (!given)
                         continue;
-                    const expert gone = *given;
+                    gone = *given;
                     std::erase(m_ranks[rank], gone);
                     --m_replicas[gone];
                 }
                 m_ranks[rank].push_back(e);
                 ++m_replicas[e];
                 measure();
-                if (m_loads[hot] < before - leastGain / 2 && m_loads[rank] < before - leastGain / 2 && worstLoad() <= before) {
+                if (m_loads[hot] < before - m_leastGain / 2 && m_loads[rank] < before - m_leastGain / 2 && worstLoad() <= before) {
                     countNew(rank, e);
                     return true;
                 }
-                m_ranks = savedRanks;
-                m_replicas = savedReplicas;
+                m_ranks[rank] = saved;
+                --m_replicas[e];
+                if (gone != e)
+                    ++m_replicas[gone];
                 measure();
             }
             return false;
         }
 
+        // Exchanges an expert of the most loaded rank for a lighter one of another rank.
+        bool swap(std::size_t hot)
+        {
+            const double before = m_loads[hot];
+            double best = before - m_leastGain;
+            std::size_t bestRank = hot;
+            expert given = 0;
+            expert taken = 0;
+            for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+                if (m_loads[rank] >= best)
+                    continue;
+                for (const expert mine : m_ranks[hot]) {
+                    if (contains(m_ranks[rank], mine) || !mayGrow(rank, mine))
+                        continue;
+                    for (const expert theirs : m_ranks[rank]) {
+                        if (share(theirs) >= share(mine) || contains(m_ranks[hot], theirs) || !mayGrow(hot, theirs))
+                            continue;
+                        const double difference = share(mine) - share(theirs);
+                        const double worse = std::max(before - difference * m_paces[hot], m_loads[rank] + difference * m_paces[rank]);
+                        if (worse >= best)
+                            continue;
+                        best = worse;
+                        bestRank = rank;
+                        given = mine;
+                        taken = theirs;
+                    }
+                }
+            }
+            if (bestRank == hot)
+                return false;
+            std::replace(m_ranks[hot].begin(), m_ranks[hot].end(), given, taken);
+            std::replace(m_ranks[bestRank].begin(), m_ranks[bestRank].end(), taken, given);
+            countNew(hot, taken);
+            countNew(bestRank, given);
+            measure();
+            return true;
+        }
+
         // Gives up a replica on the most loaded rank if the others can carry it.
         bool drop(std::size_t hot)
         {
@@ -139,7 +186,7 @@
                 std::erase(m_ranks[hot], e);
                 --m_replicas[e];
                 measure();
-                if (worstLoad() < before - leastGain)
+                if (worstLoad() < before - m_leastGain)
                     return true;
                 m_ranks[hot].push_back(e);
                 ++m_replicas[e];
@@ -166,6 +213,7 @@
         std::vector<std::size_t> m_newHere;
         std::vector<double> m_loads;
         double m_mean = 0;
+        double m_leastGain = 0;
     };
 
 } // namespace
--- a/Source/policy/rank_types.h
+++ b/Source/policy/rank_types.h
@@ -52,6 +52,12 @@
     bool operator==(const expert_counts&) const = default;
 };
 
+// A placement and its number.
+struct numbered_placement {
+    std::uint64_t number = 0;
+    std::shared_ptr<const group_placement> contents;
+};
+
 enum class map_order_kind {
     prepare,
     hold,
