--- a/Source/gateway/rank_link.h
+++ b/Source/gateway/rank_link.h
@@ -12,7 +12,7 @@
 namespace rampgap {
 
 namespace gateway {
-class rank_order;
+    class rank_order;
 }
 
 struct order_outcome {
--- a/Tests/requests/caller-gone/test.cpp
+++ b/Tests/requests/caller-gone/test.cpp
@@ -15,7 +15,7 @@
     for (const std::string stream : { "true", "false" }) {
         const std::string body = R"({"model":"assistant","prompt":"long","max_tokens":1000000,"stream":)" + stream + "}";
         const auto untilItRuns = [&] { REQUIRE(eventually([&] { return get(fleet.engine("a1").address(), "/standin/runs").body.find("\"in_batch\":1") != std::string::npos; })); };
-        test_client::raw(fleet.entry("e1").address(), "POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer " + smallKey + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, untilItRuns);
+        test_client::raw(fleet.entry("e1").address(), "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + smallKey + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body, untilItRuns);
         CHECK(eventually([&] { return get(fleet.engine("a1").address(), "/standin/runs").body.find("\"in_batch\":0") != std::string::npos; }));
     }
     CHECK(get(fleet.engine("a1").address(), "/standin/runs").body.find("\"cancelled\":2") != std::string::npos);
