groups: a new leader looks at engines that it never heard of

The next leader takes over after 0.7 s but asked only ranks that it had seen. Ruled out: the choice of the leader, now logged; the engine of a frozen machine does not answer at all, so nobody can release the step earlier. Change: members that were never observed are asked directly; answers that nobody wants are read by one function that closes the connection on failure.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -177,6 +177,10 @@
 {
     const auto* own = ownBackend();
     const std::string leader = m_choice.choose(members(), m_context.now());
+    if (leader != m_leaderId) {
+        m_log.line("leader_chosen").add("leader", leader).add("before", m_leaderId.empty() ? "-" : m_leaderId);
+        m_leaderId = leader;
+    }
     if (leader.empty() || !own)
         return;
     if (leader == own->id) {
@@ -258,7 +262,8 @@
         if (!leads())
             continue;
         const std::string ownId = ownBackend()->id;
-        co_await m_leader.work(ownId);
+        const auto ids = members();
+        co_await m_leader.work(ids, ownId);
     }
 }
 
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -54,6 +54,7 @@
     std::vector<std::uint64_t> m_lastCounts;
     std::uint64_t m_countsEpoch = 0;
     std::uint64_t m_reports = 0;
+    std::string m_leaderId;
 };
 
 } // namespace rampgap
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -108,11 +108,11 @@
     return m_lastFence;
 }
 
-awaitable<void> group_leader::work(const std::string& ownBackendId)
+awaitable<void> group_leader::work(std::vector<std::string> members, std::string ownBackendId)
 {
     if (!m_monitor)
         co_return;
-    co_await lookAtMissing();
+    co_await lookAtMissing(std::move(members));
     switch (m_monitor->decide(m_context.now())) {
     case leader_task::none:
         break;
@@ -128,18 +128,20 @@
     }
 }
 
-awaitable<void> group_leader::lookAtMissing()
+awaitable<void> group_leader::lookAtMissing(std::vector<std::string> members)
 {
     const instant now = m_context.now();
     if (now - m_lastDirectLook < directLookInterval)
         co_return;
     m_lastDirectLook = now;
-    const auto ids = m_monitor->backendIds();
-    for (const auto rank : m_monitor->missing(now)) {
-        const auto* listed = rank < ids.size() ? m_state.backends().find(ids[rank]) : nullptr;
+    const auto missing = m_monitor->unobserved(members, now);
+    // Most members missing: this agent hears nobody, or has just started to lead.
+    if (missing.size() > members.size() / 2)
+        co_return;
+    for (const auto& id : missing) {
+        const auto* listed = m_state.backends().find(id);
         if (!listed)
             continue;
-        const std::string id = ids[rank];
         const auto seen = co_await m_link.view(*listed);
         if (seen)
             m_monitor->observe({ id, *seen, {} }, m_context.now());
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/group_leader.h
@@ -20,10 +20,10 @@
     // Requests at each rank that was observed lately.
     load_report_by_hash rankLoads() const;
     // One look at what there is to do; returns when it is done. Call again and again.
-    awaitable<void> work(const std::string& ownBackendId);
+    awaitable<void> work(std::vector<std::string> members, std::string ownBackendId);
 
 private:
-    awaitable<void> lookAtMissing();
+    awaitable<void> lookAtMissing(std::vector<std::string> members);
     awaitable<void> learnPlacement();
     awaitable<void> changePlacement(const std::string& ownBackendId);
     awaitable<void> cleanUp();
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -78,8 +78,10 @@
 awaitable<std::optional<rank_view>> rank_link::view(listed_backend backend)
 {
     const auto state = co_await m_port.state(backend.address);
-    if (!state)
+    if (!state) {
+        m_log.line("rank_state_unknown").add("backend", backend.id).add("address", backend.address).add("reason", state.error().message);
         co_return std::nullopt;
+    }
     co_return state.value();
 }
 
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -37,6 +37,17 @@
     constexpr milliseconds noBackendRetryAfter { 300 };
     constexpr milliseconds fullRetryAfter { 200 };
 
+    // Longest body of a refusal that is read for the sake of keeping the connection.
+    constexpr std::size_t longestDroppedBody = 65'536;
+
+    // Reads an answer that nobody wants; if that fails the connection is closed.
+    awaitable<void> drop(http_call& call)
+    {
+        const auto body = co_await call.readAll(longestDroppedBody);
+        if (!body)
+            call.cancel();
+    }
+
     milliseconds timeLeft(const admitted_request& request, instant now)
     {
         return std::chrono::duration_cast<milliseconds>(request.deadline - now);
@@ -209,7 +220,7 @@
 {
     const reply_verdict reply = m_codec.judge(head, request.said);
     if (reply.kind == reply_kind::not_executed || reply.kind == reply_kind::wrong_server) {
-        co_await call.readAll(65'536);
+        co_await drop(call);
         const bool replaced = reply.kind == reply_kind::wrong_server;
         co_return try_outcome { notRun(failure_reason::queue_full, reply.reason, fullRetryAfter), replaced ? try_result::replaced : try_result::refused };
     }
@@ -238,7 +249,7 @@
     // An engine's failure of a repeatable request may be mended by another engine.
     const bool mend = serverFailed && request.route.repeatable() && state.arrivals < request.route.maxAttempts && timeLeft(request, m_context.now()) > request.route.latencyTarget;
     if (mend) {
-        co_await call.readAll(65'536);
+        co_await drop(call);
         co_return try_outcome { mayHaveRun(failure_reason::backend_error, "the engine answered " + std::to_string(head.result_int())), try_result::failed };
     }
     auto relayed = co_await relayAnswer(call, std::move(head), exchange, state.relay, options);
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -81,15 +81,17 @@
     });
 }
 
-std::vector<std::uint32_t> group_monitor::missing(instant now) const
-{
-    std::vector<std::uint32_t> ranks;
-    for (std::uint32_t rank = 0; rank < m_size; ++rank) {
-        const auto held = m_ranks.find(rank);
-        if (held == m_ranks.end() || now - held->second.at >= m_settings.observationLife)
-            ranks.push_back(rank);
+std::vector<std::string> group_monitor::unobserved(const std::vector<std::string>& members, instant now) const
+{
+    std::vector<std::string> found;
+    for (const auto& member : members) {
+        const bool fresh = std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto& rank) {
+            return rank.second.last.backendId == member && now - rank.second.at < m_settings.observationLife;
+        });
+        if (!fresh)
+            found.push_back(member);
     }
-    return ranks;
+    return found;
 }
 
 leader_task group_monitor::decide(instant now)
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -83,8 +83,9 @@
     std::vector<std::pair<std::size_t, std::uint64_t>> holds() const;
     std::uint64_t armedPlacement() const;
     std::uint64_t placementInUse() const;
-    // Ranks that were not observed for the life of an observation.
-    std::vector<std::uint32_t> missing(instant now) const;
+    // Those of the members that were not observed for the life of an observation, or never:
+    // a leader that has just taken over does not know the rank of the one before it.
+    std::vector<std::string> unobserved(const std::vector<std::string>& members, instant now) const;
 
 private:
     struct held_rank {
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -86,6 +86,19 @@
     CHECK((monitor.decide(zero + milliseconds(700) + settings.strayLife) == leader_task::clean_up));
 }
 
+TEST_CASE("a new leader looks at the engine of the one before it, whose rank it never saw")
+{
+    group_monitor monitor(monitor_settings {});
+    monitor.observe({ "a", viewOf(0), {} }, zero);
+    CHECK(monitor.unobserved({ "a", "frozen" }, zero) == std::vector<std::string> { "frozen" });
+    auto held = viewOf(1);
+    held.heldStep = 50;
+    monitor.observe({ "frozen", held, {} }, zero);
+    CHECK(monitor.unobserved({ "a", "frozen" }, zero).empty());
+    CHECK((monitor.decide(zero + monitor_settings {}.strayLife) == leader_task::none));
+    CHECK((monitor.decide(zero + monitor_settings {}.strayLife * 2) == leader_task::clean_up));
+}
+
 TEST_CASE("a new epoch starts from placement 0")
 {
     monitor_settings settings;
