--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -6,5 +6,5 @@
 echo "format: clean"
 # The linter cannot read the compiler's precompiled headers: it gets commands without them.
 cmake --preset ci -B build/lint -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON >/dev/null
-git ls-files 'Source/policy/*.cpp' 'Source/gateway/*.cpp' 'platform/*.cpp' | xargs -P 8 -n 4 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p build/lint
+git ls-files 'Source/policy/*.cpp' 'Source/gateway/*.cpp' 'platform/*.cpp' | xargs -P 8 -n 1 clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p build/lint
 echo "lint: clean"
