--- a/Source/daemon/http_message.cpp
+++ b/Source/daemon/http_message.cpp
@@ -78,6 +78,11 @@
     return "event: error\ndata: " + errorBody(failed) + "\n\n";
 }
 
+std::string hostOf(const std::string& address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
 result<tcp::endpoint> parseEndpoint(const std::string& address)
 {
     const auto colon = address.rfind(':');
--- a/Source/daemon/http_message.h
+++ b/Source/daemon/http_message.h
@@ -33,6 +33,8 @@
 // The event that ends a stream which was cut off.
 std::string streamErrorEvent(const failure&);
 
+// The host of "host:port".
+std::string hostOf(const std::string& address);
 // "host:port" as an endpoint. The text was checked when it was declared.
 result<tcp::endpoint> parseEndpoint(const std::string& address);
 
--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -146,15 +146,12 @@
     for (std::uint64_t tick = 0;; ++tick) {
         asio::steady_timer timer(m_context.io(), reportInterval);
         co_await timer.async_wait(asTuple);
-        const auto* own = ownBackend();
-        if (!m_leader.configured() || !own)
+        if (!m_leader.configured() || !ownBackend())
             continue;
-        // The entry may go from the list while the engine is asked.
-        const std::string ownId = own->id;
         const auto view = co_await m_port.state(m_settings.engineAddress);
         if (!view || view.value().groupSize == 0)
             continue;
-        m_peers->tellGroup({ view.value().group, m_settings.engineService, { view.value().epoch, view.value().open } }, backendHash(ownId));
+        m_peers->tellGroup({ view.value().group, m_settings.engineService, { view.value().epoch, view.value().open } });
         std::vector<std::uint64_t> choices;
         const std::uint64_t ticksPerCounts = 1 + members().size() / (ranksPerCountsTick + 1);
         if ((tick + view.value().rank) % ticksPerCounts == 0) {
--- a/Source/gateway/gateway_settings.h
+++ b/Source/gateway/gateway_settings.h
@@ -26,15 +26,12 @@
     // The model engine on the same machine; agents only.
     std::string engineAddress;
     std::string engineService;
-    std::uint64_t memoryMb = 0;
 
     // A key that was taken away must not be served later than this after the change.
     bool strictRevocation = true;
     milliseconds revocationBound { 5'000 };
     // From the order to stop to the kill.
     milliseconds stopGrace { 8'000 };
-    milliseconds drainBound { 2'000 };
-    milliseconds storeStallBound { 1'500 };
     retry_bounds retries;
 
     bool operator==(const gateway_settings&) const = default;
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -125,10 +125,6 @@
         added->set_open(news.phase.open);
         added->set_age_ms(static_cast<std::uint32_t>(age.count()));
     }
-    if (m_memberHash != 0) {
-        datagram.set_member_hash(m_memberHash);
-        datagram.set_member_group(m_memberGroup);
-    }
 }
 
 void peer_exchange::takeGroups(const gateway::peer_datagram& datagram)
@@ -138,14 +134,10 @@
         if (m_groups.note(news, milliseconds(told.age_ms()), m_context.now()))
             m_log.line("group_state").add("group", news.group).add("epoch", news.phase.epoch).add("state", news.phase.open ? "open" : "closed").add("age_ms", told.age_ms());
     }
-    if (datagram.member_hash() != 0)
-        m_groups.noteMember(datagram.member_hash(), datagram.member_group());
 }
 
-void peer_exchange::tellGroup(const group_news& news, std::uint32_t memberHash)
+void peer_exchange::tellGroup(const group_news& news)
 {
-    m_memberHash = memberHash;
-    m_memberGroup = news.group;
     if (!m_groups.note(news, milliseconds(0), m_context.now()))
         return;
     m_log.line("group_state").add("group", news.group).add("epoch", news.phase.epoch).add("state", news.phase.open ? "open" : "closed").add("source", "own engine");
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -44,7 +44,7 @@
     // Tells the entry VMs how many requests are at each rank; leaders of groups only.
     void tellRanks(const load_report_by_hash&);
     // Tells the entry VMs that are known of a change in a group; agents only.
-    void tellGroup(const group_news&, std::uint32_t memberHash);
+    void tellGroup(const group_news&);
     void setSeeds(std::vector<std::string> hosts) { m_peers.setSeeds(std::move(hosts)); }
     // The answer to a peer's request for the fleet's state; `heldRevision` is what it has.
     http_response snapshotFor(store_revision heldRevision) const;
@@ -80,8 +80,6 @@
     bool m_fetching = false;
     bool m_leaving = false;
     store_revision m_announced = 0;
-    std::uint32_t m_memberHash = 0;
-    std::string m_memberGroup;
 };
 
 // Where a process serves the fleet's state to its peers.
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -17,11 +17,6 @@
     // The one in use, the one being prepared, and those of changes that failed between.
     constexpr std::size_t placementsKept = 4;
 
-    std::string hostOf(const std::string& address)
-    {
-        return address.substr(0, address.rfind(':'));
-    }
-
 } // namespace
 
 rank_link::rank_link(process_context& context, decision_log& log, rank_port& port, unsigned short agentPort)
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -28,11 +28,6 @@
     return changed;
 }
 
-void group_board::noteMember(std::uint32_t backendHash, const std::string& group)
-{
-    m_members[backendHash] = group;
-}
-
 bool group_board::knownClosed(const entry& held, instant now) const
 {
     return !held.news.phase.open && now - held.confirmedAt < m_life;
@@ -61,15 +56,6 @@
     return shortest == milliseconds::max() ? milliseconds(0) : shortest;
 }
 
-bool group_board::memberClosed(std::uint32_t backendHash, instant now) const
-{
-    const auto member = m_members.find(backendHash);
-    if (member == m_members.end())
-        return false;
-    const auto group = m_groups.find(member->second);
-    return group != m_groups.end() && knownClosed(group->second, now);
-}
-
 std::vector<std::pair<group_news, milliseconds>> group_board::news(instant now) const
 {
     std::vector<std::pair<group_news, milliseconds>> all;
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -35,15 +35,11 @@
 
     // True if the state changed. News from a peer is as old as it says.
     bool note(const group_news&, milliseconds age, instant now);
-    // A server belongs to the group; told by the server's own agent.
-    void noteMember(std::uint32_t backendHash, const std::string& group);
 
     // True if the service's only groups are known to be closed.
     bool closed(const std::string& service, instant now) const;
     // How long the service's groups have been closed, as far as this process knows.
     milliseconds closedFor(const std::string& service, instant now) const;
-    // True if the server's group is known to be closed while another of the service is open.
-    bool memberClosed(std::uint32_t backendHash, instant now) const;
     // What is known, with its age, for peers.
     std::vector<std::pair<group_news, milliseconds>> news(instant now) const;
 
@@ -58,7 +54,6 @@
 
     milliseconds m_life;
     std::map<std::string, entry> m_groups;
-    std::map<std::uint32_t, std::string> m_members;
 };
 
 } // namespace rampgap
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -55,15 +55,12 @@
     CHECK_FALSE(board.closed("other", zero));
 }
 
-TEST_CASE("a service with an open group is open, and the closed group's servers are known")
+TEST_CASE("a service with one open group is open")
 {
     group_board board(life);
     board.note(news(1, false), milliseconds(0), zero);
     board.note({ "h", "model", { 1, true } }, milliseconds(0), zero);
-    board.noteMember(17, "g");
     CHECK_FALSE(board.closed("model", zero));
-    CHECK(board.memberClosed(17, zero));
-    CHECK_FALSE(board.memberClosed(18, zero));
 }
 
 TEST_CASE("ranks that are armed without a hold are left alone, a stray hold is cleared away")
