--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -41,7 +41,7 @@
     if (!peer)
         return peer.error();
     made->m_peerServer = std::move(peer.value());
-    const std::string host = made->m_settings.process.peerListen.substr(0, made->m_settings.process.peerListen.rfind(':'));
+    const std::string host = hostOf(made->m_settings.process.peerListen);
     made->m_configuration.start(host + ":" + std::to_string(made->peerPort()));
     made->m_gate.start();
     made->m_keeper.start();
--- a/Source/entry/entry_server.cpp
+++ b/Source/entry/entry_server.cpp
@@ -43,7 +43,7 @@
     if (!peer)
         return peer.error();
     made->m_peerServer = std::move(peer.value());
-    const std::string host = made->m_settings.process.peerListen.substr(0, made->m_settings.process.peerListen.rfind(':'));
+    const std::string host = hostOf(made->m_settings.process.peerListen);
     made->m_configuration.start(host + ":" + std::to_string(made->peerPort()));
     asio::co_spawn(context.io(), made->watchForPauses(), asio::detached);
     return made;
