--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -124,7 +124,6 @@
     // A server may begin to work before it has read the whole request.
     if (writeError)
         co_return lost(written == 0 ? verdict::not_run : verdict::may_have_run, "cannot send to " + m_address, writeError);
-    m_sent = true;
 
     m_connection->parser.emplace();
     m_connection->parser->header_limit(maxHeadBytes);
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -35,8 +35,6 @@
     void expireAt(instant deadline);
     // Asks for a new connection: an idle one may have been closed by the server unseen.
     void useFreshConnection() { m_freshConnection = true; }
-    // True once the request was handed over whole.
-    bool sent() const { return m_sent; }
     // True if the answer's end can be told from a connection that was cut.
     bool framed() const { return m_framed; }
 
@@ -52,7 +50,6 @@
     std::unique_ptr<connection> m_connection;
     bool m_cancelled = false;
     bool m_freshConnection = false;
-    bool m_sent = false;
     bool m_framed = true;
 };
 
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -108,17 +108,10 @@
     }
 }
 
-void backend_directory::noteLeaving(const std::string& id)
-{
-    const auto held = m_entries.find(id);
-    if (held != m_entries.end())
-        held->second.leaving = true;
-}
-
 bool backend_directory::open(const std::string& id) const
 {
     const auto held = m_entries.find(id);
-    if (held == m_entries.end() || held->second.listed.draining || held->second.leaving || held->second.replaced)
+    if (held == m_entries.end() || held->second.listed.draining || held->second.replaced)
         return false;
     const auto newest = m_newestAt.find(held->second.listed.address);
     return newest == m_newestAt.end() || held->second.listed.createdAt >= newest->second;
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -57,8 +57,6 @@
     void settle(instant now);
 
     void noteResult(const std::string& id, try_result, instant now);
-    // The server itself said that it leaves.
-    void noteLeaving(const std::string& id);
 
     // May get new work: listed, not leaving, and not replaced by a newer one at its address.
     bool open(const std::string& id) const;
@@ -77,7 +75,6 @@
         backend_health health;
         // Set while it is missing from the list, but may come back.
         std::optional<instant> keptUntil;
-        bool leaving = false;
         bool replaced = false;
     };
 
