requests: take a refusal by an engine with room for a closed group

Cause: when a zone is cut the ranks stall for 1.5 s and then refuse; the requests that met this were tried at a second rank at once, which drew on the shared retry budget, and were then told to come back after 200 ms. Ruled out: the header that names the engine at fault (it names the engine that was asked in 1,158 of 1,167 refusals, a trial); late news of the group (they come 5 to 10 ms after the refusals). Change: such a refusal marks the group as closed until a later report shows it open, and the group's rule (hold, or say when to come back) is asked before the next try. Refusals no longer count as runs.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -21,6 +21,9 @@
     // A stream whose engine is silent for longer than a stalled group's bound (settings) and
     // this is taken elsewhere; callers leave after a gap of two seconds.
     constexpr milliseconds streamSilence { 1'750 };
+    // Servers that one request is offered to at the most, refusals and failed connections
+    // counted: of the servers listed a few may be gone, not all.
+    constexpr std::size_t mostTries = 8;
     // Below this no server can do anything for the caller.
     constexpr milliseconds leastTimeLeft { 20 };
     // A group that lost a rank stalls for 1.5 s and forms again in 0.6 s.
@@ -99,12 +102,14 @@
             }
             co_return late;
         }
-        if (last && !mayTryAgain(request, state, *last))
+        if (last && !mayRepeat(request, state, *last))
             co_return last->failed;
         if (auto closed = co_await awaitGroup(exchange, request, state))
             co_return closed;
         if (exchange.callerGone())
             co_return std::nullopt;
+        if (last && !takeRetry(request, *last))
+            co_return last->failed;
         const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now };
         if (request.costs && state.tried.empty() && isFirstTime(request) && allFull(question, m_state.backends(), m_loads))
             co_return notRun(failure_reason::queue_full, "all ranks have requests waiting", overloadPause(request));
@@ -136,7 +141,7 @@
     question.closedFor = m_groups.closedFor(request.service, m_context.now());
     question.timeLeft = timeLeft(request, m_context.now());
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
-    question.firstTime = isFirstTime(request) && !state.relay.begun && state.arrivals == 0;
+    question.firstTime = isFirstTime(request) && !state.relay.begun && state.runs == 0;
     group_wait_decision decision = decideGroupWait(question);
     // The caller of a begun stream has been waiting since its last event.
     if (state.relay.begun)
@@ -162,18 +167,21 @@
     return milliseconds(static_cast<std::int64_t>(draw * static_cast<double>(longest.count())));
 }
 
-bool upstream_dispatcher::mayTryAgain(const admitted_request& request, const progress& state, const try_outcome& last)
+bool upstream_dispatcher::mayRepeat(const admitted_request& request, const progress& state, const try_outcome& last)
 {
-    const bool ranSurely = last.failed->ran != verdict::not_run;
-    if (ranSurely && !request.route.repeatable())
+    const bool mayHaveRun = last.failed->ran != verdict::not_run;
+    if (mayHaveRun && !request.route.repeatable())
         return false;
     // A plain answer that has begun cannot be taken back; a stream goes on after its last event.
     if (state.relay.begun && !(request.route.repeat == repeat_rule::streaming && request.route.resumable))
         return false;
+    return state.runs < request.route.maxAttempts && state.tried.size() < mostTries;
+}
+
+bool upstream_dispatcher::takeRetry(const admitted_request& request, const try_outcome& last)
+{
     if (last.result == try_result::unreachable)
         return true;
-    if (state.arrivals >= request.route.maxAttempts)
-        return false;
     if (!m_budget.take(request.service, m_context.now())) {
         m_log.requestLine("retry_denied").add("request", request.said.id).add("reason", "the shared retry budget is used up").add("service", request.service);
         return false;
@@ -182,6 +190,12 @@
     return true;
 }
 
+void upstream_dispatcher::noteRefusal(const admitted_request& request, const listed_backend& backend)
+{
+    if (request.costs && m_loads.total(backend.id, m_context.now()).requests <= backend.capacity)
+        m_groups.noteRefusal(request.service, m_context.now());
+}
+
 awaitable<upstream_dispatcher::try_outcome> upstream_dispatcher::tryOn(http_exchange& exchange, const admitted_request& request, progress& state, const listed_backend& backend)
 {
     const instant sentAt = m_context.now();
@@ -194,19 +208,18 @@
     m_loads.noteSent(backend.id, unread, sentAt);
 
     instant headDeadline = request.deadline;
-    if (request.route.repeat == repeat_rule::idempotent && state.arrivals + 1 < request.route.maxAttempts)
+    if (request.route.repeat == repeat_rule::idempotent && state.runs + 1 < request.route.maxAttempts)
         headDeadline = std::min(headDeadline, sentAt + silentTargets * request.route.latencyTarget);
     auto head = co_await call.start(backend.address, m_codec.makeUpstream(exchange.request(), request.said, facts), headDeadline);
     try_outcome outcome;
     if (head) {
-        ++state.arrivals;
         outcome = co_await takeReply(exchange, request, state, backend, call, std::move(head.value()), unread);
     } else {
         outcome.failed = head.error();
         const bool unreachable = head.error().ran == verdict::not_run;
         outcome.result = unreachable ? try_result::unreachable : head.error().reason == failure_reason::deadline ? try_result::silent
                                                                                                                  : try_result::failed;
-        state.arrivals += unreachable ? 0 : 1;
+        state.runs += unreachable ? 0 : 1;
     }
     exchange.onCallerGone(nullptr);
     m_loads.noteEnded(backend.id, unread);
@@ -222,8 +235,11 @@
     if (reply.kind == reply_kind::not_executed || reply.kind == reply_kind::wrong_server) {
         co_await drop(call);
         const bool replaced = reply.kind == reply_kind::wrong_server;
+        if (!replaced)
+            noteRefusal(request, backend);
         co_return try_outcome { notRun(failure_reason::queue_full, reply.reason, fullRetryAfter), replaced ? try_result::replaced : try_result::refused };
     }
+    ++state.runs;
     if (reply.kind == reply_kind::unreadable) {
         call.cancel();
         co_return try_outcome { mayHaveRun(failure_reason::backend_error, reply.reason), try_result::failed };
@@ -247,7 +263,7 @@
         co_return try_outcome { mayHaveRun(failure_reason::backend_error, "the engine that should go on answered " + std::to_string(head.result_int())), try_result::failed };
     }
     // An engine's failure of a repeatable request may be mended by another engine.
-    const bool mend = serverFailed && request.route.repeatable() && state.arrivals < request.route.maxAttempts && timeLeft(request, m_context.now()) > request.route.latencyTarget;
+    const bool mend = serverFailed && request.route.repeatable() && state.runs < request.route.maxAttempts && timeLeft(request, m_context.now()) > request.route.latencyTarget;
     if (mend) {
         co_await drop(call);
         co_return try_outcome { mayHaveRun(failure_reason::backend_error, "the engine answered " + std::to_string(head.result_int())), try_result::failed };
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -37,8 +37,8 @@
     // How far one request has come.
     struct progress {
         std::vector<std::string> tried;
-        // Tries that a server got to see.
-        int arrivals = 0;
+        // Tries that a server may have run.
+        int runs = 0;
         relay_progress relay;
         verdict worst = verdict::not_run;
         std::string lastBackend;
@@ -55,7 +55,12 @@
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
     awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, http_call&, http_head, std::int64_t& unread);
-    bool mayTryAgain(const admitted_request&, const progress&, const try_outcome&);
+    // Whether another try is safe and within the route's limit, whatever the budget says.
+    static bool mayRepeat(const admitted_request&, const progress&, const try_outcome&);
+    // Takes the other try from the shared budget.
+    bool takeRetry(const admitted_request&, const try_outcome&);
+    // A server with room that refuses belongs to a group that has closed.
+    void noteRefusal(const admitted_request&, const listed_backend&);
     awaitable<void> refuse(http_exchange&, const admitted_request&, const progress&, failure);
     void logTry(const admitted_request&, const progress&, const listed_backend&, const try_outcome&, instant sentAt);
 
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -4,6 +4,14 @@
 
 namespace rampgap {
 
+namespace {
+
+    // Agents tell of a change within some ten milliseconds, and confirm what holds each
+    // 100 ms; a suspicion that nobody confirms or denies for longer comes from lost news.
+    constexpr milliseconds suspicionLife { 600 };
+
+} // namespace
+
 group_board::group_board(milliseconds life)
     : m_life(life)
 {
@@ -33,8 +41,34 @@
     return !held.news.phase.open && now - held.confirmedAt < m_life;
 }
 
+void group_board::noteRefusal(const std::string& service, instant now)
+{
+    if (!suspected(service, now))
+        m_suspicions[service] = { now, now };
+    else
+        m_suspicions[service].confirmedAt = now;
+}
+
+const group_board::suspicion* group_board::suspected(const std::string& service, instant now) const
+{
+    const auto held = m_suspicions.find(service);
+    if (held == m_suspicions.end() || now - held->second.confirmedAt >= suspicionLife)
+        return nullptr;
+    return shownOpenAfter(service, held->second.confirmedAt) ? nullptr : &held->second;
+}
+
+bool group_board::shownOpenAfter(const std::string& service, instant at) const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(), [&](const auto& group) {
+        const entry& held = group.second;
+        return held.news.service == service && held.news.phase.open && held.confirmedAt > at;
+    });
+}
+
 bool group_board::closed(const std::string& service, instant now) const
 {
+    if (suspected(service, now))
+        return true;
     bool any = false;
     for (const auto& [name, held] : m_groups) {
         if (held.news.service != service)
@@ -49,6 +83,8 @@
 milliseconds group_board::closedFor(const std::string& service, instant now) const
 {
     milliseconds shortest = milliseconds::max();
+    if (const auto* suspicion = suspected(service, now))
+        shortest = std::chrono::duration_cast<milliseconds>(now - suspicion->since);
     for (const auto& [name, held] : m_groups) {
         if (held.news.service == service && !held.news.phase.open)
             shortest = std::min(shortest, std::chrono::duration_cast<milliseconds>(now - held.changedAt));
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -36,7 +36,11 @@
     // True if the state changed. News from a peer is as old as it says.
     bool note(const group_news&, milliseconds age, instant now);
 
-    // True if the service's only groups are known to be closed.
+    // An engine of the service with room for it refused a request unrun: its group has
+    // closed, unless a later report shows it open.
+    void noteRefusal(const std::string& service, instant now);
+
+    // True if the service's only groups are known or suspected to be closed.
     bool closed(const std::string& service, instant now) const;
     // How long the service's groups have been closed, as far as this process knows.
     milliseconds closedFor(const std::string& service, instant now) const;
@@ -50,10 +54,19 @@
         instant changedAt;
     };
 
+    struct suspicion {
+        instant since;
+        instant confirmedAt;
+    };
+
     bool knownClosed(const entry&, instant now) const;
+    // The suspicion that still holds, or null.
+    const suspicion* suspected(const std::string& service, instant now) const;
+    bool shownOpenAfter(const std::string& service, instant) const;
 
     milliseconds m_life;
     std::map<std::string, entry> m_groups;
+    std::map<std::string, suspicion> m_suspicions;
 };
 
 } // namespace rampgap
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -129,3 +129,30 @@
     choice.noteAnswer("a");
     CHECK(choice.choose(members, zero + milliseconds(9'000)) == "a");
 }
+
+TEST_CASE("a refusal by an engine with room closes its group until a later report shows it open")
+{
+    group_board board(milliseconds(1'500));
+    const instant start {};
+    CHECK(!board.closed("drafts", start));
+    board.noteRefusal("drafts", start);
+    CHECK(board.closed("drafts", start));
+    CHECK(board.closedFor("drafts", start + milliseconds(100)) == milliseconds(100));
+    CHECK(!board.closed("letters", start));
+    // A report from before the refusal proves nothing; a later one does.
+    board.note({ "g", "drafts", { 1, true } }, milliseconds(50), start + milliseconds(20));
+    CHECK(board.closed("drafts", start + milliseconds(20)));
+    board.note({ "g", "drafts", { 1, true } }, milliseconds(5), start + milliseconds(100));
+    CHECK(!board.closed("drafts", start + milliseconds(100)));
+}
+
+TEST_CASE("a suspicion that nobody confirms ends by itself")
+{
+    group_board board(milliseconds(1'500));
+    const instant start {};
+    board.noteRefusal("drafts", start);
+    board.noteRefusal("drafts", start + milliseconds(400));
+    CHECK(board.closed("drafts", start + milliseconds(900)));
+    CHECK(board.closedFor("drafts", start + milliseconds(900)) == milliseconds(900));
+    CHECK(!board.closed("drafts", start + milliseconds(1'000)));
+}
