requests: reckon a closure from when the group closed, and spread the return of callers

Change: 4.6 s; callers that can wait out the rest come back spread between then and the longest pause that they keep to. The literal figures of group-state/wait moved with the constant; a test of the spread is new.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -142,6 +142,7 @@
     question.timeLeft = timeLeft(request, m_context.now());
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
     question.firstTime = isFirstTime(request) && !state.relay.begun && state.runs == 0;
+    question.draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
     group_wait_decision decision = decideGroupWait(question);
     // The caller of a begun stream has been waiting since its last event.
     if (state.relay.begun)
--- a/Source/policy/group_wait.cpp
+++ b/Source/policy/group_wait.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-    // Cuts and crashes of the users' list last about 5.5 s, and a group forms in 0.6 s.
-    constexpr milliseconds usualOutage { 6'100 };
+    // Cuts and crashes of the users' list last about 5.5 s. The ranks stall for the first
+    // 1.5 s of it before they close, and a group forms in 0.6 s.
+    constexpr milliseconds usualClosure { 4'600 };
     // A longer outage is looked at again this often.
     constexpr milliseconds leastRemaining { 400 };
     // Callers keep to a pause of up to a third of the time that they have left.
@@ -18,14 +19,19 @@
     constexpr int patienceTargets = 4;
     constexpr int patienceGaps = 8;
 
+    milliseconds spread(milliseconds from, milliseconds to, double draw)
+    {
+        return from + milliseconds(static_cast<std::int64_t>(draw * static_cast<double>((to - from).count())));
+    }
+
 } // namespace
 
 group_wait_decision decideGroupWait(const group_wait_question& question)
 {
-    const milliseconds remaining = std::max(leastRemaining, usualOutage - question.closedFor);
+    const milliseconds remaining = std::max(leastRemaining, usualClosure - question.closedFor);
     const milliseconds longestPause = question.timeLeft / pausePart;
     if (question.firstTime && remaining <= longestPause)
-        return { milliseconds(0), remaining };
+        return { milliseconds(0), spread(remaining, longestPause, question.draw) };
     const milliseconds wait = std::max(milliseconds(0), std::min(question.patience - patienceMargin, question.timeLeft - patienceMargin));
     const milliseconds pauseThen = std::max(milliseconds(0), question.timeLeft - wait) / pausePart;
     return { wait, std::min(pauseThen, std::max(leastRemaining, remaining - wait)) };
--- a/Source/policy/group_wait.h
+++ b/Source/policy/group_wait.h
@@ -16,6 +16,8 @@
     milliseconds patience { 2'000 };
     // The caller was not refused before, as far as can be told.
     bool firstTime = true;
+    // Random, from 0 to 1: callers that come back together meet full ranks again.
+    double draw = 0;
 };
 
 struct group_wait_decision {
--- a/Tests/platform/group-state/wait.cpp
+++ b/Tests/platform/group-state/wait.cpp
@@ -10,16 +10,27 @@
 {
     group_wait_question question;
     question.timeLeft = milliseconds(8'000);
-    question.closedFor = milliseconds(5'000);
+    question.closedFor = milliseconds(3'500);
     CHECK(decideGroupWait(question).wait == milliseconds(0));
     CHECK(decideGroupWait(question).retryAfter == milliseconds(1'100));
     question.closedFor = milliseconds(500);
     CHECK(decideGroupWait(question).wait == milliseconds(1'800));
-    question.closedFor = milliseconds(5'000);
+    question.closedFor = milliseconds(3'500);
     question.firstTime = false;
     CHECK(decideGroupWait(question).wait == milliseconds(1'800));
 }
 
+TEST_CASE("those who are refused together come back spread over the longest pause")
+{
+    group_wait_question question;
+    question.timeLeft = milliseconds(7'500);
+    question.closedFor = milliseconds(3'500);
+    question.draw = 0.5;
+    CHECK(decideGroupWait(question).retryAfter == milliseconds(1'800));
+    question.draw = 1;
+    CHECK(decideGroupWait(question).retryAfter == milliseconds(2'500));
+}
+
 TEST_CASE("nobody is kept beyond its patience, its time, or the pause that callers keep to")
 {
     CHECK(rc::check([] {
@@ -27,6 +38,7 @@
         question.timeLeft = milliseconds(*rc::gen::inRange(0, 10'000));
         question.closedFor = milliseconds(*rc::gen::inRange(0, 20'000));
         question.firstTime = *rc::gen::arbitrary<bool>();
+        question.draw = *rc::gen::inRange(0, 1'001) / 1'000.0;
         const auto decision = decideGroupWait(question);
         RC_ASSERT(decision.wait >= milliseconds(0));
         RC_ASSERT(decision.wait < question.patience);
