groups: remember what was popular while a group is closed

Cause: a group opens with placement 0, under which its most loaded rank has 3.4 times the mean. Change: the estimate fades only while there are choices; counts that go on over an epoch give their difference, those that fell begin with the engine; large groups report counts each 200 ms in the first 1.5 s of an epoch.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -22,6 +22,10 @@
     constexpr std::uint64_t highestUnits = 127;
     // Each report with counts costs a rank's link; larger groups report them less often.
     constexpr std::size_t ranksPerCountsTick = 12;
+    // A group opens with a placement that knows no popularity, at three times the usual step
+    // time: then the counts of a large group are worth two thirds of its leader's link.
+    constexpr milliseconds youngEpoch { 1'500 };
+    constexpr std::uint64_t ticksPerEarlyCounts = 2;
     constexpr milliseconds leadInterval { 25 };
     // How often entry VMs hear how many requests are at each rank.
     constexpr milliseconds ranksToldInterval { 150 };
@@ -153,23 +157,27 @@
             continue;
         m_peers->tellGroup({ view.value().group, m_settings.engineService, { view.value().epoch, view.value().open } });
         std::vector<std::uint64_t> choices;
-        const std::uint64_t ticksPerCounts = 1 + members().size() / (ranksPerCountsTick + 1);
-        if ((tick + view.value().rank) % ticksPerCounts == 0) {
+        if (countsDue(view.value(), tick)) {
             auto counts = co_await m_port.counts(m_settings.engineAddress);
-            if (counts && counts.value().epoch == m_countsEpoch && counts.value().counts.size() == m_lastCounts.size()) {
-                choices = counts.value().counts;
-                for (std::size_t i = 0; i < choices.size(); ++i)
-                    choices[i] -= std::min(choices[i], m_lastCounts[i]);
-            }
-            if (counts) {
-                m_countsEpoch = counts.value().epoch;
-                m_lastCounts = std::move(counts.value().counts);
-            }
+            if (counts)
+                choices = m_choices.take(std::move(counts.value().counts));
         }
         sendReport(view.value(), std::move(choices));
     }
 }
 
+bool agent_process::countsDue(const rank_view& view, std::uint64_t tick)
+{
+    if (view.epoch != m_epoch) {
+        m_epoch = view.epoch;
+        m_epochSince = m_context.now();
+    }
+    const bool young = m_context.now() - m_epochSince < youngEpoch;
+    const std::uint64_t usual = 1 + members().size() / (ranksPerCountsTick + 1);
+    const std::uint64_t ticks = young ? std::min(usual, ticksPerEarlyCounts) : usual;
+    return (tick + view.rank) % ticks == 0;
+}
+
 void agent_process::sendReport(const rank_view& view, std::vector<std::uint64_t> choices)
 {
     const auto* own = ownBackend();
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -4,6 +4,7 @@
 
 #include "gateway/gateway_process.h"
 #include "gateway/group_leader.h"
+#include "policy/choice_counter.h"
 #include "policy/leader_choice.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -22,6 +23,8 @@
 
     result<void> openPorts();
     awaitable<void> reportLoop();
+    // Whether this report is to carry counts.
+    bool countsDue(const rank_view&, std::uint64_t tick);
     awaitable<void> receiveLoop();
     awaitable<void> leadLoop();
     awaitable<void> tellLoop();
@@ -51,8 +54,10 @@
     page_handler m_metricsPages;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::signal_set m_signals;
-    std::vector<std::uint64_t> m_lastCounts;
-    std::uint64_t m_countsEpoch = 0;
+    choice_counter m_choices;
+    // The group's epoch and when it was first seen.
+    std::uint64_t m_epoch = 0;
+    instant m_epochSince {};
     std::uint64_t m_reports = 0;
     std::string m_leaderId;
 };
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -41,9 +41,12 @@
 
 void group_monitor::addChoices(const std::vector<std::uint64_t>& choices, instant now)
 {
-    if (choices.size() != m_choices.size())
+    const bool chosen = std::any_of(choices.begin(), choices.end(), [](std::uint64_t count) { return count > 0; });
+    if (choices.size() != m_choices.size() || !chosen)
         return;
-    const double elapsed = std::chrono::duration<double, std::milli>(now - m_choicesAt).count();
+    const double sinceLast = std::chrono::duration<double, std::milli>(now - m_choicesAt).count();
+    // While a group is closed nothing is chosen, and what was popular stays the best guess.
+    const double elapsed = std::min(sinceLast, static_cast<double>(m_settings.longestGap.count()));
     const double keep = std::exp2(-elapsed / static_cast<double>(m_settings.halfLife.count()));
     m_choicesAt = now;
     m_choiceSum *= keep;
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -35,6 +35,9 @@
     milliseconds observationLife { 800 };
     // Weight of the past falls by half in this time: popularity changes within a second.
     milliseconds halfLife { 350 };
+    // Longer gaps between counts fade the past no further: the ranks of an open group count
+    // more often.
+    milliseconds longestGap { 100 };
     // A change must take at least this share off the predicted step time of the experts.
     double leastGain = 0.12;
     // Choices that must have been seen before they mean anything.
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -1,4 +1,5 @@
 // News of expert groups: whatever order they come in, the later state of a group stands.
+#include "policy/choice_counter.h"
 #include "policy/group_board.h"
 #include "policy/group_monitor.h"
 #include "policy/leader_choice.h"
@@ -156,3 +157,35 @@
     CHECK(board.closedFor("drafts", start + milliseconds(900)) == milliseconds(900));
     CHECK(!board.closed("drafts", start + milliseconds(1'000)));
 }
+
+TEST_CASE("counts that go on give the difference, counts that fell were begun anew")
+{
+    choice_counter counter;
+    CHECK(counter.take({ 5, 7 }).empty());
+    CHECK(counter.take({ 6, 9 }) == std::vector<std::uint64_t> { 1, 2 });
+    CHECK(counter.take({ 3, 10 }) == std::vector<std::uint64_t> { 3, 10 });
+    CHECK(counter.take({ 3, 10, 4 }).empty());
+}
+
+TEST_CASE("what was popular before a group closed is planned for as soon as it opens")
+{
+    monitor_settings settings;
+    settings.layerSets = 1;
+    settings.experts = 4;
+    settings.leastChoices = 1'000;
+    settings.limits.slotsPerRank = 3;
+    group_monitor monitor(settings);
+    const auto observeAll = [&](std::uint64_t epoch, std::vector<std::uint64_t> choices, instant now) {
+        monitor.observe({ "a", viewOf(0, epoch), choices }, now);
+        monitor.observe({ "b", viewOf(1, epoch), choices }, now);
+    };
+    // Placement 0 deals experts 0 and 2 to the first rank: expert 0 is most of the work.
+    observeAll(1, { 9'000, 100, 100, 100 }, zero);
+    REQUIRE((monitor.decide(zero) == leader_task::learn_placement));
+    // Closed for six seconds, with counts that stand still, then open in a new epoch.
+    const instant later = zero + milliseconds(6'000);
+    observeAll(2, { 0, 0, 0, 0 }, later);
+    REQUIRE((monitor.decide(later) == leader_task::learn_placement));
+    monitor.learn(0, initialPlacement(1, 4, 2));
+    CHECK((monitor.decide(later) == leader_task::change_placement));
+}
