groups: pack the placements that leaders send

Change: a byte an expert and rank (two where numbers need them) in place of nested messages; a test keeps the planned size under 2.6 KB.

--- a/Source/gateway/rank_wire.cpp
+++ b/Source/gateway/rank_wire.cpp
@@ -1,5 +1,7 @@
 #include "gateway/rank_wire.h"
 
+#include "gateway/placement_codec.h"
+
 namespace rampgap {
 
 gateway::rank_view toWire(const rank_view& view)
@@ -53,13 +55,8 @@
     wire.set_step(order.step);
     wire.set_epoch(order.epoch);
     wire.set_fence(order.fence);
-    if (!order.contents)
-        return wire;
-    for (const auto& set : *order.contents) {
-        auto* layer = wire.add_contents();
-        for (const auto& experts : set)
-            layer->add_ranks()->mutable_experts()->Assign(experts.begin(), experts.end());
-    }
+    if (order.contents)
+        wire.set_contents(packPlacement(*order.contents));
     return wire;
 }
 
@@ -100,15 +97,8 @@
         order.contents = std::move(changed);
         return order;
     }
-    if (wire.contents().empty())
-        return order;
-    auto contents = std::make_shared<group_placement>();
-    for (const auto& layer : wire.contents()) {
-        auto& set = contents->emplace_back();
-        for (const auto& rank : layer.ranks())
-            set.emplace_back(rank.experts().begin(), rank.experts().end());
-    }
-    order.contents = std::move(contents);
+    if (auto contents = unpackPlacement(wire.contents()))
+        order.contents = std::make_shared<const group_placement>(std::move(*contents));
     return order;
 }
 
--- /dev/null
+++ b/Tests/platform/placement-codec/test.cpp
@@ -0,0 +1,39 @@
+// Placements on their way between agents: what is unpacked is what was packed, and little.
+#include "gateway/placement_codec.h"
+#include "policy/placement_planner.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace rampgap;
+
+TEST_CASE("a placement that was packed is unpacked as it was")
+{
+    CHECK(rc::check([] {
+        const auto sets = *rc::gen::inRange<std::size_t>(0, 5);
+        const auto ranks = *rc::gen::inRange<std::size_t>(1, 5);
+        const auto highest = *rc::gen::element<std::uint16_t>(10, 255, 256, 1'000);
+        group_placement placement(sets, std::vector<std::vector<std::uint16_t>>(ranks));
+        for (auto& set : placement) {
+            for (auto& experts : set)
+                experts = *rc::gen::container<std::vector<std::uint16_t>>(rc::gen::inRange<std::uint16_t>(0, static_cast<std::uint16_t>(highest + 1)));
+        }
+        const auto unpacked = unpackPlacement(packPlacement(placement));
+        RC_ASSERT(unpacked.has_value());
+        RC_ASSERT(*unpacked == placement);
+    }));
+}
+
+TEST_CASE("bytes that were cut, or that go on, are no placement")
+{
+    const std::string bytes = packPlacement(initialPlacement(2, 6, 3));
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+        CHECK_FALSE(unpackPlacement(bytes.substr(0, size)).has_value());
+    CHECK_FALSE(unpackPlacement(bytes + "x").has_value());
+}
+
+TEST_CASE("a placement of the planned size of today takes little more than a byte an expert")
+{
+    const auto placement = initialPlacement(8, 252, 63);
+    CHECK(packPlacement(placement).size() < 8 * 252 + 8 * 63 + 10);
+}
