requests: count a caller's patience from its request

Cause: a request that an engine of a stalled group refused after 1.5 s was held for 1.8 s more; the caller left after 2 s (sent 33.553, refused by the engine 35.050, gone 35.553) and did not come back. Change: the time that a request has spent counts against its caller's patience, also at an engine.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -141,6 +141,7 @@
     question.closedFor = m_groups.closedFor(request.service, m_context.now());
     question.timeLeft = timeLeft(request, m_context.now());
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
+    question.waited = std::chrono::duration_cast<milliseconds>(m_context.now() - request.receivedAt);
     question.firstTime = isFirstTime(request) && !state.relay.begun && state.runs == 0;
     question.draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
     group_wait_decision decision = decideGroupWait(question);
--- a/Source/policy/group_wait.cpp
+++ b/Source/policy/group_wait.cpp
@@ -13,8 +13,9 @@
     constexpr milliseconds leastRemaining { 400 };
     // Callers keep to a pause of up to a third of the time that they have left.
     constexpr int pausePart = 3;
-    // Kept for the refusal to reach a caller that is about to give up.
-    constexpr milliseconds patienceMargin { 200 };
+    // Kept for the refusal to reach a caller that is about to give up: several round trips
+    // to callers, and the turn of a busy process.
+    constexpr milliseconds patienceMargin { 120 };
     constexpr milliseconds leastPatience { 2'000 };
     constexpr int patienceTargets = 4;
     constexpr int patienceGaps = 8;
@@ -32,7 +33,8 @@
     const milliseconds longestPause = question.timeLeft / pausePart;
     if (question.firstTime && remaining <= longestPause)
         return { milliseconds(0), spread(remaining, longestPause, question.draw) };
-    const milliseconds wait = std::max(milliseconds(0), std::min(question.patience - patienceMargin, question.timeLeft - patienceMargin));
+    const milliseconds patienceLeft = question.patience - question.waited - patienceMargin;
+    const milliseconds wait = std::max(milliseconds(0), std::min(patienceLeft, question.timeLeft - patienceMargin));
     const milliseconds pauseThen = std::max(milliseconds(0), question.timeLeft - wait) / pausePart;
     return { wait, std::min(pauseThen, std::max(leastRemaining, remaining - wait)) };
 }
--- a/Source/policy/group_wait.h
+++ b/Source/policy/group_wait.h
@@ -14,6 +14,8 @@
     milliseconds timeLeft { 0 };
     // Silence after which the caller gives up by itself.
     milliseconds patience { 2'000 };
+    // How much of its patience is gone already, at servers or here.
+    milliseconds waited { 0 };
     // The caller was not refused before, as far as can be told.
     bool firstTime = true;
     // Random, from 0 to 1: callers that come back together meet full ranks again.
