groups: agree on one leader again as soon as a group opens

Change: an open group in a new epoch proves that its machines reach each other; agents forget whom they passed over.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -156,6 +156,7 @@
         if (!view || view.value().groupSize == 0)
             continue;
         m_peers->tellGroup({ view.value().group, m_settings.engineService, { view.value().epoch, view.value().open } });
+        noteEpoch(view.value());
         std::vector<std::uint64_t> choices;
         if (countsDue(view.value(), tick)) {
             auto counts = co_await m_port.counts(m_settings.engineAddress);
@@ -166,12 +167,17 @@
     }
 }
 
+void agent_process::noteEpoch(const rank_view& view)
+{
+    if (!view.open || view.epoch == m_epoch)
+        return;
+    m_epoch = view.epoch;
+    m_epochSince = m_context.now();
+    m_choice.forgive();
+}
+
 bool agent_process::countsDue(const rank_view& view, std::uint64_t tick)
 {
-    if (view.epoch != m_epoch) {
-        m_epoch = view.epoch;
-        m_epochSince = m_context.now();
-    }
     const bool young = m_context.now() - m_epochSince < youngEpoch;
     const std::uint64_t usual = 1 + members().size() / (ranksPerCountsTick + 1);
     const std::uint64_t ticks = young ? std::min(usual, ticksPerEarlyCounts) : usual;
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -23,6 +23,8 @@
 
     result<void> openPorts();
     awaitable<void> reportLoop();
+    // Begins a new epoch of the group, if this is one.
+    void noteEpoch(const rank_view&);
     // Whether this report is to carry counts.
     bool countsDue(const rank_view&, std::uint64_t tick);
     awaitable<void> receiveLoop();
@@ -55,7 +57,7 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::signal_set m_signals;
     choice_counter m_choices;
-    // The group's epoch and when it was first seen.
+    // The group's epoch and when it was first seen open.
     std::uint64_t m_epoch = 0;
     instant m_epochSince {};
     std::uint64_t m_reports = 0;
--- a/Source/policy/leader_choice.cpp
+++ b/Source/policy/leader_choice.cpp
@@ -34,4 +34,12 @@
     m_passedOverUntil.erase(leader);
 }
 
+// After a cut its two sides have different leaders, and each of these hears of a part of the
+// ranks until the penalties end.
+void leader_choice::forgive()
+{
+    m_unansweredSince.clear();
+    m_passedOverUntil.clear();
+}
+
 } // namespace rampgap
--- a/Source/policy/leader_choice.h
+++ b/Source/policy/leader_choice.h
@@ -20,6 +20,8 @@
     std::string choose(const std::vector<std::string>& members, instant now);
     void noteReportSent(const std::string& leader, instant now);
     void noteAnswer(const std::string& leader);
+    // The group has opened, so all its machines reach each other again: nobody is passed over.
+    void forgive();
 
 private:
     milliseconds m_patience;
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -189,3 +189,14 @@
     monitor.learn(0, initialPlacement(1, 4, 2));
     CHECK((monitor.decide(later) == leader_task::change_placement));
 }
+
+TEST_CASE("a leader that was passed over in a cut leads again once the group opens")
+{
+    leader_choice choice(milliseconds(700), milliseconds(4'000));
+    const std::vector<std::string> members { "a", "b" };
+    choice.noteReportSent("a", zero);
+    REQUIRE(choice.choose(members, zero + milliseconds(700)) == "b");
+    REQUIRE(choice.choose(members, zero + milliseconds(1'000)) == "b");
+    choice.forgive();
+    CHECK(choice.choose(members, zero + milliseconds(1'000)) == "a");
+}
