groups: keep in touch with ranks whose entries lapsed in a cut

Cause: the engines of a cut zone lapse from the list and are back up to 2 s after the cut, but the group opens 0.6 s after it. Change: agents, which send no requests, keep entries that lapsed without leaving for 20 s; a newer entry at the address replaces them at once.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -38,6 +38,10 @@
     constexpr milliseconds proofWanted { 700 };
     constexpr milliseconds loadReportLife { 400 };
     constexpr milliseconds groupNewsLife { 1'500 };
+    // A group whose ranks were cut off opens 0.6 s after the cut, but their entries lapsed in
+    // it and come back up to 2 s later. Agents send no requests: they go on with the ranks
+    // they know, beyond any cut that the users list.
+    constexpr milliseconds lapsedLife { 20'000 };
     constexpr std::size_t largestDatagram = 65'536;
     constexpr unsigned short reportPortOffset = 1;
     constexpr unsigned short orderPortOffset = 2;
@@ -50,7 +54,7 @@
     , m_log(log)
     , m_settings(std::move(settings))
     , m_port(port)
-    , m_state(context, log, decoder)
+    , m_state(context, log, decoder, lapsedLife)
     , m_loads(loadReportLife)
     , m_groups(groupNewsLife)
     , m_link(context, log, port, static_cast<unsigned short>(m_settings.firstPeerPort + orderPortOffset))
--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -15,10 +15,11 @@
 
 } // namespace
 
-fleet_state::fleet_state(process_context& context, decision_log& log, const fleet_decoder& decoder)
+fleet_state::fleet_state(process_context& context, decision_log& log, const fleet_decoder& decoder, milliseconds lapsedLife)
     : m_context(context)
     , m_log(log)
     , m_decoder(decoder)
+    , m_backends(lapsedLife)
 {
 }
 
--- a/Source/gateway/fleet_state.h
+++ b/Source/gateway/fleet_state.h
@@ -11,7 +11,8 @@
 
 class fleet_state {
 public:
-    fleet_state(process_context&, decision_log&, const fleet_decoder&);
+    // `lapsedLife`: see backend_directory.
+    fleet_state(process_context&, decision_log&, const fleet_decoder&, milliseconds lapsedLife);
 
     // From the store itself. `askedAt`: when the reading was sent.
     void take(const published_snapshot&, instant askedAt);
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -82,7 +82,7 @@
     , m_log(log)
     , m_settings(std::move(settings))
     , m_adapter(std::move(adapter))
-    , m_state(context, log, m_adapter.decoder)
+    , m_state(context, log, m_adapter.decoder, milliseconds(0))
     , m_loads(loadReportLife)
     , m_groups(groupNewsLife)
     , m_dispatcher(context, log, m_adapter.codec, m_state, m_loads, m_groups, m_settings.retries)
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -57,10 +57,16 @@
     const auto held = m_entries.find(id);
     if (held == m_entries.end())
         return;
-    if (now < keepUntil && !held->second.listed.draining) {
-        held->second.keptUntil = keepUntil;
-        return;
-    }
+    const instant until = std::max(keepUntil, now + m_lapsedLife);
+    if (now < until && !held->second.listed.draining)
+        held->second.keptUntil = until;
+    else
+        remove(id);
+}
+
+void backend_directory::remove(const std::string& id)
+{
+    const auto held = m_entries.find(id);
     const std::string address = held->second.listed.address;
     m_entries.erase(held);
     noteNewestAt(address);
@@ -74,7 +80,7 @@
             expired.push_back(id);
     }
     for (const auto& id : expired)
-        unlist(id, now, now);
+        remove(id);
 }
 
 void backend_directory::noteResult(const std::string& id, try_result result, instant now)
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -50,6 +50,13 @@
 
 class backend_directory {
 public:
+    // `lapsedLife`: how long an entry that went without leaving is kept at the least. 0 for
+    // whoever sends requests; longer for whoever only keeps in touch with the server.
+    explicit backend_directory(milliseconds lapsedLife = milliseconds(0))
+        : m_lapsedLife(lapsedLife)
+    {
+    }
+
     void list(const listed_backend&);
     // `keepUntil`: until then the entry may only have lapsed in an outage and come back.
     void unlist(const std::string& id, instant now, instant keepUntil);
@@ -79,7 +86,9 @@
     };
 
     void noteNewestAt(const std::string& address);
+    void remove(const std::string& id);
 
+    milliseconds m_lapsedLife;
     std::map<std::string, entry> m_entries;
     // Highest creation revision of the entries with an address.
     std::map<std::string, std::uint64_t> m_newestAt;
--- a/Tests/platform/backend-list/test.cpp
+++ b/Tests/platform/backend-list/test.cpp
@@ -95,3 +95,22 @@
     CHECK(list.avoided("grey", zero));
     CHECK_FALSE(list.avoided("good", zero));
 }
+
+TEST_CASE("whoever only keeps in touch keeps an entry that lapsed, but not one that left")
+{
+    backend_directory list(milliseconds(5'000));
+    list.list(server("cut", "10.0.0.1:80", 1));
+    listed_backend leaving = server("leaving", "10.0.0.2:80", 2);
+    leaving.draining = true;
+    list.list(leaving);
+    list.unlist("cut", zero, zero);
+    list.unlist("leaving", zero, zero);
+    list.settle(zero + milliseconds(4'999));
+    CHECK(list.pool("model") == std::vector<std::string> { "cut" });
+    CHECK(list.find("leaving") == nullptr);
+    // A newer server at its address replaces it at once.
+    list.list(server("new", "10.0.0.1:80", 3));
+    CHECK(list.pool("model") == std::vector<std::string> { "new" });
+    list.settle(zero + milliseconds(5'000));
+    CHECK(list.find("cut") == nullptr);
+}
