requests: keep each entry VM to its share of a loaded group's places

Change: the admission gate of our own agents, moved to the shared daemon code, also stands before the engines of a group: an equal part of the places per entry VM while the group is loaded or has just opened. Who can come back is told to; who cannot waits here for a place, by workspace in turn.

--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -1,9 +1,9 @@
 // The agent in a backend server VM: the only way to its engine.
 #pragma once
 
-#include "agent/admission_gate.h"
 #include "agent/group_member.h"
 #include "agent/home_keeper.h"
+#include "daemon/admission_gate.h"
 #include "daemon/answer_relay.h"
 #include "daemon/operator_pages.h"
 #include "policy/permit_office.h"
--- a/Source/agent/admission_gate.cpp
+++ b/Source/daemon/admission_gate.cpp
@@ -1,4 +1,4 @@
-#include "agent/admission_gate.h"
+#include "daemon/admission_gate.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -43,13 +43,17 @@
 {
     admission_outcome outcome;
     const admission_id id = m_queue.offer(request, m_context.now(), outcome);
-    auto own = std::make_shared<waiter>(m_context.io());
+    auto own = std::make_shared<waiter>(m_context.io(), request.deadline);
     m_waiters.emplace(id, own);
     carryOut(outcome);
     if (!own->started && !own->refused) {
         exchange.onCallerGone([this, id] { withdraw(id); });
         co_await own->signal.async_wait(asio::as_tuple(asio::use_awaitable));
         exchange.onCallerGone(nullptr);
+        if (!own->started && !own->refused) {
+            m_queue.withdraw(id);
+            own->refused = notRun(failure_reason::queue_full, "no turn came in time");
+        }
     }
     m_waiters.erase(id);
     if (own->started)
--- a/Source/agent/admission_gate.h
+++ b/Source/daemon/admission_gate.h
@@ -14,7 +14,8 @@
 public:
     admission_gate(process_context&, admission_limits, bool shedding);
 
-    // Starts the loop that refuses what can no longer meet its deadline.
+    // Starts the loop that refuses early what is predicted to miss its deadline; without it
+    // requests wait until their deadline.
     void start();
     // Returns when the request may start, with the id to finish it by, or is refused; a
     // request whose caller goes away while it waits is refused as not run.
@@ -22,12 +23,13 @@
     void leave(admission_id, duration ran);
     void setSlots(int slots);
 
+    bool full() const { return m_queue.running() >= m_limits.slots; }
     const admission_queue& queue() const { return m_queue; }
 
 private:
     struct waiter {
-        explicit waiter(boost::asio::io_context& io)
-            : signal(io, instant::max())
+        waiter(boost::asio::io_context& io, instant deadline)
+            : signal(io, deadline)
         {
         }
         boost::asio::steady_timer signal;
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -198,7 +198,8 @@
     for (int tick = 0;; ++tick) {
         co_await pauseFor(m_context, housekeepingInterval);
         noteReadiness();
-        m_dispatcher.setSharers(m_peers->peers().mostEntries());
+        const peer_table& peers = m_peers->peers();
+        m_dispatcher.setSharers(peers.count(peer_role::entry) + 1, peers.mostEntries());
         if (tick % ticksPerReload == 0)
             reload();
     }
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstream_dispatcher.h"
 
+#include "policy/admission_share.h"
 #include "policy/group_wait.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -35,6 +36,12 @@
     // A begun stream whose caller leaves after a gap of two seconds.
     constexpr milliseconds resumeWait { 300 };
     constexpr milliseconds groupPoll { 20 };
+    // Order of those who wait for a place: begun streams first.
+    constexpr int begunUrgency = 1;
+    constexpr int otherUrgency = 2;
+    // From a place to the first event, with the margin that a caller's patience needs: the
+    // prompt and two passes of full ranks.
+    constexpr milliseconds firstEventTime { 450 };
     // Of the longest pause that a caller keeps to: when one that met full engines comes back.
     constexpr double shortestPauseShare = 0.4;
     constexpr milliseconds noBackendRetryAfter { 300 };
@@ -108,6 +115,11 @@
             co_return closed;
         if (exchange.callerGone())
             co_return std::nullopt;
+        const auto place = co_await takePlace(exchange, request, state);
+        if (exchange.callerGone())
+            co_return std::nullopt;
+        if (!place)
+            co_return failure { state.worst, place.error().reason, place.error().message, place.error().retryAfter };
         if (last && !takeRetry(request, *last))
             co_return last->failed;
         const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now };
@@ -161,6 +173,39 @@
     co_return std::nullopt;
 }
 
+awaitable<result<admission_place>> upstream_dispatcher::takePlace(http_exchange& exchange, const admitted_request& request, const progress& state)
+{
+    if (!request.costs)
+        co_return admission_place();
+    const instant now = m_context.now();
+    const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, now);
+    admission_gate& gate = gateOf(request.service);
+    gate.setSlots(admissionShare({ load.capacity, load.requests, m_entries, m_groups.openFor(request.service, now) }));
+    const bool mayComeBack = state.tried.empty() && isFirstTime(request);
+    if (gate.full() && mayComeBack)
+        co_return notRun(failure_reason::queue_full, "this process has its share of the engines' places taken", overloadPause(request));
+    const milliseconds patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
+    const int urgency = state.relay.begun ? begunUrgency : otherUrgency;
+    const instant startBy = std::min(request.deadline, state.relay.begun ? now + resumeWait : request.receivedAt + patience - firstEventTime);
+    const admission_request asked { request.workspace, urgency, startBy };
+    const auto entered = co_await gate.enter(asked, exchange);
+    if (!entered)
+        co_return entered.error();
+    co_return admission_place(gate, entered.value(), now);
+}
+
+admission_gate& upstream_dispatcher::gateOf(const std::string& service)
+{
+    constexpr bool shedding = false;
+    return m_gates.try_emplace(service, m_context, admission_limits {}, shedding).first->second;
+}
+
+void upstream_dispatcher::setSharers(std::size_t entries, std::size_t mostEntries)
+{
+    m_entries = entries;
+    m_budget.setSharers(mostEntries);
+}
+
 // Spread, so that those who are refused together do not come back together.
 milliseconds upstream_dispatcher::overloadPause(const admitted_request& request)
 {
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -1,6 +1,7 @@
 // Carries one request to a backend server and its answer back; tries again where safe.
 #pragma once
 
+#include "daemon/admission_gate.h"
 #include "daemon/answer_relay.h"
 #include "gateway/fleet_state.h"
 #include "gateway/gateway_settings.h"
@@ -25,13 +26,43 @@
     std::optional<engine_costs> costs;
 };
 
+// A place at the engines of a service; given back when it goes out of scope.
+class admission_place {
+public:
+    admission_place() = default;
+    admission_place(admission_gate& gate, admission_id id, instant since)
+        : m_gate(&gate)
+        , m_id(id)
+        , m_since(since)
+    {
+    }
+    admission_place(admission_place&& other) noexcept
+        : m_gate(std::exchange(other.m_gate, nullptr))
+        , m_id(other.m_id)
+        , m_since(other.m_since)
+    {
+    }
+    admission_place& operator=(admission_place&&) = delete;
+    ~admission_place()
+    {
+        if (m_gate)
+            m_gate->leave(m_id, std::chrono::steady_clock::now() - m_since);
+    }
+
+private:
+    admission_gate* m_gate = nullptr;
+    admission_id m_id = 0;
+    instant m_since {};
+};
+
 class upstream_dispatcher {
 public:
     upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, retry_bounds);
 
     // Answers the exchange, whatever happens.
     awaitable<void> dispatch(http_exchange&, const admitted_request&);
-    void setSharers(std::size_t entries) { m_budget.setSharers(entries); }
+    // `entries`: entry VMs at work; `mostEntries`: those that may share the retry budget.
+    void setSharers(std::size_t entries, std::size_t mostEntries);
 
 private:
     // How far one request has come.
@@ -51,6 +82,10 @@
 
     // Waits while the service's expert group is closed, as far as that serves the caller.
     awaitable<std::optional<failure>> awaitGroup(http_exchange&, const admitted_request&, const progress&);
+    // Waits for a place at the service's engines. A request that can come back is refused
+    // instead of waiting.
+    awaitable<result<admission_place>> takePlace(http_exchange&, const admitted_request&, const progress&);
+    admission_gate& gateOf(const std::string& service);
     milliseconds overloadPause(const admitted_request&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
@@ -72,6 +107,9 @@
     group_board& m_groups;
     http_client m_client;
     shared_retry_budget m_budget;
+    // Of model services, by name.
+    std::map<std::string, admission_gate> m_gates;
+    std::size_t m_entries = 1;
     upstream_choice m_choice;
 };
 
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -92,6 +92,16 @@
     return shortest == milliseconds::max() ? milliseconds(0) : shortest;
 }
 
+milliseconds group_board::openFor(const std::string& service, instant now) const
+{
+    milliseconds longest { 0 };
+    for (const auto& [name, held] : m_groups) {
+        if (held.news.service == service && held.news.phase.open)
+            longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - held.changedAt));
+    }
+    return longest;
+}
+
 std::vector<std::pair<group_news, milliseconds>> group_board::news(instant now) const
 {
     std::vector<std::pair<group_news, milliseconds>> all;
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -41,6 +41,16 @@
     });
 }
 
+pool_load poolLoad(const std::string& service, const backend_directory& backends, const load_board& loads, instant now)
+{
+    pool_load sum;
+    for (const auto& id : backends.pool(service)) {
+        sum.capacity += backends.find(id)->capacity;
+        sum.requests += loads.total(id, now).requests;
+    }
+    return sum;
+}
+
 std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, std::mt19937_64& random) const
 {
     struct candidate {
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -29,6 +29,16 @@
 // every one of them.
 bool allFull(const upstream_question&, const backend_directory&, const load_board&);
 
+// What the open servers of a service run at once, and the requests they have.
+struct pool_load {
+    int capacity = 0;
+    int requests = 0;
+
+    bool operator==(const pool_load&) const = default;
+};
+
+pool_load poolLoad(const std::string& service, const backend_directory&, const load_board&, instant now);
+
 class upstream_choice {
 public:
     // The id of the server; empty if the service has none.
