--- a/Source/gateway/gateway_server.cpp
+++ b/Source/gateway/gateway_server.cpp
@@ -1,10 +1,12 @@
 #include "gateway/gateway_server.h"
 
+#include "policy/group_wait.h"
+
 namespace rampgap {
 
 namespace {
 
-    // When a process without a configuration, or without a proof of it, is worth asking again.
+    // When a process without a configuration is worth asking again: reading it takes less.
     constexpr milliseconds notReadyRetryAfter { 250 };
 
 } // namespace
@@ -68,7 +70,7 @@
     if (!configuration.usesKeys() || route.isPublic)
         return boost::outcome_v2::success();
     if (!m_freshness.mayUseKeys(m_state.published().provenAt(), m_context.now()))
-        return notRun(failure_reason::not_ready, "it is not known whether the key still holds", notReadyRetryAfter);
+        return notRun(failure_reason::not_ready, "it is not known whether the key still holds", longestPause(said.timeLeft.value_or(route.timeout)));
     const workspace_spec* workspace = configuration.findWorkspace(said.key);
     if (!workspace)
         return notRun(failure_reason::unauthenticated, "the key is unknown");
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -29,8 +29,6 @@
     constexpr milliseconds leastTimeLeft { 20 };
     // A group that lost a rank stalls for 1.5 s and forms again in 0.6 s.
     constexpr milliseconds longestReopening { 2'600 };
-    // Callers keep to a pause of up to a third of the time that they have left.
-    constexpr int retryAfterPart = 3;
     // A caller with less than this of its route's time has been here before.
     constexpr int firstTimeTenths = 9;
     // A begun stream whose caller leaves after a gap of two seconds.
@@ -209,7 +207,7 @@
 // Spread, so that those who are refused together do not come back together.
 milliseconds upstream_dispatcher::overloadPause(const admitted_request& request)
 {
-    const auto longest = std::min(longestReopening, timeLeft(request, m_context.now()) / retryAfterPart);
+    const auto longest = std::min(longestReopening, longestPause(timeLeft(request, m_context.now())));
     const double draw = std::uniform_real_distribution<double>(shortestPauseShare, 1)(m_context.random());
     return milliseconds(static_cast<std::int64_t>(draw * static_cast<double>(longest.count())));
 }
--- a/Source/policy/group_wait.cpp
+++ b/Source/policy/group_wait.cpp
@@ -30,13 +30,17 @@
 group_wait_decision decideGroupWait(const group_wait_question& question)
 {
     const milliseconds remaining = std::max(leastRemaining, usualClosure - question.closedFor);
-    const milliseconds longestPause = question.timeLeft / pausePart;
-    if (question.firstTime && remaining <= longestPause)
-        return { milliseconds(0), spread(remaining, longestPause, question.draw) };
+    const milliseconds longest = longestPause(question.timeLeft);
+    if (question.firstTime && remaining <= longest)
+        return { milliseconds(0), spread(remaining, longest, question.draw) };
     const milliseconds patienceLeft = question.patience - question.waited - patienceMargin;
     const milliseconds wait = std::max(milliseconds(0), std::min(patienceLeft, question.timeLeft - patienceMargin));
-    const milliseconds pauseThen = std::max(milliseconds(0), question.timeLeft - wait) / pausePart;
-    return { wait, std::min(pauseThen, std::max(leastRemaining, remaining - wait)) };
+    return { wait, std::min(longestPause(question.timeLeft - wait), std::max(leastRemaining, remaining - wait)) };
+}
+
+milliseconds longestPause(milliseconds timeLeft)
+{
+    return std::max(milliseconds(0), timeLeft) / pausePart;
 }
 
 milliseconds callerPatience(milliseconds latencyTarget, milliseconds gapTarget)
--- a/Source/policy/group_wait.h
+++ b/Source/policy/group_wait.h
@@ -35,6 +35,10 @@
 // waited, but it comes back only once and keeps to a pause of a third of its time.
 group_wait_decision decideGroupWait(const group_wait_question&);
 
+// The longest pause that a caller keeps to before it comes back; what a process that has lost
+// the store says, since the balancer takes two seconds to send callers elsewhere.
+milliseconds longestPause(milliseconds timeLeft);
+
 // Silence after which callers of streams give up.
 milliseconds callerPatience(milliseconds latencyTarget, milliseconds gapTarget);
 
--- a/Tests/platform/group-state/wait.cpp
+++ b/Tests/platform/group-state/wait.cpp
@@ -41,6 +41,12 @@
     CHECK(decideGroupWait(question).wait == milliseconds(0));
 }
 
+TEST_CASE("the longest pause is a third of the time that is left")
+{
+    CHECK(longestPause(milliseconds(7'500)) == milliseconds(2'500));
+    CHECK(longestPause(milliseconds(-1)) == milliseconds(0));
+}
+
 TEST_CASE("nobody is kept beyond its patience, its time, or the pause that callers keep to")
 {
     CHECK(rc::check([] {
