--- a/Source/daemon/admission_gate.h
+++ b/Source/daemon/admission_gate.h
@@ -20,7 +20,8 @@
     // Returns when the request may start, with the id to finish it by, or is refused; a
     // request whose caller goes away while it waits is refused as not run.
     awaitable<result<admission_id>> enter(admission_request, http_exchange&);
-    void leave(admission_id, duration ran);
+    // `ran` predicts the waits of others where the gate sheds.
+    void leave(admission_id, duration ran = duration::zero());
     void setSlots(int slots);
 
     bool full() const { return m_queue.running() >= m_limits.slots; }
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -189,7 +189,7 @@
     const auto entered = co_await gate.enter(asked, exchange);
     if (!entered)
         co_return entered.error();
-    co_return admission_place(gate, entered.value(), now);
+    co_return admission_place(gate, entered.value());
 }
 
 admission_gate& upstream_dispatcher::gateOf(const std::string& service)
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -1,7 +1,7 @@
 // Carries one request to a backend server and its answer back; tries again where safe.
 #pragma once
 
-#include "daemon/admission_gate.h"
+#include "daemon/admission_place.h"
 #include "daemon/answer_relay.h"
 #include "gateway/fleet_state.h"
 #include "gateway/gateway_settings.h"
@@ -26,35 +26,6 @@
     std::optional<engine_costs> costs;
 };
 
-// A place at the engines of a service; given back when it goes out of scope.
-class admission_place {
-public:
-    admission_place() = default;
-    admission_place(admission_gate& gate, admission_id id, instant since)
-        : m_gate(&gate)
-        , m_id(id)
-        , m_since(since)
-    {
-    }
-    admission_place(admission_place&& other) noexcept
-        : m_gate(std::exchange(other.m_gate, nullptr))
-        , m_id(other.m_id)
-        , m_since(other.m_since)
-    {
-    }
-    admission_place& operator=(admission_place&&) = delete;
-    ~admission_place()
-    {
-        if (m_gate)
-            m_gate->leave(m_id, std::chrono::steady_clock::now() - m_since);
-    }
-
-private:
-    admission_gate* m_gate = nullptr;
-    admission_id m_id = 0;
-    instant m_since {};
-};
-
 class upstream_dispatcher {
 public:
     upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, retry_bounds);
