tests: mutations of the new rules; a few choices after a closure

Cause: the mutation check showed that no test would see the past fade over a closure once new choices come.

--- a/Source/policy/map_switch.cpp
+++ b/Source/policy/map_switch.cpp
@@ -186,12 +186,11 @@
 }
 
 // A leader arms its own rank only when all others have shown that they are armed, and whoever
-// disarms them disarms that rank first. The leader's orders
-// to claimed ranks are refused from now on; so one claimed rank that was not armed proves that
-// the leader's own is not, and never will be. All claimed ranks must have prepared that
-// leader's placement, and the one hold must stand where that leader puts it: then no other
-// leader's change can have armed the missing rank either, for each preparation finds what an
-// earlier change has left.
+// disarms them disarms that rank first. Its orders to claimed ranks are refused from now on;
+// so one claimed rank that is not armed proves that the leader's own is not, and never will be.
+// All claimed ranks must have prepared that leader's placement, and the one hold must stand
+// where that leader puts it: then no other leader's change can have armed the missing rank
+// either, for each preparation finds what an earlier change has left.
 std::optional<std::size_t> map_switch::dispensableRank() const
 {
     const auto missing = static_cast<std::size_t>(std::find(m_confirmed.begin(), m_confirmed.end(), false) - m_confirmed.begin());
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -200,3 +200,20 @@
     choice.forgive();
     CHECK(choice.choose(members, zero + milliseconds(1'000)) == "a");
 }
+
+TEST_CASE("the first few choices after a closure do not wipe out what was popular before it")
+{
+    monitor_settings settings;
+    settings.layerSets = 1;
+    settings.experts = 4;
+    settings.leastChoices = 1'000;
+    settings.limits.slotsPerRank = 3;
+    group_monitor monitor(settings);
+    const instant later = zero + milliseconds(6'000);
+    for (const std::uint32_t rank : { 0U, 1U })
+        monitor.observe({ "x", viewOf(rank, 1), { 9'000, 100, 100, 100 } }, zero);
+    for (const std::uint32_t rank : { 0U, 1U })
+        monitor.observe({ "x", viewOf(rank, 2), { 1, 1, 1, 1 } }, later);
+    monitor.learn(0, initialPlacement(1, 4, 2));
+    CHECK((monitor.decide(later) == leader_task::change_placement));
+}
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -51,6 +51,14 @@
     ("answers_of_other_phases", "map_coordinator.cpp", "if (answer.kind != expectedAnswer(m_phase))", "if (!expectedAnswer(m_phase))", "groups/switch-property"),
     ("late_abort_drops_later_map", "map_participant.cpp", " || m_state.stagedMap > message.map", "", "groups/switch-property"),
     ("abort_after_commit", "map_coordinator.cpp", "if (anyCommitted())", "if (false)", "groups/switch-property"),
+    ("own_rank_armed_early", "map_switch.cpp", "        m_confirmed[m_ownRank] = true;\n        if (allConfirmed())\n", "        if (allConfirmed())\n", "platform/map-switch"),
+    ("leader_disarmed_with_others", "map_switch.cpp", "    m_disarmFirst = *leaderRank;\n    enter(switch_phase::disarming_leader);", "    enter(switch_phase::disarming);", "platform/map-switch"),
+    ("clean_up_without_proof", "map_switch.cpp", "return anyUnarmed ? std::optional(missing) : std::nullopt;", "return missing;", "platform/map-switch"),
+    ("old_view_as_proof", "map_switch.cpp", "surelyUnarmed = after->fresh && after->armedPlacement == 0", "surelyUnarmed = after->armedPlacement == 0 || !after->fresh", "platform/map-switch"),
+    ("refusal_forgotten", "group_board.cpp", "    if (suspected(service, now))\n        return true;\n", "", "platform/group-state"),
+    ("patience_counted_anew", "group_wait.cpp", "question.patience - question.waited - patienceMargin", "question.patience - patienceMargin", "platform/group-state"),
+    ("popularity_fades_in_a_cut", "group_monitor.cpp", "std::min(sinceLast, static_cast<double>(m_settings.longestGap.count()))", "sinceLast", "platform/group-state"),
+    ("share_of_everything", "admission_share.cpp", "(shared + entries - 1) / entries", "shared", "platform/admission-share"),
 ]
 
 
