groups: a refusal in one of several groups closes none; say why a state is unknown

Change: a refusal closes the group only of a service with one known group. Besides, a rank's state that could not be had leaves a log line, and what is read from afar is never taken for fresh.

--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -66,7 +66,7 @@
     }
     m_log.line("agent_unreachable").add("agent", agent).add("order", toString(order.kind)).add("reason", response ? "unreadable answer" : response.error().message).add("outcome", "ordering the engine directly");
     outcome.reply = co_await m_port.order(backend.address, backend.id, order);
-    outcome.after = co_await remoteView(backend);
+    outcome.after = co_await view(backend);
     co_return outcome;
 }
 
@@ -76,7 +76,7 @@
     outcome.reply = co_await m_port.order(backend.address, backend.id, order);
     outcome.after = co_await agentView(backend);
     if (!outcome.after)
-        outcome.after = co_await remoteView(backend);
+        outcome.after = co_await view(backend);
     m_log.line("rank_order").add("order", toString(order.kind)).add("backend", backend.id).add("step", order.step).add("epoch", order.epoch).add("fence", order.fence).add("outcome", toString(outcome.reply));
     co_return outcome;
 }
@@ -85,19 +85,10 @@
 {
     const auto response = co_await send(agentOf(backend), gateway::rank_order(), milliseconds(0));
     gateway::rank_order_result answer;
-    if (!response || response.value().result() != http::status::ok || !answer.ParseFromString(response.value().body()) || !answer.has_view())
-        co_return std::nullopt;
-    co_return fromWire(answer.view());
-}
-
-awaitable<std::optional<rank_view>> rank_link::remoteView(const listed_backend& backend)
-{
-    const auto state = co_await m_port.state(backend.address);
-    if (!state)
-        co_return std::nullopt;
-    rank_view view = state.value();
-    view.fresh = false;
-    co_return view;
+    if (response && response.value().result() == http::status::ok && answer.ParseFromString(response.value().body()) && answer.has_view())
+        co_return fromWire(answer.view());
+    m_log.line("agent_unreachable").add("agent", agentOf(backend)).add("reason", response ? "no state in its answer" : response.error().message).add("outcome", "asking the engine directly");
+    co_return std::nullopt;
 }
 
 std::string rank_link::agentOf(const listed_backend& backend) const
@@ -112,7 +103,9 @@
         m_log.line("rank_state_unknown").add("backend", backend.id).add("address", backend.address).add("reason", state.error().message);
         co_return std::nullopt;
     }
-    co_return state.value();
+    rank_view seen = state.value();
+    seen.fresh = false;
+    co_return seen;
 }
 
 awaitable<std::optional<rank_experts>> rank_link::experts(listed_backend backend)
@@ -135,6 +128,8 @@
         const auto seen = co_await m_port.state(engineAddress);
         if (seen)
             *answer.mutable_view() = toWire(seen.value());
+        else
+            m_log.line("rank_state_unknown").add("address", engineAddress).add("reason", seen.error().message);
         co_return makeResponse(200, "application/x-protobuf", answer.SerializeAsString());
     }
     const auto base = m_prepared.find(wire.base_placement());
--- a/Source/gateway/rank_link.h
+++ b/Source/gateway/rank_link.h
@@ -30,6 +30,7 @@
     // is complete, or after `wait`. `base`: what the agents hold already, without contents
     // if that is not known.
     awaitable<order_outcome> order(listed_backend, map_order, milliseconds wait, numbered_placement base);
+    // As the engine itself tells from afar; not fresh.
     awaitable<std::optional<rank_view>> view(listed_backend);
     awaitable<std::optional<rank_experts>> experts(listed_backend);
 
@@ -41,7 +42,6 @@
     awaitable<order_outcome> orderDirectly(const listed_backend&, const map_order&);
     // The rank's state as its agent reads it; none if the agent does not answer.
     awaitable<std::optional<rank_view>> agentView(const listed_backend&);
-    awaitable<std::optional<rank_view>> remoteView(const listed_backend&);
     std::string agentOf(const listed_backend&) const;
     awaitable<void> awaitPrepared(const std::string& engineAddress, std::uint64_t placement, instant until);
 
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -41,8 +41,13 @@
     return !held.news.phase.open && now - held.confirmedAt < m_life;
 }
 
+// Of several groups the refusal closes one, and which one is not known here: the others
+// may be open.
 void group_board::noteRefusal(const std::string& service, instant now)
 {
+    const auto groups = std::count_if(m_groups.begin(), m_groups.end(), [&](const auto& group) { return group.second.news.service == service; });
+    if (groups > 1)
+        return;
     if (!suspected(service, now))
         m_suspicions[service] = { now, now };
     else
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -37,7 +37,7 @@
     bool note(const group_news&, milliseconds age, instant now);
 
     // An engine of the service with room for it refused a request unrun: its group has
-    // closed, unless a later report shows it open.
+    // closed, unless a later report shows it open. Says nothing of a service with several.
     void noteRefusal(const std::string& service, instant now);
 
     // True if the service's only groups are known or suspected to be closed.
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -217,3 +217,13 @@
     monitor.learn(0, initialPlacement(1, 4, 2));
     CHECK((monitor.decide(later) == leader_task::change_placement));
 }
+
+TEST_CASE("a refusal in one of several groups does not close the others")
+{
+    group_board board(milliseconds(1'500));
+    board.note({ "whole", "model", { 1, true } }, milliseconds(0), zero);
+    // 301 engines in groups of 63: the last group lacks ranks and never opens.
+    board.note({ "short", "model", { 0, false } }, milliseconds(0), zero);
+    board.noteRefusal("model", zero + milliseconds(10));
+    CHECK_FALSE(board.closed("model", zero + milliseconds(10)));
+}
