requests: only counted ranks close their group by a refusal

Cause: with several groups of which this process knows one, a refusal by an engine of another group would have closed the known one for up to 0.6 s. Change: a refusal counts only by a server that a leader has counted among the ranks of its group. Result: red before (no such function), green after; 74 platform tests.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -235,9 +235,10 @@
     return true;
 }
 
+// A rank that no leader has counted may belong to a group that this process never heard of.
 void upstream_dispatcher::noteRefusal(const admitted_request& request, const listed_backend& backend)
 {
-    if (request.costs && m_loads.total(backend.id, m_context.now()).requests <= backend.capacity)
+    if (request.costs && m_loads.counted(backend.id) && m_loads.total(backend.id, m_context.now()).requests <= backend.capacity)
         m_groups.noteRefusal(request.service, m_context.now());
 }
 
--- a/Source/policy/load_board.h
+++ b/Source/policy/load_board.h
@@ -43,6 +43,9 @@
     // Requests at each rank as the engines themselves count them.
     void noteRanks(const load_report_by_hash&, instant now);
 
+    // True if a leader has ever counted this server among the ranks of its group.
+    bool counted(const std::string& id) const { return m_ranks.contains(backendHash(id)); }
+
     backend_load own(const std::string& id) const;
     backend_load total(const std::string& id, instant now) const;
     // Our own loads, without idle servers.
--- a/Tests/platform/upstream-choice/test.cpp
+++ b/Tests/platform/upstream-choice/test.cpp
@@ -111,3 +111,12 @@
     CHECK(loads.own("s").requests == 0);
     CHECK(loads.total("s", zero + milliseconds(700)).requests == 0);
 }
+
+TEST_CASE("only servers that a leader has counted are known to be ranks of its group")
+{
+    load_board loads(milliseconds(400));
+    CHECK_FALSE(loads.counted("a"));
+    loads.noteRanks({ { backendHash("a"), { 2, 0, 1 } } }, instant {});
+    CHECK(loads.counted("a"));
+    CHECK_FALSE(loads.counted("b"));
+}
