groups: lead, close and choose each expert group of a service by itself

Cause: an agent took all engines of a service for one group. With three groups of 24 ranks under one service their ranks were mixed by number, placements of one group were armed at ranks of another (the ranks of a group then had two placements in a step), and one closed group was taken for the whole service.

Agents now tell each other the group of their engine, lead and report within it only, and tell entry VMs which servers a group has. Entry VMs send to open groups.

Ruled out: a leader that asks all engines for their group (72 priced calls each time).

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -58,7 +58,7 @@
     , m_loads(loadReportLife)
     , m_groups(groupNewsLife)
     , m_link(context, log, port, static_cast<unsigned short>(m_settings.firstPeerPort + orderPortOffset))
-    , m_leader(context, log, m_state, m_link)
+    , m_leader(context, log, m_state, m_link, m_roster)
     , m_choice(leaderPatience, leaderPenalty)
     , m_socket(context.io())
     , m_signals(context.io(), SIGTERM, SIGINT, SIGHUP)
@@ -139,11 +139,16 @@
     co_await exchange.send(std::move(response));
 }
 
-std::vector<std::string> agent_process::members()
+std::vector<std::string> agent_process::pool()
 {
     return m_state.backends().pool(m_settings.engineService);
 }
 
+std::vector<std::string> agent_process::members()
+{
+    return m_roster.members(pool(), m_group, m_groupSize);
+}
+
 const listed_backend* agent_process::ownBackend()
 {
     return m_state.backends().findByAddress(m_settings.engineAddress);
@@ -159,8 +164,10 @@
         const auto view = co_await m_port.state(m_settings.engineAddress);
         if (!view || view.value().groupSize == 0)
             continue;
-        m_peers->tellGroup({ view.value().group, m_settings.engineService, { view.value().epoch, view.value().open } });
+        noteGroup(view.value());
+        m_peers->tellGroup({ { m_settings.engineService, m_group }, { view.value().epoch, view.value().open } });
         noteEpoch(view.value());
+        askGroups();
         std::vector<std::uint64_t> choices;
         if (countsDue(view.value(), tick)) {
             auto counts = co_await m_port.counts(m_settings.engineAddress);
@@ -171,6 +178,51 @@
     }
 }
 
+void agent_process::noteGroup(const rank_view& view)
+{
+    m_groupSize = view.groupSize;
+    m_roster.note(ownBackend()->id, view.group, m_context.now());
+    if (view.group == m_group)
+        return;
+    m_log.line("group_joined").add("group", view.group).add("rank", view.rank).add("size", view.groupSize).add("before", m_group.empty() ? "-" : m_group);
+    m_group = view.group;
+    for (const auto& id : pool()) {
+        if (id != ownBackend()->id)
+            sendMembership(*m_state.backends().find(id), false);
+    }
+}
+
+void agent_process::askGroups()
+{
+    const auto all = pool();
+    // Where all fit in one group there is nothing to ask.
+    if (all.size() <= m_groupSize)
+        return;
+    for (const auto& id : m_roster.takeQuestions(all, ownBackend()->id, m_context.now()))
+        sendMembership(*m_state.backends().find(id), true);
+}
+
+void agent_process::sendMembership(const listed_backend& to, bool wantsReply)
+{
+    const auto endpoint = parseEndpoint(to.address);
+    if (!endpoint)
+        return;
+    gateway::agent_datagram datagram;
+    auto* membership = datagram.mutable_membership();
+    membership->set_backend_id(ownBackend()->id);
+    membership->set_group(m_group);
+    membership->set_wants_reply(wantsReply);
+    sendDatagram(datagram.SerializeAsString(), { endpoint.value().address(), static_cast<unsigned short>(m_settings.firstPeerPort + reportPortOffset) });
+}
+
+void agent_process::takeMembership(const gateway::rank_membership& told, const udp::endpoint& from)
+{
+    m_roster.note(told.backend_id(), told.group(), m_context.now());
+    const auto* asker = m_state.backends().findByHost(from.address().to_string(), m_settings.engineService);
+    if (told.wants_reply() && asker && ownBackend() && !m_group.empty())
+        sendMembership(*asker, false);
+}
+
 void agent_process::noteEpoch(const rank_view& view)
 {
     if (!view.open || view.epoch == m_epoch)
@@ -183,7 +235,7 @@
 bool agent_process::countsDue(const rank_view& view, std::uint64_t tick)
 {
     const bool young = m_context.now() - m_epochSince < youngEpoch;
-    const std::uint64_t usual = 1 + members().size() / (ranksPerCountsTick + 1);
+    const std::uint64_t usual = 1 + view.groupSize / (ranksPerCountsTick + 1);
     const std::uint64_t ticks = young ? std::min(usual, ticksPerEarlyCounts) : usual;
     return (tick + view.rank) % ticks == 0;
 }
@@ -251,9 +303,21 @@
             m_choice.noteAnswer(leader->id);
         return;
     }
+    if (datagram.has_membership()) {
+        takeMembership(datagram.membership(), from);
+        return;
+    }
     if (!datagram.has_report() || !m_leader.configured())
         return;
     const auto& report = datagram.report();
+    m_roster.note(report.backend_id(), report.view().group(), m_context.now());
+    // Not acknowledged: this agent leads no other group than its engine's.
+    if (report.view().group() != m_group) {
+        const auto* sender = m_state.backends().find(report.backend_id());
+        if (sender && ownBackend() && !m_group.empty())
+            sendMembership(*sender, false);
+        return;
+    }
     rank_observation seen { report.backend_id(), fromWire(report.view()), {} };
     for (const auto count : report.choices())
         seen.choices.push_back(static_cast<std::uint64_t>(count) * report.choices_unit());
@@ -276,9 +340,8 @@
         co_await timer.async_wait(asTuple);
         if (!leads())
             continue;
-        const std::string ownId = ownBackend()->id;
-        const auto ids = members();
-        co_await m_leader.work(ids, ownId);
+        group_members ids { m_group, ownBackend()->id, members(), m_roster.unknown(pool()) };
+        co_await m_leader.work(std::move(ids));
     }
 }
 
@@ -289,7 +352,7 @@
         asio::steady_timer timer(m_context.io(), ranksToldInterval);
         co_await timer.async_wait(asTuple);
         if (leads())
-            m_peers->tellRanks(m_leader.rankLoads());
+            m_peers->tellRanks({ m_settings.engineService, m_leader.group() }, m_leader.rankLoads());
     }
 }
 
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -53,11 +53,12 @@
 
 } // namespace
 
-group_leader::group_leader(process_context& context, decision_log& log, fleet_state& state, rank_link& link)
+group_leader::group_leader(process_context& context, decision_log& log, fleet_state& state, rank_link& link, group_roster& roster)
     : m_context(context)
     , m_log(log)
     , m_state(state)
     , m_link(link)
+    , m_roster(roster)
 {
 }
 
@@ -109,13 +110,16 @@
     return m_lastFence;
 }
 
-awaitable<void> group_leader::work(std::vector<std::string> members, std::string ownBackendId)
+awaitable<void> group_leader::work(group_members known)
 {
     if (!m_monitor)
         co_return;
+    // Only here, between two changes: their orders go by the ranks of one group.
+    m_monitor->follow(known.group);
+    const std::string ownBackendId = known.ownId;
     // A hold that is seen is urgent, and a look at a machine that stands still takes its time.
     if (m_monitor->holds().empty())
-        co_await lookAtMissing(std::move(members));
+        co_await lookAtMissing(std::move(known));
     switch (m_monitor->decide(m_context.now())) {
     case leader_task::none:
         break;
@@ -131,23 +135,30 @@
     }
 }
 
-awaitable<void> group_leader::lookAtMissing(std::vector<std::string> members)
+awaitable<void> group_leader::lookAtMissing(group_members known)
 {
     const instant now = m_context.now();
     if (now - m_lastDirectLook < directLookInterval)
         co_return;
     m_lastDirectLook = now;
-    const auto missing = m_monitor->unobserved(members, now);
+    // A rank whose agent is gone tells nobody its group: while ranks are wanting, its engine
+    // may be one of those that nobody knows.
+    auto candidates = known.members;
+    if (candidates.size() < m_monitor->groupSize())
+        candidates.insert(candidates.end(), known.unknown.begin(), known.unknown.end());
+    const auto missing = m_monitor->unobserved(candidates, now);
     // Most members missing: this agent hears nobody, or has just started to lead.
-    if (missing.size() > members.size() / 2)
+    if (missing.size() > m_monitor->groupSize() / 2)
         co_return;
     for (const auto& id : missing) {
         const auto* listed = m_state.backends().find(id);
         if (!listed)
             continue;
         const auto seen = co_await m_link.view(*listed);
-        if (seen)
-            m_monitor->observe({ id, *seen, {} }, m_context.now());
+        if (!seen)
+            continue;
+        m_roster.note(id, seen->group, m_context.now());
+        m_monitor->observe({ id, *seen, {} }, m_context.now());
     }
 }
 
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/group_leader.h
@@ -4,26 +4,38 @@
 #include "gateway/fleet_state.h"
 #include "gateway/rank_link.h"
 #include "policy/group_monitor.h"
+#include "policy/group_roster.h"
 #include "policy/load_board.h"
 #include "policy/map_switch.h"
 
 namespace rampgap {
 
+// The group to lead, as far as its agent knows it.
+struct group_members {
+    std::string group;
+    std::string ownId;
+    std::vector<std::string> members;
+    // Servers of the service whose group nobody has told.
+    std::vector<std::string> unknown;
+};
+
 class group_leader {
 public:
-    group_leader(process_context&, decision_log&, fleet_state&, rank_link&);
+    group_leader(process_context&, decision_log&, fleet_state&, rank_link&, group_roster&);
 
     // Starts over with the published figures of the service.
     void configure(const engine_costs&);
     bool configured() const { return m_monitor.has_value(); }
     void observe(const rank_observation&);
+    // The group that it follows; empty before the first work.
+    std::string group() const { return m_monitor ? m_monitor->group() : std::string(); }
     // Requests at each rank that was observed lately.
     load_report_by_hash rankLoads() const;
     // One look at what there is to do; returns when it is done. Call again and again.
-    awaitable<void> work(std::vector<std::string> members, std::string ownBackendId);
+    awaitable<void> work(group_members);
 
 private:
-    awaitable<void> lookAtMissing(std::vector<std::string> members);
+    awaitable<void> lookAtMissing(group_members);
     awaitable<void> learnPlacement();
     awaitable<void> changePlacement(const std::string& ownBackendId);
     awaitable<void> cleanUp();
@@ -39,6 +51,7 @@
     decision_log& m_log;
     fleet_state& m_state;
     rank_link& m_link;
+    group_roster& m_roster;
     engine_costs m_costs;
     std::optional<group_monitor> m_monitor;
     std::uint64_t m_lastFence = 0;
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -119,8 +119,8 @@
 {
     for (const auto& [news, age] : m_groups.news(m_context.now())) {
         auto* added = datagram.add_groups();
-        added->set_group(news.group);
-        added->set_service(news.service);
+        added->set_group(news.key.group);
+        added->set_service(news.key.service);
         added->set_epoch(news.phase.epoch);
         added->set_open(news.phase.open);
         added->set_age_ms(static_cast<std::uint32_t>(age.count()));
@@ -130,9 +130,9 @@
 void peer_exchange::takeGroups(const gateway::peer_datagram& datagram)
 {
     for (const auto& told : datagram.groups()) {
-        const group_news news { told.group(), told.service(), { told.epoch(), told.open() } };
+        const group_news news { { told.service(), told.group() }, { told.epoch(), told.open() } };
         if (m_groups.note(news, milliseconds(told.age_ms()), m_context.now()))
-            m_log.line("group_state").add("group", news.group).add("epoch", news.phase.epoch).add("state", news.phase.open ? "open" : "closed").add("age_ms", told.age_ms());
+            m_log.line("group_state").add("group", news.key.group).add("epoch", news.phase.epoch).add("state", news.phase.open ? "open" : "closed").add("age_ms", told.age_ms());
     }
 }
 
@@ -140,7 +140,7 @@
 {
     if (!m_groups.note(news, milliseconds(0), m_context.now()))
         return;
-    m_log.line("group_state").add("group", news.group).add("epoch", news.phase.epoch).add("state", news.phase.open ? "open" : "closed").add("source", "own engine");
+    m_log.line("group_state").add("group", news.key.group).add("epoch", news.phase.epoch).add("state", news.phase.open ? "open" : "closed").add("source", "own engine");
     auto datagram = makeDatagram();
     addGroups(datagram);
     for (const auto& peer : m_peers.live(peer_role::entry))
@@ -203,6 +203,9 @@
         m_loads.notePeer(host, std::move(loads), now);
     if (!datagram.ranks().empty()) {
         load_report_by_hash ranks;
+        const group_key group { datagram.ranks_group().service(), datagram.ranks_group().group() };
+        for (const auto& work : datagram.ranks())
+            m_groups.noteMember(work.backend_hash(), group);
         for (const auto& work : datagram.ranks())
             ranks[work.backend_hash()] = { static_cast<int>(work.requests()), 0, std::max(1.0, work.pace_percent() / percent) };
         m_loads.noteRanks(ranks, now);
@@ -294,10 +297,12 @@
         send(peer.host, datagram);
 }
 
-void peer_exchange::tellRanks(const load_report_by_hash& ranks)
+void peer_exchange::tellRanks(const group_key& group, const load_report_by_hash& ranks)
 {
     auto datagram = makeDatagram();
     addGroups(datagram);
+    datagram.mutable_ranks_group()->set_service(group.service);
+    datagram.mutable_ranks_group()->set_group(group.group);
     for (const auto& [hash, load] : ranks) {
         auto* work = datagram.add_ranks();
         work->set_backend_hash(hash);
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -124,9 +124,9 @@
         if (last && !takeRetry(request, *last))
             co_return last->failed;
         const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now };
-        if (request.costs && state.tried.empty() && isFirstTime(request) && allFull(question, m_state.backends(), m_loads))
+        if (request.costs && state.tried.empty() && isFirstTime(request) && allFull(question, m_state.backends(), m_loads, m_groups))
             co_return notRun(failure_reason::queue_full, "all ranks have requests waiting", overloadPause(request));
-        const std::string id = m_choice.choose(question, m_state.backends(), m_loads, m_context.random());
+        const std::string id = m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_context.random());
         if (id.empty()) {
             if (last)
                 co_return last->failed;
@@ -179,7 +179,7 @@
     if (!request.costs)
         co_return admission_place();
     const instant now = m_context.now();
-    const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, now);
+    const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, m_groups, now);
     admission_gate& gate = gateOf(request.service);
     gate.setSlots(admissionShare({ load.capacity, load.requests, m_entries, m_groups.openFor(request.service, now) }));
     const bool mayComeBack = state.tried.empty() && isFirstTime(request);
@@ -245,7 +245,7 @@
 {
     const bool justStarted = m_context.now() - m_context.startedAt() < firstNews;
     if (request.costs && (justStarted || m_loads.counted(backend.id)) && m_loads.total(backend.id, m_context.now()).requests <= backend.capacity)
-        m_groups.noteRefusal(request.service, m_context.now());
+        m_groups.noteRefusal(request.service, backendHash(backend.id), m_context.now());
 }
 
 awaitable<upstream_dispatcher::try_outcome> upstream_dispatcher::tryOn(http_exchange& exchange, const admitted_request& request, progress& state, const listed_backend& backend)
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -9,6 +9,9 @@
     // Agents tell of a change within some ten milliseconds, and confirm what holds each
     // 100 ms; a suspicion that nobody confirms or denies for longer comes from lost news.
     constexpr milliseconds suspicionLife { 600 };
+    // Groups are formed anew under other names; one that nobody has confirmed for longer
+    // than any partition that is planned for does not keep its service open.
+    constexpr milliseconds forgottenAfter { 10'000 };
 
 } // namespace
 
@@ -20,88 +23,129 @@
 bool group_board::note(const group_news& news, milliseconds age, instant now)
 {
     const instant at = now - age;
-    const auto held = m_groups.find(news.group);
+    const auto held = m_groups.find(news.key);
     if (held == m_groups.end()) {
-        m_groups[news.group] = { news, at, at };
+        m_groups[news.key] = { news.phase, at, at };
         return true;
     }
-    const auto known = held->second.news.phase.rank();
+    const auto known = held->second.phase.rank();
     if (news.phase.rank() < known)
         return false;
     const bool changed = news.phase.rank() > known;
     held->second.confirmedAt = changed ? at : std::max(held->second.confirmedAt, at);
     if (changed)
         held->second.changedAt = at;
-    held->second.news = news;
+    held->second.phase = news.phase;
     return changed;
 }
 
+void group_board::noteMember(std::uint32_t backendHash, const group_key& key)
+{
+    m_members[backendHash] = key;
+}
+
 bool group_board::knownClosed(const entry& held, instant now) const
 {
-    return !held.news.phase.open && now - held.confirmedAt < m_life;
+    return !held.phase.open && now - held.confirmedAt < m_life;
+}
+
+group_key group_board::keyOf(const std::string& service, std::uint32_t backendHash) const
+{
+    const auto member = m_members.find(backendHash);
+    if (member != m_members.end() && member->second.service == service)
+        return member->second;
+    const auto first = m_groups.lower_bound({ service, {} });
+    if (first == m_groups.end() || first->first.service != service)
+        return { service, {} };
+    // With one group the server can be in no other; with several it may be in any.
+    const auto second = std::next(first);
+    const bool only = second == m_groups.end() || second->first.service != service;
+    return only ? first->first : group_key { service, {} };
 }
 
-// Of several groups the refusal closes one, and which one is not known here: the others
-// may be open.
-void group_board::noteRefusal(const std::string& service, instant now)
+void group_board::noteRefusal(const std::string& service, std::uint32_t backendHash, instant now)
 {
-    const auto groups = std::count_if(m_groups.begin(), m_groups.end(), [&](const auto& group) { return group.second.news.service == service; });
-    if (groups > 1)
+    const group_key key = keyOf(service, backendHash);
+    const bool severalGroups = key.group.empty() && m_groups.lower_bound(key) != m_groups.end() && m_groups.lower_bound(key)->first.service == service;
+    if (severalGroups)
         return;
-    if (!suspected(service, now))
-        m_suspicions[service] = { now, now };
+    if (!suspected(key, now))
+        m_suspicions[key] = { now, now };
     else
-        m_suspicions[service].confirmedAt = now;
+        m_suspicions[key].confirmedAt = now;
 }
 
-const group_board::suspicion* group_board::suspected(const std::string& service, instant now) const
+const group_board::suspicion* group_board::suspected(const group_key& key, instant now) const
 {
-    const auto held = m_suspicions.find(service);
+    const auto held = m_suspicions.find(key);
     if (held == m_suspicions.end() || now - held->second.confirmedAt >= suspicionLife)
         return nullptr;
-    return shownOpenAfter(service, held->second.confirmedAt) ? nullptr : &held->second;
+    // A suspicion from before any group was heard of ends with the first that is open.
+    const auto shownOpenAfter = [&](const group_key& of) {
+        const auto group = m_groups.find(of);
+        return group != m_groups.end() && group->second.phase.open && group->second.confirmedAt > held->second.confirmedAt;
+    };
+    if (!key.group.empty())
+        return shownOpenAfter(key) ? nullptr : &held->second;
+    const auto keys = keysOf(key.service, now);
+    return std::any_of(keys.begin(), keys.end(), shownOpenAfter) ? nullptr : &held->second;
+}
+
+std::vector<group_key> group_board::keysOf(const std::string& service, instant now) const
+{
+    std::vector<group_key> keys;
+    for (auto group = m_groups.lower_bound({ service, {} }); group != m_groups.end() && group->first.service == service; ++group) {
+        if (now - group->second.confirmedAt < forgottenAfter)
+            keys.push_back(group->first);
+    }
+    return keys;
 }
 
-bool group_board::shownOpenAfter(const std::string& service, instant at) const
+bool group_board::closed(const group_key& key, instant now) const
 {
-    return std::any_of(m_groups.begin(), m_groups.end(), [&](const auto& group) {
-        const entry& held = group.second;
-        return held.news.service == service && held.news.phase.open && held.confirmedAt > at;
-    });
+    const auto held = m_groups.find(key);
+    return (held != m_groups.end() && knownClosed(held->second, now)) || suspected(key, now);
+}
+
+bool group_board::closedAt(const std::string& service, std::uint32_t backendHash, instant now) const
+{
+    return closed(keyOf(service, backendHash), now);
 }
 
 bool group_board::closed(const std::string& service, instant now) const
 {
-    if (suspected(service, now))
+    if (suspected({ service, {} }, now))
         return true;
-    bool any = false;
-    for (const auto& [name, held] : m_groups) {
-        if (held.news.service != service)
-            continue;
-        if (!knownClosed(held, now))
-            return false;
-        any = true;
-    }
-    return any;
+    const auto keys = keysOf(service, now);
+    return !keys.empty() && std::all_of(keys.begin(), keys.end(), [&](const group_key& key) { return closed(key, now); });
 }
 
 milliseconds group_board::closedFor(const std::string& service, instant now) const
 {
-    milliseconds shortest = milliseconds::max();
-    if (const auto* suspicion = suspected(service, now))
-        shortest = std::chrono::duration_cast<milliseconds>(now - suspicion->since);
-    for (const auto& [name, held] : m_groups) {
-        if (held.news.service == service && !held.news.phase.open)
-            shortest = std::min(shortest, std::chrono::duration_cast<milliseconds>(now - held.changedAt));
+    instant since = now;
+    bool any = false;
+    const auto consider = [&](instant at) {
+        since = any ? std::max(since, at) : at;
+        any = true;
+    };
+    if (const auto* suspicion = suspected({ service, {} }, now))
+        consider(suspicion->since);
+    for (const auto& key : keysOf(service, now)) {
+        const entry& held = m_groups.at(key);
+        if (!held.phase.open)
+            consider(held.changedAt);
+        else if (const auto* suspicion = suspected(key, now))
+            consider(suspicion->since);
     }
-    return shortest == milliseconds::max() ? milliseconds(0) : shortest;
+    return std::chrono::duration_cast<milliseconds>(now - since);
 }
 
 milliseconds group_board::openFor(const std::string& service, instant now) const
 {
     milliseconds longest { 0 };
-    for (const auto& [name, held] : m_groups) {
-        if (held.news.service == service && held.news.phase.open)
+    for (const auto& key : keysOf(service, now)) {
+        const entry& held = m_groups.at(key);
+        if (held.phase.open)
             longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - held.changedAt));
     }
     return longest;
@@ -110,8 +154,10 @@
 std::vector<std::pair<group_news, milliseconds>> group_board::news(instant now) const
 {
     std::vector<std::pair<group_news, milliseconds>> all;
-    for (const auto& [name, held] : m_groups)
-        all.emplace_back(held.news, std::chrono::duration_cast<milliseconds>(now - held.confirmedAt));
+    for (const auto& [key, held] : m_groups) {
+        if (now - held.confirmedAt < forgottenAfter)
+            all.emplace_back(group_news { key, held.phase }, std::chrono::duration_cast<milliseconds>(now - held.confirmedAt));
+    }
     return all;
 }
 
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -1,15 +1,26 @@
-// Which expert groups can run requests now, as their ranks' agents tell.
+// Which expert groups can run requests now, and which servers belong to each, as the ranks'
+// agents tell.
 #pragma once
 
 #include "policy/verdict.h"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace rampgap {
 
+// A service has any number of groups.
+struct group_key {
+    std::string service;
+    std::string group;
+
+    auto operator<=>(const group_key&) const = default;
+};
+
 // A group opens, breaks when it loses a rank, and opens again in the next epoch. So its
 // states have one order, and of two reports the later state is true, whenever it came.
 struct group_phase {
@@ -21,8 +32,7 @@
 };
 
 struct group_news {
-    std::string group;
-    std::string service;
+    group_key key;
     group_phase phase;
 
     bool operator==(const group_news&) const = default;
@@ -35,14 +45,18 @@
 
     // True if the state changed. News from a peer is as old as it says.
     bool note(const group_news&, milliseconds age, instant now);
+    // A server, by the hash of its id, is a rank of the group.
+    void noteMember(std::uint32_t backendHash, const group_key&);
 
-    // An engine of the service with room for it refused a request unrun: its group has
-    // closed, unless a later report shows it open. Says nothing of a service with several.
-    void noteRefusal(const std::string& service, instant now);
+    // An engine with room refused a request unrun: its group has closed, unless a later
+    // report shows it open. An engine whose group is not known says nothing of other groups.
+    void noteRefusal(const std::string& service, std::uint32_t backendHash, instant now);
 
-    // True if the service's only groups are known or suspected to be closed.
+    // True if the server's group is known or suspected to be closed.
+    bool closedAt(const std::string& service, std::uint32_t backendHash, instant now) const;
+    // True if all groups of the service are known or suspected to be closed.
     bool closed(const std::string& service, instant now) const;
-    // How long the service's groups have been closed, as far as this process knows.
+    // How long the service has had no open group, as far as this process knows.
     milliseconds closedFor(const std::string& service, instant now) const;
     // How long one of them has been open; 0 if none is known to be.
     milliseconds openFor(const std::string& service, instant now) const;
@@ -51,7 +65,7 @@
 
 private:
     struct entry {
-        group_news news;
+        group_phase phase;
         instant confirmedAt;
         instant changedAt;
     };
@@ -61,14 +75,18 @@
         instant confirmedAt;
     };
 
+    bool closed(const group_key&, instant now) const;
     bool knownClosed(const entry&, instant now) const;
+    // The group that a server without a known one is taken to be in.
+    group_key keyOf(const std::string& service, std::uint32_t backendHash) const;
     // The suspicion that still holds, or null.
-    const suspicion* suspected(const std::string& service, instant now) const;
-    bool shownOpenAfter(const std::string& service, instant) const;
+    const suspicion* suspected(const group_key&, instant now) const;
+    std::vector<group_key> keysOf(const std::string& service, instant now) const;
 
     milliseconds m_life;
-    std::map<std::string, entry> m_groups;
-    std::map<std::string, suspicion> m_suspicions;
+    std::map<group_key, entry> m_groups;
+    std::map<group_key, suspicion> m_suspicions;
+    std::unordered_map<std::uint32_t, group_key> m_members;
 };
 
 } // namespace rampgap
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -13,6 +13,14 @@
 {
 }
 
+void group_monitor::follow(const std::string& group)
+{
+    if (group == m_group)
+        return;
+    *this = group_monitor(m_settings);
+    m_group = group;
+}
+
 void group_monitor::reset(std::uint64_t epoch)
 {
     m_epoch = epoch;
@@ -24,7 +32,9 @@
 
 void group_monitor::observe(const rank_observation& seen, instant now)
 {
-    if (seen.view.epoch < m_epoch)
+    if (m_group.empty())
+        follow(seen.view.group);
+    if (seen.view.group != m_group || seen.view.epoch < m_epoch)
         return;
     if (seen.view.epoch > m_epoch)
         reset(seen.view.epoch);
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -56,6 +56,11 @@
 public:
     explicit group_monitor(monitor_settings);
 
+    // The group to lead, by default the first that is observed. Another one than before starts
+    // over: nothing that was learnt of one group's ranks may reach another's.
+    void follow(const std::string& group);
+    const std::string& group() const { return m_group; }
+    // Ranks of other groups, and of earlier epochs, are ignored.
     void observe(const rank_observation&, instant now);
     // All ranks told their experts of the placement in use.
     void learn(std::uint64_t placement, group_placement contents);
@@ -102,6 +107,7 @@
     rank_paces paces() const;
 
     monitor_settings m_settings;
+    std::string m_group;
     std::map<std::uint32_t, held_rank> m_ranks;
     std::uint64_t m_epoch = 0;
     std::uint32_t m_size = 0;
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -33,25 +33,38 @@
     return (reading + writing) * load.pace + overCapacityMs * over + slowRankMs * (load.pace - 1);
 }
 
-bool allFull(const upstream_question& question, const backend_directory& backends, const load_board& loads)
+namespace {
+
+    // The servers that can run requests, as far as is known; all where none can.
+    std::vector<std::string> runningPool(const std::string& service, const backend_directory& backends, const group_board& groups, instant now)
+    {
+        std::vector<std::string> pool = backends.pool(service);
+        if (!groups.closed(service, now))
+            std::erase_if(pool, [&](const std::string& id) { return groups.closedAt(service, backendHash(id), now); });
+        return pool;
+    }
+
+} // namespace
+
+bool allFull(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups)
 {
-    const auto pool = backends.pool(question.service);
+    const auto pool = runningPool(question.service, backends, groups, question.now);
     return !pool.empty() && std::all_of(pool.begin(), pool.end(), [&](const std::string& id) {
         return loads.total(id, question.now).requests > backends.find(id)->capacity;
     });
 }
 
-pool_load poolLoad(const std::string& service, const backend_directory& backends, const load_board& loads, instant now)
+pool_load poolLoad(const std::string& service, const backend_directory& backends, const load_board& loads, const group_board& groups, instant now)
 {
     pool_load sum;
-    for (const auto& id : backends.pool(service)) {
+    for (const auto& id : runningPool(service, backends, groups, now)) {
         sum.capacity += backends.find(id)->capacity;
         sum.requests += loads.total(id, now).requests;
     }
     return sum;
 }
 
-std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, std::mt19937_64& random) const
+std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, std::mt19937_64& random) const
 {
     struct candidate {
         std::string id;
@@ -59,7 +72,7 @@
         bool avoided;
     };
     std::vector<candidate> candidates;
-    for (auto& id : backends.pool(question.service)) {
+    for (auto& id : runningPool(question.service, backends, groups, question.now)) {
         if (std::find(question.tried.begin(), question.tried.end(), id) != question.tried.end())
             continue;
         const auto* listed = backends.find(id);
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -3,6 +3,7 @@
 
 #include "policy/backend_directory.h"
 #include "policy/fleet_configuration.h"
+#include "policy/group_board.h"
 #include "policy/load_board.h"
 
 #include <optional>
@@ -25,11 +26,12 @@
 // alone in its pass; for plain services its queue in units of its capacity.
 double expectedDelay(const backend_load&, int capacity, const std::optional<engine_costs>&, std::int64_t promptTokens);
 
-// True if no server of the service has room: a new request would wait behind others on
-// every one of them.
-bool allFull(const upstream_question&, const backend_directory&, const load_board&);
+// True if no server of the service whose group can run requests has room: a new request would
+// wait behind others on every one of them.
+bool allFull(const upstream_question&, const backend_directory&, const load_board&, const group_board&);
 
-// What the open servers of a service run at once, and the requests they have.
+// What the open servers of a service run at once, and the requests they have; without those
+// whose group is closed.
 struct pool_load {
     int capacity = 0;
     int requests = 0;
@@ -37,12 +39,13 @@
     bool operator==(const pool_load&) const = default;
 };
 
-pool_load poolLoad(const std::string& service, const backend_directory&, const load_board&, instant now);
+pool_load poolLoad(const std::string& service, const backend_directory&, const load_board&, const group_board&, instant now);
 
 class upstream_choice {
 public:
-    // The id of the server; empty if the service has none.
-    std::string choose(const upstream_question&, const backend_directory&, const load_board&, std::mt19937_64&) const;
+    // The id of the server; empty if the service has none. A server whose group is closed is
+    // chosen only where all are.
+    std::string choose(const upstream_question&, const backend_directory&, const load_board&, const group_board&, std::mt19937_64&) const;
 };
 
 } // namespace rampgap
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -13,10 +13,12 @@
 
 const instant zero {};
 constexpr milliseconds life { 1'500 };
+// Hash of an engine whose group nobody told.
+constexpr std::uint32_t engine = 7;
 
 group_news news(std::uint64_t epoch, bool open)
 {
-    return { "g", "model", { epoch, open } };
+    return { { "model", "g" }, { epoch, open } };
 }
 
 rank_view viewOf(std::uint32_t rank, std::uint64_t epoch = 1)
@@ -60,7 +62,7 @@
 {
     group_board board(life);
     board.note(news(1, false), milliseconds(0), zero);
-    board.note({ "h", "model", { 1, true } }, milliseconds(0), zero);
+    board.note({ { "model", "h" }, { 1, true } }, milliseconds(0), zero);
     CHECK_FALSE(board.closed("model", zero));
 }
 
@@ -136,14 +138,14 @@
     group_board board(milliseconds(1'500));
     const instant start {};
     CHECK(!board.closed("drafts", start));
-    board.noteRefusal("drafts", start);
+    board.noteRefusal("drafts", engine, start);
     CHECK(board.closed("drafts", start));
     CHECK(board.closedFor("drafts", start + milliseconds(100)) == milliseconds(100));
     CHECK(!board.closed("letters", start));
     // A report from before the refusal proves nothing; a later one does.
-    board.note({ "g", "drafts", { 1, true } }, milliseconds(50), start + milliseconds(20));
+    board.note({ { "drafts", "g" }, { 1, true } }, milliseconds(50), start + milliseconds(20));
     CHECK(board.closed("drafts", start + milliseconds(20)));
-    board.note({ "g", "drafts", { 1, true } }, milliseconds(5), start + milliseconds(100));
+    board.note({ { "drafts", "g" }, { 1, true } }, milliseconds(5), start + milliseconds(100));
     CHECK(!board.closed("drafts", start + milliseconds(100)));
 }
 
@@ -151,8 +153,8 @@
 {
     group_board board(milliseconds(1'500));
     const instant start {};
-    board.noteRefusal("drafts", start);
-    board.noteRefusal("drafts", start + milliseconds(400));
+    board.noteRefusal("drafts", engine, start);
+    board.noteRefusal("drafts", engine, start + milliseconds(400));
     CHECK(board.closed("drafts", start + milliseconds(900)));
     CHECK(board.closedFor("drafts", start + milliseconds(900)) == milliseconds(900));
     CHECK(!board.closed("drafts", start + milliseconds(1'000)));
@@ -221,9 +223,9 @@
 TEST_CASE("a refusal in one of several groups does not close the others")
 {
     group_board board(milliseconds(1'500));
-    board.note({ "whole", "model", { 1, true } }, milliseconds(0), zero);
+    board.note({ { "model", "whole" }, { 1, true } }, milliseconds(0), zero);
     // 301 engines in groups of 63: the last group lacks ranks and never opens.
-    board.note({ "short", "model", { 0, false } }, milliseconds(0), zero);
-    board.noteRefusal("model", zero + milliseconds(10));
+    board.note({ { "model", "short" }, { 0, false } }, milliseconds(0), zero);
+    board.noteRefusal("model", engine, zero + milliseconds(10));
     CHECK_FALSE(board.closed("model", zero + milliseconds(10)));
 }
--- /dev/null
+++ b/Tests/platform/several-groups/test.cpp
@@ -0,0 +1,230 @@
+// Several expert groups under one service: each is led, closed and chosen by itself.
+#include "policy/group_board.h"
+#include "policy/group_monitor.h"
+#include "policy/group_roster.h"
+#include "policy/upstream_choice.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace rampgap;
+
+namespace {
+
+const instant zero {};
+constexpr milliseconds life { 1'500 };
+const std::string service = "model";
+
+rank_view viewOf(const std::string& group, std::uint32_t rank, std::uint64_t epoch = 1)
+{
+    rank_view view;
+    view.group = group;
+    view.epoch = epoch;
+    view.rank = rank;
+    view.open = true;
+    view.groupSize = 2;
+    return view;
+}
+
+monitor_settings smallSettings()
+{
+    monitor_settings settings;
+    settings.layerSets = 1;
+    settings.experts = 4;
+    settings.leastChoices = 1;
+    return settings;
+}
+
+std::string idOf(const std::string& group, std::uint32_t rank)
+{
+    return group + std::to_string(rank);
+}
+
+struct fleet {
+    backend_directory backends;
+    load_board loads { milliseconds(600) };
+    group_board groups { life };
+    std::mt19937_64 random { 5 };
+};
+
+// Groups a, b and c of four engines each, all open and known.
+void addGroups(fleet& made)
+{
+    for (const std::string group : { "a", "b", "c" }) {
+        made.groups.note({ { service, group }, { 1, true } }, milliseconds(0), zero);
+        for (std::uint32_t rank = 0; rank < 4; ++rank) {
+            const std::string id = idOf(group, rank);
+            made.backends.list({ id, service, "10.0.0.1" + group + std::to_string(rank) + ":80", "z", 10, false, 1 });
+            made.groups.noteMember(backendHash(id), { service, group });
+        }
+    }
+}
+
+upstream_question ask()
+{
+    upstream_question question;
+    question.service = service;
+    question.costs = engine_costs {};
+    question.ownZone = "z";
+    question.now = zero;
+    return question;
+}
+
+} // namespace
+
+TEST_CASE("a monitor ignores the ranks of other groups, whatever order the reports come in")
+{
+    CHECK(rc::check([] {
+        group_monitor alone(smallSettings());
+        group_monitor among(smallSettings());
+        alone.follow("a");
+        among.follow("a");
+        const auto order = *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 4));
+        instant now = zero;
+        for (const int pick : order) {
+            now += milliseconds(20);
+            const auto rank = static_cast<std::uint32_t>(pick % 2);
+            const std::string group = pick < 2 ? "a" : "b";
+            // The other group is in a later epoch, holds a step and is armed.
+            rank_view view = viewOf(group, rank, group == "a" ? 1 : 9);
+            view.heldStep = group == "a" ? 0 : 40;
+            view.armedPlacement = group == "a" ? 0 : 77;
+            const rank_observation seen { idOf(group, rank), view, { 8, 1, 1, 1 } };
+            among.observe(seen, now);
+            if (group == "a")
+                alone.observe(seen, now);
+        }
+        RC_ASSERT(among.epoch() == alone.epoch());
+        RC_ASSERT(among.backendIds() == alone.backendIds());
+        RC_ASSERT(among.holds().empty());
+        RC_ASSERT(among.armedPlacement() == 0);
+        RC_ASSERT(among.complete(now) == alone.complete(now));
+        RC_ASSERT((among.decide(now) == alone.decide(now)));
+    }));
+}
+
+TEST_CASE("an agent whose engine starts again in another group knows nothing of that one's ranks")
+{
+    group_monitor monitor(smallSettings());
+    monitor.observe({ "a0", viewOf("a", 0, 3), {} }, zero);
+    monitor.observe({ "a1", viewOf("a", 1, 3), {} }, zero);
+    REQUIRE(monitor.complete(zero));
+    monitor.follow("b");
+    CHECK(monitor.groupSize() == 0);
+    CHECK(monitor.backendIds().empty());
+    // An earlier epoch than the other group's: they are not to be compared.
+    monitor.observe({ "b0", viewOf("b", 0, 1), {} }, zero);
+    CHECK(monitor.epoch() == 1);
+}
+
+TEST_CASE("agents lead and report within their own group only")
+{
+    group_roster roster;
+    std::vector<std::string> pool;
+    for (const std::string group : { "a", "b", "c" }) {
+        for (std::uint32_t rank = 0; rank < 3; ++rank)
+            pool.push_back(idOf(group, rank));
+    }
+    CHECK(roster.members(pool, "a", 3).empty());
+    for (const auto& id : pool)
+        roster.note(id, id.substr(0, 1), zero);
+    CHECK(roster.members(pool, "b", 3) == std::vector<std::string> { "b0", "b1", "b2" });
+    // A rank that moves over.
+    roster.note("b1", "c", zero);
+    CHECK(roster.members(pool, "b", 3) == std::vector<std::string> { "b0", "b2" });
+    CHECK(roster.members(pool, "c", 3) == std::vector<std::string> { "b1", "c0", "c1", "c2" });
+}
+
+TEST_CASE("where all servers fit in one group those that nobody told of belong to it")
+{
+    group_roster roster;
+    roster.note("a0", "a", zero);
+    CHECK(roster.members({ "a0", "a1" }, "a", 2) == std::vector<std::string> { "a0", "a1" });
+    CHECK(roster.members({ "a0", "a1", "b0" }, "a", 2) == std::vector<std::string> { "a0" });
+    CHECK(roster.unknown({ "a0", "a1", "b0" }) == std::vector<std::string> { "a1", "b0" });
+}
+
+TEST_CASE("servers are asked for their group until they tell it, and again after a while")
+{
+    group_roster roster;
+    const std::vector<std::string> pool { "own", "x", "y" };
+    CHECK(roster.takeQuestions(pool, "own", zero) == std::vector<std::string> { "x", "y" });
+    CHECK(roster.takeQuestions(pool, "own", zero + milliseconds(499)).empty());
+    roster.note("x", "a", zero + milliseconds(100));
+    CHECK(roster.takeQuestions(pool, "own", zero + milliseconds(500)) == std::vector<std::string> { "y" });
+    CHECK(roster.takeQuestions(pool, "own", zero + milliseconds(10'100)) == std::vector<std::string> { "x", "y" });
+    // A server that was replaced has another id, and nobody told its group.
+    roster.takeQuestions({ "own", "y" }, "own", zero + milliseconds(10'200));
+    CHECK(roster.groupOf("x").empty());
+}
+
+TEST_CASE("a closed group takes its own servers out of the choice and no others")
+{
+    fleet made;
+    addGroups(made);
+    const upstream_choice choice;
+    made.groups.note({ { service, "b" }, { 1, false } }, milliseconds(0), zero);
+    CHECK_FALSE(made.groups.closed(service, zero));
+    std::map<char, int> chosen;
+    for (int i = 0; i < 300; ++i)
+        ++chosen[choice.choose(ask(), made.backends, made.loads, made.groups, made.random).front()];
+    CHECK(chosen['b'] == 0);
+    CHECK(chosen['a'] > 100);
+    CHECK(chosen['c'] > 100);
+    CHECK(poolLoad(service, made.backends, made.loads, made.groups, zero).capacity == 80);
+}
+
+TEST_CASE("a refusal by an engine with room closes the group it belongs to and no other")
+{
+    fleet made;
+    addGroups(made);
+    made.groups.noteRefusal(service, backendHash("c2"), zero + milliseconds(10));
+    const instant now = zero + milliseconds(20);
+    CHECK(made.groups.closedAt(service, backendHash("c0"), now));
+    CHECK_FALSE(made.groups.closedAt(service, backendHash("a0"), now));
+    CHECK_FALSE(made.groups.closed(service, now));
+    // An engine whose group nobody told says nothing of the others.
+    made.groups.noteRefusal(service, backendHash("new"), now);
+    CHECK_FALSE(made.groups.closed(service, now));
+    made.groups.note({ { service, "c" }, { 1, true } }, milliseconds(0), now);
+    CHECK_FALSE(made.groups.closedAt(service, backendHash("c0"), now));
+}
+
+TEST_CASE("a service is closed when all of its groups are, since the last of them closed")
+{
+    fleet made;
+    addGroups(made);
+    instant now = zero;
+    for (const std::string group : { "a", "b", "c" }) {
+        CHECK_FALSE(made.groups.closed(service, now));
+        now += milliseconds(100);
+        made.groups.note({ { service, group }, { 1, false } }, milliseconds(0), now);
+    }
+    CHECK(made.groups.closed(service, now));
+    CHECK(made.groups.closedFor(service, now + milliseconds(50)) == milliseconds(50));
+    // Where none can run requests all servers count: the view may be wrong.
+    CHECK_FALSE(upstream_choice().choose(ask(), made.backends, made.loads, made.groups, made.random).empty());
+    made.groups.note({ { service, "b" }, { 2, true } }, milliseconds(0), now);
+    CHECK_FALSE(made.groups.closed(service, now));
+}
+
+TEST_CASE("groups of two services may have one name")
+{
+    group_board board(life);
+    board.note({ { "model", "a" }, { 1, true } }, milliseconds(0), zero);
+    board.note({ { "letters", "a" }, { 1, false } }, milliseconds(0), zero);
+    CHECK_FALSE(board.closed("model", zero));
+    CHECK(board.closed("letters", zero));
+}
+
+TEST_CASE("a group that was formed anew under another name does not keep its service open")
+{
+    group_board board(life);
+    board.note({ { service, "old" }, { 1, true } }, milliseconds(0), zero);
+    const instant later = zero + milliseconds(10'000);
+    board.note({ { service, "new" }, { 1, false } }, milliseconds(0), later);
+    CHECK(board.closed(service, later));
+    CHECK(board.news(later).size() == 1);
+}
