--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -72,8 +72,8 @@
         return;
     m_costs = costs;
     monitor_settings settings;
-    settings.layerSets = static_cast<std::size_t>(costs.layerSets);
-    settings.experts = static_cast<std::size_t>(costs.experts);
+    settings.demand.layerSets = static_cast<std::size_t>(costs.layerSets);
+    settings.demand.experts = static_cast<std::size_t>(costs.experts);
     settings.limits.slotsPerRank = static_cast<std::size_t>(costs.slotsPerRank);
     settings.limits.newPerSet = static_cast<std::size_t>(costs.newExpertsPerPrepare);
     settings.limits.newPerRank = std::max<std::size_t>(1, static_cast<std::size_t>(longestCopyMs / copyMs()));
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -3,13 +3,12 @@
 #include "policy/placement_number.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace rampgap {
 
 group_monitor::group_monitor(monitor_settings settings)
     : m_settings(settings)
-    , m_choices(settings.layerSets * settings.experts, 0.0)
+    , m_demand(settings.demand)
 {
 }
 
@@ -41,24 +40,7 @@
     m_size = seen.view.groupSize;
     m_highestPlacement = std::max({ m_highestPlacement, seen.view.placementInUse, seen.view.preparedPlacement, seen.view.armedPlacement });
     m_ranks[seen.view.rank] = { seen, now };
-    addChoices(seen.choices, now);
-}
-
-void group_monitor::addChoices(const std::vector<std::uint64_t>& choices, instant now)
-{
-    const bool chosen = std::any_of(choices.begin(), choices.end(), [](std::uint64_t count) { return count > 0; });
-    if (choices.size() != m_choices.size() || !chosen)
-        return;
-    const double sinceLast = std::chrono::duration<double, std::milli>(now - m_choicesAt).count();
-    // While a group is closed nothing is chosen, and what was popular stays the best guess.
-    const double elapsed = std::min(sinceLast, static_cast<double>(m_settings.longestGap.count()));
-    const double keep = std::exp2(-elapsed / static_cast<double>(m_settings.halfLife.count()));
-    m_choicesAt = now;
-    m_choiceSum *= keep;
-    for (std::size_t i = 0; i < choices.size(); ++i) {
-        m_choices[i] = m_choices[i] * keep + static_cast<double>(choices[i]);
-        m_choiceSum += static_cast<double>(choices[i]);
-    }
+    m_demand.add(seen.choices, now);
 }
 
 void group_monitor::learn(std::uint64_t placement, group_placement contents)
@@ -114,7 +96,7 @@
     // disarm now could leave the ranks with two placements.
     if (armedPlacement() != 0)
         return leader_task::none;
-    if (now < m_pauseUntil || !complete(now) || m_choiceSum < m_settings.leastChoices)
+    if (now < m_pauseUntil || !complete(now) || !m_demand.known())
         return leader_task::none;
     const std::uint64_t inUse = placementInUse();
     const bool same = std::all_of(m_ranks.begin(), m_ranks.end(), [inUse](const auto& rank) { return rank.second.last.view.placementInUse == inUse; });
@@ -123,7 +105,7 @@
         return leader_task::none;
     if (m_knownPlacement != inUse)
         return leader_task::learn_placement;
-    const expert_shares estimate = shares();
+    const expert_shares estimate = m_demand.shares();
     const rank_paces pace = paces();
     m_currentSkew = groupSkew(*m_current, estimate, pace);
     // A plan costs processor time: none is made where it could not gain enough, and not
@@ -137,19 +119,6 @@
     return m_currentSkew - m_plannedSkew > m_settings.leastGain * m_currentSkew ? leader_task::change_placement : leader_task::none;
 }
 
-expert_shares group_monitor::shares() const
-{
-    expert_shares estimate(m_settings.layerSets, std::vector<double>(m_settings.experts, 0.0));
-    for (std::size_t set = 0; set < m_settings.layerSets; ++set) {
-        double sum = 0;
-        for (std::size_t e = 0; e < m_settings.experts; ++e)
-            sum += m_choices[set * m_settings.experts + e];
-        for (std::size_t e = 0; e < m_settings.experts; ++e)
-            estimate[set][e] = sum > 0 ? m_choices[set * m_settings.experts + e] / sum : 1.0 / static_cast<double>(m_settings.experts);
-    }
-    return estimate;
-}
-
 rank_paces group_monitor::paces() const
 {
     rank_paces all(m_size, 1.0);
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -1,7 +1,7 @@
 // What the leader of an expert group knows of its ranks, and what it decides to do.
 #pragma once
 
-#include "policy/placement_planner.h"
+#include "policy/demand_estimate.h"
 #include "policy/rank_types.h"
 
 #include <map>
@@ -29,19 +29,11 @@
 
 struct monitor_settings {
     planner_limits limits;
-    std::size_t layerSets = 0;
-    std::size_t experts = 0;
+    demand_settings demand;
     // A rank that was not observed for so long is not known.
     milliseconds observationLife { 800 };
-    // Weight of the past falls by half in this time: popularity changes within a second.
-    milliseconds halfLife { 350 };
-    // Longer gaps between counts fade the past no further: the ranks of an open group count
-    // more often.
-    milliseconds longestGap { 100 };
     // A change must take at least this share off the predicted step time of the experts.
     double leastGain = 0.12;
-    // Choices that must have been seen before they mean anything.
-    double leastChoices = 20'000;
     // Between two changes: the copies lengthen the steps meanwhile.
     milliseconds pause { 150 };
     // Between two plans; counts come each 100 ms.
@@ -102,8 +94,6 @@
     };
 
     void reset(std::uint64_t epoch);
-    void addChoices(const std::vector<std::uint64_t>&, instant now);
-    expert_shares shares() const;
     rank_paces paces() const;
 
     monitor_settings m_settings;
@@ -111,9 +101,7 @@
     std::map<std::uint32_t, held_rank> m_ranks;
     std::uint64_t m_epoch = 0;
     std::uint32_t m_size = 0;
-    std::vector<double> m_choices;
-    double m_choiceSum = 0;
-    instant m_choicesAt {};
+    demand_estimate m_demand;
     std::uint64_t m_highestPlacement = 0;
     std::optional<std::uint64_t> m_knownPlacement;
     std::shared_ptr<const group_placement> m_current = std::make_shared<group_placement>();
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -69,8 +69,8 @@
 TEST_CASE("ranks that are armed without a hold are left alone, a stray hold is cleared away")
 {
     monitor_settings settings;
-    settings.layerSets = 1;
-    settings.experts = 2;
+    settings.demand.layerSets = 1;
+    settings.demand.experts = 2;
     group_monitor monitor(settings);
     auto armed = viewOf(0);
     armed.armedPlacement = 9;
@@ -102,9 +102,9 @@
 TEST_CASE("a new epoch starts from placement 0")
 {
     monitor_settings settings;
-    settings.layerSets = 1;
-    settings.experts = 2;
-    settings.leastChoices = 1;
+    settings.demand.layerSets = 1;
+    settings.demand.experts = 2;
+    settings.demand.leastChoices = 1;
     group_monitor monitor(settings);
     for (std::uint32_t rank = 0; rank < 2; ++rank) {
         auto view = viewOf(rank);
@@ -172,9 +172,9 @@
 TEST_CASE("what was popular before a group closed is planned for as soon as it opens")
 {
     monitor_settings settings;
-    settings.layerSets = 1;
-    settings.experts = 4;
-    settings.leastChoices = 1'000;
+    settings.demand.layerSets = 1;
+    settings.demand.experts = 4;
+    settings.demand.leastChoices = 1'000;
     settings.limits.slotsPerRank = 3;
     group_monitor monitor(settings);
     const auto observeAll = [&](std::uint64_t epoch, std::vector<std::uint64_t> choices, instant now) {
@@ -206,9 +206,9 @@
 TEST_CASE("the first few choices after a closure do not wipe out what was popular before it")
 {
     monitor_settings settings;
-    settings.layerSets = 1;
-    settings.experts = 4;
-    settings.leastChoices = 1'000;
+    settings.demand.layerSets = 1;
+    settings.demand.experts = 4;
+    settings.demand.leastChoices = 1'000;
     settings.limits.slotsPerRank = 3;
     group_monitor monitor(settings);
     const instant later = zero + milliseconds(6'000);
--- a/Tests/platform/several-groups/test.cpp
+++ b/Tests/platform/several-groups/test.cpp
@@ -31,9 +31,9 @@
 monitor_settings smallSettings()
 {
     monitor_settings settings;
-    settings.layerSets = 1;
-    settings.experts = 4;
-    settings.leastChoices = 1;
+    settings.demand.layerSets = 1;
+    settings.demand.experts = 4;
+    settings.demand.leastChoices = 1;
     return settings;
 }
 
