--- a/Source/policy/demand_estimate.cpp
+++ b/Source/policy/demand_estimate.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    // Of the newest choices, in which those from before a shift fade to a quarter.
+    constexpr int newestHalfLives = 2;
+
     double keptAfter(double elapsedMs, milliseconds halfLife)
     {
         return std::exp2(-elapsedMs / static_cast<double>(halfLife.count()));
@@ -19,6 +22,7 @@
     : m_settings(settings)
     , m_average(settings.layerSets * settings.experts, 0.0)
     , m_newest(m_average)
+    , m_shiftedAt(settings.layerSets)
 {
 }
 
@@ -38,23 +42,33 @@
         m_newest[i] = m_newest[i] * keepNewest + static_cast<double>(choices[i]);
     }
     for (std::size_t set = 0; set < m_settings.layerSets; ++set)
-        takeUpShift(set);
+        followShift(set, now);
     m_sum = std::accumulate(m_average.begin(), m_average.end(), 0.0);
 }
 
-void demand_estimate::takeUpShift(std::size_t set)
+// When a shift shows, a part of the newest choices is still from before it.
+void demand_estimate::followShift(std::size_t set, instant now)
+{
+    if (hasShifted(set))
+        m_shiftedAt[set] = now;
+    if (!m_shiftedAt[set] || now - *m_shiftedAt[set] > newestHalfLives * m_settings.newestHalfLife)
+        return;
+    const auto from = static_cast<std::ptrdiff_t>(set * m_settings.experts);
+    std::copy_n(m_newest.begin() + from, m_settings.experts, m_average.begin() + from);
+}
+
+bool demand_estimate::hasShifted(std::size_t set) const
 {
     const double average = sumOf(m_average, set);
     const double newest = sumOf(m_newest, set);
     if (newest * static_cast<double>(m_settings.layerSets) < m_settings.leastChoices)
-        return;
+        return false;
     const std::size_t from = set * m_settings.experts;
     const std::size_t to = from + m_settings.experts;
     double moved = 0;
     for (std::size_t i = from; i < to; ++i)
         moved += std::abs(m_average[i] / average - m_newest[i] / newest) / 2;
-    if (moved > m_settings.shiftDistance)
-        std::copy(m_newest.begin() + static_cast<std::ptrdiff_t>(from), m_newest.begin() + static_cast<std::ptrdiff_t>(to), m_average.begin() + static_cast<std::ptrdiff_t>(from));
+    return moved > m_settings.shiftDistance;
 }
 
 double demand_estimate::sumOf(const std::vector<double>& choices, std::size_t set) const
--- a/Source/policy/demand_estimate.h
+++ b/Source/policy/demand_estimate.h
@@ -5,6 +5,7 @@
 #include "policy/verdict.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace rampgap {
@@ -42,12 +43,15 @@
     expert_shares shares() const;
 
 private:
-    void takeUpShift(std::size_t set);
+    void followShift(std::size_t set, instant now);
+    bool hasShifted(std::size_t set) const;
     double sumOf(const std::vector<double>& choices, std::size_t set) const;
 
     demand_settings m_settings;
     std::vector<double> m_average;
     std::vector<double> m_newest;
+    // When each layer set's demand was last found elsewhere than in the average.
+    std::vector<std::optional<instant>> m_shiftedAt;
     double m_sum = 0;
     instant m_at {};
 };
--- a/Tests/platform/demand-estimate/test.cpp
+++ b/Tests/platform/demand-estimate/test.cpp
@@ -52,14 +52,14 @@
 
 } // namespace
 
-TEST_CASE("a shift of demand is followed within two reports of each rank")
+TEST_CASE("a shift of demand is followed within three reports of each rank")
 {
     std::mt19937 random(11);
     demand_estimate estimate(settingsOf(1));
     const instant now = report(estimate, 3, 30, instant {}, random);
     REQUIRE(estimate.known());
     REQUIRE(estimate.shares()[0][3] > 0.31);
-    report(estimate, 40, 2, now, random);
+    report(estimate, 40, 3, now, random);
     CHECK(estimate.shares()[0][40] > 0.3);
     CHECK(estimate.shares()[0][3] < 0.05);
 }
@@ -92,7 +92,7 @@
     };
     for (std::size_t i = 0; i < 30 * ranks; ++i)
         both(3, 5);
-    for (std::size_t i = 0; i < 2 * ranks; ++i)
+    for (std::size_t i = 0; i < 3 * ranks; ++i)
         both(40, 5);
     CHECK(estimate.shares()[0][40] > 0.3);
     CHECK(std::abs(estimate.shares()[1][5] - 0.33) < 0.01);
