--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -58,7 +58,6 @@
 
 void group_monitor::noteEnded(instant now)
 {
-    m_pauseUntil = now + m_settings.pause;
     m_straySince.reset();
 }
 
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -34,8 +34,6 @@
     milliseconds observationLife { 800 };
     // A change must take at least this share off the predicted step time of the experts.
     double leastGain = 0.12;
-    // Between two changes: the copies lengthen the steps meanwhile.
-    milliseconds pause { 150 };
     // Between two plans; counts come each 100 ms.
     milliseconds planPause { 100 };
     // A hold that nobody at work explains for so long is cleared away.
