requests: who can be on time goes before the backlog

Hypothesis: after a slow rank or a closure the oldest request goes first and everybody is late until the backlog is gone; first callers were sent away as soon as the share was taken, and came back late. Now first callers wait while they can still be on time, before all others; the rest takes the places that are left.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "gateway/upstream_dispatcher.h"
 
 #include "policy/admission_share.h"
+#include "policy/admission_wait.h"
 #include "policy/group_wait.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -37,12 +38,13 @@
     // A begun stream whose caller leaves after a gap of two seconds.
     constexpr milliseconds resumeWait { 300 };
     constexpr milliseconds groupPoll { 20 };
-    // Order of those who wait for a place: begun streams first.
+    // Order of those who wait for a place: begun streams, those that can be on time, others.
     constexpr int begunUrgency = 1;
-    constexpr int otherUrgency = 2;
-    // From a place to the first event, with the margin that a caller's patience needs: the
-    // prompt and two passes of full ranks.
-    constexpr milliseconds firstEventTime { 450 };
+    constexpr int timelyUrgency = 2;
+    constexpr int lateUrgency = 3;
+    // From a place to the first event, until one was seen: the prompt and two passes of full
+    // ranks by the published figures of today's engines, and a round trip.
+    constexpr milliseconds usualFirstEvent { 200 };
     // Of the longest pause that a caller keeps to: when one that met full engines comes back.
     constexpr double shortestPauseShare = 0.4;
     constexpr milliseconds noBackendRetryAfter { 300 };
@@ -124,8 +126,6 @@
         if (last && !takeRetry(request, *last))
             co_return last->failed;
         const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now };
-        if (request.costs && state.tried.empty() && isFirstTime(request) && allFull(question, m_state.backends(), m_loads, m_groups))
-            co_return notRun(failure_reason::queue_full, "all ranks have requests waiting", overloadPause(request));
         const std::string id = m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_context.random());
         if (id.empty()) {
             if (last)
@@ -182,19 +182,47 @@
     const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, m_groups, now);
     admission_gate& gate = gateOf(request.service);
     gate.setSlots(admissionShare({ load.capacity, load.requests, m_entries, m_groups.openFor(request.service, now) }));
-    const bool mayComeBack = state.tried.empty() && isFirstTime(request);
-    if (gate.full() && mayComeBack)
-        co_return notRun(failure_reason::queue_full, "this process has its share of the engines' places taken", overloadPause(request));
-    const milliseconds patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
-    const int urgency = state.relay.begun ? begunUrgency : otherUrgency;
-    const instant startBy = std::min(request.deadline, state.relay.begun ? now + resumeWait : request.receivedAt + patience - firstEventTime);
-    const admission_request asked { request.workspace, urgency, startBy };
+    admission_request asked { request.workspace, begunUrgency, std::min(request.deadline, now + resumeWait) };
+    if (state.relay.begun)
+        co_return co_await enter(gate, asked, exchange);
+    // With a place free nothing has to be predicted; and only what is sent shows how long the
+    // first event takes now.
+    asked.priority = timelyUrgency;
+    asked.deadline = request.deadline;
+    if (!gate.full())
+        co_return co_await enter(gate, asked, exchange);
+    admission_wait_question question;
+    question.latencyTarget = request.route.latencyTarget;
+    question.firstEvent = firstEventOf(request.service).value();
+    question.waited = std::chrono::duration_cast<milliseconds>(now - request.receivedAt);
+    question.timeLeft = timeLeft(request, now);
+    question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
+    question.firstTime = isFirstTime(request);
+    const admission_wait wait = planAdmissionWait(question);
+    if (wait.timely > milliseconds(0)) {
+        asked.deadline = now + wait.timely;
+        auto place = co_await enter(gate, asked, exchange);
+        if (place || exchange.callerGone())
+            co_return place;
+    }
+    asked.priority = lateUrgency;
+    asked.deadline = now + wait.timely + wait.late;
+    co_return co_await enter(gate, asked, exchange);
+}
+
+awaitable<result<admission_place>> upstream_dispatcher::enter(admission_gate& gate, admission_request asked, http_exchange& exchange)
+{
     const auto entered = co_await gate.enter(asked, exchange);
     if (!entered)
         co_return entered.error();
     co_return admission_place(gate, entered.value());
 }
 
+delay_estimate& upstream_dispatcher::firstEventOf(const std::string& service)
+{
+    return m_firstEvents.try_emplace(service, usualFirstEvent).first->second;
+}
+
 admission_gate& upstream_dispatcher::gateOf(const std::string& service)
 {
     constexpr bool shedding = false;
@@ -265,7 +293,7 @@
     auto head = co_await call.start(backend.address, m_codec.makeUpstream(exchange.request(), request.said, facts), headDeadline);
     try_outcome outcome;
     if (head) {
-        outcome = co_await takeReply(exchange, request, state, backend, call, std::move(head.value()), unread);
+        outcome = co_await takeReply(exchange, request, state, backend, call, std::move(head.value()), sentAt, unread);
     } else {
         outcome.failed = head.error();
         const bool unreachable = head.error().ran == verdict::not_run;
@@ -281,7 +309,7 @@
     co_return outcome;
 }
 
-awaitable<upstream_dispatcher::try_outcome> upstream_dispatcher::takeReply(http_exchange& exchange, const admitted_request& request, progress& state, const listed_backend& backend, http_call& call, http_head head, std::int64_t& unread)
+awaitable<upstream_dispatcher::try_outcome> upstream_dispatcher::takeReply(http_exchange& exchange, const admitted_request& request, progress& state, const listed_backend& backend, http_call& call, http_head head, instant sentAt, std::int64_t& unread)
 {
     const reply_verdict reply = m_codec.judge(head, request.said);
     if (reply.kind == reply_kind::not_executed || reply.kind == reply_kind::wrong_server) {
@@ -304,8 +332,9 @@
     options.deadline = request.deadline;
     if (streams && request.route.resumable)
         options.silenceLimit = streamSilence;
-    options.onFirstBytes = [&] {
+    options.onFirstBytes = [&, sentAt] {
         m_context.counters().observe(latency::first_byte, m_context.now() - request.receivedAt);
+        firstEventOf(request.service).observe(std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
         m_loads.noteBegun(backend.id, unread);
         unread = 0;
     };
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -6,6 +6,7 @@
 #include "gateway/fleet_state.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/request_codec.h"
+#include "policy/delay_estimate.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/upstream_choice.h"
@@ -53,14 +54,16 @@
 
     // Waits while the service's expert group is closed, as far as that serves the caller.
     awaitable<std::optional<failure>> awaitGroup(http_exchange&, const admitted_request&, const progress&);
-    // Waits for a place at the service's engines. A request that can come back is refused
-    // instead of waiting.
+    // Waits for a place at the service's engines, as long as that serves the caller.
     awaitable<result<admission_place>> takePlace(http_exchange&, const admitted_request&, const progress&);
+    static awaitable<result<admission_place>> enter(admission_gate&, admission_request, http_exchange&);
     admission_gate& gateOf(const std::string& service);
+    // From a place to the first event of the service's engines.
+    delay_estimate& firstEventOf(const std::string& service);
     milliseconds overloadPause(const admitted_request&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
-    awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, http_call&, http_head, std::int64_t& unread);
+    awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, http_call&, http_head, instant sentAt, std::int64_t& unread);
     // Whether another try is safe and within the route's limit, whatever the budget says.
     static bool mayRepeat(const admitted_request&, const progress&, const try_outcome&);
     // Takes the other try from the shared budget.
@@ -80,6 +83,7 @@
     shared_retry_budget m_budget;
     // Of model services, by name.
     std::map<std::string, admission_gate> m_gates;
+    std::map<std::string, delay_estimate> m_firstEvents;
     std::size_t m_entries = 1;
     upstream_choice m_choice;
 };
