--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/http_client.h"
 #include "gateway.pb.h"
+#include "gateway/snapshot_codec.h"
 #include "policy/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -212,12 +213,12 @@
             ranks[work.backend_hash()] = { static_cast<int>(work.requests()), 0, std::max(1.0, work.pace_percent() / percent) };
         m_loads.noteRanks(ranks, now);
     }
-    if (datagram.revision() > m_state.published().revision() && sender.role == peer_role::entry && !m_fetching)
-        asio::co_spawn(m_context.io(), fetchSnapshot(host), asio::detached);
+    if (sender.role == peer_role::entry)
+        noteRevision(sender, datagram.revision());
     if (datagram.has_question())
         answerQuestion(datagram, host);
     if (datagram.has_answer())
-        takeAnswer(datagram, host);
+        takeAnswer(datagram);
     if (datagram.wants_known()) {
         auto reply = makeDatagram();
         addKnown(reply);
@@ -226,6 +227,18 @@
     }
 }
 
+void peer_exchange::noteRevision(const peer_info& sender, store_revision revision)
+{
+    const bool sameZone = sender.zone == m_peers.self().zone;
+    fetchFrom(m_snapshots.noteTold(sender.host, sameZone, revision, m_state.published().revision(), m_context.now()));
+}
+
+void peer_exchange::fetchFrom(const std::optional<std::string>& host)
+{
+    if (host && !m_fetching)
+        asio::co_spawn(m_context.io(), fetchSnapshot(*host), asio::detached);
+}
+
 void peer_exchange::answerQuestion(const gateway::peer_datagram& datagram, const std::string& host)
 {
     const auto age = m_state.proofAge();
@@ -239,7 +252,7 @@
 }
 
 // The age counts from before the question was sent, by this process's own clock.
-void peer_exchange::takeAnswer(const gateway::peer_datagram& datagram, const std::string& host)
+void peer_exchange::takeAnswer(const gateway::peer_datagram& datagram)
 {
     const auto asked = m_questions.find(datagram.answer().nonce());
     if (asked == m_questions.end())
@@ -248,8 +261,6 @@
     const store_revision revision = datagram.answer().revision();
     if (revision == m_state.published().revision())
         m_state.noteProof(revision, provenAt);
-    else if (revision > m_state.published().revision() && !m_fetching)
-        asio::co_spawn(m_context.io(), fetchSnapshot(host), asio::detached);
 }
 
 awaitable<void> peer_exchange::reportLoop()
@@ -322,6 +333,7 @@
         asio::steady_timer timer(m_context.io(), proofLookInterval);
         co_await timer.async_wait(asTuple);
         m_state.settle();
+        fetchFrom(m_snapshots.due(m_state.published().revision(), m_context.now()));
         const instant now = m_context.now();
         std::erase_if(m_questions, [now](const auto& asked) { return now - asked.second > questionLife; });
         const auto age = m_state.proofAge();
@@ -361,11 +373,14 @@
     const std::string address = host + ":" + std::to_string(m_settings.controlPort);
     const auto response = co_await m_client->fetch(address, std::move(request), snapshotTimeout, largestSnapshot);
     m_fetching = false;
-    gateway::fleet_snapshot wire;
-    if (!response || response.value().result() != http::status::ok || !wire.ParseFromString(response.value().body())) {
+    std::optional<gateway::fleet_snapshot> unpacked;
+    if (response && response.value().result() == http::status::ok)
+        unpacked = unpackSnapshot(response.value().body(), largestSnapshot);
+    if (!unpacked) {
         m_log.line("peer_snapshot_failed").add("peer", host).add("reason", response ? "unreadable answer" : response.error().message);
         co_return;
     }
+    const gateway::fleet_snapshot& wire = *unpacked;
     std::optional<instant> provenAt;
     if (wire.proven())
         provenAt = askedAt - milliseconds(wire.proof_age_ms() + 1);
@@ -396,7 +411,7 @@
         added->set_revision(item.revision);
         added->set_created(item.created);
     }
-    return makeResponse(200, "application/x-protobuf", wire.SerializeAsString());
+    return makeResponse(200, "application/x-protobuf", packSnapshot(wire));
 }
 
 } // namespace rampgap
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -6,6 +6,7 @@
 #include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/peer_table.h"
+#include "policy/snapshot_choice.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <memory>
@@ -55,10 +56,12 @@
     awaitable<void> receiveLoop();
     awaitable<void> reportLoop();
     awaitable<void> proofLoop();
+    void noteRevision(const peer_info& sender, store_revision);
+    void fetchFrom(const std::optional<std::string>& host);
     awaitable<void> fetchSnapshot(std::string host);
     void receive(const gateway::peer_datagram&, const std::string& host);
     void answerQuestion(const gateway::peer_datagram&, const std::string& host);
-    void takeAnswer(const gateway::peer_datagram&, const std::string& host);
+    void takeAnswer(const gateway::peer_datagram&);
     gateway::peer_datagram makeDatagram() const;
     void addGroups(gateway::peer_datagram&) const;
     void takeGroups(const gateway::peer_datagram&);
@@ -78,6 +81,7 @@
     std::uint64_t m_nonce = 0;
     std::map<std::uint64_t, instant> m_questions;
     bool m_fetching = false;
+    snapshot_choice m_snapshots;
     bool m_leaving = false;
     store_revision m_announced = 0;
 };
--- /dev/null
+++ b/Source/policy/snapshot_choice.h
@@ -0,0 +1,31 @@
+// From whom to fetch the fleet's state when others hold a newer revision.
+#pragma once
+
+#include "policy/published_state.h"
+#include "policy/verdict.h"
+
+#include <optional>
+#include <string>
+
+namespace rampgap {
+
+// Load pattern: many changes of a large configuration within a second, at a hundred
+// processes. Bytes between zones are dear and links narrow, so a process first waits for a
+// peer of its own zone to hold the change.
+class snapshot_choice {
+public:
+    // A peer told its revision. The host to fetch from now, if any.
+    std::optional<std::string> noteTold(const std::string& host, bool sameZone, store_revision told, store_revision held, instant now);
+    // The host to fetch from where nobody of the own zone had the change in time.
+    std::optional<std::string> due(store_revision held, instant now) const;
+
+private:
+    bool waitedEnough(instant now) const;
+
+    // The newest revision that was told, since when one is missing here, and who told it.
+    store_revision m_newest = 0;
+    std::optional<instant> m_missingSince;
+    std::string m_host;
+};
+
+} // namespace rampgap
--- a/Utilities/setup.sh
+++ b/Utilities/setup.sh
@@ -3,7 +3,7 @@
 set -eu
 PACKAGES="g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl git
     libboost1.81-dev libgrpc++-dev libprotobuf-dev prometheus-cpp-dev
-    libeasyloggingpp-dev doctest-dev librapidcheck-dev libxxhash-dev libssl-dev python3"
+    libeasyloggingpp-dev doctest-dev librapidcheck-dev libxxhash-dev libssl-dev zlib1g-dev python3"
 missing=""
 for package in $PACKAGES; do
     dpkg -s "$package" >/dev/null 2>&1 || missing="$missing $package"
