requests: fill the ranks where no pass can be on time

Cause: with a rank 7 to 12 times slower each pass takes 170 to 600 ms whatever runs in it, since the whole part of a step that is not spread over experts is that rank's own; the bound by the gap then left one sequence a rank, 20 of 50 callers a second were refused and the rest came late all the same. Leaders tell skew and pace. What cannot end by its deadline takes no place.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -352,7 +352,7 @@
         asio::steady_timer timer(m_context.io(), ranksToldInterval);
         co_await timer.async_wait(asTuple);
         if (leads())
-            m_peers->tellRanks({ m_settings.engineService, m_leader.group() }, m_leader.stretch(), m_leader.rankLoads());
+            m_peers->tellRanks({ m_settings.engineService, m_leader.group() }, m_leader.strain(), m_leader.rankLoads());
     }
 }
 
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -1,6 +1,5 @@
 #include "gateway/group_leader.h"
 
-#include "policy/pass_model.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -108,11 +107,11 @@
     return loads;
 }
 
-double group_leader::stretch() const
+group_strain group_leader::strain() const
 {
     if (!m_monitor || m_monitor->groupSize() == 0)
-        return 1;
-    return stepStretch(m_costs, m_monitor->skewNow(), m_monitor->slowestPace());
+        return {};
+    return { m_monitor->skewNow(), m_monitor->slowestPace() };
 }
 
 // Higher with each change here, and higher than that of an earlier leader unless the time
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/group_leader.h
@@ -7,6 +7,7 @@
 #include "policy/group_roster.h"
 #include "policy/load_board.h"
 #include "policy/map_switch.h"
+#include "policy/pass_model.h"
 
 namespace rampgap {
 
@@ -31,8 +32,8 @@
     std::string group() const { return m_monitor ? m_monitor->group() : std::string(); }
     // Requests at each rank that was observed lately.
     load_report_by_hash rankLoads() const;
-    // Predicted time of the group's steps over that at an even load; 1 if not known.
-    double stretch() const;
+    // What lengthens the group's steps now, as far as it is known.
+    group_strain strain() const;
     // One look at what there is to do; returns when it is done. Call again and again.
     awaitable<void> work(group_members);
 
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -207,8 +207,8 @@
         const group_key group { datagram.ranks_group().service(), datagram.ranks_group().group() };
         for (const auto& work : datagram.ranks())
             m_groups.noteMember(work.backend_hash(), group);
-        if (datagram.ranks_stretch_percent() > 0)
-            m_groups.noteStretch(group, datagram.ranks_stretch_percent() / percent, now);
+        if (datagram.ranks_skew_percent() > 0)
+            m_groups.noteStrain(group, { datagram.ranks_skew_percent() / percent, datagram.ranks_slowest_pace_percent() / percent }, now);
         for (const auto& work : datagram.ranks())
             ranks[work.backend_hash()] = { static_cast<int>(work.requests()), 0, std::max(1.0, work.pace_percent() / percent) };
         m_loads.noteRanks(ranks, now);
@@ -310,13 +310,14 @@
         send(peer.host, datagram);
 }
 
-void peer_exchange::tellRanks(const group_key& group, double stretch, const load_report_by_hash& ranks)
+void peer_exchange::tellRanks(const group_key& group, const group_strain& strain, const load_report_by_hash& ranks)
 {
     auto datagram = makeDatagram();
     addGroups(datagram);
     datagram.mutable_ranks_group()->set_service(group.service);
     datagram.mutable_ranks_group()->set_group(group.group);
-    datagram.set_ranks_stretch_percent(static_cast<std::uint32_t>(stretch * percent));
+    datagram.set_ranks_skew_percent(static_cast<std::uint32_t>(strain.expertSkew * percent));
+    datagram.set_ranks_slowest_pace_percent(static_cast<std::uint32_t>(strain.slowestPace * percent));
     for (const auto& [hash, load] : ranks) {
         auto* work = datagram.add_ranks();
         work->set_backend_hash(hash);
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -43,7 +43,7 @@
     // Tells all peers at once that something newer is published.
     void announceRevision();
     // Tells the entry VMs how many requests are at each rank; leaders of groups only.
-    void tellRanks(const group_key&, double stretch, const load_report_by_hash&);
+    void tellRanks(const group_key&, const group_strain&, const load_report_by_hash&);
     // Tells the entry VMs that are known of a change in a group; agents only.
     void tellGroup(const group_news&);
     void setSeeds(std::vector<std::string> hosts) { m_peers.setSeeds(std::move(hosts)); }
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -49,6 +49,8 @@
     // From a place to the first event, until one was seen: the prompt and two passes of full
     // ranks by the published figures of today's engines, and a round trip.
     constexpr milliseconds usualFirstEvent { 200 };
+    // From a place to the end of the answer, until one was seen.
+    constexpr milliseconds usualRun { 1'500 };
     // Of the longest pause that a caller keeps to: when one that met full engines comes back.
     constexpr double shortestPauseShare = 0.4;
     constexpr milliseconds noBackendRetryAfter { 300 };
@@ -185,7 +187,7 @@
     const instant now = m_context.now();
     const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, m_groups, request.costs, request.route.gapTarget * timelyGapTenths / 10, now);
     admission_gate& gate = gateOf(request.service);
-    gate.setSlots(admissionShare({ load.timely, load.requests, gate.queue().running(), m_entries, m_groups.openFor(request.service, now) }));
+    gate.setSlots(admissionShare({ load.toRun, load.requests, gate.queue().running(), m_entries, m_groups.openFor(request.service, now) }));
     admission_request asked { request.workspace, begunUrgency, std::min(request.deadline, now + resumeWait) };
     if (state.relay.begun)
         co_return co_await enter(gate, asked, exchange);
@@ -198,6 +200,7 @@
     admission_wait_question question;
     question.latencyTarget = request.route.latencyTarget;
     question.firstEvent = std::min(firstEventOf(request.service).value(), request.route.gapTarget * firstEventGaps);
+    question.run = runOf(request.service).value();
     question.waited = std::chrono::duration_cast<milliseconds>(now - request.receivedAt);
     question.timeLeft = timeLeft(request, now);
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
@@ -222,6 +225,11 @@
     co_return admission_place(gate, entered.value());
 }
 
+delay_estimate& upstream_dispatcher::runOf(const std::string& service)
+{
+    return m_runs.try_emplace(service, usualRun).first->second;
+}
+
 delay_estimate& upstream_dispatcher::firstEventOf(const std::string& service)
 {
     return m_firstEvents.try_emplace(service, usualFirstEvent).first->second;
@@ -307,6 +315,8 @@
     }
     exchange.onCallerGone(nullptr);
     m_loads.noteEnded(backend.id, unread);
+    if (request.costs && outcome.result == try_result::answered && !exchange.callerGone())
+        runOf(request.service).observe(std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
     if (!exchange.callerGone())
         m_state.backends().noteResult(backend.id, outcome.result, m_context.now());
     logTry(request, state, backend, outcome, sentAt);
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -60,6 +60,8 @@
     admission_gate& gateOf(const std::string& service);
     // From a place to the first event of the service's engines.
     delay_estimate& firstEventOf(const std::string& service);
+    // From a place to the end of the answer.
+    delay_estimate& runOf(const std::string& service);
     milliseconds overloadPause(const admitted_request&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
@@ -84,6 +86,7 @@
     // Of model services, by name.
     std::map<std::string, admission_gate> m_gates;
     std::map<std::string, delay_estimate> m_firstEvents;
+    std::map<std::string, delay_estimate> m_runs;
     std::size_t m_entries = 1;
     upstream_choice m_choice;
 };
--- a/Source/policy/admission_wait.h
+++ b/Source/policy/admission_wait.h
@@ -10,6 +10,8 @@
     milliseconds latencyTarget { 0 };
     // From a place to the first event, as lately observed.
     milliseconds firstEvent { 0 };
+    // From a place to the end of the answer, as lately observed.
+    milliseconds run { 0 };
     // Since the request came.
     milliseconds waited { 0 };
     // Until the caller's deadline.
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -44,15 +44,15 @@
     m_members[backendHash] = key;
 }
 
-void group_board::noteStretch(const group_key& key, double stretch, instant now)
+void group_board::noteStrain(const group_key& key, const group_strain& strain, instant now)
 {
-    m_stretches[key] = { stretch, now };
+    m_strains[key] = { strain, now };
 }
 
-double group_board::stretchAt(const std::string& service, std::uint32_t backendHash, instant now) const
+group_strain group_board::strainAt(const std::string& service, std::uint32_t backendHash, instant now) const
 {
-    const auto told = m_stretches.find(keyOf(service, backendHash));
-    return told != m_stretches.end() && now - told->second.second < m_life ? told->second.first : 1;
+    const auto told = m_strains.find(keyOf(service, backendHash));
+    return told != m_strains.end() && now - told->second.second < m_life ? told->second.first : group_strain {};
 }
 
 bool group_board::knownClosed(const entry& held, instant now) const
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -2,6 +2,7 @@
 // agents tell.
 #pragma once
 
+#include "policy/pass_model.h"
 #include "policy/verdict.h"
 
 #include <compare>
@@ -48,10 +49,10 @@
     // A server, by the hash of its id, is a rank of the group.
     void noteMember(std::uint32_t backendHash, const group_key&);
 
-    // Predicted time of the group's steps over that at an even load, as its leader told.
-    void noteStretch(const group_key&, double stretch, instant now);
-    // 1 where no leader has told lately.
-    double stretchAt(const std::string& service, std::uint32_t backendHash, instant now) const;
+    // What lengthens the group's steps, as its leader told.
+    void noteStrain(const group_key&, const group_strain&, instant now);
+    // Of the server's group; none where no leader has told lately.
+    group_strain strainAt(const std::string& service, std::uint32_t backendHash, instant now) const;
 
     // An engine with room refused a request unrun: its group has closed, unless a later
     // report shows it open. An engine whose group is not known says nothing of other groups.
@@ -91,7 +92,7 @@
     milliseconds m_life;
     std::map<group_key, entry> m_groups;
     std::map<group_key, suspicion> m_suspicions;
-    std::map<group_key, std::pair<double, instant>> m_stretches;
+    std::map<group_key, std::pair<group_strain, instant>> m_strains;
     std::unordered_map<std::uint32_t, group_key> m_members;
 };
 
--- a/Source/policy/pass_model.h
+++ b/Source/policy/pass_model.h
@@ -5,17 +5,22 @@
 
 namespace rampgap {
 
-// Step time over that of ranks with the usual pace and an even load of the experts.
-// `expertSkew`: predicted expert part of a step over that of an even load; `slowestPace`: of
-// the ranks, over 1 if one is slow.
-double stepStretch(const engine_costs&, double expertSkew, double slowestPace);
+// What lengthens the steps of a group now.
+struct group_strain {
+    // Predicted expert part of a step over that of an even load.
+    double expertSkew = 1;
+    // Of the ranks; over 1 if one is slow.
+    double slowestPace = 1;
+
+    bool operator==(const group_strain&) const = default;
+};
 
 // Milliseconds of a pass of a group whose ranks each write `sequences` answers and read the
 // prompts that come for them.
-double passTime(const engine_costs&, double sequences, double stretch);
+double passTime(const engine_costs&, double sequences, const group_strain&);
 
-// Sequences that each rank may write at once so that streams get an event each `longestGap`;
-// at least 1, at most the engine's capacity.
-int sequencesWithin(const engine_costs&, double stretch, milliseconds longestGap);
+// Sequences that each rank should write at once: as many as leave streams an event each
+// `longestGap`, or all that it can run where that is worth more. At most its capacity.
+int sequencesToRun(const engine_costs&, const group_strain&, milliseconds longestGap);
 
 } // namespace rampgap
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -63,7 +63,7 @@
         const int capacity = backends.find(id)->capacity;
         sum.capacity += capacity;
         const bool limited = costs && longestGap > milliseconds(0);
-        sum.timely += limited ? std::min(capacity, sequencesWithin(*costs, groups.stretchAt(service, backendHash(id), now), longestGap)) : capacity;
+        sum.toRun += limited ? std::min(capacity, sequencesToRun(*costs, groups.strainAt(service, backendHash(id), now), longestGap)) : capacity;
         sum.requests += loads.total(id, now).requests;
     }
     return sum;
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -35,8 +35,8 @@
 struct pool_load {
     int capacity = 0;
     int requests = 0;
-    // Of the capacity, what leaves streams the gap that was asked for.
-    int timely = 0;
+    // Of the capacity, what is best run at once for the gap that was asked for.
+    int toRun = 0;
 
     bool operator==(const pool_load&) const = default;
 };
--- a/Tests/platform/snapshots/test.cpp
+++ b/Tests/platform/snapshots/test.cpp
@@ -48,7 +48,8 @@
         broken[*rc::gen::inRange<std::size_t>(0, broken.size())] = *rc::gen::arbitrary<char>();
         // Never more than was sent, whatever the bytes are.
         const auto received = unpackSnapshot(broken, largest);
-        RC_ASSERT(!received || received->ByteSizeLong() <= largest);
+        if (received)
+            RC_ASSERT(received->ByteSizeLong() <= largest);
     }));
 }
 
