requests: end the action for a caller that goes away with the call it cancels

Cause of requests.late-answers, known to be red: an agent whose engine had not answered by the deadline left the action registered that cancels its call; when the caller closed its connection before it had read the refusal, the action ran on the call that was gone, and the agent ended.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -1,5 +1,6 @@
 #include "agent/agent_server.h"
 
+#include "daemon/caller_watch.h"
 #include "daemon/header_names.h"
 #include "daemon/log.h"
 #include "discovery/platform_source.h"
@@ -234,8 +235,10 @@
     request.erase(std::string(header::permit));
     http_call call(m_client);
     // What may run only once is not cut off: its answer is kept for a repeat of the call.
-    if (!once)
-        exchange.onCallerGone([&call] { call.cancel(); });
+    const caller_watch watch(exchange, [&call, once] {
+        if (!once)
+            call.cancel();
+    });
     auto head = co_await call.start(m_settings.engine, std::move(request), order.admission.deadline);
     if (!head) {
         failure failed = head.error();
@@ -255,7 +258,6 @@
     options.finishWithoutCaller = once;
     options.recordLimit = once ? maxStoredAnswer : 0;
     const auto outcome = co_await relayAnswer(call, std::move(head.value()), exchange, progress, options);
-    exchange.onCallerGone(nullptr);
     m_context.counters().add(metric::bytes_relayed, static_cast<double>(progress.bytes));
     if (once && outcome.recorded)
         m_guard.ledger().finish(*order.onceId, { status, contentType, *outcome.recorded }, m_context.now());
--- a/Source/daemon/admission_gate.cpp
+++ b/Source/daemon/admission_gate.cpp
@@ -1,5 +1,7 @@
 #include "daemon/admission_gate.h"
 
+#include "daemon/caller_watch.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -47,9 +49,8 @@
     m_waiters.emplace(id, own);
     carryOut(outcome);
     if (!own->started && !own->refused) {
-        exchange.onCallerGone([this, id] { withdraw(id); });
+        const caller_watch watch(exchange, [this, id] { withdraw(id); });
         co_await own->signal.async_wait(asio::as_tuple(asio::use_awaitable));
-        exchange.onCallerGone(nullptr);
         if (!own->started && !own->refused) {
             m_queue.withdraw(id);
             own->refused = notRun(failure_reason::queue_full, "no turn came in time");
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "entry/request_dispatcher.h"
 
+#include "daemon/caller_watch.h"
 #include "daemon/header_names.h"
 #include "policy/home_guard.h"
 #include "policy/permit_office.h"
@@ -266,7 +267,7 @@
 awaitable<std::optional<failure>> request_dispatcher::tryOn(http_exchange& exchange, const caller_request& request, backend_id id, relay_progress& progress, std::string permitText)
 {
     http_call call(m_client);
-    exchange.onCallerGone([&call] { call.cancel(); });
+    const caller_watch watch(exchange, [&call] { call.cancel(); });
     m_table.noteSent(id);
     m_context.note(event_kind::request_sent, request.correlation, "to=" + m_table.view(id).name);
     auto head = co_await call.start(m_table.view(id).address, makeUpstream(exchange.request(), request, id, progress, permitText), request.deadline);
@@ -295,7 +296,6 @@
                 failed = outcome.failed;
         }
     }
-    exchange.onCallerGone(nullptr);
     m_table.noteEnded(id);
     if (exchange.callerGone())
         co_return std::nullopt;
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstream_dispatcher.h"
 
+#include "daemon/caller_watch.h"
 #include "policy/admission_share.h"
 #include "policy/admission_wait.h"
 #include "policy/group_wait.h"
@@ -293,7 +294,7 @@
     const instant sentAt = m_context.now();
     upstream_facts facts { backend.id, request.workspace, timeLeft(request, sentAt), state.relay.lastEventId, std::nullopt };
     http_call call(m_client);
-    exchange.onCallerGone([&call] { call.cancel(); });
+    const caller_watch watch(exchange, [&call] { call.cancel(); });
     if (request.route.repeat == repeat_rule::non_idempotent)
         call.useFreshConnection();
     std::int64_t unread = request.said.promptTokens;
@@ -313,7 +314,6 @@
                                                                                                                  : try_result::failed;
         state.runs += unreachable ? 0 : 1;
     }
-    exchange.onCallerGone(nullptr);
     m_loads.noteEnded(backend.id, unread);
     if (request.costs && outcome.result == try_result::answered && !exchange.callerGone())
         runOf(request.service).observe(std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
