--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    // A call to an agent holds one order of at most 120 ms and two short readings.
+    // A call to an agent holds one order of at most 40 ms and two short readings.
     constexpr milliseconds agentTimeout { 250 };
     constexpr milliseconds preparedPoll { 15 };
     // The one in use, the one being prepared, and those of changes that failed between.
