gateway: give the places at the engines a class of their own

upstream_dispatcher carries requests and answers; who waits for a place, how long and before whom is in place_giver, whose decisions are in Source/policy. No change of behaviour.

--- /dev/null
+++ b/Source/gateway/place_giver.cpp
@@ -0,0 +1,113 @@
+#include "gateway/place_giver.h"
+
+#include "policy/admission_share.h"
+#include "policy/admission_wait.h"
+#include "policy/group_wait.h"
+#include "policy/upstream_choice.h"
+#include <algorithm>
+
+namespace rampgap {
+
+namespace {
+
+    // Order of those who wait for a place: begun streams, those that can be on time, others.
+    constexpr int begunUrgency = 1;
+    constexpr int timelyUrgency = 2;
+    constexpr int lateUrgency = 3;
+    // From a place to the first event, until one was seen: the prompt and two passes of full
+    // ranks by the published figures of today's engines, and a round trip.
+    constexpr milliseconds usualFirstEvent { 200 };
+    // From a place to the end of the answer, until one was seen.
+    constexpr milliseconds usualRun { 1'500 };
+    // A request that gets a place waits for the pass under way and the one that reads its prompt.
+    constexpr int firstEventGaps = 2;
+    // Part of the longest timely gap that the predicted pass may take: passes vary.
+    constexpr int timelyGapTenths = 9;
+    // The engines bound their own queues: requests are refused for want of time only.
+    constexpr bool shedding = false;
+
+} // namespace
+
+place_giver::desk::desk(process_context& context)
+    : gate(context, admission_limits {}, shedding)
+    , firstEvent(usualFirstEvent)
+    , run(usualRun)
+{
+}
+
+place_giver::place_giver(process_context& context, fleet_state& state, load_board& loads, group_board& groups)
+    : m_context(context)
+    , m_state(state)
+    , m_loads(loads)
+    , m_groups(groups)
+{
+}
+
+awaitable<result<admission_place>> place_giver::take(http_exchange& exchange, const admitted_request& request, bool begun)
+{
+    if (!request.costs)
+        co_return admission_place();
+    const instant now = m_context.now();
+    desk& own = deskOf(request.service);
+    own.gate.setSlots(slotsFor(request, own.gate));
+    admission_request asked { request.workspace, begunUrgency, std::min(request.deadline, now + resumeWait) };
+    if (begun)
+        co_return co_await enter(own.gate, asked, exchange);
+    // With a place free nothing has to be predicted; and only what is sent shows how long the
+    // first event takes now.
+    asked.priority = timelyUrgency;
+    asked.deadline = request.deadline;
+    if (!own.gate.full())
+        co_return co_await enter(own.gate, asked, exchange);
+    admission_wait_question question;
+    question.latencyTarget = request.route.latencyTarget;
+    question.firstEvent = std::min(own.firstEvent.value(), request.route.gapTarget * firstEventGaps);
+    question.run = own.run.value();
+    question.waited = request.waited(now);
+    question.timeLeft = request.timeLeft(now);
+    question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
+    question.firstTime = request.isFirstTime();
+    const admission_wait wait = planAdmissionWait(question);
+    if (wait.timely > milliseconds(0)) {
+        asked.deadline = now + wait.timely;
+        auto place = co_await enter(own.gate, asked, exchange);
+        if (place || exchange.callerGone())
+            co_return place;
+    }
+    asked.priority = lateUrgency;
+    asked.deadline = now + wait.timely + wait.late;
+    co_return co_await enter(own.gate, asked, exchange);
+}
+
+int place_giver::slotsFor(const admitted_request& request, const admission_gate& gate) const
+{
+    const instant now = m_context.now();
+    const milliseconds gap = request.route.gapTarget * timelyGapTenths / 10;
+    const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, m_groups, request.costs, gap, now);
+    return admissionShare({ load.toRun, load.requests, gate.queue().running(), m_entries, m_groups.openFor(request.service, now) });
+}
+
+awaitable<result<admission_place>> place_giver::enter(admission_gate& gate, admission_request asked, http_exchange& exchange)
+{
+    const auto entered = co_await gate.enter(asked, exchange);
+    if (!entered)
+        co_return entered.error();
+    co_return admission_place(gate, entered.value());
+}
+
+void place_giver::noteFirstEvent(const std::string& service, milliseconds taken)
+{
+    deskOf(service).firstEvent.observe(taken);
+}
+
+void place_giver::noteEnd(const std::string& service, milliseconds taken)
+{
+    deskOf(service).run.observe(taken);
+}
+
+place_giver::desk& place_giver::deskOf(const std::string& service)
+{
+    return m_desks.try_emplace(service, m_context).first->second;
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/gateway/place_giver.h
@@ -0,0 +1,51 @@
+// Gives requests their places at the engines of model services.
+#pragma once
+
+#include "daemon/admission_place.h"
+#include "gateway/admitted_request.h"
+#include "gateway/fleet_state.h"
+#include "policy/delay_estimate.h"
+#include "policy/group_board.h"
+#include "policy/load_board.h"
+
+#include <map>
+
+namespace rampgap {
+
+class place_giver {
+public:
+    place_giver(process_context&, fleet_state&, load_board&, group_board&);
+
+    // Waits for a place, as long as that serves the caller. `begun`: a stream that was cut off
+    // and is to go on. Plain services need no place.
+    awaitable<result<admission_place>> take(http_exchange&, const admitted_request&, bool begun);
+    // Entry VMs at work, this one included.
+    void setEntries(std::size_t entries) { m_entries = entries; }
+    // What a request met after it had its place.
+    void noteFirstEvent(const std::string& service, milliseconds taken);
+    void noteEnd(const std::string& service, milliseconds taken);
+
+private:
+    // Of one service.
+    struct desk {
+        explicit desk(process_context&);
+
+        admission_gate gate;
+        // From a place to the first event, and to the end of the answer.
+        delay_estimate firstEvent;
+        delay_estimate run;
+    };
+
+    desk& deskOf(const std::string& service);
+    int slotsFor(const admitted_request&, const admission_gate&) const;
+    static awaitable<result<admission_place>> enter(admission_gate&, admission_request, http_exchange&);
+
+    process_context& m_context;
+    fleet_state& m_state;
+    load_board& m_loads;
+    group_board& m_groups;
+    std::map<std::string, desk> m_desks;
+    std::size_t m_entries = 1;
+};
+
+} // namespace rampgap
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -1,8 +1,6 @@
 #include "gateway/upstream_dispatcher.h"
 
 #include "daemon/caller_watch.h"
-#include "policy/admission_share.h"
-#include "policy/admission_wait.h"
 #include "policy/group_wait.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -32,28 +30,7 @@
     constexpr milliseconds firstNews { 3'000 };
     // Below this no server can do anything for the caller.
     constexpr milliseconds leastTimeLeft { 20 };
-    // A group that lost a rank stalls for 1.5 s and forms again in 0.6 s.
-    constexpr milliseconds longestReopening { 2'600 };
-    // A caller with less than this of its route's time has been here before.
-    constexpr int firstTimeTenths = 9;
-    // A begun stream whose caller leaves after a gap of two seconds.
-    constexpr milliseconds resumeWait { 300 };
-    // A request that gets a place waits for the pass under way and the one that reads its prompt.
-    constexpr int firstEventGaps = 2;
-    // Part of the longest timely gap that the predicted pass may take: passes vary.
-    constexpr int timelyGapTenths = 9;
     constexpr milliseconds groupPoll { 20 };
-    // Order of those who wait for a place: begun streams, those that can be on time, others.
-    constexpr int begunUrgency = 1;
-    constexpr int timelyUrgency = 2;
-    constexpr int lateUrgency = 3;
-    // From a place to the first event, until one was seen: the prompt and two passes of full
-    // ranks by the published figures of today's engines, and a round trip.
-    constexpr milliseconds usualFirstEvent { 200 };
-    // From a place to the end of the answer, until one was seen.
-    constexpr milliseconds usualRun { 1'500 };
-    // Of the longest pause that a caller keeps to: when one that met full engines comes back.
-    constexpr double shortestPauseShare = 0.4;
     constexpr milliseconds noBackendRetryAfter { 300 };
     constexpr milliseconds fullRetryAfter { 200 };
 
@@ -68,17 +45,6 @@
             call.cancel();
     }
 
-    milliseconds timeLeft(const admitted_request& request, instant now)
-    {
-        return std::chrono::duration_cast<milliseconds>(request.deadline - now);
-    }
-
-    // The caller has not been refused before, as far as its time tells.
-    bool isFirstTime(const admitted_request& request)
-    {
-        return timeLeft(request, request.receivedAt) >= request.route.timeout * firstTimeTenths / 10;
-    }
-
 } // namespace
 
 upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, retry_bounds bounds)
@@ -89,6 +55,7 @@
     , m_loads(loads)
     , m_groups(groups)
     , m_client(context, connectTimeout)
+    , m_places(context, state, loads, groups)
     , m_budget(bounds, context.startedAt())
 {
 }
@@ -111,7 +78,7 @@
     std::optional<try_outcome> last;
     for (;;) {
         const instant now = m_context.now();
-        if (timeLeft(request, now) < leastTimeLeft) {
+        if (request.timeLeft(now) < leastTimeLeft) {
             failure late { state.worst, failure_reason::deadline, "the deadline has passed", std::nullopt };
             if (late.ran == verdict::not_run) {
                 late.reason = failure_reason::no_backend;
@@ -125,7 +92,7 @@
             co_return closed;
         if (exchange.callerGone())
             co_return std::nullopt;
-        const auto place = co_await takePlace(exchange, request, state);
+        const auto place = co_await m_places.take(exchange, request, state.relay.begun);
         if (exchange.callerGone())
             co_return std::nullopt;
         if (!place)
@@ -159,10 +126,10 @@
         co_return std::nullopt;
     group_wait_question question;
     question.closedFor = m_groups.closedFor(request.service, m_context.now());
-    question.timeLeft = timeLeft(request, m_context.now());
+    question.timeLeft = request.timeLeft(m_context.now());
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
-    question.waited = std::chrono::duration_cast<milliseconds>(m_context.now() - request.receivedAt);
-    question.firstTime = isFirstTime(request) && !state.relay.begun && state.runs == 0;
+    question.waited = request.waited(m_context.now());
+    question.firstTime = request.isFirstTime() && !state.relay.begun && state.runs == 0;
     question.draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
     group_wait_decision decision = decideGroupWait(question);
     // The caller of a begun stream has been waiting since its last event.
@@ -181,81 +148,12 @@
     co_return std::nullopt;
 }
 
-awaitable<result<admission_place>> upstream_dispatcher::takePlace(http_exchange& exchange, const admitted_request& request, const progress& state)
-{
-    if (!request.costs)
-        co_return admission_place();
-    const instant now = m_context.now();
-    const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, m_groups, request.costs, request.route.gapTarget * timelyGapTenths / 10, now);
-    admission_gate& gate = gateOf(request.service);
-    gate.setSlots(admissionShare({ load.toRun, load.requests, gate.queue().running(), m_entries, m_groups.openFor(request.service, now) }));
-    admission_request asked { request.workspace, begunUrgency, std::min(request.deadline, now + resumeWait) };
-    if (state.relay.begun)
-        co_return co_await enter(gate, asked, exchange);
-    // With a place free nothing has to be predicted; and only what is sent shows how long the
-    // first event takes now.
-    asked.priority = timelyUrgency;
-    asked.deadline = request.deadline;
-    if (!gate.full())
-        co_return co_await enter(gate, asked, exchange);
-    admission_wait_question question;
-    question.latencyTarget = request.route.latencyTarget;
-    question.firstEvent = std::min(firstEventOf(request.service).value(), request.route.gapTarget * firstEventGaps);
-    question.run = runOf(request.service).value();
-    question.waited = std::chrono::duration_cast<milliseconds>(now - request.receivedAt);
-    question.timeLeft = timeLeft(request, now);
-    question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
-    question.firstTime = isFirstTime(request);
-    const admission_wait wait = planAdmissionWait(question);
-    if (wait.timely > milliseconds(0)) {
-        asked.deadline = now + wait.timely;
-        auto place = co_await enter(gate, asked, exchange);
-        if (place || exchange.callerGone())
-            co_return place;
-    }
-    asked.priority = lateUrgency;
-    asked.deadline = now + wait.timely + wait.late;
-    co_return co_await enter(gate, asked, exchange);
-}
-
-awaitable<result<admission_place>> upstream_dispatcher::enter(admission_gate& gate, admission_request asked, http_exchange& exchange)
-{
-    const auto entered = co_await gate.enter(asked, exchange);
-    if (!entered)
-        co_return entered.error();
-    co_return admission_place(gate, entered.value());
-}
-
-delay_estimate& upstream_dispatcher::runOf(const std::string& service)
-{
-    return m_runs.try_emplace(service, usualRun).first->second;
-}
-
-delay_estimate& upstream_dispatcher::firstEventOf(const std::string& service)
-{
-    return m_firstEvents.try_emplace(service, usualFirstEvent).first->second;
-}
-
-admission_gate& upstream_dispatcher::gateOf(const std::string& service)
-{
-    constexpr bool shedding = false;
-    return m_gates.try_emplace(service, m_context, admission_limits {}, shedding).first->second;
-}
-
 void upstream_dispatcher::setSharers(std::size_t entries, std::size_t mostEntries)
 {
-    m_entries = entries;
+    m_places.setEntries(entries);
     m_budget.setSharers(mostEntries);
 }
 
-// Spread, so that those who are refused together do not come back together.
-milliseconds upstream_dispatcher::overloadPause(const admitted_request& request)
-{
-    const auto longest = std::min(longestReopening, longestPause(timeLeft(request, m_context.now())));
-    const double draw = std::uniform_real_distribution<double>(shortestPauseShare, 1)(m_context.random());
-    return milliseconds(static_cast<std::int64_t>(draw * static_cast<double>(longest.count())));
-}
-
 bool upstream_dispatcher::mayRepeat(const admitted_request& request, const progress& state, const try_outcome& last)
 {
     const bool mayHaveRun = last.failed->ran != verdict::not_run;
@@ -292,7 +190,7 @@
 awaitable<upstream_dispatcher::try_outcome> upstream_dispatcher::tryOn(http_exchange& exchange, const admitted_request& request, progress& state, const listed_backend& backend)
 {
     const instant sentAt = m_context.now();
-    upstream_facts facts { backend.id, request.workspace, timeLeft(request, sentAt), state.relay.lastEventId, std::nullopt };
+    upstream_facts facts { backend.id, request.workspace, request.timeLeft(sentAt), state.relay.lastEventId, std::nullopt };
     http_call call(m_client);
     const caller_watch watch(exchange, [&call] { call.cancel(); });
     if (request.route.repeat == repeat_rule::non_idempotent)
@@ -316,7 +214,7 @@
     }
     m_loads.noteEnded(backend.id, unread);
     if (request.costs && outcome.result == try_result::answered && !exchange.callerGone())
-        runOf(request.service).observe(std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
+        m_places.noteEnd(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
     if (!exchange.callerGone())
         m_state.backends().noteResult(backend.id, outcome.result, m_context.now());
     logTry(request, state, backend, outcome, sentAt);
@@ -348,7 +246,7 @@
         options.silenceLimit = streamSilence;
     options.onFirstBytes = [&, sentAt] {
         m_context.counters().observe(latency::first_byte, m_context.now() - request.receivedAt);
-        firstEventOf(request.service).observe(std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
+        m_places.noteFirstEvent(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
         m_loads.noteBegun(backend.id, unread);
         unread = 0;
     };
@@ -358,7 +256,7 @@
         co_return try_outcome { mayHaveRun(failure_reason::backend_error, "the engine that should go on answered " + std::to_string(head.result_int())), try_result::failed };
     }
     // An engine's failure of a repeatable request may be mended by another engine.
-    const bool mend = serverFailed && request.route.repeatable() && state.runs < request.route.maxAttempts && timeLeft(request, m_context.now()) > request.route.latencyTarget;
+    const bool mend = serverFailed && request.route.repeatable() && state.runs < request.route.maxAttempts && request.timeLeft(m_context.now()) > request.route.latencyTarget;
     if (mend) {
         co_await drop(call);
         co_return try_outcome { mayHaveRun(failure_reason::backend_error, "the engine answered " + std::to_string(head.result_int())), try_result::failed };
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -1,32 +1,15 @@
 // Carries one request to a backend server and its answer back; tries again where safe.
 #pragma once
 
-#include "daemon/admission_place.h"
 #include "daemon/answer_relay.h"
-#include "gateway/fleet_state.h"
 #include "gateway/gateway_settings.h"
-#include "gateway/request_codec.h"
-#include "policy/delay_estimate.h"
+#include "gateway/place_giver.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/upstream_choice.h"
 
 namespace rampgap {
 
-// One request that passed all checks.
-struct admitted_request {
-    gateway_request said;
-    route_spec route;
-    std::string service;
-    std::string workspace;
-    int priority = 0;
-    instant receivedAt;
-    // The caller's own limit and the route's, whichever comes first.
-    instant deadline;
-    // Published costs of the service's engines; empty for plain services.
-    std::optional<engine_costs> costs;
-};
-
 class upstream_dispatcher {
 public:
     upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, retry_bounds);
@@ -54,15 +37,6 @@
 
     // Waits while the service's expert group is closed, as far as that serves the caller.
     awaitable<std::optional<failure>> awaitGroup(http_exchange&, const admitted_request&, const progress&);
-    // Waits for a place at the service's engines, as long as that serves the caller.
-    awaitable<result<admission_place>> takePlace(http_exchange&, const admitted_request&, const progress&);
-    static awaitable<result<admission_place>> enter(admission_gate&, admission_request, http_exchange&);
-    admission_gate& gateOf(const std::string& service);
-    // From a place to the first event of the service's engines.
-    delay_estimate& firstEventOf(const std::string& service);
-    // From a place to the end of the answer.
-    delay_estimate& runOf(const std::string& service);
-    milliseconds overloadPause(const admitted_request&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
     awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, http_call&, http_head, instant sentAt, std::int64_t& unread);
@@ -82,12 +56,8 @@
     load_board& m_loads;
     group_board& m_groups;
     http_client m_client;
+    place_giver m_places;
     shared_retry_budget m_budget;
-    // Of model services, by name.
-    std::map<std::string, admission_gate> m_gates;
-    std::map<std::string, delay_estimate> m_firstEvents;
-    std::map<std::string, delay_estimate> m_runs;
-    std::size_t m_entries = 1;
     upstream_choice m_choice;
 };
 
--- a/Source/policy/group_wait.h
+++ b/Source/policy/group_wait.h
@@ -39,6 +39,10 @@
 // the store says, since the balancer takes two seconds to send callers elsewhere.
 milliseconds longestPause(milliseconds timeLeft);
 
+// How long a begun stream that was cut off waits for a place or an opening: its caller leaves
+// after a gap of two seconds, most of which the stalled group has used.
+inline constexpr milliseconds resumeWait { 300 };
+
 // Silence after which callers of streams give up.
 milliseconds callerPatience(milliseconds latencyTarget, milliseconds gapTarget);
 
