--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -48,14 +48,6 @@
 
 } // namespace
 
-bool allFull(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups)
-{
-    const auto pool = runningPool(question.service, backends, groups, question.now);
-    return !pool.empty() && std::all_of(pool.begin(), pool.end(), [&](const std::string& id) {
-        return loads.total(id, question.now).requests > backends.find(id)->capacity;
-    });
-}
-
 pool_load poolLoad(const std::string& service, const backend_directory& backends, const load_board& loads, const group_board& groups, const std::optional<engine_costs>& costs, milliseconds longestGap, instant now)
 {
     pool_load sum;
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -26,10 +26,6 @@
 // alone in its pass; for plain services its queue in units of its capacity.
 double expectedDelay(const backend_load&, int capacity, const std::optional<engine_costs>&, std::int64_t promptTokens);
 
-// True if no server of the service whose group can run requests has room: a new request would
-// wait behind others on every one of them.
-bool allFull(const upstream_question&, const backend_directory&, const load_board&, const group_board&);
-
 // What the open servers of a service run at once, and the requests they have; without those
 // whose group is closed.
 struct pool_load {
