--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -81,6 +81,15 @@
         m_connection->stream.close();
 }
 
+// With a plain close the system goes on sending what a machine that stands still has not
+// taken yet: its server would get the request seconds after the caller has left.
+void http_call::resetOnClose(bool reset)
+{
+    constexpr int noLinger = 0;
+    beast::error_code ignored;
+    m_connection->stream.socket().set_option(asio::socket_base::linger(reset, noLinger), ignored);
+}
+
 awaitable<result<void>> http_call::connect(const std::string& address, instant deadline)
 {
     if (!m_freshConnection)
@@ -115,6 +124,7 @@
     if (m_cancelled)
         co_return notRun(failure_reason::connection_lost, "the caller went away");
 
+    resetOnClose(true);
     if (request.find(http::field::host) == request.end())
         request.set(http::field::host, m_address);
     request.keep_alive(true);
@@ -185,6 +195,7 @@
 
 void http_call::giveBack()
 {
+    resetOnClose(false);
     const milliseconds life = idleLifeOf(m_connection->parser->get());
     if (!m_connection->parser->keep_alive() || m_connection->buffer.size() > 0 || life <= milliseconds(0)) {
         m_connection.reset();
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -29,7 +29,7 @@
     awaitable<result<std::string_view>> read();
     // Reads the rest of the body, up to `limit` bytes.
     awaitable<result<std::string>> readAll(std::size_t limit);
-    // Closes the connection; a waiting call returns with a failure.
+    // Resets the connection; a waiting call returns with a failure.
     void cancel();
     // Changes when a waiting or later call gives up.
     void expireAt(instant deadline);
@@ -44,6 +44,8 @@
 
     awaitable<result<void>> connect(const std::string& address, instant deadline);
     void giveBack();
+    // How the connection ends if it is closed now: a call without its whole answer is reset.
+    void resetOnClose(bool reset);
 
     http_client& m_client;
     std::string m_address;
