--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -162,12 +162,14 @@
         if (!m_leader.configured() || !ownBackend())
             continue;
         const auto view = co_await m_port.state(m_settings.engineAddress);
-        if (!view || view.value().groupSize == 0)
+        // The engine's entry may have gone while it was asked.
+        const auto* own = ownBackend();
+        if (!view || view.value().groupSize == 0 || !own)
             continue;
-        noteGroup(view.value());
+        noteGroup(view.value(), own->id);
         m_peers->tellGroup({ { m_settings.engineService, m_group }, { view.value().epoch, view.value().open } });
         noteEpoch(view.value());
-        askGroups();
+        askGroups(own->id);
         std::vector<std::uint64_t> choices;
         if (countsDue(view.value(), tick)) {
             auto counts = co_await m_port.counts(m_settings.engineAddress);
@@ -178,38 +180,38 @@
     }
 }
 
-void agent_process::noteGroup(const rank_view& view)
+void agent_process::noteGroup(const rank_view& view, const std::string& ownId)
 {
     m_groupSize = view.groupSize;
-    m_roster.note(ownBackend()->id, view.group, m_context.now());
+    m_roster.note(ownId, view.group, m_context.now());
     if (view.group == m_group)
         return;
     m_log.line("group_joined").add("group", view.group).add("rank", view.rank).add("size", view.groupSize).add("before", m_group.empty() ? "-" : m_group);
     m_group = view.group;
     for (const auto& id : pool()) {
-        if (id != ownBackend()->id)
-            sendMembership(*m_state.backends().find(id), false);
+        if (id != ownId)
+            sendMembership(ownId, *m_state.backends().find(id), false);
     }
 }
 
-void agent_process::askGroups()
+void agent_process::askGroups(const std::string& ownId)
 {
     const auto all = pool();
     // Where all fit in one group there is nothing to ask.
     if (all.size() <= m_groupSize)
         return;
-    for (const auto& id : m_roster.takeQuestions(all, ownBackend()->id, m_context.now()))
-        sendMembership(*m_state.backends().find(id), true);
+    for (const auto& id : m_roster.takeQuestions(all, ownId, m_context.now()))
+        sendMembership(ownId, *m_state.backends().find(id), true);
 }
 
-void agent_process::sendMembership(const listed_backend& to, bool wantsReply)
+void agent_process::sendMembership(const std::string& ownId, const listed_backend& to, bool wantsReply)
 {
     const auto endpoint = parseEndpoint(to.address);
     if (!endpoint)
         return;
     gateway::agent_datagram datagram;
     auto* membership = datagram.mutable_membership();
-    membership->set_backend_id(ownBackend()->id);
+    membership->set_backend_id(ownId);
     membership->set_group(m_group);
     membership->set_wants_reply(wantsReply);
     sendDatagram(datagram.SerializeAsString(), { endpoint.value().address(), static_cast<unsigned short>(m_settings.firstPeerPort + reportPortOffset) });
@@ -219,8 +221,9 @@
 {
     m_roster.note(told.backend_id(), told.group(), m_context.now());
     const auto* asker = m_state.backends().findByHost(from.address().to_string(), m_settings.engineService);
-    if (told.wants_reply() && asker && ownBackend() && !m_group.empty())
-        sendMembership(*asker, false);
+    const auto* own = ownBackend();
+    if (told.wants_reply() && asker && own && !m_group.empty())
+        sendMembership(own->id, *asker, false);
 }
 
 void agent_process::noteEpoch(const rank_view& view)
@@ -314,8 +317,9 @@
     // Not acknowledged: this agent leads no other group than its engine's.
     if (report.view().group() != m_group) {
         const auto* sender = m_state.backends().find(report.backend_id());
-        if (sender && ownBackend() && !m_group.empty())
-            sendMembership(*sender, false);
+        const auto* own = ownBackend();
+        if (sender && own && !m_group.empty())
+            sendMembership(own->id, *sender, false);
         return;
     }
     rank_observation seen { report.backend_id(), fromWire(report.view()), {} };
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -31,10 +31,10 @@
     // Begins a new epoch of the group, if this is one.
     void noteEpoch(const rank_view&);
     // Tells the other agents at once when the own engine has moved to another group.
-    void noteGroup(const rank_view&);
+    void noteGroup(const rank_view&, const std::string& ownId);
     // Asks those agents whose group is not known.
-    void askGroups();
-    void sendMembership(const listed_backend& to, bool wantsReply);
+    void askGroups(const std::string& ownId);
+    void sendMembership(const std::string& ownId, const listed_backend& to, bool wantsReply);
     void takeMembership(const gateway::rank_membership&, const boost::asio::ip::udp::endpoint& from);
     // Whether this report is to carry counts.
     bool countsDue(const rank_view&, std::uint64_t tick);
