--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_process.h"
 
 #include "policy/store_reading.h"
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -89,6 +90,7 @@
     , m_front(context, log, m_adapter.codec, m_state, m_dispatcher, freshness_rule(m_settings.strictRevocation, m_settings.revocationBound, readingMargin))
     , m_follower(context, log, m_adapter.source, m_state, watchWait)
     , m_signals(context.io(), SIGTERM, SIGINT, SIGHUP)
+    , m_joinDraw(std::uniform_real_distribution<double>(0, 1)(context.random()))
 {
 }
 
@@ -102,7 +104,7 @@
     if (!opened)
         return opened.error();
     process->m_state.onConfiguration([raw = process.get()] { raw->applyLimits(); });
-    process->m_follower.setWanted([raw = process.get()] { return shouldRead(raw->m_peers->peers(), raw->m_state.proofAge(), reading_settings {}); });
+    process->m_follower.setWanted([raw = process.get()] { return raw->wantsToRead(); });
     process->m_follower.onNews([raw = process.get()] { raw->m_peers->announceRevision(); });
     process->m_follower.start();
     process->m_peers->start();
@@ -184,6 +186,18 @@
     return !m_leaving && m_state.configuration() && age && *age < readyProofAge;
 }
 
+bool gateway_process::wantsToRead() const
+{
+    const reading_settings settings;
+    if (!m_state.published().empty())
+        return shouldRead(m_peers->peers(), m_state.proofAge(), settings);
+    joining_process self;
+    self.isSeed = std::find(m_settings.seedHosts.begin(), m_settings.seedHosts.end(), m_settings.host) != m_settings.seedHosts.end();
+    self.sinceStart = std::chrono::duration_cast<milliseconds>(m_context.now() - m_context.startedAt());
+    self.draw = m_joinDraw;
+    return shouldReadToJoin(self, settings);
+}
+
 void gateway_process::noteReadiness()
 {
     const bool isReady = ready();
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -49,6 +49,8 @@
     void reload();
     void applyLimits();
     bool ready() const;
+    // Whether this process is to read the store now.
+    bool wantsToRead() const;
     void noteReadiness();
 
     process_context& m_context;
@@ -70,6 +72,8 @@
     std::unique_ptr<http_server> m_controlPort;
     std::unique_ptr<http_server> m_metricsPort;
     boost::asio::signal_set m_signals;
+    // Random, from 0 to 1: how long this process leaves its first reading to others.
+    double m_joinDraw = 0;
     bool m_leaving = false;
     bool m_wasReady = false;
 };
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -34,6 +34,8 @@
     // So few entry VMs are told directly: a relay costs them a millisecond, and one that is
     // gone an interval.
     constexpr std::size_t toldDirectly = 8;
+    // Between two questions of a process that holds nothing yet.
+    constexpr milliseconds joinInterval { 100 };
     constexpr milliseconds proofLookInterval { 150 };
     constexpr std::size_t peersAskedForProof = 2;
     // With an older proof the chosen readers may be gone or cut off.
@@ -79,6 +81,7 @@
 void peer_exchange::start()
 {
     asio::co_spawn(m_context.io(), receiveLoop(), asio::detached);
+    asio::co_spawn(m_context.io(), joinLoop(), asio::detached);
     asio::co_spawn(m_context.io(), reportLoop(), asio::detached);
     asio::co_spawn(m_context.io(), proofLoop(), asio::detached);
 }
@@ -268,6 +271,24 @@
         m_state.noteProof(revision, provenAt);
 }
 
+// Until something is known every moment counts: callers wait.
+awaitable<void> peer_exchange::joinLoop()
+{
+    while (m_state.published().empty()) {
+        askForKnown(m_peers.otherSeeds());
+        asio::steady_timer timer(m_context.io(), joinInterval);
+        co_await timer.async_wait(asTuple);
+    }
+}
+
+void peer_exchange::askForKnown(const std::vector<std::string>& hosts)
+{
+    auto datagram = makeDatagram();
+    datagram.set_wants_known(true);
+    for (const auto& host : hosts)
+        send(host, datagram);
+}
+
 awaitable<void> peer_exchange::reportLoop()
 {
     int count = 0;
@@ -293,11 +314,8 @@
         const auto told = m_peers.sampleNear(peer_role::entry, fanout, m_context.random());
         for (const auto& peer : told)
             send(peer.host, datagram);
-        if (!withKnown)
-            continue;
-        datagram.set_wants_known(true);
-        for (const auto& host : m_peers.seedsToAsk())
-            send(host, datagram);
+        if (withKnown)
+            askForKnown(m_peers.seedsToAsk());
     }
 }
 
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -53,6 +53,10 @@
     peer_exchange(process_context&, decision_log&, fleet_state&, load_board&, group_board&, peer_table, peer_exchange_settings, boost::asio::ip::udp::socket);
 
     awaitable<void> receiveLoop();
+    // Asks the seeds until this process holds something.
+    awaitable<void> joinLoop();
+    // Asks for the processes that these know; their answers tell their revision too.
+    void askForKnown(const std::vector<std::string>& hosts);
     awaitable<void> reportLoop();
     awaitable<void> proofLoop();
     void noteRevision(const peer_info& sender, store_revision);
--- a/Source/policy/peer_table.cpp
+++ b/Source/policy/peer_table.cpp
@@ -99,13 +99,17 @@
     m_mostEntries = std::max(m_mostEntries, count(peer_role::entry) + own);
 }
 
+std::vector<std::string> peer_table::otherSeeds() const
+{
+    std::vector<std::string> others = m_seeds;
+    std::erase(others, m_self.host);
+    return others;
+}
+
 std::vector<std::string> peer_table::seedsToAsk() const
 {
-    std::vector<std::string> ask;
-    for (const auto& host : m_seeds) {
-        if (host != m_self.host && !m_peers.contains(host))
-            ask.push_back(host);
-    }
+    std::vector<std::string> ask = otherSeeds();
+    std::erase_if(ask, [this](const std::string& host) { return m_peers.contains(host); });
     return ask;
 }
 
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -49,6 +49,8 @@
     std::size_t count(peer_role) const;
     // Most entry VMs that were live together, this one included.
     std::size_t mostEntries() const { return m_mostEntries; }
+    // All seeds but this process.
+    std::vector<std::string> otherSeeds() const;
     // Seeds that are not among the live peers: to be asked until one answers.
     std::vector<std::string> seedsToAsk() const;
     // How long ago a peer was heard of.
--- a/Source/policy/store_reading.cpp
+++ b/Source/policy/store_reading.cpp
@@ -23,6 +23,12 @@
     return chosen;
 }
 
+bool shouldReadToJoin(const joining_process& process, const reading_settings& settings)
+{
+    const auto spread = static_cast<std::int64_t>(process.draw * static_cast<double>(settings.joinSpread.count()));
+    return process.isSeed || process.sinceStart >= settings.joinPatience + milliseconds(spread);
+}
+
 bool shouldRead(const peer_table& peers, std::optional<milliseconds> proofAge, const reading_settings& settings)
 {
     if (!proofAge || *proofAge > settings.oldestProof)
--- a/Tests/platform/peers/test.cpp
+++ b/Tests/platform/peers/test.cpp
@@ -2,7 +2,9 @@
 #include "policy/peer_table.h"
 #include "policy/store_reading.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <map>
 
 using namespace rampgap;
 
@@ -58,3 +60,68 @@
     }
     CHECK(readers == 1);
 }
+
+TEST_CASE("when 149 entry VMs start at one moment their seeds read the store, and others only where all seeds are gone")
+{
+    const reading_settings settings;
+    const auto readersAt = [&](milliseconds sinceStart) {
+        int readers = 0;
+        for (int vm = 0; vm < 149; ++vm)
+            readers += shouldReadToJoin({ vm < 3, sinceStart, vm / 149.0 }, settings) ? 1 : 0;
+        return readers;
+    };
+    CHECK(readersAt(milliseconds(0)) == 3);
+    CHECK(readersAt(settings.joinPatience - milliseconds(1)) == 3);
+    // The first ones serve the others from here on.
+    CHECK(readersAt(settings.joinPatience + milliseconds(30)) < 10);
+    CHECK(readersAt(settings.joinPatience + settings.joinSpread) == 149);
+}
+
+TEST_CASE("a fleet of 149 that gossips with 12 at a time loses nobody in a minute")
+{
+    // Each process tells 12 others of itself each 250 ms, and of 24 others each second.
+    std::mt19937_64 random(4);
+    std::vector<peer_table> fleet;
+    for (int i = 0; i < 149; ++i)
+        fleet.emplace_back(entry("10.0.0." + std::to_string(i), std::string(1, static_cast<char>('a' + i % 5))), std::vector<std::string>(), milliseconds(3'000));
+    for (auto& table : fleet) {
+        for (const auto& other : fleet)
+            table.noteHeard(other.self(), zero);
+    }
+    std::map<std::string, std::size_t> indexOf;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        indexOf[fleet[i].self().host] = i;
+    int lost = 0;
+    for (int round = 1; round <= 240; ++round) {
+        const instant now = zero + round * milliseconds(250);
+        for (auto& table : fleet) {
+            lost += static_cast<int>(table.dropSilent(now).size());
+            const auto known = table.sample(peer_role::entry, 24, random);
+            for (const auto& told : table.sampleNear(peer_role::entry, gossipFanout, random)) {
+                auto& receiver = fleet[indexOf[told.host]];
+                receiver.noteHeard(table.self(), now);
+                if (round % 4 != 0)
+                    continue;
+                for (const auto& other : known)
+                    receiver.noteTold(other, table.age(other.host, now), now);
+            }
+        }
+    }
+    CHECK(lost == 0);
+}
+
+TEST_CASE("gossip keeps to the own zone where that has enough")
+{
+    std::mt19937_64 random(4);
+    peer_table table(entry("10.0.0.1", "a"), {}, silence);
+    for (int i = 2; i < 60; ++i)
+        table.noteHeard(entry("10.0.0." + std::to_string(i), i % 2 == 0 ? "a" : "b"), zero);
+    const auto far = [](const std::vector<peer_info>& peers) {
+        return std::count_if(peers.begin(), peers.end(), [](const peer_info& peer) { return peer.zone != "a"; });
+    };
+    const auto chosen = table.sampleNear(peer_role::entry, 12, random);
+    CHECK(chosen.size() == 12);
+    CHECK(far(chosen) == 4);
+    CHECK(table.sampleNear(peer_role::entry, 100, random).size() == 58);
+    CHECK(table.onePerZone(peer_role::entry, random).size() == 2);
+}
