groups: hold the callers of a closed group as long as they wait, whatever its cause

Callers were told at once to come back, after a closure of 4.6 s that a constant foretold, and came back in the cut that followed; nobody can tell how long a closure lasts. Change: hold each caller as long as its patience lasts, then have it pause as long as it keeps to, and hold it again, less the time that an answer takes; who cannot be answered to the end is refused at once. usualClosure, settleTime and the random spread are gone: callers come back in the order in which they came. The two cases that stated the old rule (a late first comer returns at once; returns are spread by a draw) are replaced by stricter ones: served in every closure up to 6.4 s, for three kinds of callers.

--- a/Source/gateway/place_giver.cpp
+++ b/Source/gateway/place_giver.cpp
@@ -16,9 +16,9 @@
     constexpr int lateUrgency = 3;
     // From a place to the first event, until one was seen: the prompt and two passes of full
     // ranks by the published figures of today's engines, and a round trip.
-    constexpr milliseconds usualFirstEvent { 200 };
+    constexpr milliseconds priorFirstEvent { 200 };
     // From a place to the end of the answer, until one was seen.
-    constexpr milliseconds usualRun { 1'500 };
+    constexpr milliseconds priorRun { 1'500 };
     // A request that gets a place waits for the pass under way and the one that reads its prompt.
     constexpr int firstEventGaps = 2;
     // Part of the longest timely gap that the predicted pass may take: passes vary.
@@ -30,8 +30,8 @@
 
 place_giver::desk::desk(process_context& context)
     : gate(context, admission_limits {}, shedding)
-    , firstEvent(usualFirstEvent)
-    , run(usualRun)
+    , firstEvent(priorFirstEvent)
+    , run(priorRun)
 {
 }
 
@@ -105,6 +105,11 @@
     deskOf(service).run.observe(taken);
 }
 
+milliseconds place_giver::usualRun(const std::string& service)
+{
+    return deskOf(service).run.value();
+}
+
 place_giver::desk& place_giver::deskOf(const std::string& service)
 {
     return m_desks.try_emplace(service, m_context).first->second;
--- a/Source/gateway/place_giver.h
+++ b/Source/gateway/place_giver.h
@@ -23,6 +23,8 @@
     void setEntries(std::size_t entries) { m_entries = entries; }
     // What a request met after it had its place.
     void noteFirstEvent(const std::string& service, milliseconds taken);
+    // From a place to the end of the answer, as lately observed.
+    milliseconds usualRun(const std::string& service);
     void noteEnd(const std::string& service, milliseconds taken);
 
 private:
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -125,12 +125,10 @@
     if (!request.costs || !m_groups.closed(request.service, m_context.now()))
         co_return std::nullopt;
     group_wait_question question;
-    question.closedFor = m_groups.closedFor(request.service, m_context.now());
     question.timeLeft = request.timeLeft(m_context.now());
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
     question.waited = request.waited(m_context.now());
-    question.firstTime = request.isFirstTime() && !state.relay.begun && state.runs == 0;
-    question.draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
+    question.run = m_places.usualRun(request.service);
     group_wait_decision decision = decideGroupWait(question);
     // The caller of a begun stream has been waiting since its last event.
     if (state.relay.begun)
@@ -141,7 +139,7 @@
         if (exchange.callerGone())
             co_return std::nullopt;
         if (m_context.now() >= until)
-            co_return failure { state.worst, failure_reason::no_backend, "the expert group of the service is not open", decision.retryAfter };
+            co_return failure { state.worst, failure_reason::no_backend, "no expert group of the service has been open for " + std::to_string(m_groups.closedFor(request.service, m_context.now()).count()) + " ms", decision.retryAfter };
         asio::steady_timer timer(m_context.io(), groupPoll);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
--- a/Source/policy/group_wait.h
+++ b/Source/policy/group_wait.h
@@ -3,23 +3,17 @@
 
 #include "policy/verdict.h"
 
-#include <optional>
-
 namespace rampgap {
 
 struct group_wait_question {
-    // How long the group has been closed.
-    milliseconds closedFor { 0 };
     // Until the caller's deadline.
     milliseconds timeLeft { 0 };
     // Silence after which the caller gives up by itself.
     milliseconds patience { 2'000 };
     // How much of its patience is gone already, at servers or here.
     milliseconds waited { 0 };
-    // The caller was not refused before, as far as can be told.
-    bool firstTime = true;
-    // Random, from 0 to 1: callers that come back together meet full ranks again.
-    double draw = 0;
+    // From a place at an engine to the end of the answer, as lately observed.
+    milliseconds run { 0 };
 };
 
 struct group_wait_decision {
@@ -31,8 +25,11 @@
     bool operator==(const group_wait_decision&) const = default;
 };
 
-// A caller that comes back in time and is then served at once has lost less than one that
-// waited, but it comes back only once and keeps to a pause of a third of its time.
+// Load pattern: a group closes for 1 to 10 s, and nobody can tell how long: an engine that is
+// replaced is back in a second, a cut lasts six. A caller that is held as long as its patience
+// lasts, told to pause as long as it keeps to, and held again is served if the group opens within
+// 6.5 s of its first try; refused at once with a pause, within 5. Whoever cannot be answered
+// to the end any more is refused at once.
 group_wait_decision decideGroupWait(const group_wait_question&);
 
 // The longest pause that a caller keeps to before it comes back; what a process that has lost
