groups: call a silent agent again; learn a placement from the own agent

Change: only calls that went to an agent say something about it (group_caller, split off the leader). Test: a leader that looks each 0.2 s calls such an agent again.

--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -58,8 +58,8 @@
     , m_log(log)
     , m_state(state)
     , m_link(link)
+    , m_caller(context, state, link, linkMbps)
     , m_roster(roster)
-    , m_linkMbps(linkMbps)
 {
 }
 
@@ -89,74 +89,42 @@
     return static_cast<std::size_t>(m_costs.layerSets) * static_cast<std::size_t>(m_costs.experts);
 }
 
-call_limits group_leader::limits(std::size_t largestMessage) const
-{
-    return { m_linkMbps, m_groupSize, largestMessage };
-}
-
 milliseconds group_leader::lookInterval() const
 {
-    return lookPause(limits(countsBytes()), leastLookPause);
-}
-
-group_question group_leader::question(std::optional<map_order> order, bool wantsChoices) const
-{
-    return { m_ownId, m_monitor->group(), std::move(order), wantsChoices };
-}
-
-std::optional<call_target> group_leader::targetFor(std::size_t index, const std::string& backendId)
-{
-    const auto* listed = m_state.backends().find(backendId);
-    if (!listed)
-        return std::nullopt;
-    return call_target { static_cast<std::uint32_t>(index), backendId, listed->address, 0, m_reach.trust(backendId, m_context.now()) };
+    return lookPause(m_caller.limits(countsBytes()), leastLookPause);
 }
 
 awaitable<void> group_leader::look(group_members known)
 {
     if (!m_monitor)
         co_return;
-    m_ownId = known.ownId;
-    std::vector<std::string> ids = known.members;
-    m_groupSize = ids.size();
-    // A rank whose agent is gone tells nobody its group: while ranks are wanting, its engine
-    // may be one of those that nobody knows.
-    const std::size_t wanting = m_monitor->groupSize() - std::min<std::size_t>(m_monitor->groupSize(), ids.size());
-    if (wanting <= m_monitor->groupSize() / 2) {
-        const auto unknown = std::min(wanting * mostUnknownAsked, known.unknown.size());
-        ids.insert(ids.end(), known.unknown.begin(), known.unknown.begin() + static_cast<std::ptrdiff_t>(unknown));
-    }
-    std::vector<call_target> targets;
-    for (std::size_t i = 0; i < ids.size(); ++i) {
-        auto target = targetFor(i, ids[i]);
-        if (target)
-            targets.push_back(std::move(*target));
-    }
-    orderByZone(targets);
-    auto asked = question(std::nullopt, true);
-    auto outcome = co_await m_link.call(std::move(asked), std::move(targets), callBudget(limits(countsBytes())));
+    m_caller.setCaller(known.ownId, known.group, known.members.size());
+    const std::vector<std::string> ids = idsToLookAt(std::move(known));
+    auto targets = m_caller.targets(ids);
+    const auto outcome = co_await m_caller.call(std::move(targets), std::nullopt, true, callBudget(m_caller.limits(countsBytes())));
     const instant now = m_context.now();
     for (const auto& rank : outcome.ranks) {
-        if (rank.index >= ids.size())
-            continue;
-        const std::string& id = ids[rank.index];
-        m_reach.note(id, rank.reached && rank.after && rank.after->fresh, now);
-        if (!rank.after)
+        if (!rank.after || rank.index >= ids.size())
             continue;
-        m_roster.note(id, rank.after->group, now);
-        m_monitor->observe({ id, *rank.after, {} }, now);
+        m_roster.note(ids[rank.index], rank.after->group, now);
+        m_monitor->observe({ ids[rank.index], *rank.after, {} }, now);
     }
     m_monitor->noteChoices(outcome.choices, now);
 }
 
-// Neighbours in the list become one part of a call: so it crosses zones once a part.
-void group_leader::orderByZone(std::vector<call_target>& targets)
+// A rank whose agent is gone tells nobody its group: while ranks are wanting, its engine may be
+// one of those that nobody knows.
+std::vector<std::string> group_leader::idsToLookAt(group_members known) const
 {
-    const auto zoneOf = [this](const call_target& target) {
-        const auto* listed = m_state.backends().find(target.backendId);
-        return listed ? listed->zone : std::string();
-    };
-    std::stable_sort(targets.begin(), targets.end(), [&](const call_target& a, const call_target& b) { return zoneOf(a) < zoneOf(b); });
+    std::vector<std::string> ids = std::move(known.members);
+    const std::size_t size = m_monitor->groupSize();
+    const std::size_t wanting = size - std::min(size, ids.size());
+    // Most of them wanting: this agent has just started.
+    if (wanting > size / 2)
+        return ids;
+    const auto unknown = static_cast<std::ptrdiff_t>(std::min(wanting * mostUnknownAsked, known.unknown.size()));
+    ids.insert(ids.end(), known.unknown.begin(), known.unknown.begin() + unknown);
+    return ids;
 }
 
 load_report_by_hash group_leader::rankLoads() const
@@ -217,6 +185,12 @@
         m_monitor->learn(0, initialPlacement(static_cast<std::size_t>(m_costs.layerSets), static_cast<std::size_t>(m_costs.experts), m_monitor->groupSize()));
         co_return;
     }
+    // The agent here has taken its rank's part of it, unless it was started since.
+    if (const auto prepared = m_link.prepared(inUse)) {
+        m_monitor->learn(inUse, *prepared);
+        m_log.line("placement_learned").add("placement", inUse).add("epoch", m_monitor->epoch()).add("source", "own agent");
+        co_return;
+    }
     const auto ids = m_monitor->backendIds();
     group_placement contents(static_cast<std::size_t>(m_costs.layerSets), std::vector<std::vector<std::uint16_t>>(ids.size()));
     for (std::size_t rank = 0; rank < ids.size(); ++rank) {
@@ -230,7 +204,7 @@
             contents[set][rank] = held->sets[set];
     }
     m_monitor->learn(inUse, std::move(contents));
-    m_log.line("placement_learned").add("placement", inUse).add("epoch", m_monitor->epoch());
+    m_log.line("placement_learned").add("placement", inUse).add("epoch", m_monitor->epoch()).add("source", "all ranks");
 }
 
 awaitable<void> group_leader::changePlacement(const std::string& ownBackendId)
@@ -241,7 +215,7 @@
         co_return;
     const instant began = m_context.now();
     const auto contents = std::make_shared<const group_placement>(m_monitor->planned());
-    m_preparing.clear();
+    m_copying.clear();
     switch_settings settings;
     settings.fence = nextFence();
     const auto ownRank = static_cast<std::size_t>(own - ids.begin());
@@ -249,7 +223,7 @@
     map_switch change(placement, contents, m_monitor->epoch(), ids.size(), ownRank, settings);
     m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew());
     const milliseconds copies(static_cast<std::int64_t>(std::max(longestCopyMs, copyMs())));
-    co_await carryOut(change, copies + prepareMargin + callBudget(limits(packPlacement(*contents).size())));
+    co_await carryOut(change, copies + prepareMargin + callBudget(m_caller.limits(packPlacement(*contents).size())));
     if (change.phase() == switch_phase::done)
         m_monitor->noteChanged(change.placement(), *contents);
     else
@@ -307,14 +281,14 @@
 awaitable<void> group_leader::sendDirectly(map_switch& change, std::vector<rank_order_to_send> orders)
 {
     const auto ids = m_monitor->backendIds();
+    const auto targets = m_caller.targets(ids);
     bool anySent = false;
     for (const auto& next : orders) {
-        auto target = next.rank < ids.size() ? targetFor(next.rank, ids[next.rank]) : std::nullopt;
-        if (!target)
+        const auto target = std::find_if(targets.begin(), targets.end(), [&next](const call_target& rank) { return rank.index == next.rank; });
+        if (target == targets.end())
             continue;
         anySent = true;
-        auto asked = question(next.order, false);
-        const auto outcome = co_await m_link.orderDirectly(std::move(asked), std::move(*target));
+        const auto outcome = co_await m_caller.orderDirectly(*target, next.order);
         note(change, next.order.kind, outcome, ids);
     }
     if (!anySent)
@@ -323,44 +297,47 @@
 
 awaitable<void> group_leader::sendToAll(map_switch& change, std::vector<rank_order_to_send> orders, milliseconds prepareTime)
 {
-    const auto ids = m_monitor->backendIds();
     const map_order order = orders.front().order;
-    std::vector<call_target> targets;
-    for (const auto& next : orders) {
-        auto target = next.rank < ids.size() ? targetFor(next.rank, ids[next.rank]) : std::nullopt;
-        if (!target)
-            continue;
-        target->placement = next.order.placement;
-        targets.push_back(std::move(*target));
-    }
+    auto targets = targetsOf(orders);
     // Ranks that this leader has never heard of: to wait for them is in vain.
     if (targets.empty()) {
         change.cancel();
         co_return;
     }
-    orderByZone(targets);
     if (order.kind != map_order_kind::prepare) {
-        co_await ask(change, order.kind, order, std::move(targets), callBudget(limits(stateAnswerBytes)));
+        co_await ask(change, order.kind, order, std::move(targets), callBudget(m_caller.limits(stateAnswerBytes)));
         co_return;
     }
     // Contents are sent once: who has taken them is only looked at until its copy is complete.
-    const auto taken = std::stable_partition(targets.begin(), targets.end(), [this](const call_target& target) { return !m_preparing.contains(target.index); });
-    std::vector<call_target> copying(taken, targets.end());
-    targets.erase(taken, targets.end());
+    const auto copying = std::stable_partition(targets.begin(), targets.end(), [this](const call_target& target) { return !m_copying.contains(target.index); });
+    std::vector<call_target> toLookAt(copying, targets.end());
+    targets.erase(copying, targets.end());
     if (!targets.empty()) {
         co_await ask(change, order.kind, order, std::move(targets), prepareTime);
         co_return;
     }
     asio::steady_timer timer(m_context.io(), copyLookPause);
     co_await timer.async_wait(asTuple);
-    co_await ask(change, order.kind, std::nullopt, std::move(copying), callBudget(limits(stateAnswerBytes)));
+    co_await ask(change, order.kind, std::nullopt, std::move(toLookAt), callBudget(m_caller.limits(stateAnswerBytes)));
+}
+
+std::vector<call_target> group_leader::targetsOf(const std::vector<rank_order_to_send>& orders) const
+{
+    std::vector<call_target> wanted;
+    for (auto& target : m_caller.targets(m_monitor->backendIds())) {
+        const auto order = std::find_if(orders.begin(), orders.end(), [&target](const rank_order_to_send& next) { return next.rank == target.index; });
+        if (order == orders.end())
+            continue;
+        target.placement = order->order.placement;
+        wanted.push_back(std::move(target));
+    }
+    return wanted;
 }
 
 awaitable<void> group_leader::ask(map_switch& change, map_order_kind kind, std::optional<map_order> order, std::vector<call_target> targets, milliseconds budget)
 {
     const auto ids = m_monitor->backendIds();
-    auto asked = question(std::move(order), false);
-    const auto outcome = co_await m_link.call(std::move(asked), std::move(targets), budget);
+    const auto outcome = co_await m_caller.call(std::move(targets), std::move(order), false, budget);
     for (const auto& rank : outcome.ranks)
         note(change, kind, rank, ids);
 }
@@ -369,12 +346,10 @@
 {
     if (outcome.index >= ids.size())
         return;
-    const std::string& id = ids[outcome.index];
-    m_reach.note(id, outcome.reached && outcome.after && outcome.after->fresh, m_context.now());
     if (outcome.after)
-        m_monitor->observe({ id, *outcome.after, {} }, m_context.now());
+        m_monitor->observe({ ids[outcome.index], *outcome.after, {} }, m_context.now());
     if (kind == map_order_kind::prepare && (outcome.reply == order_reply::accepted || outcome.reply == order_reply::already))
-        m_preparing.insert(outcome.index);
+        m_copying.insert(outcome.index);
     change.note(outcome.index, kind, outcome.reply, outcome.after ? &*outcome.after : nullptr);
 }
 
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/group_leader.h
@@ -2,8 +2,7 @@
 #pragma once
 
 #include "gateway/fleet_state.h"
-#include "gateway/rank_link.h"
-#include "policy/agent_reach.h"
+#include "gateway/group_caller.h"
 #include "policy/group_monitor.h"
 #include "policy/group_roster.h"
 #include "policy/load_board.h"
@@ -55,12 +54,10 @@
     awaitable<void> ask(map_switch&, map_order_kind, std::optional<map_order>, std::vector<call_target>, milliseconds budget);
     awaitable<void> sendDirectly(map_switch&, std::vector<rank_order_to_send>);
     void note(map_switch&, map_order_kind, const rank_outcome&, const std::vector<std::string>& ids);
-    // Nothing if the server is not listed.
-    std::optional<call_target> targetFor(std::size_t index, const std::string& backendId);
-    group_question question(std::optional<map_order>, bool wantsChoices) const;
-    call_limits limits(std::size_t largestMessage) const;
+    std::vector<call_target> targetsOf(const std::vector<rank_order_to_send>&) const;
+    std::vector<std::string> idsToLookAt(group_members) const;
+    // Counts of one rank, or their sum over all.
     std::size_t countsBytes() const;
-    void orderByZone(std::vector<call_target>&);
     // Time to copy one expert to a rank, by the published figures.
     double copyMs() const;
     std::uint64_t nextFence();
@@ -70,15 +67,12 @@
     decision_log& m_log;
     fleet_state& m_state;
     rank_link& m_link;
+    group_caller m_caller;
     group_roster& m_roster;
     engine_costs m_costs;
     std::optional<group_monitor> m_monitor;
-    double m_linkMbps;
-    agent_reach m_reach;
     // Ranks that have taken the contents of the change under way.
-    std::set<std::uint32_t> m_preparing;
-    std::string m_ownId;
-    std::size_t m_groupSize = 0;
+    std::set<std::uint32_t> m_copying;
     std::uint64_t m_lastFence = 0;
 };
 
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -24,6 +24,8 @@
     // A look at one rank through its agent.
     constexpr milliseconds singleLookBudget { 250 };
     constexpr milliseconds preparedPoll { 15 };
+    // The one in use, the one being prepared, and those of changes that failed between.
+    constexpr std::size_t placementsKept = 4;
 
     map_order orderFor(const group_question& question, const call_target& target)
     {
@@ -125,6 +127,9 @@
 {
     order_reply reply = co_await m_port.order(m_ownEngine, backendId, order);
     if (order.kind == map_order_kind::prepare) {
+        m_prepared[order.placement] = order.contents;
+        while (m_prepared.size() > placementsKept)
+            m_prepared.erase(m_prepared.begin());
         // A preparation without an answer may be carried out seconds later; given again, it
         // begins now, and the late one finds its number used.
         while (reply == order_reply::unanswered && m_context.now() + hopMargin < until)
@@ -268,6 +273,12 @@
     co_return held.value();
 }
 
+std::shared_ptr<const group_placement> rank_link::prepared(std::uint64_t placement) const
+{
+    const auto held = m_prepared.find(placement);
+    return held == m_prepared.end() ? nullptr : held->second;
+}
+
 awaitable<http_response> rank_link::serve(const http_request& request)
 {
     gateway::group_call wire;
--- a/Source/gateway/rank_link.h
+++ b/Source/gateway/rank_link.h
@@ -10,6 +10,7 @@
 #include "policy/choice_counter.h"
 
 #include <functional>
+#include <map>
 
 namespace rampgap {
 
@@ -48,6 +49,9 @@
     // reads the state after it through its agent.
     awaitable<rank_outcome> orderDirectly(group_question, call_target);
     awaitable<std::optional<rank_experts>> experts(std::string address);
+    // The contents of a placement that the own engine was ordered to prepare; null if that was
+    // too long ago.
+    std::shared_ptr<const group_placement> prepared(std::uint64_t placement) const;
 
     // The agent's side: answers for the own engine and passes the call on.
     awaitable<http_response> serve(const http_request&);
@@ -74,6 +78,7 @@
     std::string m_ownEngine;
     http_client m_client;
     choice_counter m_choices;
+    std::map<std::uint64_t, std::shared_ptr<const group_placement>> m_prepared;
     std::function<void(const std::string&, const std::string&)> m_onCalled;
 };
 
--- a/Tests/platform/group-calls/test.cpp
+++ b/Tests/platform/group-calls/test.cpp
@@ -87,6 +87,21 @@
     CHECK((reach.trust("a", zero + milliseconds(700)) == agent_trust::good));
 }
 
+TEST_CASE("a leader that looks each 0.2 s calls an agent again, though its engine is asked meanwhile")
+{
+    agent_reach reach;
+    int calls = 0;
+    for (int look = 0; look < 50; ++look) {
+        const instant now = zero + look * milliseconds(200);
+        if (reach.trust("a", now) == agent_trust::silent)
+            continue;
+        ++calls;
+        reach.note("a", false, now + milliseconds(100));
+    }
+    CHECK(calls >= 10);
+    CHECK(calls <= 14);
+}
+
 TEST_CASE("counts of all ranks are summed on the way, with little lost and no more bytes than one rank's")
 {
     std::mt19937 random(3);
