--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -126,7 +126,7 @@
         const std::string target(request.target());
         const auto equals = target.find('=');
         const auto held = equals == std::string::npos ? 0 : std::strtoull(target.c_str() + equals + 1, nullptr, 10);
-        return m_peers->snapshotFor(held);
+        return m_peers->snapshots().answerFor(held);
     });
     m_metricsPages.add("/metrics", [this](const http_request&) {
         m_context.counters().set(metric::in_flight, m_front.inFlight());
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -1,8 +1,6 @@
 #include "gateway/peer_exchange.h"
 
-#include "daemon/http_client.h"
 #include "gateway/peer_wire.h"
-#include "gateway/snapshot_codec.h"
 #include "policy/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -42,9 +40,6 @@
     constexpr milliseconds doubtReadersAfter { 1'750 };
     // An answer that comes later than this is worth no more than a new question.
     constexpr milliseconds questionLife { 1'000 };
-    constexpr milliseconds snapshotTimeout { 800 };
-    constexpr std::size_t largestSnapshot = 16'777'216;
-    constexpr std::string_view revisionQuery = "?revision=";
 
 } // namespace
 
@@ -72,7 +67,7 @@
     , m_peers(std::move(peers))
     , m_settings(settings)
     , m_socket(std::move(socket))
-    , m_client(std::make_unique<http_client>(context))
+    , m_snapshots(context, log, state, settings.controlPort)
 {
 }
 
@@ -238,13 +233,7 @@
 void peer_exchange::noteRevision(const peer_info& sender, store_revision revision)
 {
     const bool sameZone = sender.zone == m_peers.self().zone;
-    fetchFrom(m_snapshots.noteTold(sender.host, sameZone, revision, m_state.published().revision(), m_context.now()));
-}
-
-void peer_exchange::fetchFrom(const std::optional<std::string>& host)
-{
-    if (host && !m_fetching)
-        asio::co_spawn(m_context.io(), fetchSnapshot(*host), asio::detached);
+    m_snapshots.noteTold(sender.host, sameZone, revision);
 }
 
 void peer_exchange::answerQuestion(const gateway::peer_datagram& datagram, const std::string& host)
@@ -348,7 +337,7 @@
         asio::steady_timer timer(m_context.io(), proofLookInterval);
         co_await timer.async_wait(asTuple);
         m_state.settle();
-        fetchFrom(m_snapshots.due(m_state.published().revision(), m_context.now()));
+        m_snapshots.fetchDue();
         const instant now = m_context.now();
         std::erase_if(m_questions, [now](const auto& asked) { return now - asked.second > questionLife; });
         const auto age = m_state.proofAge();
@@ -380,53 +369,4 @@
     }
 }
 
-awaitable<void> peer_exchange::fetchSnapshot(std::string host)
-{
-    m_fetching = true;
-    const instant askedAt = m_context.now();
-    http_request request { http::verb::get, std::string(snapshotPath) + std::string(revisionQuery) + std::to_string(m_state.published().revision()), 11 };
-    const std::string address = host + ":" + std::to_string(m_settings.controlPort);
-    const auto response = co_await m_client->fetch(address, std::move(request), snapshotTimeout, largestSnapshot);
-    m_fetching = false;
-    std::optional<gateway::fleet_snapshot> unpacked;
-    if (response && response.value().result() == http::status::ok)
-        unpacked = unpackSnapshot(response.value().body(), largestSnapshot);
-    if (!unpacked) {
-        m_log.line("peer_snapshot_failed").add("peer", host).add("reason", response ? "unreadable answer" : response.error().message);
-        co_return;
-    }
-    const gateway::fleet_snapshot& wire = *unpacked;
-    std::optional<instant> provenAt;
-    if (wire.proven())
-        provenAt = askedAt - milliseconds(wire.proof_age_ms() + 1);
-    published_delta delta;
-    delta.revision = wire.revision();
-    delta.keys.assign(wire.keys().begin(), wire.keys().end());
-    for (const auto& item : wire.items())
-        delta.items.push_back({ item.key(), item.value(), item.revision(), item.created() });
-    m_state.take(delta, provenAt, milliseconds(wire.list_doubt_ms()), host);
-}
-
-http_response peer_exchange::snapshotFor(store_revision heldRevision) const
-{
-    gateway::fleet_snapshot wire;
-    const auto& published = m_state.published();
-    wire.set_revision(published.revision());
-    const auto age = m_state.proofAge();
-    wire.set_proven(age.has_value());
-    wire.set_proof_age_ms(static_cast<std::uint32_t>(age.value_or(milliseconds(0)).count()));
-    wire.set_list_doubt_ms(static_cast<std::uint32_t>(m_state.listDoubt().count()));
-    const published_delta delta = published.since(heldRevision);
-    for (const auto& key : delta.keys)
-        wire.add_keys(key);
-    for (const auto& item : delta.items) {
-        auto* added = wire.add_items();
-        added->set_key(item.key);
-        added->set_value(item.value);
-        added->set_revision(item.revision);
-        added->set_created(item.created);
-    }
-    return makeResponse(200, "application/x-protobuf", packSnapshot(wire));
-}
-
 } // namespace rampgap
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -2,11 +2,10 @@
 // and proofs of freshness for a process that the store does not answer.
 #pragma once
 
-#include "gateway/fleet_state.h"
+#include "gateway/snapshot_exchange.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/peer_table.h"
-#include "policy/snapshot_choice.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <memory>
@@ -17,8 +16,6 @@
     class peer_datagram;
 }
 
-class http_client;
-
 struct peer_exchange_settings {
     unsigned short datagramPort = 0;
     // Port of every process's control interface; 0 for a process without one.
@@ -46,8 +43,7 @@
     // Tells a few entry VMs of a change in a group, which tell others; agents only.
     void tellGroup(const group_news&);
     void setSeeds(std::vector<std::string> hosts) { m_peers.setSeeds(std::move(hosts)); }
-    // The answer to a peer's request for the fleet's state; `heldRevision` is what it has.
-    http_response snapshotFor(store_revision heldRevision) const;
+    const snapshot_exchange& snapshots() const { return m_snapshots; }
 
 private:
     peer_exchange(process_context&, decision_log&, fleet_state&, load_board&, group_board&, peer_table, peer_exchange_settings, boost::asio::ip::udp::socket);
@@ -60,8 +56,6 @@
     awaitable<void> reportLoop();
     awaitable<void> proofLoop();
     void noteRevision(const peer_info& sender, store_revision);
-    void fetchFrom(const std::optional<std::string>& host);
-    awaitable<void> fetchSnapshot(std::string host);
     void receive(const gateway::peer_datagram&, const std::string& host);
     void answerQuestion(const gateway::peer_datagram&, const std::string& host);
     void takeAnswer(const gateway::peer_datagram&);
@@ -85,16 +79,11 @@
     peer_table m_peers;
     peer_exchange_settings m_settings;
     boost::asio::ip::udp::socket m_socket;
-    std::unique_ptr<http_client> m_client;
+    snapshot_exchange m_snapshots;
     std::uint64_t m_nonce = 0;
     std::map<std::uint64_t, instant> m_questions;
-    bool m_fetching = false;
-    snapshot_choice m_snapshots;
     bool m_leaving = false;
     store_revision m_announced = 0;
 };
 
-// Where a process serves the fleet's state to its peers.
-inline constexpr const char* snapshotPath = "/fleet/snapshot";
-
 } // namespace rampgap
--- /dev/null
+++ b/Source/gateway/snapshot_exchange.h
@@ -0,0 +1,39 @@
+// Hands the fleet's state from process to process: fetches it from peers that hold a newer
+// revision, and serves it to others.
+#pragma once
+
+#include "daemon/http_client.h"
+#include "gateway/fleet_state.h"
+#include "policy/snapshot_choice.h"
+
+namespace rampgap {
+
+class snapshot_exchange {
+public:
+    // `controlPort`: of every process that serves its state.
+    snapshot_exchange(process_context&, decision_log&, fleet_state&, unsigned short controlPort);
+
+    // A peer told which revision it holds.
+    void noteTold(const std::string& host, bool sameZone, store_revision);
+    // Fetches what nobody of the own zone had in time.
+    void fetchDue();
+    // The answer to a peer's request for the state; `heldRevision` is what it has.
+    http_response answerFor(store_revision heldRevision) const;
+
+private:
+    void fetchFrom(const std::optional<std::string>& host);
+    awaitable<void> fetch(std::string host);
+
+    process_context& m_context;
+    decision_log& m_log;
+    fleet_state& m_state;
+    unsigned short m_controlPort;
+    http_client m_client;
+    snapshot_choice m_choice;
+    bool m_fetching = false;
+};
+
+// Where a process serves the fleet's state to its peers.
+inline constexpr const char* snapshotPath = "/fleet/snapshot";
+
+} // namespace rampgap
