--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -2,11 +2,10 @@
 // and proofs of freshness for a process that the store does not answer.
 #pragma once
 
-#include "gateway/fleet_state.h"
+#include "gateway/snapshot_exchange.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/peer_table.h"
-#include "policy/snapshot_choice.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <memory>
@@ -17,16 +16,12 @@
     class peer_datagram;
 }
 
-class http_client;
-
 struct peer_exchange_settings {
     unsigned short datagramPort = 0;
     // Port of every process's control interface; 0 for a process without one.
     unsigned short controlPort = 0;
     // Between two reports of work to each peer.
     milliseconds reportInterval { 250 };
-    // Peers that get a report; all of a small fleet.
-    std::size_t reportFanout = 12;
     // A proof older than this is looked for at peers.
     milliseconds proofWanted { 500 };
 };
@@ -42,29 +37,36 @@
     const peer_table& peers() const { return m_peers; }
     // Tells all peers at once that something newer is published.
     void announceRevision();
-    // Tells the entry VMs how many requests are at each rank; leaders of groups only.
+    // Tells the entry VMs how many requests are at each rank, through one of each zone;
+    // leaders of groups only.
     void tellRanks(const group_key&, const group_strain&, const load_report_by_hash&);
-    // Tells the entry VMs that are known of a change in a group; agents only.
+    // Tells a few entry VMs of a change in a group, which tell others; agents only.
     void tellGroup(const group_news&);
     void setSeeds(std::vector<std::string> hosts) { m_peers.setSeeds(std::move(hosts)); }
-    // The answer to a peer's request for the fleet's state; `heldRevision` is what it has.
-    http_response snapshotFor(store_revision heldRevision) const;
+    const snapshot_exchange& snapshots() const { return m_snapshots; }
 
 private:
     peer_exchange(process_context&, decision_log&, fleet_state&, load_board&, group_board&, peer_table, peer_exchange_settings, boost::asio::ip::udp::socket);
 
     awaitable<void> receiveLoop();
+    // Asks the seeds until this process holds something.
+    awaitable<void> joinLoop();
+    // Asks for the processes that these know; their answers tell their revision too.
+    void askForKnown(const std::vector<std::string>& hosts);
     awaitable<void> reportLoop();
     awaitable<void> proofLoop();
     void noteRevision(const peer_info& sender, store_revision);
-    void fetchFrom(const std::optional<std::string>& host);
-    awaitable<void> fetchSnapshot(std::string host);
     void receive(const gateway::peer_datagram&, const std::string& host);
     void answerQuestion(const gateway::peer_datagram&, const std::string& host);
     void takeAnswer(const gateway::peer_datagram&);
     gateway::peer_datagram makeDatagram() const;
-    void addGroups(gateway::peer_datagram&) const;
-    void takeGroups(const gateway::peer_datagram&);
+    // True if any was news.
+    bool takeGroups(const gateway::peer_datagram&);
+    void takeRanks(const gateway::peer_datagram&);
+    // Tells random peers of what has just changed in the groups.
+    void spreadGroups();
+    // Sends a datagram on to the entry VMs of the own zone.
+    void passOn(gateway::peer_datagram);
     void addKnown(gateway::peer_datagram&) const;
     void send(const std::string& host, const gateway::peer_datagram&);
     void askForProof();
@@ -77,16 +79,11 @@
     peer_table m_peers;
     peer_exchange_settings m_settings;
     boost::asio::ip::udp::socket m_socket;
-    std::unique_ptr<http_client> m_client;
+    snapshot_exchange m_snapshots;
     std::uint64_t m_nonce = 0;
     std::map<std::uint64_t, instant> m_questions;
-    bool m_fetching = false;
-    snapshot_choice m_snapshots;
     bool m_leaving = false;
     store_revision m_announced = 0;
 };
 
-// Where a process serves the fleet's state to its peers.
-inline constexpr const char* snapshotPath = "/fleet/snapshot";
-
 } // namespace rampgap
