requests: expect the mean run of an answer, not its longest

Change: the mean decides who can still be answered, here and in the wait for a place. Test: answers of unlike lengths leave a caller its second wait (fails by mean and two deviations).

--- a/Source/gateway/place_giver.cpp
+++ b/Source/gateway/place_giver.cpp
@@ -62,7 +62,7 @@
     admission_wait_question question;
     question.latencyTarget = request.route.latencyTarget;
     question.firstEvent = std::min(own.firstEvent.value(), request.route.gapTarget * firstEventGaps);
-    question.run = own.run.value();
+    question.run = own.run.mean();
     question.waited = request.waited(now);
     question.timeLeft = request.timeLeft(now);
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
@@ -107,7 +107,7 @@
 
 milliseconds place_giver::usualRun(const std::string& service)
 {
-    return deskOf(service).run.value();
+    return deskOf(service).run.mean();
 }
 
 place_giver::desk& place_giver::deskOf(const std::string& service)
--- a/Source/policy/delay_estimate.cpp
+++ b/Source/policy/delay_estimate.cpp
@@ -31,4 +31,9 @@
     return milliseconds(static_cast<std::int64_t>(m_meanMs + deviations * m_deviationMs));
 }
 
+milliseconds delay_estimate::mean() const
+{
+    return milliseconds(static_cast<std::int64_t>(m_meanMs));
+}
+
 } // namespace rampgap
--- a/Source/policy/delay_estimate.h
+++ b/Source/policy/delay_estimate.h
@@ -15,8 +15,10 @@
     }
 
     void observe(milliseconds taken);
-    // Mean and two deviations.
+    // Mean and two deviations: what to wait for before giving up.
     milliseconds value() const;
+    // What to expect.
+    milliseconds mean() const;
 
 private:
     double m_meanMs;
--- a/Tests/platform/group-state/wait.cpp
+++ b/Tests/platform/group-state/wait.cpp
@@ -1,4 +1,5 @@
 // Requests whose expert group is closed.
+#include "policy/delay_estimate.h"
 #include "policy/group_wait.h"
 
 #include <doctest/doctest.h>
@@ -50,6 +51,19 @@
         CHECK(isServed({ milliseconds(3'000), milliseconds(2'000), milliseconds(250) }, opens));
 }
 
+// Answers of 2 to 38 events, a pass of 115 ms each, in turn. By mean and two deviations they take
+// 4 s, and each caller that comes back in a closure of six seconds was refused at once.
+TEST_CASE("answers of unlike lengths leave a caller that comes back its second wait")
+{
+    delay_estimate run(milliseconds(1'500));
+    for (const int events : { 8, 14, 5, 38, 20, 2, 16, 11, 25, 6, 30, 13, 9, 17, 4 })
+        run.observe(milliseconds(115 * events));
+    CHECK(run.value() > milliseconds(3'000));
+    for (milliseconds opens { 0 }; opens <= milliseconds(6'000); opens += milliseconds(50))
+        CHECK(isServed({ milliseconds(8'000), milliseconds(2'400), run.mean() }, opens));
+    CHECK_FALSE(isServed({ milliseconds(8'000), milliseconds(2'400), run.value() }, milliseconds(6'000)));
+}
+
 TEST_CASE("a caller that cannot be answered to the end any more is refused at once")
 {
     group_wait_question question;
