groups: time looks from beginning to beginning

Change: the pause counts from the look's beginning; loads are told after each look; its time is logged and counted (rampgap_group_look_seconds).

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -47,6 +47,7 @@
     constexpr std::array<latency_row, latencyCount> latencyRows { {
         { "rampgap_request_seconds", "Time from a request's arrival to its final answer" },
         { "rampgap_first_byte_seconds", "Time from a request's arrival to the first byte of a server's answer" },
+        { "rampgap_group_look_seconds", "Time from a leader's call to all ranks of its group to the last answer" },
     } };
 
     // Seconds; around the targets of the users' routes (0.3 and 0.5) and their timeouts (1.5, 4 and 8).
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -61,9 +61,11 @@
     request,
     // From a request's arrival to the first byte of a server's answer.
     first_byte,
+    // From a leader's call to all ranks of its group to the last answer.
+    look,
 };
 
-inline constexpr std::size_t latencyCount = 2;
+inline constexpr std::size_t latencyCount = 3;
 
 class metrics {
 public:
--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -22,7 +22,9 @@
     // Agents that are asked at a time whether the leader has called them.
     constexpr std::size_t askedForLeader = 3;
     // Entry VMs hear at the most so often how many requests are at each rank.
-    constexpr milliseconds leastToldInterval { 140 };
+    constexpr milliseconds leastToldInterval { 95 };
+    // Left to everything else where looks take longer than their pause.
+    constexpr milliseconds leastBetweenLooks { 25 };
     // An agent hears of entry VMs seldom; it needs only a few that answer.
     constexpr milliseconds peerSilence { 15'000 };
     constexpr milliseconds peerReportInterval { 400 };
@@ -283,20 +285,28 @@
 
 awaitable<void> agent_process::lookLoop()
 {
+    instant begun = m_context.now();
     for (;;) {
-        asio::steady_timer timer(m_context.io(), m_leader.configured() ? m_leader.lookInterval() : watchInterval);
+        // From beginning to beginning: a look at 129 ranks takes about as long as the pause.
+        const milliseconds pause = m_leader.configured() ? m_leader.lookInterval() : watchInterval;
+        asio::steady_timer timer(m_context.io(), std::max(begun + pause, m_context.now() + leastBetweenLooks));
         co_await timer.async_wait(asTuple);
-        if (!m_leader.configured() || !leads())
-            continue;
-        auto known = knownMembers();
-        co_await m_leader.look(std::move(known));
-        if (m_context.now() - m_ranksToldAt < leastToldInterval || m_leader.group().empty())
-            continue;
-        m_ranksToldAt = m_context.now();
-        m_peers->tellRanks({ m_settings.engineService, m_leader.group() }, m_leader.strain(), m_leader.rankLoads());
+        begun = m_context.now();
+        if (m_leader.configured() && leads())
+            co_await lookAndTell();
     }
 }
 
+awaitable<void> agent_process::lookAndTell()
+{
+    auto known = knownMembers();
+    co_await m_leader.look(std::move(known));
+    if (m_context.now() - m_ranksToldAt < leastToldInterval || m_leader.group().empty())
+        co_return;
+    m_ranksToldAt = m_context.now();
+    m_peers->tellRanks({ m_settings.engineService, m_leader.group() }, m_leader.strain(), m_leader.rankLoads());
+}
+
 awaitable<void> agent_process::leadLoop()
 {
     for (;;) {
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -39,6 +39,7 @@
     awaitable<void> receiveLoop();
     // Looks at all ranks and tells the entry VMs what it saw, while this agent leads.
     awaitable<void> lookLoop();
+    awaitable<void> lookAndTell();
     // Changes placements; beside the looking, since a change takes longer than a look.
     awaitable<void> leadLoop();
     bool leads();
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -101,10 +101,14 @@
     m_caller.setCaller(known.ownId, known.group, known.members.size());
     const std::vector<std::string> ids = idsToLookAt(std::move(known));
     auto targets = m_caller.targets(ids);
+    const instant began = m_context.now();
     const bool withCounts = m_looks++ % plannedLooks().looksPerCounts == 0;
     const std::size_t largestAnswer = withCounts ? countsBytes() : stateAnswerBytes;
     const auto outcome = co_await m_caller.call(std::move(targets), std::nullopt, withCounts, callBudget(m_caller.limits(largestAnswer)));
     const instant now = m_context.now();
+    m_context.counters().observe(latency::look, now - began);
+    const auto reached = std::count_if(outcome.ranks.begin(), outcome.ranks.end(), [](const rank_outcome& rank) { return rank.reached; });
+    m_log.line("ranks_looked_at").add("ranks", ids.size()).add("reached", reached).add("counts", withCounts ? "yes" : "no").add("took_ms", now - began);
     for (const auto& rank : outcome.ranks) {
         if (!rank.after || rank.index >= ids.size())
             continue;
