--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -55,10 +55,15 @@
     ("leader_disarmed_with_others", "map_switch.cpp", "    m_disarmFirst = *leaderRank;\n    enter(switch_phase::disarming_leader);", "    enter(switch_phase::disarming);", "platform/map-switch"),
     ("clean_up_without_proof", "map_switch.cpp", "return anyUnarmed ? std::optional(missing) : std::nullopt;", "return missing;", "platform/map-switch"),
     ("old_view_as_proof", "map_switch.cpp", "surelyUnarmed = after->fresh && after->armedPlacement == 0", "surelyUnarmed = after->armedPlacement == 0 || !after->fresh", "platform/map-switch"),
-    ("refusal_forgotten", "group_board.cpp", "    if (suspected(service, now))\n        return true;\n", "", "platform/group-state"),
+    ("refusal_forgotten", "group_board.cpp", "    if (suspected({ service, {} }, now))\n        return true;\n", "", "platform/group-state"),
     ("patience_counted_anew", "group_wait.cpp", "question.patience - question.waited - patienceMargin", "question.patience - patienceMargin", "platform/group-state"),
-    ("popularity_fades_in_a_cut", "group_monitor.cpp", "std::min(sinceLast, static_cast<double>(m_settings.longestGap.count()))", "sinceLast", "platform/group-state"),
-    ("share_of_everything", "admission_share.cpp", "(shared + entries - 1) / entries", "shared", "platform/admission-share"),
+    ("popularity_fades_in_a_cut", "demand_estimate.cpp", "std::min(sinceLast, static_cast<double>(m_settings.longestGap.count()))", "sinceLast", "platform/group-state"),
+    ("share_of_everything", "admission_share.cpp", "double share = shared / entries;", "double share = shared;", "platform/admission-share"),
+    ("later_leader_goes_on", "leadership.cpp", "positionOf(m_leader, members) < position", "false", "platform/leadership"),
+    ("leads_beside_a_leader", "leadership.cpp", "now - *m_quietSince >= patienceOf(position)", "true", "platform/leadership"),
+    ("held_beyond_its_time", "group_wait.cpp", "std::min(patienceLeft, servable)", "patienceLeft", "platform/group-state"),
+    ("all_read_at_the_start", "store_reading.cpp", "return process.isSeed || ", "return true || ", "platform/peers"),
+    ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
 ]
 
 
