--- a/Source/policy/placement_planner.cpp
+++ b/Source/policy/placement_planner.cpp
@@ -298,6 +298,7 @@
     // cannot be improved any more counts as even.
     constexpr double finished = 0;
     std::vector<double> skews;
+    skews.reserve(layers.size());
     for (const auto& layer : layers)
         skews.push_back(layer.skew());
     for (;;) {
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -97,6 +97,7 @@
     // server: each compares a few at random, and all only if those are full.
     const auto byDelay = [](const candidate& a, const candidate& b) { return a.delay < b.delay; };
     std::vector<double> weights;
+    weights.reserve(candidates.size());
     for (const auto& each : candidates)
         weights.push_back(each.inOwnZone ? ownZoneWeight : 1);
     std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
