platform: servers that start again under their id, entries of other writers

Cause: a server's id named one life of it.

Now the start of the process is read (lists, reports, counts). Another start under an id is another incarnation: health is unknown again, calls under way end at once and are tried again where that is safe, idle connections are dropped, counts begin anew, and a late view of the earlier life does not take the place of the present one. An entry names a server whole or not at all; one that turned unreadable names none.

Ruled out: to order lives by their start, since clocks of two starts may differ; the list's own order decides. Placements, holds, orders and fences need no more: each loss of a rank begins a new epoch, and all of them carry it.

The tests found that "host:" and "host:99999" passed for endpoints.

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -216,6 +216,11 @@
 
 http_client::~http_client() = default;
 
+void http_client::forgetIdle(const std::string& address)
+{
+    m_idle.erase(address);
+}
+
 std::unique_ptr<http_call::connection> http_client::takeIdle(const std::string& address)
 {
     auto& idle = m_idle[address];
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -66,6 +66,9 @@
     // A call that buffers the whole answer, up to `limit` bytes.
     awaitable<result<http_response>> fetch(std::string address, http_request, milliseconds timeout, std::size_t limit = 4'194'304);
 
+    // Closes the idle connections to a server that was started again: the other side is gone.
+    void forgetIdle(const std::string& address);
+
 private:
     friend class http_call;
 
--- a/Source/daemon/http_message.cpp
+++ b/Source/daemon/http_message.cpp
@@ -90,8 +90,10 @@
     const auto host = boost::asio::ip::make_address(address.substr(0, colon), error);
     unsigned short port = 0;
     const char* const end = address.data() + address.size();
-    const bool portFits = colon != std::string::npos && std::from_chars(address.data() + colon + 1, end, port).ptr == end;
-    if (error || !portFits)
+    if (colon == std::string::npos)
+        return notRun(failure_reason::connection_lost, "'" + address + "' has no port");
+    const auto [last, portError] = std::from_chars(address.data() + colon + 1, end, port);
+    if (error || portError != std::errc {} || last != end)
         return notRun(failure_reason::connection_lost, "'" + address + "' is not an IP number and port");
     return tcp::endpoint(host, port);
 }
--- /dev/null
+++ b/Source/gateway/call_registry.cpp
@@ -0,0 +1,26 @@
+#include "gateway/call_registry.h"
+
+namespace rampgap {
+
+call_registry::registration::registration(call_registry& registry, const std::string& backendId, http_call& call)
+    : m_registry(registry)
+    , m_entry(registry.m_calls.insert({ backendId, { &call } }))
+{
+}
+
+call_registry::registration::~registration()
+{
+    m_registry.m_calls.erase(m_entry);
+}
+
+std::size_t call_registry::end(const std::string& backendId)
+{
+    const auto [first, last] = m_calls.equal_range(backendId);
+    for (auto each = first; each != last; ++each) {
+        each->second.ended = true;
+        each->second.call->cancel();
+    }
+    return static_cast<std::size_t>(std::distance(first, last));
+}
+
+} // namespace rampgap
--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -112,6 +112,10 @@
     m_configuration = decoded.value();
     m_context.counters().add(metric::revisions_accepted);
     m_context.counters().set(metric::revision_in_force, static_cast<double>(m_configuration->version()));
+    std::set<std::string> services;
+    for (const auto& service : m_configuration->contents().services)
+        services.insert(service.name);
+    m_backends.setServices(std::move(services));
     m_log.line("configuration_in_force").add("version", m_configuration->version()).add("revision", item.revision).add("source", source).add("routes", m_configuration->contents().routes.size());
     if (m_onConfiguration)
         m_onConfiguration();
@@ -128,14 +132,21 @@
     }
     const auto decoded = m_decoder.backend(change.item);
     if (!decoded) {
-        m_log.line("backend_entry_refused").add("backend", id).add("reason", decoded.error().message);
+        // Whoever wrote it: it names no server to send to, also where an earlier one did.
+        m_backends.remove(id);
+        m_log.line("backend_entry_refused").add("backend", id).add("revision", change.item.revision).add("reason", decoded.error().message).add("outcome", "no server");
         return;
     }
     const auto* held = m_backends.find(id);
     if (!held || !(*held == decoded.value())) {
         m_log.line("backend_listed").add("backend", id).add("address", decoded.value().address).add("state", decoded.value().draining ? "draining" : "ready").add("source", source);
     }
-    m_backends.list(decoded.value());
+    const bool restarted = m_backends.list(decoded.value());
+    if (!restarted)
+        return;
+    m_log.line("backend_restarted").add("backend", id).add("incarnation", decoded.value().incarnation).add("source", source);
+    if (m_onRestart)
+        m_onRestart(decoded.value());
 }
 
 } // namespace rampgap
--- a/Source/gateway/fleet_state.h
+++ b/Source/gateway/fleet_state.h
@@ -37,6 +37,8 @@
     // Time since the newest proof that nothing newer is published.
     std::optional<milliseconds> proofAge() const;
     void onConfiguration(std::function<void()> action) { m_onConfiguration = std::move(action); }
+    // Called with a server that was started again under its id: its earlier work is gone.
+    void onRestart(std::function<void(const listed_backend&)> action) { m_onRestart = std::move(action); }
 
 private:
     void apply(const std::vector<published_change>&, const std::string& source);
@@ -52,6 +54,7 @@
     std::optional<instant> m_lostAt;
     instant m_doubtUntil {};
     std::function<void()> m_onConfiguration;
+    std::function<void(const listed_backend&)> m_onRestart;
 };
 
 } // namespace rampgap
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -104,6 +104,7 @@
     if (!opened)
         return opened.error();
     process->m_state.onConfiguration([raw = process.get()] { raw->applyLimits(); });
+    process->m_state.onRestart([raw = process.get()](const listed_backend& backend) { raw->m_dispatcher.noteRestart(backend); });
     process->m_follower.setWanted([raw = process.get()] { return raw->wantsToRead(); });
     process->m_follower.onNews([raw = process.get()] { raw->m_peers->announceRevision(); });
     process->m_follower.start();
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -112,7 +112,7 @@
     if (question.wantsChoices) {
         auto counts = co_await m_port.counts(m_ownEngine);
         if (counts)
-            addChoices(gathered->outcome.choices, m_choices.take(std::move(counts.value().counts)));
+            addChoices(gathered->outcome.choices, m_choices.take(std::move(counts.value().counts), counts.value().incarnation));
     }
     const auto state = co_await m_port.state(m_ownEngine);
     if (state)
--- a/Source/gateway/rank_wire.cpp
+++ b/Source/gateway/rank_wire.cpp
@@ -23,6 +23,7 @@
     wire.set_queued(static_cast<std::uint32_t>(view.queued));
     wire.set_active(static_cast<std::uint32_t>(view.active));
     wire.set_pace(static_cast<float>(view.pace));
+    wire.set_incarnation(view.incarnation);
     wire.set_read_from_afar(!view.fresh);
     return wire;
 }
@@ -45,6 +46,7 @@
     view.queued = static_cast<int>(wire.queued());
     view.active = static_cast<int>(wire.active());
     view.pace = wire.pace();
+    view.incarnation = wire.incarnation();
     view.fresh = !wire.read_from_afar();
     return view;
 }
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -152,6 +152,14 @@
     m_budget.setSharers(mostEntries);
 }
 
+void upstream_dispatcher::noteRestart(const listed_backend& backend)
+{
+    m_client.forgetIdle(backend.address);
+    const std::size_t ended = m_calls.end(backend.id);
+    if (ended > 0)
+        m_log.line("calls_ended").add("backend", backend.id).add("calls", ended).add("reason", "the server was started again");
+}
+
 bool upstream_dispatcher::mayRepeat(const admitted_request& request, const progress& state, const try_outcome& last)
 {
     const bool mayHaveRun = last.failed->ran != verdict::not_run;
@@ -191,6 +199,7 @@
     upstream_facts facts { backend.id, request.workspace, request.timeLeft(sentAt), state.relay.lastEventId, std::nullopt };
     http_call call(m_client);
     const caller_watch watch(exchange, [&call] { call.cancel(); });
+    const call_registry::registration underWay(m_calls, backend.id, call);
     if (request.route.repeat == repeat_rule::non_idempotent)
         call.useFreshConnection();
     std::int64_t unread = request.said.promptTokens;
@@ -213,7 +222,7 @@
     m_loads.noteEnded(backend.id, unread);
     if (request.costs && outcome.result == try_result::answered && !exchange.callerGone())
         m_places.noteEnd(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
-    if (!exchange.callerGone())
+    if (!exchange.callerGone() && !underWay.ended())
         m_state.backends().noteResult(backend.id, outcome.result, m_context.now());
     logTry(request, state, backend, outcome, sentAt);
     co_return outcome;
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/answer_relay.h"
+#include "gateway/call_registry.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/place_giver.h"
 #include "policy/group_board.h"
@@ -19,6 +20,9 @@
     // `entries`: entry VMs at work; `mostEntries`: those that may share the retry budget.
     void setSharers(std::size_t entries, std::size_t mostEntries);
 
+    // The server was started again under its id: what it had taken is lost.
+    void noteRestart(const listed_backend&);
+
 private:
     // How far one request has come.
     struct progress {
@@ -56,6 +60,7 @@
     load_board& m_loads;
     group_board& m_groups;
     http_client m_client;
+    call_registry m_calls;
     place_giver m_places;
     shared_retry_budget m_budget;
     upstream_choice m_choice;
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -31,13 +31,35 @@
 
 } // namespace
 
-void backend_directory::list(const listed_backend& listed)
+bool backend_directory::list(const listed_backend& listed)
 {
     auto& held = m_entries[listed.id];
+    const std::string addressBefore = held.listed.address;
+    // Not only a higher one: clocks of two starts may differ, the list's order does not.
+    const bool restarted = held.listed.incarnation != 0 && listed.incarnation != held.listed.incarnation;
+    if (restarted)
+        held = {};
     held.listed = listed;
     held.keptUntil.reset();
-    auto& newest = m_newestAt[listed.address];
-    newest = std::max(newest, listed.createdAt);
+    noteNewestAt(listed.address);
+    if (!addressBefore.empty() && addressBefore != listed.address)
+        noteNewestAt(addressBefore);
+    return restarted;
+}
+
+void backend_directory::setServices(std::set<std::string> services)
+{
+    m_services = std::move(services);
+    std::set<std::string> addresses;
+    for (const auto& [id, held] : m_entries)
+        addresses.insert(held.listed.address);
+    for (const auto& address : addresses)
+        noteNewestAt(address);
+}
+
+bool backend_directory::serves(const listed_backend& listed) const
+{
+    return !m_services || m_services->contains(listed.service);
 }
 
 // After an entry has gone, an older one at its address counts again.
@@ -45,7 +67,7 @@
 {
     m_newestAt.erase(address);
     for (const auto& [id, held] : m_entries) {
-        if (held.listed.address == address) {
+        if (held.listed.address == address && serves(held.listed)) {
             auto& newest = m_newestAt[address];
             newest = std::max(newest, held.listed.createdAt);
         }
@@ -67,6 +89,8 @@
 void backend_directory::remove(const std::string& id)
 {
     const auto held = m_entries.find(id);
+    if (held == m_entries.end())
+        return;
     const std::string address = held->second.listed.address;
     m_entries.erase(held);
     noteNewestAt(address);
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -6,12 +6,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace rampgap {
 
-// A backend server as the users' list shows it. A restart gives it a new id.
+// A backend server as the users' list shows it.
 struct listed_backend {
     std::string id;
     std::string service;
@@ -21,6 +22,9 @@
     bool draining = false;
     // Revision at which the entry was created: of two with one address the newer one lives.
     std::uint64_t createdAt = 0;
+    // Start of the server's process in Unix milliseconds; 0 where the list does not tell. A
+    // server may be started again under its id, and then knows nothing of before.
+    std::uint64_t incarnation = 0;
 
     bool operator==(const listed_backend&) const = default;
 };
@@ -57,9 +61,16 @@
     {
     }
 
-    void list(const listed_backend&);
+    // True if the server was listed before in an earlier incarnation, of which nothing holds
+    // any more: its health is unknown again.
+    bool list(const listed_backend&);
+    // The services that the configuration names. An entry of another service may come from
+    // anyone: it takes no address from a server. Before the first call all services count.
+    void setServices(std::set<std::string>);
     // `keepUntil`: until then the entry may only have lapsed in an outage and come back.
     void unlist(const std::string& id, instant now, instant keepUntil);
+    // Forgets a server at once, if it is known.
+    void remove(const std::string& id);
     // Drops what has not come back.
     void settle(instant now);
 
@@ -85,11 +96,12 @@
         bool replaced = false;
     };
 
+    bool serves(const listed_backend&) const;
     void noteNewestAt(const std::string& address);
-    void remove(const std::string& id);
 
     milliseconds m_lapsedLife;
     std::map<std::string, entry> m_entries;
+    std::optional<std::set<std::string>> m_services;
     // Highest creation revision of the entries with an address.
     std::map<std::string, std::uint64_t> m_newestAt;
 };
--- a/Source/policy/choice_counter.h
+++ b/Source/policy/choice_counter.h
@@ -8,11 +8,12 @@
 
 class choice_counter {
 public:
-    // Choices since the last look; empty at the first one. Counts that fell were begun anew
-    // with the engine: then all of them are new.
-    std::vector<std::uint64_t> take(std::vector<std::uint64_t> counts);
+    // Choices since the last look; empty at the first one. Counts that fell, or that come from
+    // another incarnation of the engine, were begun anew: then all of them are new.
+    std::vector<std::uint64_t> take(std::vector<std::uint64_t> counts, std::uint64_t incarnation);
 
 private:
+    std::uint64_t m_incarnation = 0;
     std::vector<std::uint64_t> m_last;
 };
 
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/group_monitor.cpp
@@ -37,6 +37,8 @@
         return;
     if (seen.view.epoch > m_epoch)
         reset(seen.view.epoch);
+    if (isOutdated(seen.view, now))
+        return;
     m_size = seen.view.groupSize;
     m_highestPlacement = std::max({ m_highestPlacement, seen.view.placementInUse, seen.view.preparedPlacement, seen.view.armedPlacement });
     m_ranks[seen.view.rank] = { seen, now };
@@ -66,6 +68,16 @@
     m_straySince.reset();
 }
 
+// A view from afar is some hundred ms old: where a fresh one has just shown another incarnation
+// of the engine, it is of the one before.
+bool group_monitor::isOutdated(const rank_view& seen, instant now) const
+{
+    const auto held = m_ranks.find(seen.rank);
+    if (seen.fresh || held == m_ranks.end() || !held->second.last.view.fresh)
+        return false;
+    return seen.incarnation != held->second.last.view.incarnation && now - held->second.at < m_settings.observationLife;
+}
+
 bool group_monitor::complete(instant now) const
 {
     if (m_size == 0 || m_ranks.size() != m_size)
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/group_monitor.h
@@ -93,6 +93,7 @@
     };
 
     void reset(std::uint64_t epoch);
+    bool isOutdated(const rank_view&, instant now) const;
     rank_paces paces() const;
 
     monitor_settings m_settings;
--- a/Source/policy/rank_types.h
+++ b/Source/policy/rank_types.h
@@ -39,6 +39,8 @@
     int active = 0;
     // Over 1: the engine is slow.
     double pace = 1;
+    // Start of the engine's process in Unix milliseconds; 0 where it does not tell.
+    std::uint64_t incarnation = 0;
     // Read beside the engine; from another machine the values are some hundred ms old.
     bool fresh = true;
 
@@ -48,6 +50,8 @@
 struct expert_counts {
     std::uint64_t step = 0;
     std::uint64_t epoch = 0;
+    // As in rank_view.
+    std::uint64_t incarnation = 0;
     // Set by set, expert by expert.
     std::vector<std::uint64_t> counts;
 
--- a/Tests/platform/backend-list/test.cpp
+++ b/Tests/platform/backend-list/test.cpp
@@ -114,3 +114,56 @@
     list.settle(zero + milliseconds(5'000));
     CHECK(list.find("cut") == nullptr);
 }
+
+TEST_CASE("a server that was started again under its id has nothing of before")
+{
+    backend_directory list;
+    auto first = server("a", "10.0.0.1:80", 1);
+    first.incarnation = 1'000;
+    CHECK_FALSE(list.list(first));
+    for (int i = 0; i < 20; ++i)
+        list.noteResult("a", try_result::failed, zero);
+    list.noteResult("a", try_result::replaced, zero);
+    CHECK_FALSE(list.open("a"));
+    // Another entry of the same life changes nothing.
+    first.capacity = 6;
+    CHECK_FALSE(list.list(first));
+    CHECK_FALSE(list.open("a"));
+    // Its clock may have been put back in between.
+    auto second = first;
+    second.incarnation = 900;
+    CHECK(list.list(second));
+    CHECK(list.open("a"));
+    CHECK_FALSE(list.avoided("a", zero));
+    CHECK(list.health("a").failureShare == 0);
+}
+
+TEST_CASE("an entry of a service that nobody named takes no address")
+{
+    backend_directory list;
+    list.list(server("model", "10.0.0.1:80", 3));
+    auto foreign = server("foreign", "10.0.0.1:80", 9);
+    foreign.service = "unheard-of";
+    list.list(foreign);
+    // Before there is a configuration nobody can tell.
+    CHECK_FALSE(list.open("model"));
+    list.setServices({ "model" });
+    CHECK(list.open("model"));
+    auto another = foreign;
+    another.id = "another";
+    another.createdAt = 12;
+    list.list(another);
+    CHECK(list.open("model"));
+    list.setServices({ "model", "unheard-of" });
+    CHECK_FALSE(list.open("model"));
+}
+
+TEST_CASE("a server that moves frees the address it had")
+{
+    backend_directory list;
+    list.list(server("old", "10.0.0.1:80", 3));
+    list.list(server("mover", "10.0.0.1:80", 9));
+    CHECK_FALSE(list.open("old"));
+    list.list(server("mover", "10.0.0.2:80", 9));
+    CHECK(list.open("old"));
+}
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -148,10 +148,12 @@
 TEST_CASE("counts that go on give the difference, counts that fell were begun anew")
 {
     choice_counter counter;
-    CHECK(counter.take({ 5, 7 }).empty());
-    CHECK(counter.take({ 6, 9 }) == std::vector<std::uint64_t> { 1, 2 });
-    CHECK(counter.take({ 3, 10 }) == std::vector<std::uint64_t> { 3, 10 });
-    CHECK(counter.take({ 3, 10, 4 }).empty());
+    CHECK(counter.take({ 5, 7 }, 1).empty());
+    CHECK(counter.take({ 6, 9 }, 1) == std::vector<std::uint64_t> { 1, 2 });
+    CHECK(counter.take({ 3, 10 }, 1) == std::vector<std::uint64_t> { 3, 10 });
+    CHECK(counter.take({ 3, 10, 4 }, 1).empty());
+    // Another life of the engine has passed all counts of the one before.
+    CHECK(counter.take({ 30, 20, 40 }, 2) == std::vector<std::uint64_t> { 30, 20, 40 });
 }
 
 TEST_CASE("what was popular before a group closed is planned for as soon as it opens")
@@ -203,3 +205,25 @@
     board.noteRefusal("model", engine, zero + milliseconds(10));
     CHECK_FALSE(board.closed("model", zero + milliseconds(10)));
 }
+
+TEST_CASE("a late view of an engine's earlier life does not take the place of the present one")
+{
+    group_monitor monitor(monitor_settings {});
+    rank_view present = viewOf(0);
+    present.incarnation = 2;
+    present.orders = 1;
+    monitor.observe({ "a", present, {} }, zero);
+    rank_view earlier = viewOf(0);
+    earlier.incarnation = 1;
+    earlier.orders = 40;
+    earlier.preparedPlacement = 9;
+    earlier.fresh = false;
+    monitor.observe({ "a", earlier, {} }, zero + milliseconds(100));
+    CHECK(monitor.view(0) == present);
+    // From its own machine, or after the present view has aged, another life is a newer one.
+    monitor.observe({ "a", earlier, {} }, zero + milliseconds(900));
+    CHECK(monitor.view(0) == earlier);
+    present.incarnation = 3;
+    monitor.observe({ "a", present, {} }, zero + milliseconds(950));
+    CHECK(monitor.view(0) == present);
+}
--- /dev/null
+++ b/Tests/platform/restarted-server/test.cpp
@@ -0,0 +1,83 @@
+// A server that was started again under its id has lost the calls that it had.
+#include "gateway/call_registry.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+
+using namespace rampgap;
+
+namespace {
+
+namespace asio = boost::asio;
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+
+// Takes the request and never answers.
+awaitable<void> stayMute(tcp::acceptor& acceptor)
+{
+    auto [error, socket] = co_await acceptor.async_accept(asTuple);
+    REQUIRE_FALSE(error);
+    std::array<char, 4'096> piece {};
+    boost::system::error_code end;
+    while (!end)
+        end = std::get<0>(co_await socket.async_read_some(asio::buffer(piece), asTuple));
+}
+
+awaitable<void> start(http_call& call, std::string address, milliseconds timeout, std::optional<failure>& failed)
+{
+    http_request request { http::verb::post, "/draft", 11 };
+    const auto head = co_await call.start(std::move(address), std::move(request), std::chrono::steady_clock::now() + timeout);
+    if (!head)
+        failed = head.error();
+}
+
+struct mute_server {
+    explicit mute_server(asio::io_context& io)
+        : acceptor(io, { asio::ip::address_v4::loopback(), 0 })
+    {
+        asio::co_spawn(io, stayMute(acceptor), asio::detached);
+    }
+    std::string address() const { return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()); }
+
+    tcp::acceptor acceptor;
+};
+
+} // namespace
+
+TEST_CASE("calls at a server that was started again end at once, others go on")
+{
+    constexpr milliseconds longest { 60'000 };
+    process_context context { "caller", "a", "test" };
+    http_client client { context };
+    mute_server restarted(context.io());
+    mute_server elsewhere(context.io());
+    http_call lost(client);
+    http_call other(client);
+    call_registry calls;
+    const call_registry::registration atRestarted(calls, "restarted", lost);
+    const call_registry::registration atOther(calls, "other", other);
+    std::optional<failure> lostFailed;
+    std::optional<failure> otherFailed;
+    std::size_t ended = 0;
+    const instant began = std::chrono::steady_clock::now();
+    asio::co_spawn(
+        context.io(), [&]() -> awaitable<void> {
+            co_await start(lost, restarted.address(), longest, lostFailed);
+            CHECK_FALSE(otherFailed);
+            other.cancel();
+        },
+        asio::detached);
+    asio::co_spawn(context.io(), start(other, elsewhere.address(), longest, otherFailed), asio::detached);
+    asio::steady_timer restart(context.io(), milliseconds(20));
+    restart.async_wait([&](boost::system::error_code) { ended = calls.end("restarted"); });
+    context.io().run();
+    CHECK(ended == 1);
+    CHECK(atRestarted.ended());
+    CHECK_FALSE(atOther.ended());
+    REQUIRE(lostFailed);
+    CHECK((lostFailed->ran == verdict::may_have_run));
+    CHECK(std::chrono::steady_clock::now() - began < longest / 2);
+}
