requests: streams of a silent group go on in another one sooner

Hypothesis: streams that run when a group falls silent are found so after 1.75 s and resumed 0.2 s before their callers leave, mostly at another engine of the same group. Where another group is open and within reach the limit is 0.9 s, beyond the steps that a change of the placement holds, and a request whose server stayed silent or could not be reached goes to another group. A silent stream is no longer given up where no other try may follow.

Ruled out: the same limit for services with one group, since the whole group is silent then. Test: platform.cut-group (a request whose server stayed silent goes on in another group).

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -23,6 +23,10 @@
     // A stream whose engine is silent for longer than a stalled group's bound (settings) and
     // this is taken elsewhere; callers leave after a gap of two seconds.
     constexpr milliseconds streamSilence { 1'750 };
+    // The same where another group could go on with the stream. Steps held by a change of the
+    // placement end within half a second; a caller leaves after two, and the first event of a
+    // resumed stream takes 0.2 to 0.5 s.
+    constexpr milliseconds silenceOfOneGroup { 900 };
     // Servers that one request is offered to at the most, refusals and failed connections
     // counted: of the servers listed a few may be gone, not all.
     constexpr std::size_t mostTries = 8;
@@ -100,7 +104,7 @@
             co_return failure { state.worst, place.error().reason, place.error().message, place.error().retryAfter };
         if (last && !takeRetry(request, *last))
             co_return last->failed;
-        const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now };
+        const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now, state.silent };
         const std::string id = m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_context.random());
         if (id.empty()) {
             if (last)
@@ -113,6 +117,8 @@
         last = co_await tryOn(exchange, request, state, backend);
         if (!last->failed)
             co_return std::nullopt;
+        if (last->result == try_result::silent || last->result == try_result::unreachable)
+            state.silent.push_back(id);
         // Once a try may have run, so may the request: a later refusal cannot take it back.
         state.worst = std::max(state.worst, last->failed->ran);
         last->failed->ran = state.worst;
@@ -272,8 +278,9 @@
     options.wholeEvents = true;
     options.bufferUnframed = true;
     options.deadline = request.deadline;
-    if (streams && request.route.resumable)
-        options.silenceLimit = streamSilence;
+    const bool mayGoOnElsewhere = request.route.resumable && state.runs < request.route.maxAttempts && m_budget.has(request.service, sentAt);
+    if (streams && mayGoOnElsewhere)
+        options.silenceLimit = m_groups.openElsewhere(request.service, backendHash(backend.id), sentAt) ? silenceOfOneGroup : streamSilence;
     options.onFirstBytes = [&, sentAt] {
         m_context.counters().observe(latency::first_byte, m_context.now() - request.receivedAt);
         m_places.noteFirstEvent(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -27,6 +27,8 @@
     // How far one request has come.
     struct progress {
         std::vector<std::string> tried;
+        // Of those, the ones that stayed silent or could not be reached.
+        std::vector<std::string> silent;
         // Tries that a server may have run.
         int runs = 0;
         relay_progress relay;
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -149,6 +149,21 @@
     return !key.group.empty() && (failsLately(key, now) || unheard(key, now));
 }
 
+bool group_board::openElsewhere(const std::string& service, std::uint32_t backendHash, instant now) const
+{
+    const group_key own = keyOf(service, backendHash);
+    const auto keys = keysOf(service, now);
+    return std::any_of(keys.begin(), keys.end(), [&](const group_key& key) {
+        return key != own && !closed(key, now) && !failsLately(key, now) && !unheard(key, now);
+    });
+}
+
+bool group_board::sameGroup(const std::string& service, std::uint32_t one, std::uint32_t other) const
+{
+    const group_key key = keyOf(service, one);
+    return !key.group.empty() && key == keyOf(service, other);
+}
+
 std::optional<milliseconds> group_board::newsAge(const std::string& service, std::uint32_t backendHash, instant now) const
 {
     const auto held = m_groups.find(keyOf(service, backendHash));
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -65,6 +65,10 @@
     // True if the server's group is most likely cut off from this process, though other groups
     // of its service are not: nothing is to be sent there while there is anything else.
     bool outOfReach(const std::string& service, std::uint32_t backendHash, instant now) const;
+    // True if another group of the service is open and, as far as is known, within reach.
+    bool openElsewhere(const std::string& service, std::uint32_t backendHash, instant now) const;
+    // True if both servers are known to be ranks of one group.
+    bool sameGroup(const std::string& service, std::uint32_t one, std::uint32_t other) const;
     // Since a rank of the server's group last confirmed its state, as far as heard here; empty
     // if none ever did.
     std::optional<milliseconds> newsAge(const std::string& service, std::uint32_t backendHash, instant now) const;
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -91,6 +91,11 @@
     }
     if (candidates.empty())
         return {};
+    const auto inSilentGroup = [&](const candidate& c) {
+        return std::any_of(question.silent.begin(), question.silent.end(), [&](const std::string& id) { return groups.sameGroup(question.service, backendHash(id), backendHash(c.id)); });
+    };
+    if (!std::all_of(candidates.begin(), candidates.end(), inSilentGroup))
+        std::erase_if(candidates, inSilentGroup);
     // Where all look bad the view is in doubt: then all of them count.
     const bool anyGood = std::any_of(candidates.begin(), candidates.end(), [](const candidate& c) { return !c.avoided; });
     if (anyGood)
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -20,6 +20,9 @@
     std::vector<std::string> tried;
     std::string ownZone;
     instant now;
+    // Of those, the ones that stayed silent or could not be reached: what they lack their whole
+    // group may lack.
+    std::vector<std::string> silent;
 };
 
 // Expected milliseconds until a server would have read the prompt of a new request, were it
--- a/Tests/platform/cut-group/test.cpp
+++ b/Tests/platform/cut-group/test.cpp
@@ -73,6 +73,19 @@
         return zone;
     }
 
+    // Zone of the second try of a request whose first one stayed silent.
+    std::string retryAfterSilenceOf(const std::string& id, instant now)
+    {
+        upstream_question question;
+        question.service = service;
+        question.ownZone = "b";
+        question.costs = costs();
+        question.now = now;
+        question.tried = { id };
+        question.silent = { id };
+        return m_choice.choose(question, m_backends, m_loads, groups, m_random).substr(0, 1);
+    }
+
     group_board groups { milliseconds(1'500) };
 
 private:
@@ -147,3 +160,18 @@
     }
     CHECK_FALSE(entry.tryAt(zero, "none").empty());
 }
+
+TEST_CASE("a request whose server stayed silent goes on in another group")
+{
+    entry_vm entry;
+    entry.hear(zero, "none", zero);
+    for (int i = 0; i < 50; ++i)
+        CHECK(entry.retryAfterSilenceOf(idOf("b", i % ranksOfGroup), zero) != "b");
+    CHECK(entry.groups.openElsewhere(service, backendHash(idOf("b", 0)), zero));
+    // With the other groups closed or cut off there is nothing to go on with.
+    entry.groups.note({ { service, "a" }, { 1, false } }, milliseconds(0), zero);
+    for (int rank = 0; rank < 2; ++rank)
+        entry.groups.noteReach(service, backendHash(idOf("c", rank)), false, zero);
+    CHECK_FALSE(entry.groups.openElsewhere(service, backendHash(idOf("b", 0)), zero));
+    CHECK(entry.retryAfterSilenceOf(idOf("b", 0), zero) == "b");
+}
