readiness: entry VMs of a zone that is cut off leave the rotation sooner

A VM that has heard of no entry VM of another zone for 0.8 s and whose proof is 1 s old says so at once. Ruled out: a shorter age for all, since an outage of the store would take out all VMs, and none is better than another then. Test: platform.readiness.

--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_process.h"
 
+#include "policy/readiness.h"
 #include "policy/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -26,8 +27,6 @@
     // Agents confirm a group's state to one entry VM each 400 ms, and these tell the others.
     constexpr milliseconds groupNewsLife { 1'500 };
     constexpr milliseconds peerSilence { 3'000 };
-    // A process with an older proof lets callers go where there is a newer one.
-    constexpr milliseconds readyProofAge { 2'600 };
     constexpr milliseconds housekeepingInterval { 100 };
     constexpr milliseconds logFlushInterval { 50 };
     // The balancer asks once a second and takes a VM out after two misses.
@@ -183,8 +182,7 @@
 
 bool gateway_process::ready() const
 {
-    const auto age = m_state.proofAge();
-    return !m_leaving && m_state.configuration() && age && *age < readyProofAge;
+    return isReady({ m_leaving, m_state.configuration() != nullptr, m_state.proofAge(), m_peers->peers().sinceOtherZones(m_context.now()) });
 }
 
 bool gateway_process::wantsToRead() const
@@ -205,7 +203,7 @@
     if (isReady == m_wasReady)
         return;
     m_wasReady = isReady;
-    m_log.line(isReady ? "ready" : "not_ready").add("leaving", static_cast<int>(m_leaving)).add("version", m_state.configuration() ? m_state.configuration()->version() : 0).add("proof_age_ms", m_state.proofAge().value_or(milliseconds(-1)));
+    m_log.line(isReady ? "ready" : "not_ready").add("leaving", static_cast<int>(m_leaving)).add("version", m_state.configuration() ? m_state.configuration()->version() : 0).add("proof_age_ms", m_state.proofAge().value_or(milliseconds(-1))).add("other_zones_ms", m_peers->peers().sinceOtherZones(m_context.now()).value_or(milliseconds(-1)));
 }
 
 awaitable<void> gateway_process::housekeeping()
