gateway: hold a request until the first configuration has been read

They are held for a second at the most.

Ruled out: a longer Retry-After, since the return is used all the same. Test that failed before: platform.start-of-all.

--- a/Source/gateway/gateway_server.cpp
+++ b/Source/gateway/gateway_server.cpp
@@ -1,13 +1,22 @@
 #include "gateway/gateway_server.h"
 
 #include "policy/group_wait.h"
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
+namespace asio = boost::asio;
+
 namespace {
 
     // When a process without a configuration is worth asking again: reading it takes less.
     constexpr milliseconds notReadyRetryAfter { 250 };
+    // A process that starts has its configuration after 0.3 s, from a peer or the store; callers
+    // keep to a pause at least as long, and come back only once.
+    constexpr milliseconds longestWaitForConfiguration { 1'000 };
+    constexpr milliseconds configurationPoll { 10 };
 
 } // namespace
 
@@ -25,6 +34,7 @@
 {
     ++m_inFlight;
     m_context.counters().add(metric::requests_received);
+    co_await awaitConfiguration(exchange);
     auto decoded = m_codec.decode(exchange.request());
     const std::string id = decoded ? decoded.value().id : std::string("-");
     auto admitted = decoded ? admit(exchange, std::move(decoded.value())) : result<admitted_request>(decoded.error());
@@ -39,6 +49,19 @@
     --m_inFlight;
 }
 
+// Load pattern: all processes end at once, and callers return before the first configuration
+// has been read. Refused then, 230 of 560 callers had used their one return before any group
+// was open again (counted in the logs of such a day).
+awaitable<void> gateway_server::awaitConfiguration(http_exchange& exchange)
+{
+    const instant until = m_context.now() + longestWaitForConfiguration;
+    exchange.onCallerGone(nullptr);
+    while (!m_state.configuration() && m_context.now() < until && !exchange.callerGone()) {
+        asio::steady_timer timer(m_context.io(), configurationPoll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
 // The clock is read here, not when the request arrived: a process that was paused must not
 // act on a proof from before.
 result<admitted_request> gateway_server::admit(const http_exchange& exchange, gateway_request said)
--- a/Source/gateway/gateway_server.h
+++ b/Source/gateway/gateway_server.h
@@ -14,6 +14,8 @@
     int inFlight() const { return m_inFlight; }
 
 private:
+    // Returns once there is a configuration, or soon after a start without one.
+    awaitable<void> awaitConfiguration(http_exchange&);
     result<admitted_request> admit(const http_exchange&, gateway_request);
     result<void> admitKey(const gateway_request&, const route_spec&, const fleet_configuration&, admitted_request&) const;
 
--- /dev/null
+++ b/Tests/platform/start-of-all/test.cpp
@@ -0,0 +1,95 @@
+// Load pattern: all processes end at once, and their callers are back before the first
+// configuration has been read.
+#include "gateway/gateway_server.h"
+#include "platform/http_codec.h"
+#include "platform/item_decoder.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+using namespace rampgap;
+
+namespace {
+
+namespace asio = boost::asio;
+
+const std::string configurationText = R"({"version":7,"routes":[{"name":"chat","host":"h","path_prefix":"/a/","type":"streaming","service":"m"}],"services":[{"name":"m","health_path":"/hz"}]})";
+
+// One request for a path that no configuration has.
+class one_exchange : public http_exchange {
+public:
+    one_exchange()
+    {
+        m_request.method(http::verb::get);
+        m_request.target("/nowhere");
+        m_request.set(http::field::host, "h");
+        m_request.set("X-Attempt-Id", "id1");
+    }
+    const http_request& request() const override { return m_request; }
+    instant receivedAt() const override { return std::chrono::steady_clock::now(); }
+    awaitable<bool> send(http_response response) override
+    {
+        status = static_cast<int>(response.result_int());
+        co_return true;
+    }
+    awaitable<bool> begin(http_head) override { co_return true; }
+    awaitable<bool> write(std::string_view) override { co_return true; }
+    awaitable<bool> finish() override { co_return true; }
+    void closeAfterAnswer() override { }
+    void abort() override { }
+    bool begun() const override { return false; }
+    bool callerGone() const override { return gone; }
+    void onCallerGone(std::function<void()>) override { }
+
+    int status = 0;
+    bool gone = false;
+
+private:
+    http_request m_request;
+};
+
+struct starting_process {
+    process_context context { "entry", "a", "entry" };
+    decision_log log { "entry", STDERR_FILENO };
+    platform::http_codec codec;
+    platform::item_decoder decoder;
+    fleet_state state { context, log, decoder, milliseconds(0) };
+    load_board loads { milliseconds(400) };
+    group_board groups { milliseconds(1'500) };
+    upstream_dispatcher dispatcher { context, log, codec, state, loads, groups, retry_bounds {} };
+    gateway_server server { context, log, codec, state, dispatcher, freshness_rule(true, milliseconds(5'000), milliseconds(1'400)) };
+
+    void serve(one_exchange& exchange) { asio::co_spawn(context.io(), server.handle(exchange), asio::detached); }
+};
+
+} // namespace
+
+TEST_CASE("a request that comes before the configuration is answered by it")
+{
+    starting_process process;
+    one_exchange exchange;
+    process.serve(exchange);
+    asio::steady_timer reading(process.context.io(), milliseconds(60));
+    reading.async_wait([&](boost::system::error_code) {
+        CHECK(exchange.status == 0);
+        process.state.take(published_snapshot { { { "op/config", configurationText, 3, 3 } }, 3 }, process.context.now());
+    });
+    process.context.io().run();
+    CHECK(exchange.status == 404);
+}
+
+TEST_CASE("without a configuration the caller is told to come back, and one that left is not waited for")
+{
+    starting_process process;
+    one_exchange waiting;
+    one_exchange left;
+    left.gone = true;
+    process.serve(waiting);
+    process.serve(left);
+    process.context.io().run();
+    CHECK(waiting.status == 503);
+    CHECK(process.server.inFlight() == 0);
+}
