requests: whoever comes when no group has been open for long is told so at once

Nothing is known of how long a closure lasts: one that has lasted for c ends within w with a chance of w / (w + c). Below 0.15 nobody is held; with waits of 1.9 s that is after 10.6 s of closure, beyond all cuts that callers are held through now (closures up to 6.4 s: still nobody is lost).

Ruled out: a longest closure as a setting, since no sheet tells one. Tests: platform.group-state.

--- a/Source/policy/group_wait.h
+++ b/Source/policy/group_wait.h
@@ -14,6 +14,8 @@
     milliseconds waited { 0 };
     // From a place at an engine to the end of the answer, as lately observed.
     milliseconds run { 0 };
+    // How long no group has been open.
+    milliseconds closedFor { 0 };
 };
 
 struct group_wait_decision {
@@ -29,7 +31,8 @@
 // replaced is back in a second, a cut lasts six. A caller that is held as long as its patience
 // lasts, told to pause as long as it keeps to, and held again is served if the group opens within
 // 6.5 s of its first try; refused at once with a pause, within 5. Whoever cannot be answered
-// to the end any more is refused at once.
+// to the end any more is refused at once, and so is everybody once the closure has lasted so
+// long that hardly any of them would see its end: a group may never open.
 group_wait_decision decideGroupWait(const group_wait_question&);
 
 // The longest pause that a caller keeps to before it comes back; what a process that has lost
--- a/Tests/platform/group-state/wait.cpp
+++ b/Tests/platform/group-state/wait.cpp
@@ -26,6 +26,7 @@
         question.timeLeft = who.deadline - at;
         question.patience = who.patience;
         question.run = who.run;
+        question.closedFor = at;
         const auto decision = decideGroupWait(question);
         if (opensAfter <= at + decision.wait)
             return std::max(at, opensAfter) + who.run <= who.deadline;
@@ -104,3 +105,17 @@
         RC_ASSERT(decision.retryAfter <= (question.timeLeft - decision.wait) / 3 + milliseconds(1));
     }));
 }
+
+TEST_CASE("whoever comes when a group has been closed for long is told at once to come back")
+{
+    group_wait_question question;
+    question.timeLeft = milliseconds(8'000);
+    question.run = milliseconds(1'500);
+    question.closedFor = milliseconds(6'000);
+    CHECK(decideGroupWait(question).wait > milliseconds(0));
+    // No longer than the longest pause that the caller keeps to, and while it can be served.
+    question.closedFor = milliseconds(15'000);
+    CHECK((decideGroupWait(question) == group_wait_decision { milliseconds(0), milliseconds(2'666) }));
+    question.timeLeft = milliseconds(1'600);
+    CHECK((decideGroupWait(question) == group_wait_decision { milliseconds(0), milliseconds(100) }));
+}
