--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -1,6 +1,5 @@
 #include "gateway/gateway_process.h"
 
-#include "policy/readiness.h"
 #include "policy/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -27,6 +26,8 @@
     // Agents confirm a group's state to one entry VM each 400 ms, and these tell the others.
     constexpr milliseconds groupNewsLife { 1'500 };
     constexpr milliseconds peerSilence { 3'000 };
+    // A process with an older proof lets callers go where there is a newer one.
+    constexpr milliseconds readyProofAge { 2'600 };
     constexpr milliseconds housekeepingInterval { 100 };
     constexpr milliseconds logFlushInterval { 50 };
     // The balancer asks once a second and takes a VM out after two misses.
@@ -182,7 +183,8 @@
 
 bool gateway_process::ready() const
 {
-    return isReady({ m_leaving, m_state.configuration() != nullptr, m_state.proofAge(), m_peers->peers().sinceOtherZones(m_context.now()) });
+    const auto age = m_state.proofAge();
+    return !m_leaving && m_state.configuration() && age && *age < readyProofAge;
 }
 
 bool gateway_process::wantsToRead() const
@@ -203,7 +205,7 @@
     if (isReady == m_wasReady)
         return;
     m_wasReady = isReady;
-    m_log.line(isReady ? "ready" : "not_ready").add("leaving", static_cast<int>(m_leaving)).add("version", m_state.configuration() ? m_state.configuration()->version() : 0).add("proof_age_ms", m_state.proofAge().value_or(milliseconds(-1))).add("other_zones_ms", m_peers->peers().sinceOtherZones(m_context.now()).value_or(milliseconds(-1)));
+    m_log.line(isReady ? "ready" : "not_ready").add("leaving", static_cast<int>(m_leaving)).add("version", m_state.configuration() ? m_state.configuration()->version() : 0).add("proof_age_ms", m_state.proofAge().value_or(milliseconds(-1)));
 }
 
 awaitable<void> gateway_process::housekeeping()
--- a/Source/policy/peer_table.cpp
+++ b/Source/policy/peer_table.cpp
@@ -119,18 +119,6 @@
     return held == m_peers.end() ? m_silence : std::chrono::duration_cast<milliseconds>(now - held->second.heardAt);
 }
 
-std::optional<milliseconds> peer_table::sinceOtherZones(instant now) const
-{
-    std::optional<milliseconds> least;
-    for (const auto& [host, held] : m_peers) {
-        if (held.info.role != peer_role::entry || held.info.zone == m_self.zone)
-            continue;
-        const milliseconds since = age(host, now);
-        least = least ? std::min(*least, since) : since;
-    }
-    return least;
-}
-
 std::vector<peer_info> peer_table::sample(peer_role role, std::size_t count, std::mt19937_64& random) const
 {
     std::vector<peer_info> all = live(role);
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -56,8 +55,6 @@
     std::vector<std::string> seedsToAsk() const;
     // How long ago a peer was heard of.
     milliseconds age(const std::string& host, instant now) const;
-    // How long ago anything was heard of any entry VM of another zone; empty if none is known.
-    std::optional<milliseconds> sinceOtherZones(instant now) const;
     // Up to `count` random live peers.
     std::vector<peer_info> sample(peer_role, std::size_t count, std::mt19937_64&) const;
     // The same, seven of ten from the own zone where there are so many: bytes between zones
