choice: groups whose passes are too long come last

A choice now keeps to the groups that have room for one more sequence and whose predicted pass is within the gap that callers accept, if there is any.

Ways weighed: rank by rank against group by group; 149 entry VMs with old counts before one group of 129 ranks: late 0.024 and 0.020 (modelled), so by groups. The choice is three short functions now. Test: platform.slow-group.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -104,7 +104,7 @@
             co_return failure { state.worst, place.error().reason, place.error().message, place.error().retryAfter };
         if (last && !takeRetry(request, *last))
             co_return last->failed;
-        const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, m_context.zone(), now, state.silent };
+        const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, state.silent, m_context.zone(), now, request.route.gapTarget };
         const std::string id = m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_context.random());
         if (id.empty()) {
             if (last)
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -158,12 +158,6 @@
     });
 }
 
-bool group_board::sameGroup(const std::string& service, std::uint32_t one, std::uint32_t other) const
-{
-    const group_key key = keyOf(service, one);
-    return !key.group.empty() && key == keyOf(service, other);
-}
-
 std::optional<milliseconds> group_board::newsAge(const std::string& service, std::uint32_t backendHash, instant now) const
 {
     const auto held = m_groups.find(keyOf(service, backendHash));
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -67,8 +67,8 @@
     bool outOfReach(const std::string& service, std::uint32_t backendHash, instant now) const;
     // True if another group of the service is open and, as far as is known, within reach.
     bool openElsewhere(const std::string& service, std::uint32_t backendHash, instant now) const;
-    // True if both servers are known to be ranks of one group.
-    bool sameGroup(const std::string& service, std::uint32_t one, std::uint32_t other) const;
+    // The group that the server is known to be a rank of; empty if it is not known.
+    std::string groupOf(const std::string& service, std::uint32_t backendHash) const { return keyOf(service, backendHash).group; }
     // Since a rank of the server's group last confirmed its state, as far as heard here; empty
     // if none ever did.
     std::optional<milliseconds> newsAge(const std::string& service, std::uint32_t backendHash, instant now) const;
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/pass_model.h"
 #include <algorithm>
+#include <map>
 
 namespace rampgap {
 
@@ -23,6 +24,8 @@
     // 0.7 of their places taken, 0.020 of the requests wait too long at a full rank with four, 0.032
     // with six.
     constexpr int comparedServers = 4;
+    // Part of the longest gap that a predicted pass may take: passes vary.
+    constexpr int timelyGapTenths = 9;
     // How much more often a server of the own zone is among them than another: with five zones
     // mostly one or two of four are.
     constexpr double ownZoneWeight = 2;
@@ -55,6 +58,30 @@
 
 } // namespace
 
+namespace {
+
+    // What the ranks of a group have at once, in the mean.
+    struct group_load {
+        int requests = 0;
+        int ranks = 0;
+        int capacity = 0;
+        group_strain strain;
+    };
+
+    // Load pattern: one rank of a group turns five times slower, or demand shifts in one of
+    // three: all passes of that group are too long, whichever rank a request is at, while the
+    // other groups have room. Not rank by rank: entry VMs with the same old counts would meet at
+    // the few that show room (149 of them before 129 ranks: 0.024 wait too long, 0.020 without).
+    bool runsInTime(const upstream_question& question, const group_load& load)
+    {
+        const auto gap = question.longestGap * timelyGapTenths / 10;
+        const int limit = std::min(load.capacity, sequencesToRun(*question.costs, load.strain, gap));
+        const bool hasRoom = load.requests < limit * load.ranks;
+        return hasRoom && passTime(*question.costs, limit, load.strain) <= static_cast<double>(gap.count());
+    }
+
+} // namespace
+
 pool_load poolLoad(const std::string& service, const backend_directory& backends, const load_board& loads, const group_board& groups, const std::optional<engine_costs>& costs, milliseconds longestGap, instant now)
 {
     pool_load sum;
@@ -68,52 +95,81 @@
     return sum;
 }
 
-std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, std::mt19937_64& random) const
+std::vector<upstream_choice::candidate> upstream_choice::candidates(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups)
 {
-    struct candidate {
-        std::string id;
-        double delay;
-        bool avoided;
-        bool inOwnZone;
-    };
-    std::vector<candidate> candidates;
+    std::vector<candidate> found;
+    std::map<std::string, group_load> byGroup;
     for (auto& id : runningPool(question.service, backends, groups, question.now)) {
         if (std::find(question.tried.begin(), question.tried.end(), id) != question.tried.end())
             continue;
         const auto* listed = backends.find(id);
-        double delay = expectedDelay(loads.total(id, question.now), listed->capacity, question.costs, question.promptTokens);
-        delay += failedTryMs * backends.health(id).failureShare;
-        const bool inOwnZone = listed->zone == question.ownZone;
-        if (!inOwnZone)
-            delay += otherZoneMs;
-        const bool avoided = backends.avoided(id, question.now);
-        candidates.push_back({ std::move(id), delay, avoided, inOwnZone });
+        const backend_load load = loads.total(id, question.now);
+        candidate each;
+        each.delay = expectedDelay(load, listed->capacity, question.costs, question.promptTokens);
+        each.delay += failedTryMs * backends.health(id).failureShare;
+        each.inOwnZone = listed->zone == question.ownZone;
+        if (!each.inOwnZone)
+            each.delay += otherZoneMs;
+        each.avoided = backends.avoided(id, question.now);
+        each.group = groups.groupOf(question.service, backendHash(id));
+        auto& group = byGroup[each.group];
+        if (group.ranks++ == 0)
+            group.strain = groups.strainAt(question.service, backendHash(id), question.now);
+        group.requests += load.requests;
+        group.capacity = listed->capacity;
+        each.id = std::move(id);
+        found.push_back(std::move(each));
     }
-    if (candidates.empty())
-        return {};
-    const auto inSilentGroup = [&](const candidate& c) {
-        return std::any_of(question.silent.begin(), question.silent.end(), [&](const std::string& id) { return groups.sameGroup(question.service, backendHash(id), backendHash(c.id)); });
+    const bool anyGap = !question.costs || question.longestGap <= milliseconds(0);
+    if (anyGap || byGroup.size() < 2)
+        return found;
+    std::map<std::string, bool> inTime;
+    for (const auto& [name, load] : byGroup)
+        inTime[name] = runsInTime(question, load);
+    for (auto& each : found)
+        each.timely = inTime[each.group];
+    return found;
+}
+
+void upstream_choice::prefer(std::vector<candidate>& all, const upstream_question& question, const group_board& groups)
+{
+    const auto keepIfAny = [&all](const auto& good) {
+        if (std::any_of(all.begin(), all.end(), good))
+            std::erase_if(all, [&good](const candidate& each) { return !good(each); });
     };
-    if (!std::all_of(candidates.begin(), candidates.end(), inSilentGroup))
-        std::erase_if(candidates, inSilentGroup);
+    keepIfAny([&](const candidate& each) {
+        return each.group.empty() || std::none_of(question.silent.begin(), question.silent.end(), [&](const std::string& id) { return groups.groupOf(question.service, backendHash(id)) == each.group; });
+    });
     // Where all look bad the view is in doubt: then all of them count.
-    const bool anyGood = std::any_of(candidates.begin(), candidates.end(), [](const candidate& c) { return !c.avoided; });
-    if (anyGood)
-        std::erase_if(candidates, [](const candidate& c) { return c.avoided; });
-    // Entry VMs see the same counts, and until the next ones all would choose the same
-    // server: each compares a few at random, and all only if those are full.
+    keepIfAny([](const candidate& each) { return !each.avoided; });
+    keepIfAny([](const candidate& each) { return each.timely; });
+}
+
+// Entry VMs see the same counts, and until the next ones all would choose the same server:
+// each compares a few at random, and all only if those are full.
+const upstream_choice::candidate& upstream_choice::bestOfFew(const std::vector<candidate>& all, std::mt19937_64& random)
+{
     const auto byDelay = [](const candidate& a, const candidate& b) { return a.delay < b.delay; };
     std::vector<double> weights;
-    weights.reserve(candidates.size());
-    for (const auto& each : candidates)
+    weights.reserve(all.size());
+    for (const auto& each : all)
         weights.push_back(each.inOwnZone ? ownZoneWeight : 1);
     std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-    const candidate* best = &candidates[draw(random)];
+    const candidate* best = &all[draw(random)];
     for (int i = 1; i < comparedServers; ++i)
-        best = &std::min(*best, candidates[draw(random)], byDelay);
+        best = &std::min(*best, all[draw(random)], byDelay);
     if (best->delay < overCapacityMs)
-        return best->id;
-    return std::min_element(candidates.begin(), candidates.end(), byDelay)->id;
+        return *best;
+    return *std::min_element(all.begin(), all.end(), byDelay);
+}
+
+std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, std::mt19937_64& random) const
+{
+    std::vector<candidate> all = candidates(question, backends, loads, groups);
+    if (all.empty())
+        return {};
+    prefer(all, question, groups);
+    return bestOfFew(all, random).id;
 }
 
 } // namespace rampgap
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -18,11 +18,13 @@
     std::int64_t promptTokens = 0;
     // Servers that this request has been at.
     std::vector<std::string> tried;
-    std::string ownZone;
-    instant now;
     // Of those, the ones that stayed silent or could not be reached: what they lack their whole
     // group may lack.
     std::vector<std::string> silent;
+    std::string ownZone;
+    instant now;
+    // Longest pause between two events that the caller accepts; 0: any.
+    milliseconds longestGap { 0 };
 };
 
 // Expected milliseconds until a server would have read the prompt of a new request, were it
@@ -45,8 +47,26 @@
 class upstream_choice {
 public:
     // The id of the server; empty if the service has none. A server whose group is closed is
-    // chosen only where all are.
+    // chosen only where all are, one whose group's passes are too long for the caller, or that
+    // has all that it can run in time, only where no other is left.
     std::string choose(const upstream_question&, const backend_directory&, const load_board&, const group_board&, std::mt19937_64&) const;
+
+private:
+    struct candidate {
+        std::string id;
+        // Empty if not known.
+        std::string group;
+        double delay = 0;
+        bool avoided = false;
+        bool inOwnZone = false;
+        // By what is known its group has room, and passes that are short enough.
+        bool timely = true;
+    };
+
+    static std::vector<candidate> candidates(const upstream_question&, const backend_directory&, const load_board&, const group_board&);
+    // Leaves what is best kept away from, as long as anything else is left.
+    static void prefer(std::vector<candidate>&, const upstream_question&, const group_board&);
+    static const candidate& bestOfFew(const std::vector<candidate>&, std::mt19937_64&);
 };
 
 } // namespace rampgap
--- /dev/null
+++ b/Tests/platform/slow-group/test.cpp
@@ -0,0 +1,107 @@
+// Load pattern: one rank of one group turns slow, or demand shifts there. All ranks run in
+// lock-step: every stream of the group is late, at whichever rank it is.
+#include "policy/upstream_choice.h"
+
+#include <doctest/doctest.h>
+#include <map>
+
+using namespace rampgap;
+
+namespace {
+
+const instant zero {};
+const std::string service = "model";
+constexpr int ranksOfGroup = 24;
+constexpr int capacity = 10;
+
+engine_costs costs()
+{
+    engine_costs made;
+    made.capacity = capacity;
+    made.stepMs = 4.55;
+    made.perSequenceMs = 0.905;
+    made.contextMsPerThousand = 0.0183;
+    made.stepsPerPass = 5;
+    made.prefillTokensPerMs = 61.4;
+    made.usualPromptTokens = 850;
+    made.usualAnswerTokens = 95;
+    made.expertShare = 0.85;
+    return made;
+}
+
+struct fleet {
+    fleet()
+    {
+        for (const std::string group : { "a", "b", "c" }) {
+            for (int rank = 0; rank < ranksOfGroup; ++rank) {
+                const std::string id = group + std::to_string(rank);
+                backends.list({ id, service, "10.0." + group + "." + std::to_string(rank) + ":80", group, capacity, false, 1 });
+                groups.noteMember(backendHash(id), { service, group });
+            }
+            groups.note({ { service, group }, { 1, true } }, milliseconds(0), zero);
+        }
+    }
+
+    void setRequests(const std::string& group, int each)
+    {
+        load_report_by_hash counts;
+        for (int rank = 0; rank < ranksOfGroup; ++rank)
+            counts[backendHash(group + std::to_string(rank))] = { each, 0, 1 };
+        loads.noteRanks(counts, zero);
+    }
+
+    // Requests of 300 that each group is given.
+    std::map<std::string, int> choices(milliseconds longestGap)
+    {
+        std::map<std::string, int> seen;
+        for (int i = 0; i < 300; ++i) {
+            upstream_question question;
+            question.service = service;
+            question.costs = costs();
+            question.promptTokens = 800;
+            question.ownZone = std::string(1, static_cast<char>('a' + i % 3));
+            question.now = zero;
+            question.longestGap = longestGap;
+            ++seen[upstream_choice().choose(question, backends, loads, groups, random).substr(0, 1)];
+        }
+        return seen;
+    }
+
+    backend_directory backends;
+    load_board loads { milliseconds(600) };
+    group_board groups { milliseconds(1'500) };
+    std::mt19937_64 random { 5 };
+};
+
+} // namespace
+
+TEST_CASE("a group with a rank five times slower gets nothing while the others have room")
+{
+    fleet made;
+    for (const std::string group : { "a", "b", "c" })
+        made.setRequests(group, 4);
+    made.groups.noteStrain({ service, "a" }, { 1.2, 5 }, zero);
+    CHECK(made.choices(milliseconds(150))["a"] == 0);
+    // Where callers accept any pause it is as good as the others.
+    CHECK(made.choices(milliseconds(0))["a"] > 50);
+    // With the others full its ranks serve, though late.
+    made.setRequests("b", capacity);
+    made.setRequests("c", capacity);
+    CHECK(made.choices(milliseconds(150))["a"] > 250);
+}
+
+TEST_CASE("a group in which demand has just shifted gets what it can run in time")
+{
+    fleet made;
+    const group_strain shifted { 3, 1 };
+    made.groups.noteStrain({ service, "a" }, shifted, zero);
+    const int limit = sequencesToRun(costs(), shifted, milliseconds(135));
+    REQUIRE(limit > 1);
+    REQUIRE(limit < capacity);
+    for (const std::string group : { "b", "c" })
+        made.setRequests(group, limit);
+    made.setRequests("a", limit - 1);
+    CHECK(made.choices(milliseconds(150))["a"] > 50);
+    made.setRequests("a", limit);
+    CHECK(made.choices(milliseconds(150))["a"] == 0);
+}
--- a/Tests/platform/upstream-choice/fleet_model.cpp
+++ b/Tests/platform/upstream-choice/fleet_model.cpp
@@ -123,6 +123,7 @@
             question.promptTokens = 700;
             question.ownZone = zoneOf(index);
             question.now = m_now;
+            question.longestGap = m_load.longestGap;
             const std::string id = upstream_choice().choose(question, m_backends, entry.loads, entry.groups, m_random);
             const int chosen = std::stoi(id.substr(1)) - 1'000;
             entry.loads.noteSent(id, 0, m_now);
--- a/Tests/platform/upstream-choice/fleet_model.h
+++ b/Tests/platform/upstream-choice/fleet_model.h
@@ -21,6 +21,8 @@
     // The leader looks so often, and what it saw reaches entry VMs so much later.
     milliseconds lookPause { 200 };
     milliseconds lookAge { 100 };
+    // Between two events, as callers accept it.
+    milliseconds longestGap { 0 };
 };
 
 struct waits {
--- a/Tests/platform/upstream-choice/stale_counts.cpp
+++ b/Tests/platform/upstream-choice/stale_counts.cpp
@@ -34,3 +34,12 @@
     fleet_load load { 7, 12, 12, 56, 1'900, milliseconds(100), milliseconds(60) };
     CHECK(runFleet(load, milliseconds(20'000), 1).late < 0.01);
 }
+
+TEST_CASE("in one group the longest gap that callers accept changes nothing")
+{
+    fleet_load load;
+    load.requestsPerSecond = 350;
+    const waits any = runFleet(load, milliseconds(20'000), 1);
+    load.longestGap = milliseconds(200);
+    CHECK(runFleet(load, milliseconds(20'000), 1).late == any.late);
+}
