requests: a second try while it can still be on time

Where first events come early enough, the first try is given up at the last moment at which another can be on time. An overdue try is no observation any more: it made what is usual grow until nothing was early enough; second tries are seen in full.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -244,9 +244,6 @@
         outcome.result = unreachable ? try_result::unreachable : head.error().reason == failure_reason::deadline ? try_result::silent
                                                                                                                  : try_result::failed;
         state.runs += unreachable ? 0 : 1;
-        // Were only the quick ones counted, engines that are all slow would never be known to be.
-        if (outcome.result == try_result::silent && request.costs)
-            m_places.noteFirstEvent(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
     }
     m_loads.noteEnded(backend.id, unread);
     if (request.costs)
--- a/Source/policy/silence_limit.cpp
+++ b/Source/policy/silence_limit.cpp
@@ -15,6 +15,9 @@
 
 std::optional<milliseconds> firstEventLimit(const first_event_question& question)
 {
+    const milliseconds inTime = question.latencyTarget - question.waited - question.usual;
+    if (inTime >= question.usual)
+        return inTime;
     const milliseconds limit = std::max(question.usual * overdueFactor, question.latencyTarget);
     const milliseconds latest = question.patience - question.waited - question.usual - callerMargin;
     if (limit > latest)
--- a/Source/policy/silence_limit.h
+++ b/Source/policy/silence_limit.h
@@ -20,8 +20,10 @@
 
 // Load pattern: one of three answers in a service is lost on its way, without a reset, while
 // the others come as usual; then also all engines of a service that are slow at once. Asks for
-// another try once the first event is overdue by what is usual now, as long as the second try
-// can still reach the caller; empty where it could not, or where every try is that slow.
+// another try once the first event is overdue by what is usual now: at the last moment at which
+// the second one can still be on time, if it is overdue by then, and otherwise once it takes
+// twice what is usual. The second try has no limit and is observed in full: where all engines
+// turn slow what is usual grows by it, and no more tries are given up. Empty where the second try could not reach the caller any more.
 std::optional<milliseconds> firstEventLimit(const first_event_question&);
 
 } // namespace rampgap
