--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -33,6 +33,9 @@
     // Within this after its start a process hears of the groups that have agents: machines
     // return within 1.5 s of each other (measured), and a group forms in 0.6 s.
     constexpr milliseconds firstNews { 3'000 };
+    // Where agents tell of groups a process hears of them so soon after its start: 0.4 s was
+    // seen after a start of all.
+    constexpr milliseconds firstGroupNews { 800 };
     // Below this no server can do anything for the caller.
     constexpr milliseconds leastTimeLeft { 20 };
     constexpr milliseconds groupPoll { 20 };
@@ -127,9 +130,20 @@
     }
 }
 
+// After a start of all no group is open, and each of a hundred requests that were sent before
+// the first news of that was refused, with its first try gone.
+bool upstream_dispatcher::noGroupFor(const admitted_request& request) const
+{
+    if (!request.costs)
+        return false;
+    const instant now = m_context.now();
+    const bool awaitsNews = request.costs->layerSets > 0 && now - m_context.startedAt() < firstGroupNews && !m_groups.heardOf(request.service, now);
+    return awaitsNews || m_groups.closed(request.service, now);
+}
+
 awaitable<std::optional<failure>> upstream_dispatcher::awaitGroup(http_exchange& exchange, const admitted_request& request, const progress& state)
 {
-    if (!request.costs || !m_groups.closed(request.service, m_context.now()))
+    if (!noGroupFor(request))
         co_return std::nullopt;
     group_wait_question question;
     question.timeLeft = request.timeLeft(m_context.now());
@@ -144,7 +158,7 @@
         decision.wait = resumeWait;
     const instant until = m_context.now() + decision.wait;
     exchange.onCallerGone(nullptr);
-    while (m_groups.closed(request.service, m_context.now())) {
+    while (noGroupFor(request)) {
         if (exchange.callerGone())
             co_return std::nullopt;
         if (m_context.now() >= until)
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -41,6 +41,8 @@
         try_result result = try_result::answered;
     };
 
+    // No group of its service is open, or a process that has just started has heard of none yet.
+    bool noGroupFor(const admitted_request&) const;
     // Waits while the service's expert group is closed, as far as that serves the caller.
     awaitable<std::optional<failure>> awaitGroup(http_exchange&, const admitted_request&, const progress&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -75,6 +75,8 @@
 
     // True if the server's group is known or suspected to be closed.
     bool closedAt(const std::string& service, std::uint32_t backendHash, instant now) const;
+    // True if anything has been heard of a group of the service.
+    bool heardOf(const std::string& service, instant now) const { return !keysOf(service, now).empty(); }
     // True if all groups of the service are known or suspected to be closed.
     bool closed(const std::string& service, instant now) const;
     // How long the service has had no open group, as far as this process knows.
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -227,3 +227,13 @@
     monitor.observe({ "a", present, {} }, zero + milliseconds(950));
     CHECK(monitor.view(0) == present);
 }
+
+TEST_CASE("a group is heard of from its first news until it is forgotten")
+{
+    group_board board(life);
+    CHECK_FALSE(board.heardOf("model", zero));
+    board.note(news(1, false), milliseconds(0), zero);
+    CHECK(board.heardOf("model", zero));
+    CHECK_FALSE(board.heardOf("other", zero));
+    CHECK_FALSE(board.heardOf("model", zero + milliseconds(20'000)));
+}
