gateway: hold a request until the next proof that its key holds

Held like those of a closed group (their patience, at most half of their time, not after a long outage) and then told to pause, they come back after it. The proof is checked again after the wait.

Test that failed before: platform.start-of-all.

--- a/Source/gateway/gateway_server.cpp
+++ b/Source/gateway/gateway_server.cpp
@@ -17,6 +17,7 @@
     // keep to a pause at least as long, and come back only once.
     constexpr milliseconds longestWaitForConfiguration { 1'000 };
     constexpr milliseconds configurationPoll { 10 };
+    constexpr milliseconds proofPoll { 20 };
 
 } // namespace
 
@@ -37,6 +38,8 @@
     co_await awaitConfiguration(exchange);
     auto decoded = m_codec.decode(exchange.request());
     const std::string id = decoded ? decoded.value().id : std::string("-");
+    if (decoded)
+        co_await awaitProof(exchange, decoded.value());
     auto admitted = decoded ? admit(exchange, std::move(decoded.value())) : result<admitted_request>(decoded.error());
     if (admitted) {
         co_await m_dispatcher.dispatch(exchange, admitted.value());
@@ -62,6 +65,30 @@
     }
 }
 
+// Load pattern: a zone is cut off for six seconds, and its callers go on to reach its VMs, which
+// cannot prove that any key still holds. Refused at once they come back into the same cut, held
+// for as long as they wait anyway and then told to pause they come back after it.
+awaitable<void> gateway_server::awaitProof(http_exchange& exchange, const gateway_request& said)
+{
+    const auto configuration = m_state.configuration();
+    const route_spec* route = configuration ? configuration->findRoute(said.host, said.path) : nullptr;
+    if (!route || route->isPublic || !configuration->usesKeys())
+        co_return;
+    group_wait_question question;
+    question.timeLeft = said.timeLeft.value_or(route->timeout);
+    // Half of the time is kept for the answer, or for another try after a pause.
+    question.run = question.timeLeft / 2;
+    question.patience = callerPatience(route->latencyTarget, route->gapTarget);
+    question.waited = std::chrono::duration_cast<milliseconds>(m_context.now() - exchange.receivedAt());
+    question.closedFor = m_freshness.refusedFor(m_state.published().provenAt(), m_context.now());
+    const instant until = m_context.now() + decideGroupWait(question).wait;
+    exchange.onCallerGone(nullptr);
+    while (!m_freshness.mayUseKeys(m_state.published().provenAt(), m_context.now()) && m_context.now() < until && !exchange.callerGone()) {
+        asio::steady_timer timer(m_context.io(), proofPoll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
 // The clock is read here, not when the request arrived: a process that was paused must not
 // act on a proof from before.
 result<admitted_request> gateway_server::admit(const http_exchange& exchange, gateway_request said)
--- a/Source/gateway/gateway_server.h
+++ b/Source/gateway/gateway_server.h
@@ -16,6 +16,8 @@
 private:
     // Returns once there is a configuration, or soon after a start without one.
     awaitable<void> awaitConfiguration(http_exchange&);
+    // Returns once keys may be used, or when waiting longer serves nobody.
+    awaitable<void> awaitProof(http_exchange&, const gateway_request&);
     result<admitted_request> admit(const http_exchange&, gateway_request);
     result<void> admitKey(const gateway_request&, const route_spec&, const fleet_configuration&, admitted_request&) const;
 
--- a/Source/policy/published_state.cpp
+++ b/Source/policy/published_state.cpp
@@ -100,4 +100,11 @@
     return provenAt && now - *provenAt < m_longest;
 }
 
+milliseconds freshness_rule::refusedFor(std::optional<instant> provenAt, instant now) const
+{
+    if (!provenAt || mayUseKeys(provenAt, now))
+        return milliseconds(0);
+    return std::chrono::duration_cast<milliseconds>(now - *provenAt) - m_longest;
+}
+
 } // namespace rampgap
--- a/Source/policy/published_state.h
+++ b/Source/policy/published_state.h
@@ -82,6 +82,8 @@
 
     // True if a request with a key may be admitted now.
     bool mayUseKeys(std::optional<instant> provenAt, instant now) const;
+    // How long none could be admitted; 0 while they may.
+    milliseconds refusedFor(std::optional<instant> provenAt, instant now) const;
 
 private:
     bool m_strict;
--- a/Tests/platform/published-state/test.cpp
+++ b/Tests/platform/published-state/test.cpp
@@ -76,5 +76,8 @@
     CHECK_FALSE(rule.mayUseKeys(std::nullopt, zero));
     CHECK(rule.mayUseKeys(zero, zero + milliseconds(3'599)));
     CHECK_FALSE(rule.mayUseKeys(zero, zero + milliseconds(3'600)));
+    CHECK(rule.refusedFor(zero, zero + milliseconds(3'599)) == milliseconds(0));
+    CHECK(rule.refusedFor(zero, zero + milliseconds(4'000)) == milliseconds(400));
+    CHECK(rule.refusedFor(std::nullopt, zero) == milliseconds(0));
     CHECK(freshness_rule(false, milliseconds(5'000), milliseconds(0)).mayUseKeys(std::nullopt, zero));
 }
--- a/Tests/platform/start-of-all/test.cpp
+++ b/Tests/platform/start-of-all/test.cpp
@@ -16,23 +16,24 @@
 
 namespace asio = boost::asio;
 
-const std::string configurationText = R"({"version":7,"routes":[{"name":"chat","host":"h","path_prefix":"/a/","type":"streaming","service":"m"}],"services":[{"name":"m","health_path":"/hz"}]})";
+const std::string configurationText = R"({"version":7,"routes":[{"name":"chat","host":"h","path_prefix":"/a/","type":"streaming","service":"m"}],"services":[{"name":"m","health_path":"/hz"}],"tenants":[{"name":"w","api_keys":["k1"]}]})";
 
-// One request for a path that no configuration has.
+// One request, by default for a path that no configuration has.
 class one_exchange : public http_exchange {
 public:
-    one_exchange()
+    explicit one_exchange(const std::string& path = "/nowhere")
     {
         m_request.method(http::verb::get);
-        m_request.target("/nowhere");
+        m_request.target(path);
         m_request.set(http::field::host, "h");
         m_request.set("X-Attempt-Id", "id1");
     }
     const http_request& request() const override { return m_request; }
-    instant receivedAt() const override { return std::chrono::steady_clock::now(); }
+    instant receivedAt() const override { return m_receivedAt; }
     awaitable<bool> send(http_response response) override
     {
         status = static_cast<int>(response.result_int());
+        answeredAfter = std::chrono::steady_clock::now() - m_receivedAt;
         co_return true;
     }
     awaitable<bool> begin(http_head) override { co_return true; }
@@ -45,9 +46,11 @@
     void onCallerGone(std::function<void()>) override { }
 
     int status = 0;
+    duration answeredAfter {};
     bool gone = false;
 
 private:
+    instant m_receivedAt = std::chrono::steady_clock::now();
     http_request m_request;
 };
 
@@ -93,3 +96,32 @@
     CHECK(waiting.status == 503);
     CHECK(process.server.inFlight() == 0);
 }
+
+TEST_CASE("a request whose key cannot be proved waits for the next proof")
+{
+    starting_process process;
+    const published_snapshot snapshot { { { "op/config", configurationText, 3, 3 } }, 3 };
+    process.state.take(snapshot, process.context.now() - milliseconds(4'000));
+    // Its key is unknown, which can be said only once the proof has come.
+    one_exchange exchange("/a/x");
+    process.serve(exchange);
+    asio::steady_timer proof(process.context.io(), milliseconds(60));
+    proof.async_wait([&](boost::system::error_code) {
+        CHECK(exchange.status == 0);
+        process.state.noteProof(3, process.context.now());
+    });
+    process.context.io().run();
+    CHECK(exchange.status == 401);
+}
+
+TEST_CASE("when proofs have been missing for long nobody is held")
+{
+    starting_process process;
+    const published_snapshot snapshot { { { "op/config", configurationText, 3, 3 } }, 3 };
+    process.state.take(snapshot, process.context.now() - milliseconds(30'000));
+    one_exchange exchange("/a/x");
+    process.serve(exchange);
+    process.context.io().run();
+    CHECK(exchange.status == 503);
+    CHECK(exchange.answeredAfter < milliseconds(500));
+}
