admission: room by one and the same count, from the first moment on

Room is now worked out at the moment of the count: what this VM had then, and its part of what was free then. What it has sent since makes no further room, so no settling time is needed.

Ruled out: larger parts for all after an opening, since with callers spread evenly they would be twice the places.

--- a/Source/policy/load_board.h
+++ b/Source/policy/load_board.h
@@ -48,6 +48,8 @@
 
     backend_load own(const std::string& id) const;
     backend_load total(const std::string& id, instant now) const;
+    // Requests that were sent there so lately that no count may show them yet.
+    int uncounted(const std::string& id, instant now) const;
     // Our own loads, without idle servers.
     load_report_by_hash report() const;
 
@@ -63,7 +65,7 @@
         instant at;
     };
 
-    int sentLately(const std::string& id, instant now) const;
+    int sentWithin(milliseconds, const std::string& id, instant now) const;
 
     milliseconds m_reportLife;
     std::map<std::string, backend_load> m_own;
