--- a/Source/gateway/place_giver.cpp
+++ b/Source/gateway/place_giver.cpp
@@ -113,7 +113,7 @@
     const instant now = m_context.now();
     const milliseconds gap = request.route.gapTarget * timelyGapTenths / 10;
     const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, m_groups, request.costs, gap, now);
-    return admissionShare({ load.toRun, load.requests, gate.queue().running(), load.uncounted, m_entries });
+    return admissionShare({ load.toRun, load.requests, gate.queue().running(), m_entries, m_groups.openFor(request.service, now) });
 }
 
 awaitable<result<admission_place>> place_giver::enter(admission_gate& gate, admission_request asked, http_exchange& exchange)
--- a/Source/policy/admission_share.h
+++ b/Source/policy/admission_share.h
@@ -14,17 +14,15 @@
     int load = 0;
     // Those of this entry VM.
     int own = 0;
-    // Of these, the ones sent so lately that the count may not show them.
-    int uncounted = 0;
     // Entry VMs that send to them.
     std::size_t entries = 1;
+    // How long the group has been open, as far as this process knows.
+    milliseconds openFor { 0 };
 };
 
 // Load pattern: more callers than places, or all callers of a closure at one moment. An equal
 // part of the capacity, and of what is free besides; together about the capacity. Bounds the
-// queues at the engines by arithmetic, without messages. After a start of all the callers are
-// at few entry VMs: with equal parts alone 276 to 393 of 612 places were taken in the first half
-// second, while half of the VMs had callers waiting.
+// queues at the engines by arithmetic, without messages.
 int admissionShare(const admission_share_question&);
 
 } // namespace rampgap
--- a/Source/policy/group_board.cpp
+++ b/Source/policy/group_board.cpp
@@ -215,6 +215,17 @@
     return std::chrono::duration_cast<milliseconds>(now - since);
 }
 
+milliseconds group_board::openFor(const std::string& service, instant now) const
+{
+    milliseconds longest { 0 };
+    for (const auto& key : keysOf(service, now)) {
+        const entry& held = m_groups.at(key);
+        if (held.phase.open)
+            longest = std::max(longest, std::chrono::duration_cast<milliseconds>(now - held.changedAt));
+    }
+    return longest;
+}
+
 std::vector<std::pair<group_news, milliseconds>> group_board::news(instant now) const
 {
     std::vector<std::pair<group_news, milliseconds>> all;
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -81,6 +81,8 @@
     bool closed(const std::string& service, instant now) const;
     // How long the service has had no open group, as far as this process knows.
     milliseconds closedFor(const std::string& service, instant now) const;
+    // How long one of them has been open; 0 if none is known to be.
+    milliseconds openFor(const std::string& service, instant now) const;
     // What is known, with its age, for peers.
     std::vector<std::pair<group_news, milliseconds>> news(instant now) const;
 
--- a/Source/policy/load_board.cpp
+++ b/Source/policy/load_board.cpp
@@ -10,8 +10,6 @@
     // From an engine's count to its arrival here: an agent looks each 100 ms, a leader tells
     // each 150 ms. Requests sent since then are not in the count.
     constexpr milliseconds countLag { 200 };
-    // The same at its longest.
-    constexpr milliseconds longestCountLag { 300 };
 
 } // namespace
 
@@ -33,7 +31,7 @@
 void load_board::noteSent(const std::string& id, std::int64_t promptTokens, instant now)
 {
     auto& sent = m_sent[id];
-    while (!sent.empty() && now - sent.front() > longestCountLag)
+    while (!sent.empty() && now - sent.front() > countLag)
         sent.pop_front();
     sent.push_back(now);
     auto& load = m_own[id];
@@ -66,17 +64,12 @@
         m_ranks[hash] = { load.requests, load.pace, now };
 }
 
-int load_board::sentWithin(milliseconds lag, const std::string& id, instant now) const
+int load_board::sentLately(const std::string& id, instant now) const
 {
     const auto sent = m_sent.find(id);
     if (sent == m_sent.end())
         return 0;
-    return static_cast<int>(std::count_if(sent->second.begin(), sent->second.end(), [=](instant at) { return now - at <= lag; }));
-}
-
-int load_board::uncounted(const std::string& id, instant now) const
-{
-    return sentWithin(longestCountLag, id, now);
+    return static_cast<int>(std::count_if(sent->second.begin(), sent->second.end(), [now](instant at) { return now - at <= countLag; }));
 }
 
 void load_board::forgetPeer(const std::string& peer)
@@ -96,7 +89,7 @@
     const std::uint32_t hash = backendHash(id);
     const auto counted = m_ranks.find(hash);
     if (counted != m_ranks.end() && now - counted->second.at < m_reportLife) {
-        sum.requests = std::max(sum.requests, counted->second.requests + sentWithin(countLag, id, now));
+        sum.requests = std::max(sum.requests, counted->second.requests + sentLately(id, now));
         sum.pace = counted->second.pace;
         return sum;
     }
--- a/Source/policy/load_board.h
+++ b/Source/policy/load_board.h
@@ -48,8 +48,6 @@
 
     backend_load own(const std::string& id) const;
     backend_load total(const std::string& id, instant now) const;
-    // Requests that were sent there so lately that no count may show them yet.
-    int uncounted(const std::string& id, instant now) const;
     // Our own loads, without idle servers.
     load_report_by_hash report() const;
 
@@ -65,7 +63,7 @@
         instant at;
     };
 
-    int sentWithin(milliseconds, const std::string& id, instant now) const;
+    int sentLately(const std::string& id, instant now) const;
 
     milliseconds m_reportLife;
     std::map<std::string, backend_load> m_own;
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -91,7 +91,6 @@
         const bool limited = costs && longestGap > milliseconds(0);
         sum.toRun += limited ? std::min(capacity, sequencesToRun(*costs, groups.strainAt(service, backendHash(id), now), longestGap)) : capacity;
         sum.requests += loads.total(id, now).requests;
-        sum.uncounted += loads.uncounted(id, now);
     }
     return sum;
 }
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -36,8 +36,6 @@
 struct pool_load {
     int capacity = 0;
     int requests = 0;
-    // Of the requests, those that this process sent so lately that no count may show them.
-    int uncounted = 0;
     // Of the capacity, what is best run at once for the gap that was asked for.
     int toRun = 0;
 
