--- a/Source/gateway/place_giver.cpp
+++ b/Source/gateway/place_giver.cpp
@@ -53,19 +53,20 @@
 {
 }
 
-awaitable<result<admission_place>> place_giver::take(http_exchange& exchange, const admitted_request& request, bool begun)
+awaitable<result<admission_place>> place_giver::take(http_exchange& exchange, const admitted_request& request, bool begun, bool again)
 {
     if (!request.costs)
         co_return admission_place();
     const instant now = m_context.now();
     desk& own = deskOf(request.service);
-    own.gate.setSlots(slotsFor(request, own.gate));
+    setSlots(request, own);
     admission_request asked { request.workspace, begunUrgency, std::min(request.deadline, now + resumeWait) };
     if (begun)
         co_return co_await enter(own.gate, asked, exchange);
     // With a place free nothing has to be predicted; and only what is sent shows how long the
     // first event takes now.
-    if (request.isFirstTime())
+    const bool firstTime = request.isFirstTime() && !again;
+    if (firstTime)
         own.turns.noteTimely(now);
     asked.priority = timelyUrgency;
     asked.deadline = request.deadline;
@@ -78,7 +79,7 @@
     question.waited = request.waited(now);
     question.timeLeft = request.timeLeft(now);
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
-    question.firstTime = request.isFirstTime();
+    question.firstTime = firstTime;
     const admission_wait wait = planAdmissionWait(question);
     if (wait.timely > milliseconds(0)) {
         asked.deadline = now + wait.timely;
@@ -86,11 +87,11 @@
         if (place || exchange.callerGone())
             co_return place;
     }
-    asked.priority = question.firstTime ? lateUrgency : lastChanceUrgency;
+    asked.priority = firstTime ? lateUrgency : lastChanceUrgency;
     asked.deadline = now + wait.timely + wait.late;
     const milliseconds longest = std::chrono::duration_cast<milliseconds>(asked.deadline - m_context.now());
     const int ahead = own.gate.queue().queuedAt(lastChanceUrgency) + own.gate.queue().queuedAt(lateUrgency);
-    if (question.firstTime && !own.turns.mayWait(ahead, longest, m_context.now()))
+    if (firstTime && !own.turns.mayWait(ahead, longest, m_context.now()))
         co_return notRun(failure_reason::queue_full, "more wait than will get a turn in time", backlogPause(request));
     auto place = co_await enter(own.gate, asked, exchange);
     if (place)
@@ -108,12 +109,13 @@
     return milliseconds(static_cast<std::int64_t>(longest * std::uniform_real_distribution<double>(leastPausePart, 1)(m_context.random())));
 }
 
-int place_giver::slotsFor(const admitted_request& request, const admission_gate& gate) const
+void place_giver::setSlots(const admitted_request& request, desk& own) const
 {
     const instant now = m_context.now();
     const milliseconds gap = request.route.gapTarget * timelyGapTenths / 10;
     const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, m_groups, request.costs, gap, now);
-    return admissionShare({ load.toRun, load.requests, gate.queue().running(), m_entries, m_groups.openFor(request.service, now) });
+    own.busyPart = load.capacity > 0 ? static_cast<double>(load.requests) / load.capacity : 1;
+    own.gate.setSlots(admissionShare({ load.toRun, load.requests, own.gate.queue().running(), m_entries, m_groups.openFor(request.service, now) }));
 }
 
 awaitable<result<admission_place>> place_giver::enter(admission_gate& gate, admission_request asked, http_exchange& exchange)
--- a/Source/gateway/place_giver.h
+++ b/Source/gateway/place_giver.h
@@ -18,8 +18,11 @@
     place_giver(process_context&, fleet_state&, load_board&, group_board&);
 
     // Waits for a place, as long as that serves the caller. `begun`: a stream that was cut off
-    // and is to go on. Plain services need no place.
-    awaitable<result<admission_place>> take(http_exchange&, const admitted_request&, bool begun);
+    // and is to go on. `again`: it has been at a server, so that its caller may have no other
+    // chance. Plain services need no place.
+    awaitable<result<admission_place>> take(http_exchange&, const admitted_request&, bool begun, bool again);
+    // Part of the places of the service that were taken when the last request came.
+    double busyPart(const std::string& service) { return deskOf(service).busyPart; }
     // Entry VMs at work, this one included.
     void setEntries(std::size_t entries) { m_entries = entries; }
     // What a request met after it had its place.
@@ -43,11 +46,13 @@
         delay_estimate firstEvent;
         delay_estimate run;
         turn_forecast turns;
+        double busyPart = 0;
     };
 
     desk& deskOf(const std::string& service);
     milliseconds backlogPause(const admitted_request&) const;
-    int slotsFor(const admitted_request&, const admission_gate&) const;
+    // Sets how many places this process may use now.
+    void setSlots(const admitted_request&, desk&) const;
     static awaitable<result<admission_place>> enter(admission_gate&, admission_request, http_exchange&);
 
     process_context& m_context;
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -100,7 +100,7 @@
             co_return closed;
         if (exchange.callerGone())
             co_return std::nullopt;
-        const auto place = co_await m_places.take(exchange, request, state.relay.begun);
+        const auto place = co_await m_places.take(exchange, request, state.relay.begun, last.has_value());
         if (exchange.callerGone())
             co_return std::nullopt;
         if (!place)
@@ -231,6 +231,7 @@
     question.latencyTarget = request.route.latencyTarget;
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
     question.waited = request.waited(sentAt);
+    question.busyPart = m_places.busyPart(request.service);
     const auto limit = firstEventLimit(question);
     return limit ? std::min(request.deadline, sentAt + *limit) : request.deadline;
 }
--- a/Source/policy/silence_limit.h
+++ b/Source/policy/silence_limit.h
@@ -14,6 +14,8 @@
     // Silence after which the caller gives up by itself, and how much of it is gone.
     milliseconds patience { 0 };
     milliseconds waited { 0 };
+    // Part of the service's places that are taken.
+    double busyPart = 0;
 
     bool operator==(const first_event_question&) const = default;
 };
@@ -23,7 +25,8 @@
 // another try once the first event is overdue by what is usual now: at the last moment at which
 // the second one can still be on time, if it is overdue by then, and otherwise once it takes
 // twice what is usual. The second try has no limit and is observed in full: where all engines
-// turn slow what is usual grows by it, and no more tries are given up. Empty where the second try could not reach the caller any more.
+// turn slow what is usual grows by it, and no more tries are given up. Empty while most places are
+// taken, when a late first event has waited for its turn and another try would wait again, and where the second try could not reach the caller any more.
 std::optional<milliseconds> firstEventLimit(const first_event_question&);
 
 } // namespace rampgap
--- a/Tests/platform/silent-engine/test.cpp
+++ b/Tests/platform/silent-engine/test.cpp
@@ -111,6 +111,9 @@
     CHECK(firstEventLimit({ milliseconds(240), target, patience, milliseconds(0) }) == milliseconds(260));
     // A request that has waited has no time left for another try.
     CHECK(firstEventLimit({ milliseconds(240), target, patience, milliseconds(100) }) == target);
+    // Nor one that would only wait again.
+    CHECK_FALSE(firstEventLimit({ milliseconds(240), target, patience, milliseconds(0), 0.7 }));
+    CHECK(firstEventLimit({ milliseconds(240), target, patience, milliseconds(0), 0.5 }));
     CHECK_FALSE(firstEventLimit({ milliseconds(700), target, patience, milliseconds(0) }));
     CHECK_FALSE(firstEventLimit({ milliseconds(280), target, patience, milliseconds(1'200) }));
 }
