admission: take the forecast of turns out again

It loses what it was to save: first callers who are told at once to come back are late then, and at an entry VM with seven requests a second two seconds of ends say little. The reserved places stay.

--- a/Source/gateway/place_giver.cpp
+++ b/Source/gateway/place_giver.cpp
@@ -65,9 +65,6 @@
         co_return co_await enter(own.gate, asked, exchange);
     // With a place free nothing has to be predicted; and only what is sent shows how long the
     // first event takes now.
-    const bool firstTime = request.isFirstTime() && !again;
-    if (firstTime)
-        own.turns.noteTimely(now);
     asked.priority = timelyUrgency;
     asked.deadline = request.deadline;
     if (!own.gate.full())
@@ -79,7 +76,7 @@
     question.waited = request.waited(now);
     question.timeLeft = request.timeLeft(now);
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
-    question.firstTime = firstTime;
+    question.firstTime = request.isFirstTime() && !again;
     const admission_wait wait = planAdmissionWait(question);
     if (wait.timely > milliseconds(0)) {
         asked.deadline = now + wait.timely;
@@ -87,16 +84,10 @@
         if (place || exchange.callerGone())
             co_return place;
     }
-    asked.priority = firstTime ? lateUrgency : lastChanceUrgency;
+    asked.priority = question.firstTime ? lateUrgency : lastChanceUrgency;
     asked.deadline = now + wait.timely + wait.late;
-    const milliseconds longest = std::chrono::duration_cast<milliseconds>(asked.deadline - m_context.now());
-    const int ahead = own.gate.queue().queuedAt(lastChanceUrgency) + own.gate.queue().queuedAt(lateUrgency);
-    if (firstTime && !own.turns.mayWait(ahead, longest, m_context.now()))
-        co_return notRun(failure_reason::queue_full, "more wait than will get a turn in time", backlogPause(request));
     auto place = co_await enter(own.gate, asked, exchange);
-    if (place)
-        own.turns.noteLateTurn(m_context.now());
-    else if (place.error().reason == failure_reason::queue_full)
+    if (!place && place.error().reason == failure_reason::queue_full)
         place.error().retryAfter = backlogPause(request);
     co_return place;
 }
@@ -136,11 +127,6 @@
     deskOf(service).run.observe(taken);
 }
 
-void place_giver::notePlaceFreed(const std::string& service)
-{
-    deskOf(service).turns.noteEnd(m_context.now());
-}
-
 milliseconds place_giver::usualRun(const std::string& service)
 {
     return deskOf(service).run.mean();
--- a/Source/gateway/place_giver.h
+++ b/Source/gateway/place_giver.h
@@ -7,7 +7,6 @@
 #include "policy/delay_estimate.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
-#include "policy/turn_forecast.h"
 
 #include <map>
 
@@ -33,8 +32,6 @@
     // in length by a factor of ten, and whoever is refused for fear of a long one gets none.
     milliseconds usualRun(const std::string& service);
     void noteEnd(const std::string& service, milliseconds taken);
-    // A try has ended, in whatever way.
-    void notePlaceFreed(const std::string& service);
 
 private:
     // Of one service.
@@ -45,7 +42,6 @@
         // From a place to the first event, and to the end of the answer.
         delay_estimate firstEvent;
         delay_estimate run;
-        turn_forecast turns;
         double busyPart = 0;
     };
 
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -261,8 +261,6 @@
         state.runs += unreachable ? 0 : 1;
     }
     m_loads.noteEnded(backend.id, unread);
-    if (request.costs)
-        m_places.notePlaceFreed(request.service);
     if (request.costs && outcome.result == try_result::answered && !exchange.callerGone())
         m_places.noteEnd(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
     if (!exchange.callerGone() && !underWay.ended()) {
--- a/Source/policy/admission_queue.cpp
+++ b/Source/policy/admission_queue.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace rampgap {
 
@@ -23,14 +22,6 @@
     return milliseconds(static_cast<std::int64_t>(m_averageRunMs));
 }
 
-int admission_queue::queuedAt(int priority) const
-{
-    const auto level = m_levels.find(priority);
-    if (level == m_levels.end())
-        return 0;
-    return std::accumulate(level->second.begin(), level->second.end(), 0, [](int sum, const auto& lane) { return sum + static_cast<int>(lane.second.queue.size()); });
-}
-
 duration admission_queue::predictedWait(const std::string& workspace, int priority) const
 {
     if (running() < m_limits.slots)
--- a/Source/policy/admission_queue.h
+++ b/Source/policy/admission_queue.h
@@ -57,7 +57,6 @@
     void reserve(int priority, int nth) { m_reserved = { priority, nth }; }
     int running() const { return static_cast<int>(m_running.size()); }
     int queued() const { return m_queued; }
-    int queuedAt(int priority) const;
     // The wait that a request of this workspace and priority would meet now.
     duration predictedWait(const std::string& workspace, int priority) const;
     milliseconds averageRun() const;
