requests: stages of a wait and rules of another try as pure decisions

place_giver and upstream_dispatcher asked one question each of several modules and decided the rest between two awaits. planAdmission says in which order and how long a request waits, mayTryAgain and streamSilenceLimit whether and when it is tried elsewhere; both have tests without sockets. No change of behaviour; the limits move with their reasons.

--- a/Source/gateway/place_giver.cpp
+++ b/Source/gateway/place_giver.cpp
@@ -10,17 +10,6 @@
 
 namespace {
 
-    // Order of those who wait for a place: begun streams, those that can be on time, those that
-    // were refused before and cannot come back again, others.
-    constexpr int begunUrgency = 1;
-    constexpr int timelyUrgency = 2;
-    constexpr int lastChanceUrgency = 3;
-    constexpr int lateUrgency = 4;
-    // Of the places that come free, every fourth is for a last chance: after a closure there are
-    // two to three seconds in which those that can be on time take all others. Replayed, of
-    // 1,900 callers around an opening 115 were lost before, none with this, 47 with every sixth;
-    // on time were 1,674 before, 1,551 with this, 1,394 with every second.
-    constexpr int lastChanceNth = 4;
     // From a place to the first event, until one was seen: the prompt and two passes of full
     // ranks by the published figures of today's engines, and a round trip.
     constexpr milliseconds priorFirstEvent { 200 };
@@ -60,16 +49,9 @@
     const instant now = m_context.now();
     desk& own = deskOf(request.service);
     setSlots(request, own);
-    admission_request asked { request.workspace, begunUrgency, std::min(request.deadline, now + resumeWait) };
-    if (begun)
-        co_return co_await enter(own.gate, asked, exchange);
-    // With a place free nothing has to be predicted; and only what is sent shows how long the
-    // first event takes now.
-    asked.priority = timelyUrgency;
-    asked.deadline = request.deadline;
-    if (!own.gate.full())
-        co_return co_await enter(own.gate, asked, exchange);
     admission_wait_question question;
+    question.begun = begun;
+    question.placesFree = !own.gate.full();
     question.latencyTarget = request.route.latencyTarget;
     question.firstEvent = std::min(own.firstEvent.value(), request.route.gapTarget * firstEventGaps);
     question.run = own.run.mean();
@@ -77,19 +59,19 @@
     question.timeLeft = request.timeLeft(now);
     question.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
     question.firstTime = request.isFirstTime() && !again;
-    const admission_wait wait = planAdmissionWait(question);
-    if (wait.timely > milliseconds(0)) {
-        asked.deadline = now + wait.timely;
+    admission_request asked { request.workspace, begunUrgency, now };
+    failure refused = notRun(failure_reason::queue_full, "no turn came in time");
+    for (const auto& stage : planAdmission(question)) {
+        asked.priority = stage.urgency;
+        asked.deadline += stage.longest;
         auto place = co_await enter(own.gate, asked, exchange);
         if (place || exchange.callerGone())
             co_return place;
+        refused = place.error();
     }
-    asked.priority = question.firstTime ? lateUrgency : lastChanceUrgency;
-    asked.deadline = now + wait.timely + wait.late;
-    auto place = co_await enter(own.gate, asked, exchange);
-    if (!place && place.error().reason == failure_reason::queue_full)
-        place.error().retryAfter = backlogPause(request);
-    co_return place;
+    if (refused.reason == failure_reason::queue_full && !begun)
+        refused.retryAfter = backlogPause(request);
+    co_return refused;
 }
 
 // A backlog lasts longer than a few round trips; callers who return at one moment would make
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "daemon/caller_watch.h"
 #include "policy/group_wait.h"
 #include "policy/silence_limit.h"
+#include "policy/try_rules.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,22 +15,9 @@
 
 namespace {
 
-    // Several times a round trip between zones; a lost packet is sent again only after a
-    // second, so another server is the faster way.
-    constexpr milliseconds connectTimeout { 250 };
     // A repeatable plain request that has not been answered for so many times its target is
     // tried elsewhere.
     constexpr int silentTargets = 3;
-    // A stream whose engine is silent for longer than a stalled group's bound (settings) and
-    // this is taken elsewhere; callers leave after a gap of two seconds.
-    constexpr milliseconds streamSilence { 1'750 };
-    // The same where another group could go on with the stream. Steps held by a change of the
-    // placement end within half a second; a caller leaves after two, and the first event of a
-    // resumed stream takes 0.2 to 0.5 s.
-    constexpr milliseconds silenceOfOneGroup { 900 };
-    // Servers that one request is offered to at the most, refusals and failed connections
-    // counted: of the servers listed a few may be gone, not all.
-    constexpr std::size_t mostTries = 8;
     // Within this after its start a process hears of the groups that have agents: machines
     // return within 1.5 s of each other (measured), and a group forms in 0.6 s.
     constexpr milliseconds firstNews { 3'000 };
@@ -62,7 +50,7 @@
     , m_state(state)
     , m_loads(loads)
     , m_groups(groups)
-    , m_client(context, connectTimeout)
+    , m_client(context, serverConnectTimeout)
     , m_places(context, state, loads, groups)
     , m_budget(bounds, context.startedAt())
 {
@@ -185,13 +173,8 @@
 
 bool upstream_dispatcher::mayRepeat(const admitted_request& request, const progress& state, const try_outcome& last)
 {
-    const bool mayHaveRun = last.failed->ran != verdict::not_run;
-    if (mayHaveRun && !request.route.repeatable())
-        return false;
-    // A plain answer that has begun cannot be taken back; a stream goes on after its last event.
-    if (state.relay.begun && !(request.route.repeat == repeat_rule::streaming && request.route.resumable))
-        return false;
-    return state.runs < request.route.maxAttempts && state.tried.size() < mostTries;
+    const bool resumable = request.route.repeat == repeat_rule::streaming && request.route.resumable;
+    return mayTryAgain({ last.failed->ran, request.route.repeatable(), resumable, request.route.maxAttempts, state.runs, state.tried.size(), state.relay.begun });
 }
 
 bool upstream_dispatcher::takeRetry(const admitted_request& request, const try_outcome& last)
@@ -294,7 +277,7 @@
     options.deadline = request.deadline;
     const bool mayGoOnElsewhere = request.route.resumable && state.runs < request.route.maxAttempts && m_budget.has(request.service, sentAt);
     if (streams && mayGoOnElsewhere)
-        options.silenceLimit = m_groups.openElsewhere(request.service, backendHash(backend.id), sentAt) ? silenceOfOneGroup : streamSilence;
+        options.silenceLimit = streamSilenceLimit(m_groups.openElsewhere(request.service, backendHash(backend.id), sentAt));
     options.onFirstBytes = [&, sentAt] {
         m_context.counters().observe(latency::first_byte, m_context.now() - request.receivedAt);
         m_places.noteFirstEvent(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
--- a/Source/policy/admission_wait.cpp
+++ b/Source/policy/admission_wait.cpp
@@ -1,5 +1,6 @@
 #include "policy/admission_wait.h"
 
+#include "policy/group_wait.h"
 #include <algorithm>
 
 namespace rampgap {
@@ -18,4 +19,20 @@
     return wait;
 }
 
+std::vector<admission_stage> planAdmission(const admission_wait_question& question)
+{
+    if (question.begun)
+        return { { begunUrgency, std::min(question.timeLeft, resumeWait) } };
+    // With a place free nothing has to be predicted; and only what is sent shows how long the
+    // first event takes now.
+    if (question.placesFree)
+        return { { timelyUrgency, question.timeLeft } };
+    const admission_wait wait = planAdmissionWait(question);
+    std::vector<admission_stage> stages;
+    if (wait.timely > milliseconds(0))
+        stages.push_back({ timelyUrgency, wait.timely });
+    stages.push_back({ question.firstTime ? lateUrgency : lastChanceUrgency, wait.late });
+    return stages;
+}
+
 } // namespace rampgap
--- a/Source/policy/admission_wait.h
+++ b/Source/policy/admission_wait.h
@@ -3,8 +3,23 @@
 
 #include "policy/verdict.h"
 
+#include <vector>
+
 namespace rampgap {
 
+// Order of those who wait for a place: begun streams, those that can be on time, those that were
+// refused before and cannot come back again, others.
+inline constexpr int begunUrgency = 1;
+inline constexpr int timelyUrgency = 2;
+inline constexpr int lastChanceUrgency = 3;
+inline constexpr int lateUrgency = 4;
+
+// Of the places that come free, every fourth is for a last chance: after a closure there are
+// two to three seconds in which those that can be on time take all others. Replayed, of 1,900
+// callers around an opening 115 were lost before, none with this, 47 with every sixth; on time
+// were 1,674 before, 1,551 with this, 1,394 with every second.
+inline constexpr int lastChanceNth = 4;
+
 struct admission_wait_question {
     // Time to the first event within which the caller has the full value.
     milliseconds latencyTarget { 0 };
@@ -20,6 +35,9 @@
     milliseconds patience { 0 };
     // The caller was not refused before, as far as can be told: its target counts from then.
     bool firstTime = true;
+    // A stream that was cut off and is to go on.
+    bool begun = false;
+    bool placesFree = false;
 };
 
 // Both in a row: first among those that can be on time, then behind them.
@@ -37,4 +55,15 @@
 // takes what is left.
 admission_wait planAdmissionWait(const admission_wait_question&);
 
+// One turn of waiting among those of an urgency.
+struct admission_stage {
+    int urgency = timelyUrgency;
+    milliseconds longest { 0 };
+
+    bool operator==(const admission_stage&) const = default;
+};
+
+// The stages of a request's wait, one after the other until it has a place.
+std::vector<admission_stage> planAdmission(const admission_wait_question&);
+
 } // namespace rampgap
--- a/Tests/platform/admission-wait/test.cpp
+++ b/Tests/platform/admission-wait/test.cpp
@@ -174,3 +174,15 @@
         estimate.observe(milliseconds(i % 2 == 0 ? 50 : 150));
     CHECK(estimate.value() >= milliseconds(180));
 }
+
+TEST_CASE("the stages of a wait follow from what the request can still be")
+{
+    auto question = firstCaller();
+    CHECK((planAdmission(question) == std::vector<admission_stage> { { timelyUrgency, milliseconds(300) }, { lateUrgency, milliseconds(1'500) } }));
+    question.firstTime = false;
+    CHECK((planAdmission(question) == std::vector<admission_stage> { { lastChanceUrgency, milliseconds(1'800) } }));
+    question.placesFree = true;
+    CHECK((planAdmission(question) == std::vector<admission_stage> { { timelyUrgency, milliseconds(8'000) } }));
+    question.begun = true;
+    CHECK((planAdmission(question) == std::vector<admission_stage> { { begunUrgency, milliseconds(300) } }));
+}
--- /dev/null
+++ b/Tests/platform/try-rules/test.cpp
@@ -0,0 +1,35 @@
+// When a request may be tried again.
+#include "policy/try_rules.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+using namespace rampgap;
+
+TEST_CASE("what may have run is tried again only if it may run twice")
+{
+    CHECK(rc::check([] {
+        another_try_question question;
+        question.ran = *rc::gen::element(verdict::not_run, verdict::may_have_run, verdict::ran);
+        question.repeatable = *rc::gen::arbitrary<bool>();
+        question.resumable = *rc::gen::arbitrary<bool>();
+        question.maxAttempts = *rc::gen::inRange(1, 4);
+        question.runs = *rc::gen::inRange(0, 5);
+        question.tried = *rc::gen::inRange<std::size_t>(0, 12);
+        question.begun = *rc::gen::arbitrary<bool>();
+        if (!mayTryAgain(question))
+            return;
+        RC_ASSERT(question.ran == verdict::not_run || question.repeatable);
+        RC_ASSERT(!question.begun || question.resumable);
+        RC_ASSERT(question.runs < question.maxAttempts);
+    }));
+    CHECK(mayTryAgain({ verdict::not_run, false, false, 1, 0, 1, false }));
+    CHECK_FALSE(mayTryAgain({ verdict::not_run, false, false, 1, 0, 8, false }));
+}
+
+TEST_CASE("a silent stream is taken elsewhere sooner where another group can go on with it")
+{
+    CHECK(streamSilenceLimit(true) < streamSilenceLimit(false));
+    // The second first event must still reach a caller that leaves after two seconds.
+    CHECK(streamSilenceLimit(true) + milliseconds(1'000) <= milliseconds(2'000));
+}
