--- a/Source/bench/main.cpp
+++ b/Source/bench/main.cpp
@@ -20,6 +20,8 @@
         { "skew", benchSkew },
         { "config", benchConfig },
         { "control", benchControl },
+        { "group", benchGroup },
+        { "compare", benchCompare },
     };
     const auto found = benchmarks.find(flags.benchmark);
     if (found == benchmarks.end()) {
--- a/Source/gateway/admitted_request.cpp
+++ b/Source/gateway/admitted_request.cpp
@@ -1,18 +1,12 @@
 #include "gateway/admitted_request.h"
 
-namespace rampgap {
-
-namespace {
+#include "policy/admission_wait.h"
 
-    // A caller with less than this of its route's time has been here before: who is refused
-    // comes back after a pause, and with the same deadline.
-    constexpr int firstTimeTenths = 9;
-
-} // namespace
+namespace rampgap {
 
 bool admitted_request::isFirstTime() const
 {
-    return timeLeft(receivedAt) >= route.timeout * firstTimeTenths / 10;
+    return isFirstCall(timeLeft(receivedAt), route.timeout);
 }
 
 } // namespace rampgap
--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -29,8 +29,6 @@
     constexpr milliseconds peerSilence { 15'000 };
     constexpr milliseconds peerReportInterval { 400 };
     constexpr milliseconds proofWanted { 700 };
-    constexpr milliseconds loadReportLife { 400 };
-    constexpr milliseconds groupNewsLife { 1'500 };
     // A group whose ranks were cut off opens 0.6 s after the cut, but their entries lapsed in
     // it and come back up to 2 s later. Agents send no requests: they go on with the ranks
     // they know, beyond any cut that the users list.
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -21,10 +21,6 @@
     // Each answered watch renews the proof of freshness; the bound on withdrawn keys is five
     // seconds, and each call has its price.
     constexpr milliseconds watchWait { 800 };
-    // Reports of work come every 100 ms; after three lost ones they say nothing.
-    constexpr milliseconds loadReportLife { 400 };
-    // Agents confirm a group's state to one entry VM each 400 ms, and these tell the others.
-    constexpr milliseconds groupNewsLife { 1'500 };
     constexpr milliseconds peerSilence { 3'000 };
     // A process with an older proof lets callers go where there is a newer one.
     constexpr milliseconds readyProofAge { 2'600 };
--- a/Source/gateway/place_giver.cpp
+++ b/Source/gateway/place_giver.cpp
@@ -10,17 +10,6 @@
 
 namespace {
 
-    // From a place to the first event, until one was seen: the prompt and two passes of full
-    // ranks by the published figures of today's engines, and a round trip.
-    constexpr milliseconds priorFirstEvent { 200 };
-    // From a place to the end of the answer, until one was seen.
-    constexpr milliseconds priorRun { 1'500 };
-    // A request that gets a place waits for the pass under way and the one that reads its prompt.
-    constexpr int firstEventGaps = 2;
-    // Part of the longest timely gap that the predicted pass may take: passes vary.
-    constexpr int timelyGapTenths = 9;
-    // Of the longest pause that a caller keeps to.
-    constexpr double leastPausePart = 0.5;
     // The engines bound their own queues: requests are refused for want of time only.
     constexpr bool shedding = false;
 
@@ -70,22 +59,14 @@
         refused = place.error();
     }
     if (refused.reason == failure_reason::queue_full && !begun)
-        refused.retryAfter = backlogPause(request);
+        refused.retryAfter = backlogPause(request.timeLeft(m_context.now()), std::uniform_real_distribution<double>(0, 1)(m_context.random()));
     co_return refused;
 }
 
-// A backlog lasts longer than a few round trips; callers who return at one moment would make
-// the next one.
-milliseconds place_giver::backlogPause(const admitted_request& request) const
-{
-    const auto longest = static_cast<double>(longestPause(request.timeLeft(m_context.now())).count());
-    return milliseconds(static_cast<std::int64_t>(longest * std::uniform_real_distribution<double>(leastPausePart, 1)(m_context.random())));
-}
-
 void place_giver::setSlots(const admitted_request& request, desk& own) const
 {
     const instant now = m_context.now();
-    const milliseconds gap = request.route.gapTarget * timelyGapTenths / 10;
+    const milliseconds gap = timelyPass(request.route.gapTarget);
     const pool_load load = poolLoad(request.service, m_state.backends(), m_loads, m_groups, request.costs, gap, now);
     own.busyPart = load.capacity > 0 ? static_cast<double>(load.requests) / load.capacity : 1;
     own.gate.setSlots(admissionShare({ load.toRun, load.requests, own.gate.queue().running(), m_entries, m_groups.openFor(request.service, now) }));
--- a/Source/gateway/place_giver.h
+++ b/Source/gateway/place_giver.h
@@ -46,7 +46,6 @@
     };
 
     desk& deskOf(const std::string& service);
-    milliseconds backlogPause(const admitted_request&) const;
     // Sets how many places this process may use now.
     void setSlots(const admitted_request&, desk&) const;
     static awaitable<result<admission_place>> enter(admission_gate&, admission_request, http_exchange&);
--- a/Source/policy/admission_wait.cpp
+++ b/Source/policy/admission_wait.cpp
@@ -5,6 +5,14 @@
 
 namespace rampgap {
 
+namespace {
+
+    constexpr int firstTimeTenths = 9;
+    // Of the longest pause that a caller keeps to.
+    constexpr double leastPausePart = 0.5;
+
+} // namespace
+
 admission_wait planAdmissionWait(const admission_wait_question& question)
 {
     constexpr milliseconds none { 0 };
@@ -35,4 +43,15 @@
     return stages;
 }
 
+bool isFirstCall(milliseconds timeLeftAtFirst, milliseconds fullTime)
+{
+    return timeLeftAtFirst >= fullTime * firstTimeTenths / 10;
+}
+
+milliseconds backlogPause(milliseconds timeLeft, double draw)
+{
+    const auto longest = static_cast<double>(longestPause(timeLeft).count());
+    return milliseconds(static_cast<std::int64_t>(longest * (leastPausePart + (1 - leastPausePart) * draw)));
+}
+
 } // namespace rampgap
--- a/Source/policy/admission_wait.h
+++ b/Source/policy/admission_wait.h
@@ -20,6 +20,14 @@
 // were 1,674 before, 1,551 with this, 1,394 with every second.
 inline constexpr int lastChanceNth = 4;
 
+// From a place to the first event, until one was seen: the prompt and two passes of full ranks
+// by the published figures of today's engines, and a round trip.
+inline constexpr milliseconds priorFirstEvent { 200 };
+// From a place to the end of the answer, until one was seen.
+inline constexpr milliseconds priorRun { 1'500 };
+// A request that gets a place waits for the pass under way and the one that reads its prompt.
+inline constexpr int firstEventGaps = 2;
+
 struct admission_wait_question {
     // Time to the first event within which the caller has the full value.
     milliseconds latencyTarget { 0 };
@@ -66,4 +74,12 @@
 // The stages of a request's wait, one after the other until it has a place.
 std::vector<admission_stage> planAdmission(const admission_wait_question&);
 
+// True if the caller has not been refused before, as far as its time tells: whoever is refused
+// comes back after a pause, with the same deadline. `fullTime`: of the route.
+bool isFirstCall(milliseconds timeLeftAtFirst, milliseconds fullTime);
+
+// When a caller who found no place is to come back: a backlog lasts longer than a few round
+// trips, and callers who return at one moment would make the next one. `draw`: 0 to 1.
+milliseconds backlogPause(milliseconds timeLeft, double draw);
+
 } // namespace rampgap
--- a/Source/policy/group_board.h
+++ b/Source/policy/group_board.h
@@ -41,6 +41,9 @@
     bool operator==(const group_news&) const = default;
 };
 
+// Agents confirm a group's state to one entry VM each 400 ms, and these tell the others.
+inline constexpr milliseconds groupNewsLife { 1'500 };
+
 class group_board {
 public:
     // What was not confirmed for `life` is taken for unknown.
--- a/Source/policy/load_board.h
+++ b/Source/policy/load_board.h
@@ -29,6 +29,9 @@
 
 std::uint32_t backendHash(const std::string& id);
 
+// Reports of work come every 100 ms; after three lost ones they say nothing.
+inline constexpr milliseconds loadReportLife { 400 };
+
 class load_board {
 public:
     // Reports older than `reportLife` no longer count.
--- a/Source/policy/pass_model.cpp
+++ b/Source/policy/pass_model.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+    constexpr int timelyGapTenths = 9;
     constexpr double tokensPerThousand = 1'000;
     // Of an answer on time: about what the users give for a late one.
     constexpr double lateWorth = 0.5;
@@ -34,6 +35,11 @@
     return strain.slowestPace * ownPart + strain.expertSkew * costs.expertShare * forTokens;
 }
 
+milliseconds timelyPass(milliseconds longestGap)
+{
+    return longestGap * timelyGapTenths / 10;
+}
+
 // Load pattern: a shift of demand triples the expert part for half a second; with fewer
 // sequences the passes stay short enough. A rank twelve times slower makes each pass late
 // whatever runs in it: then full ranks serve most, though late.
--- a/Source/policy/pass_model.h
+++ b/Source/policy/pass_model.h
@@ -19,6 +19,9 @@
 // prompts that come for them.
 double passTime(const engine_costs&, double sequences, const group_strain&);
 
+// Of the longest gap that callers accept, what a predicted pass may take: passes vary.
+milliseconds timelyPass(milliseconds longestGap);
+
 // Sequences that each rank should write at once: as many as leave streams an event each
 // `longestGap`, or all that it can run where that is worth more. At most its capacity.
 int sequencesToRun(const engine_costs&, const group_strain&, milliseconds longestGap);
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -24,8 +24,6 @@
     // 0.7 of their places taken, 0.020 of the requests wait too long at a full rank with four, 0.032
     // with six.
     constexpr int comparedServers = 4;
-    // Part of the longest gap that a predicted pass may take: passes vary.
-    constexpr int timelyGapTenths = 9;
     // How much more often a server of the own zone is among them than another: with five zones
     // mostly one or two of four are.
     constexpr double ownZoneWeight = 2;
@@ -74,7 +72,7 @@
     // the few that show room (149 of them before 129 ranks: 0.024 wait too long, 0.020 without).
     bool runsInTime(const upstream_question& question, const group_load& load)
     {
-        const auto gap = question.longestGap * timelyGapTenths / 10;
+        const milliseconds gap = timelyPass(question.longestGap);
         const int limit = std::min(load.capacity, sequencesToRun(*question.costs, load.strain, gap));
         const bool hasRoom = load.requests < limit * load.ranks;
         return hasRoom && passTime(*question.costs, limit, load.strain) <= static_cast<double>(gap.count());
