gateway: one way to hold a caller, and no second look for the route of each request

Cause: three loops held a request until something was there (configuration, proof of its key, an open group), each with its own timer; the check of the proof looked the route up for each request, which the admission does again; the model's entry VM was set up twice, at its making and at its restart, and a candidate's hash was worked out twice. holdCaller serves all three; the proof's age is asked first; begin sets an entry VM up.

--- a/Source/gateway/gateway_server.cpp
+++ b/Source/gateway/gateway_server.cpp
@@ -1,14 +1,10 @@
 #include "gateway/gateway_server.h"
 
+#include "gateway/held_caller.h"
 #include "policy/group_wait.h"
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
-namespace asio = boost::asio;
-
 namespace {
 
     // When a process without a configuration is worth asking again: reading it takes less.
@@ -57,12 +53,10 @@
 // was open again (counted in the logs of such a day).
 awaitable<void> gateway_server::awaitConfiguration(http_exchange& exchange)
 {
-    const instant until = m_context.now() + longestWaitForConfiguration;
-    exchange.onCallerGone(nullptr);
-    while (!m_state.configuration() && m_context.now() < until && !exchange.callerGone()) {
-        asio::steady_timer timer(m_context.io(), configurationPoll);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    if (m_state.configuration())
+        co_return;
+    std::function<bool()> missing = [this] { return !m_state.configuration(); };
+    co_await holdCaller(m_context, exchange, std::move(missing), m_context.now() + longestWaitForConfiguration, configurationPoll);
 }
 
 // Load pattern: a zone is cut off for six seconds, and its callers go on to reach its VMs, which
@@ -70,6 +64,9 @@
 // for as long as they wait anyway and then told to pause they come back after it.
 awaitable<void> gateway_server::awaitProof(http_exchange& exchange, const gateway_request& said)
 {
+    // Nearly always: without a second look for the route.
+    if (m_freshness.mayUseKeys(m_state.published().provenAt(), m_context.now()))
+        co_return;
     const auto configuration = m_state.configuration();
     const route_spec* route = configuration ? configuration->findRoute(said.host, said.path) : nullptr;
     if (!route || route->isPublic || !configuration->usesKeys())
@@ -81,12 +78,8 @@
     question.patience = callerPatience(route->latencyTarget, route->gapTarget);
     question.waited = std::chrono::duration_cast<milliseconds>(m_context.now() - exchange.receivedAt());
     question.closedFor = m_freshness.refusedFor(m_state.published().provenAt(), m_context.now());
-    const instant until = m_context.now() + decideGroupWait(question).wait;
-    exchange.onCallerGone(nullptr);
-    while (!m_freshness.mayUseKeys(m_state.published().provenAt(), m_context.now()) && m_context.now() < until && !exchange.callerGone()) {
-        asio::steady_timer timer(m_context.io(), proofPoll);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    std::function<bool()> missing = [this] { return !m_freshness.mayUseKeys(m_state.published().provenAt(), m_context.now()); };
+    co_await holdCaller(m_context, exchange, std::move(missing), m_context.now() + decideGroupWait(question).wait, proofPoll);
 }
 
 // The clock is read here, not when the request arrived: a process that was paused must not
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -1,18 +1,14 @@
 #include "gateway/upstream_dispatcher.h"
 
 #include "daemon/caller_watch.h"
+#include "gateway/held_caller.h"
 #include "policy/group_wait.h"
 #include "policy/silence_limit.h"
 #include "policy/try_rules.h"
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
-namespace asio = boost::asio;
-
 namespace {
 
     // A repeatable plain request that has not been answered for so many times its target is
@@ -143,17 +139,11 @@
     // The caller of a begun stream has been waiting since its last event.
     if (state.relay.begun)
         decision.wait = resumeWait;
-    const instant until = m_context.now() + decision.wait;
-    exchange.onCallerGone(nullptr);
-    while (noGroupFor(request)) {
-        if (exchange.callerGone())
-            co_return std::nullopt;
-        if (m_context.now() >= until)
-            co_return failure { state.worst, failure_reason::no_backend, "no expert group of the service has been open for " + std::to_string(m_groups.closedFor(request.service, m_context.now()).count()) + " ms", decision.retryAfter };
-        asio::steady_timer timer(m_context.io(), groupPoll);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-    co_return std::nullopt;
+    std::function<bool()> missing = [this, &request] { return noGroupFor(request); };
+    co_await holdCaller(m_context, exchange, std::move(missing), m_context.now() + decision.wait, groupPoll);
+    if (exchange.callerGone() || !noGroupFor(request))
+        co_return std::nullopt;
+    co_return failure { state.worst, failure_reason::no_backend, "no expert group of the service has been open for " + std::to_string(m_groups.closedFor(request.service, m_context.now()).count()) + " ms", decision.retryAfter };
 }
 
 void upstream_dispatcher::setSharers(std::size_t entries, std::size_t mostEntries)
--- a/Source/model/entry_model.cpp
+++ b/Source/model/entry_model.cpp
@@ -33,16 +33,18 @@
     , m_queue(startLimits)
     , m_firstEvent(priorFirstEvent)
     , m_run(priorRun)
-    , m_budget({ given.retryRatio, given.retryAllowance, milliseconds(10'000), 0.8 }, instant {} - milliseconds(20'000))
+    , m_budget({}, instant {})
 {
-    m_queue.setShedding(false);
-    m_queue.reserve(lastChanceUrgency, chosen.lastChanceNth);
-    m_budget.setSharers(given.entries);
-    for (const auto& each : m_listed)
-        m_backends.list(each);
+    // Long at work: it has its part of the retry budget.
+    begin(instant {} - milliseconds(20'000));
 }
 
 void entry_model::restart()
+{
+    begin(m_events.now());
+}
+
+void entry_model::begin(instant startedAt)
 {
     m_attempts.clear();
     m_waiting.clear();
@@ -53,7 +55,7 @@
     m_queue.reserve(lastChanceUrgency, m_ways.lastChanceNth);
     m_firstEvent = delay_estimate(priorFirstEvent);
     m_run = delay_estimate(priorRun);
-    m_budget = shared_retry_budget({ m_scenario.retryRatio, m_scenario.retryAllowance, milliseconds(10'000), 0.8 }, m_events.now());
+    m_budget = shared_retry_budget({ m_scenario.retryRatio, m_scenario.retryAllowance, milliseconds(10'000), 0.8 }, startedAt);
     m_budget.setSharers(m_scenario.entries);
     m_backends = backend_directory();
     for (const auto& each : m_listed)
@@ -274,10 +276,14 @@
     watchSilence(of);
 }
 
+bool entry_model::mayGoElsewhere(const attempt& of)
+{
+    return of.runs < m_scenario.maxAttempts && m_budget.has(service, m_events.now());
+}
+
 void entry_model::watchFirstEvent(attempt& of)
 {
-    const bool mayRepeat = of.runs < m_scenario.maxAttempts && m_budget.has(service, m_events.now());
-    if (m_ways.firstEvent == silence_way::none || !mayRepeat || of.delivered > 0)
+    if (m_ways.firstEvent == silence_way::none || !mayGoElsewhere(of) || of.delivered > 0)
         return;
     std::optional<milliseconds> limit = m_ways.constantFirstEvent;
     if (m_ways.firstEvent == silence_way::learnt)
@@ -292,8 +298,7 @@
 
 void entry_model::watchSilence(attempt& of)
 {
-    const bool mayRepeat = of.runs < m_scenario.maxAttempts && m_budget.has(service, m_events.now());
-    if (!mayRepeat)
+    if (!mayGoElsewhere(of))
         return;
     const bool elsewhere = m_ways.silenceOfOneGroup && m_groups.openElsewhere(service, backendHash(of.backend), m_events.now());
     const milliseconds limit = streamSilenceLimit(elsewhere);
--- a/Source/model/entry_model.h
+++ b/Source/model/entry_model.h
@@ -87,6 +87,7 @@
         int step = 0;
     };
 
+    void begin(instant startedAt);
     attempt* find(attempt_id);
     // Runs the action unless the attempt has gone on since.
     void later(const attempt&, duration, std::function<void(attempt&)>);
@@ -99,6 +100,8 @@
     void arrive(attempt&);
     void watchFirstEvent(attempt&);
     void watchSilence(attempt&);
+    // The route and the retry budget allow another try.
+    bool mayGoElsewhere(const attempt&);
     void endTry(attempt&, try_result);
     void refuse(attempt&, milliseconds retryAfter);
     void finish(attempt&, attempt_end);
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -109,10 +109,11 @@
         if (!each.inOwnZone)
             each.delay += otherZoneMs;
         each.avoided = backends.avoided(id, question.now);
-        each.group = groups.groupOf(question.service, backendHash(id));
+        const std::uint32_t hash = backendHash(id);
+        each.group = groups.groupOf(question.service, hash);
         auto& group = byGroup[each.group];
         if (group.ranks++ == 0)
-            group.strain = groups.strainAt(question.service, backendHash(id), question.now);
+            group.strain = groups.strainAt(question.service, hash, question.now);
         group.requests += load.requests;
         group.capacity = listed->capacity;
         each.id = std::move(id);
