gateway: logs and metrics that tell which requests a server ran as it crashed

Change: a fingerprint of method, target, caller and body in try_ended; server_crashed and call_crashed (with how far the call had come), found by a refused connection or a new life; rampgap_servers_crashed_total, rampgap_calls_crashed_total. No decision changes.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -37,6 +37,8 @@
         { metric::datagrams_unsent, "rampgap_datagrams_unsent_total", "Datagrams to peers that the kernel refused", false },
         { metric::datagrams_refused, "rampgap_datagrams_refused_total", "Datagrams received that could not be read", false },
         { metric::log_lines_dropped, "rampgap_log_lines_dropped", "Log lines dropped by their budget or a full pipe since the start", true },
+        { metric::servers_crashed, "rampgap_servers_crashed_total", "Backend servers found to have crashed while they ran requests from here", false },
+        { metric::calls_crashed, "rampgap_calls_crashed_total", "Calls that a backend server was running as it crashed", false },
     } };
 
     struct latency_row {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -42,9 +42,11 @@
     datagrams_unsent,
     datagrams_refused,
     log_lines_dropped,
+    servers_crashed,
+    calls_crashed,
 };
 
-inline constexpr std::size_t metricCount = 23;
+inline constexpr std::size_t metricCount = 25;
 
 struct metric_row {
     metric id;
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -210,6 +210,7 @@
         co_await pauseFor(m_context, housekeepingInterval);
         noteReadiness();
         const peer_table& peers = m_peers->peers();
+        m_dispatcher.settle();
         m_dispatcher.setSharers(peers.count(peer_role::entry) + 1, peers.mostEntries());
         if (tick % ticksPerReload == 0)
             reload();
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -47,6 +47,7 @@
     , m_loads(loads)
     , m_groups(groups)
     , m_client(context, serverConnectTimeout)
+    , m_crashes(context, log, state)
     , m_places(context, state, loads, groups)
     , m_budget(bounds, context.startedAt())
 {
@@ -56,6 +57,7 @@
 {
     m_budget.noteRequest(request.service, m_context.now());
     progress state;
+    state.fingerprint = fingerprintOf(exchange.request().method_string(), exchange.request().target(), request.said.key, exchange.request().body());
     state.relay.lastEventId = request.said.lastEventId;
     auto failed = co_await run(exchange, request, state);
     m_context.counters().observe(latency::request, m_context.now() - request.receivedAt);
@@ -218,6 +220,7 @@
     if (request.route.repeat == repeat_rule::non_idempotent)
         call.useFreshConnection();
     std::int64_t unread = request.said.promptTokens;
+    const std::uint64_t eventsBefore = state.relay.events;
     m_loads.noteSent(backend.id, unread, sentAt);
 
     const instant headDeadline = headDeadlineOf(request, state, sentAt);
@@ -239,6 +242,9 @@
         m_state.backends().noteResult(backend.id, outcome.result, m_context.now());
         m_groups.noteReach(request.service, backendHash(backend.id), outcome.result != try_result::unreachable, m_context.now());
     }
+    const bool lost = outcome.result == try_result::silent || (outcome.failed && outcome.failed->reason == failure_reason::connection_lost && outcome.failed->ran != verdict::not_run);
+    if (lost && !exchange.callerGone())
+        noteLost(request, state, backend, state.relay.events - eventsBefore, sentAt);
     logTry(request, state, backend, outcome, sentAt);
     co_return outcome;
 }
@@ -290,10 +296,15 @@
     co_return try_outcome { std::nullopt, serverFailed ? try_result::failed : try_result::answered };
 }
 
+void upstream_dispatcher::noteLost(const admitted_request& request, const progress& state, const listed_backend& backend, std::uint64_t events, instant sentAt)
+{
+    m_crashes.noteLost(backend, { request.said.id, state.fingerprint, events, sentAt, m_context.now() });
+}
+
 void upstream_dispatcher::logTry(const admitted_request& request, const progress& state, const listed_backend& backend, const try_outcome& outcome, instant sentAt)
 {
     auto line = m_log.requestLine("try_ended");
-    line.add("request", request.said.id).add("backend", backend.id).add("address", backend.address).add("try", state.tried.size());
+    line.add("request", request.said.id).add("fingerprint", toString(state.fingerprint)).add("backend", backend.id).add("address", backend.address).add("try", state.tried.size());
     line.add("waited_ms", sentAt - request.receivedAt).add("took_ms", m_context.now() - sentAt).add("load", m_loads.total(backend.id, m_context.now()).requests).add("events", state.relay.events);
     if (const auto age = m_groups.newsAge(request.service, backendHash(backend.id), m_context.now()))
         line.add("group_news_ms", *age);
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "daemon/answer_relay.h"
 #include "gateway/call_registry.h"
+#include "gateway/crash_reporter.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/place_giver.h"
 #include "policy/group_board.h"
@@ -22,10 +23,13 @@
 
     // The server was started again under its id: what it had taken is lost.
     void noteRestart(const listed_backend&);
+    // Periodic work.
+    void settle() { m_crashes.settle(); }
 
 private:
     // How far one request has come.
     struct progress {
+        request_fingerprint fingerprint;
         std::vector<std::string> tried;
         // Of those, the ones that stayed silent or could not be reached.
         std::vector<std::string> silent;
@@ -54,6 +58,8 @@
     static bool mayRepeat(const admitted_request&, const progress&, const try_outcome&);
     // Takes the other try from the shared budget.
     bool takeRetry(const admitted_request&, const try_outcome&);
+    // A try ended without its answer: the server may have crashed.
+    void noteLost(const admitted_request&, const progress&, const listed_backend&, std::uint64_t events, instant sentAt);
     // A server with room that refuses belongs to a group that has closed.
     void noteRefusal(const admitted_request&, const listed_backend&);
     awaitable<void> refuse(http_exchange&, const admitted_request&, const progress&, failure);
@@ -67,6 +73,7 @@
     group_board& m_groups;
     http_client m_client;
     call_registry m_calls;
+    crash_reporter m_crashes;
     place_giver m_places;
     shared_retry_budget m_budget;
     upstream_choice m_choice;
--- /dev/null
+++ b/Source/policy/crash_detector.h
@@ -0,0 +1,71 @@
+// Which backend servers crashed, and which requests they were running as they did.
+#pragma once
+
+#include "policy/request_fingerprint.h"
+#include "policy/verdict.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rampgap {
+
+// One life of a backend server: it may be started again under its id.
+struct server_life {
+    std::string id;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const server_life&) const = default;
+};
+
+// Names a life to other processes; 32 bits of a hash.
+std::uint32_t hashOf(const server_life&);
+
+// A call that ended without its whole answer though the caller still waited for it.
+struct lost_call {
+    std::string requestId;
+    request_fingerprint request;
+    // Whole events that had come.
+    std::uint64_t events = 0;
+    instant sentAt;
+    instant lostAt;
+
+    bool operator==(const lost_call&) const = default;
+};
+
+class crash_detector {
+public:
+    enum class finding {
+        // Not known yet whether the server lives: somebody is to look.
+        look,
+        // Somebody is looking already.
+        wait,
+        // The server has crashed, and the request was running there.
+        crashed,
+    };
+
+    finding noteLost(const server_life&, const lost_call&, instant now);
+    // The server answered a look that ended now: whatever ended its calls, it was no crash.
+    void noteAlive(const server_life&, instant now);
+    // A look brought no answer: nothing is known.
+    void noteNoAnswer(const server_life&);
+    // Nothing listens at its address, or it was started anew. Returns the calls that it had.
+    std::vector<lost_call> noteCrashed(const server_life&, instant now);
+
+    // Lives of which it is not known whether they ended.
+    std::vector<server_life> undecided() const;
+    // Forgets what nobody found out about.
+    void settle(instant now);
+
+private:
+    struct suspicion {
+        std::vector<lost_call> calls;
+        bool looking = false;
+    };
+
+    std::map<server_life, suspicion> m_suspicions;
+    std::map<server_life, instant> m_crashed;
+};
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/request_fingerprint.cpp
@@ -0,0 +1,25 @@
+#include "policy/request_fingerprint.h"
+
+#include <array>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace rampgap {
+
+// Each part's hash seeds the next, so that no character can move from one part to another.
+request_fingerprint fingerprintOf(std::string_view method, std::string_view target, std::string_view caller, std::string_view body)
+{
+    std::uint64_t hash = 0;
+    for (const std::string_view part : { method, target, caller, body })
+        hash = XXH64(part.data(), part.size(), hash);
+    return { hash };
+}
+
+std::string toString(request_fingerprint fingerprint)
+{
+    std::array<char, 17> digits {};
+    std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(fingerprint.value));
+    return digits.data();
+}
+
+} // namespace rampgap
--- /dev/null
+++ b/Source/policy/request_fingerprint.h
@@ -0,0 +1,23 @@
+// Tells whether two requests are the same: a caller that comes back has a new id each time.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace rampgap {
+
+struct request_fingerprint {
+    std::uint64_t value = 0;
+
+    auto operator<=>(const request_fingerprint&) const = default;
+};
+
+// Of what does not change when the same caller sends the same request again.
+request_fingerprint fingerprintOf(std::string_view method, std::string_view target, std::string_view caller, std::string_view body);
+
+// As 16 hexadecimal digits; tells nothing of the caller's key.
+std::string toString(request_fingerprint);
+
+} // namespace rampgap
--- /dev/null
+++ b/Tests/platform/crash-detection/test.cpp
@@ -0,0 +1,71 @@
+// Which servers crashed, and under which requests, as one entry VM can tell.
+#include "policy/crash_detector.h"
+
+#include <doctest/doctest.h>
+
+using namespace rampgap;
+
+namespace {
+
+using finding = crash_detector::finding;
+const instant zero {};
+const server_life first { "i-1", 1'000 };
+
+lost_call lostAt(const std::string& requestId, milliseconds at)
+{
+    return { requestId, fingerprintOf("POST", "/draft/" + requestId, "key", ""), 0, zero, zero + at };
+}
+
+} // namespace
+
+TEST_CASE("a request is known again by what its caller sends again, and by nothing less")
+{
+    const auto request = fingerprintOf("POST", "/draft/7", "key-a", "body");
+    CHECK((request == fingerprintOf("POST", "/draft/7", "key-a", "body")));
+    CHECK((request != fingerprintOf("POST", "/draft/7", "key-b", "body")));
+    CHECK((request != fingerprintOf("POST", "/draft/8", "key-a", "body")));
+    CHECK((request != fingerprintOf("POST", "/draft/7", "key-a", "other")));
+    CHECK((fingerprintOf("POST", "/draft/7k", "ey", "") != fingerprintOf("POST", "/draft/7", "key", "")));
+    CHECK(toString(request).size() == 16);
+}
+
+TEST_CASE("the calls that were lost together are found when the server is found dead")
+{
+    crash_detector detector;
+    CHECK((detector.noteLost(first, lostAt("a", milliseconds(100)), zero + milliseconds(100)) == finding::look));
+    CHECK((detector.noteLost(first, lostAt("b", milliseconds(101)), zero + milliseconds(101)) == finding::wait));
+    CHECK(detector.noteCrashed(first, zero + milliseconds(103)).size() == 2);
+    // The end of a connection may be seen later than that of the server.
+    CHECK((detector.noteLost(first, lostAt("c", milliseconds(110)), zero + milliseconds(110)) == finding::crashed));
+    // The same id in its next life has not crashed.
+    CHECK((detector.noteLost({ "i-1", 2'000 }, lostAt("d", milliseconds(5'000)), zero + milliseconds(5'000)) == finding::look));
+}
+
+TEST_CASE("a server that broke off calls and lives has not crashed")
+{
+    crash_detector detector;
+    detector.noteLost(first, lostAt("a", milliseconds(100)), zero + milliseconds(100));
+    detector.noteAlive(first, zero + milliseconds(103));
+    CHECK(detector.undecided().empty());
+    // A crash later on has nothing to do with that call.
+    detector.noteLost(first, lostAt("b", milliseconds(900)), zero + milliseconds(900));
+    const auto calls = detector.noteCrashed(first, zero + milliseconds(903));
+    REQUIRE(calls.size() == 1);
+    CHECK(calls.front().requestId == "b");
+}
+
+TEST_CASE("a silent server stays undecided until it is started anew, or for ten seconds")
+{
+    crash_detector detector;
+    detector.noteLost(first, lostAt("a", milliseconds(2'000)), zero + milliseconds(2'000));
+    detector.noteNoAnswer(first);
+    detector.settle(zero + milliseconds(6'000));
+    CHECK(detector.undecided() == std::vector<server_life> { first });
+    CHECK((detector.noteLost(first, lostAt("b", milliseconds(2'500)), zero + milliseconds(2'500)) == finding::look));
+    CHECK(detector.noteCrashed(first, zero + milliseconds(6'000)).size() == 2);
+    const server_life other { "i-2", 1'000 };
+    detector.noteLost(other, lostAt("c", milliseconds(2'000)), zero + milliseconds(2'000));
+    detector.noteNoAnswer(other);
+    detector.settle(zero + milliseconds(12'001));
+    CHECK(detector.undecided().empty());
+}
