policy, daemon: time goes on while the VM is suspended

Cause: all ages and deadlines were taken by the steady clock, which stands still in a suspension: a reading from before passed for fresh, so that a key taken away meanwhile was let in, and deadlines that had passed were handed on. Change: moments have a clock of their own, boot_clock (CLOCK_BOOTTIME); with its own type no moment of the steady clock can be taken for one. Timers wait by it; only the time-outs of streams still run by the library's steady clock.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -1,5 +1,6 @@
 #include "agent/agent_server.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/caller_watch.h"
 #include "daemon/header_names.h"
 #include "daemon/log.h"
@@ -286,7 +287,7 @@
 awaitable<void> agent_server::leaveGracefully()
 {
     co_await m_keeper.giveAway();
-    asio::steady_timer timer(m_context.io(), m_settings.process.linger);
+    boot_timer timer(m_context.io(), m_settings.process.linger);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     m_http->drain();
     while (m_inFlight > 0 || m_http->openConnections() > 0) {
--- a/Source/agent/group_member.cpp
+++ b/Source/agent/group_member.cpp
@@ -1,5 +1,6 @@
 #include "agent/group_member.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/log.h"
 #include "peer.pb.h"
 #include <boost/asio/as_tuple.hpp>
@@ -117,7 +118,7 @@
 // of an order to the engine would see a state that is about to change.
 awaitable<wire::GroupMessage> group_member::answer(wire::GroupMessage message)
 {
-    asio::steady_timer timer(m_context.io());
+    boot_timer timer(m_context.io());
     while (m_answering) {
         timer.expires_after(orderPause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -154,7 +155,7 @@
 
 awaitable<void> group_member::coordinate()
 {
-    asio::steady_timer timer(m_context.io());
+    boot_timer timer(m_context.io());
     for (;;) {
         timer.expires_after(turn);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
@@ -182,7 +183,7 @@
     if (messages.empty())
         co_return;
     auto open = std::make_shared<std::size_t>(messages.size());
-    asio::steady_timer done(m_context.io(), instant::max());
+    boot_timer done(m_context.io(), instant::max());
     for (const auto& message : messages) {
         asio::co_spawn(m_context.io(), sendTo(message), [open, &done](std::exception_ptr) {
             if (--*open == 0)
--- a/Source/agent/home_keeper.h
+++ b/Source/agent/home_keeper.h
@@ -1,6 +1,7 @@
 // Carries out what the home guard needs from other agents: proofs, handovers, grants.
 #pragma once
 
+#include "daemon/boot_timer.h"
 #include "daemon/configuration_node.h"
 #include "policy/execution_guard.h"
 
@@ -35,7 +36,7 @@
     peer_client& m_peers;
     const configuration_node& m_configuration;
     execution_guard& m_guard;
-    boost::asio::steady_timer m_timer;
+    boot_timer m_timer;
     bool m_memorySought = false;
     int m_memoryTurns = 0;
 };
--- a/Source/bench/bench_control.cpp
+++ b/Source/bench/bench_control.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-    using clock = std::chrono::steady_clock;
+    using clock = boot_clock;
 
     double nsSince(clock::time_point begin)
     {
--- a/Source/ctl/commands.cpp
+++ b/Source/ctl/commands.cpp
@@ -1,11 +1,11 @@
 #include "ctl/commands.h"
 
 #include "ctl/fleet_reader.h"
+#include "daemon/boot_timer.h"
 #include "daemon/daemon_main.h"
 #include "policy/change_plan.h"
 #include "policy/digest.h"
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <fstream>
 #include <iomanip>
@@ -63,7 +63,7 @@
 
     awaitable<void> sleepFor(process_context& context, duration time)
     {
-        asio::steady_timer timer(context.io(), time);
+        boot_timer timer(context.io(), time);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 
--- a/Source/daemon/admission_gate.cpp
+++ b/Source/daemon/admission_gate.cpp
@@ -1,5 +1,6 @@
 #include "daemon/admission_gate.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/caller_watch.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -100,7 +101,7 @@
 
 awaitable<void> admission_gate::shedLoop()
 {
-    asio::steady_timer timer(m_context.io());
+    boot_timer timer(m_context.io());
     for (;;) {
         timer.expires_after(shedInterval);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/Source/daemon/admission_gate.h
+++ b/Source/daemon/admission_gate.h
@@ -1,10 +1,10 @@
 // Lets requests wait for their turn at the admission queue.
 #pragma once
 
+#include "daemon/boot_timer.h"
 #include "daemon/http_server.h"
 #include "policy/admission_queue.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <unordered_map>
 
@@ -35,7 +35,7 @@
             : signal(io, deadline)
         {
         }
-        boost::asio::steady_timer signal;
+        boot_timer signal;
         bool started = false;
         std::optional<failure> refused;
     };
--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -154,13 +154,13 @@
         if (!callerThere && !options.finishWithoutCaller)
             co_return endedEarly(true, std::nullopt);
         if (options.silenceLimit > milliseconds(0))
-            call.expireAt(std::min(options.deadline, std::chrono::steady_clock::now() + options.silenceLimit));
+            call.expireAt(std::min(options.deadline, boot_clock::now() + options.silenceLimit));
         const auto piece = co_await call.read();
         if (!piece)
             co_return endedEarly(exchange.callerGone() && !options.finishWithoutCaller, piece.error());
         const bool last = piece.value().empty();
         if (!last)
-            progress.noteBytes(std::chrono::steady_clock::now());
+            progress.noteBytes(boot_clock::now());
         if (const auto action = std::exchange(options.onFirstBytes, nullptr))
             action();
         if (last && events && splitter.inEvent() && !call.framed())
--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -1,5 +1,6 @@
 #include "daemon/configuration_node.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/log.h"
 #include "discovery/platform_source.h"
 #include "peer.pb.h"
@@ -54,7 +55,7 @@
 
 awaitable<void> configuration_node::sleep(duration time)
 {
-    asio::steady_timer timer(m_context.io(), time);
+    boot_timer timer(m_context.io(), time);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
--- a/Source/daemon/configuration_node.h
+++ b/Source/daemon/configuration_node.h
@@ -6,8 +6,6 @@
 #include "discovery/vm_list.h"
 #include "policy/revision_chain.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace rampgap {
 
 class platform_source;
--- a/Source/daemon/decision_log.cpp
+++ b/Source/daemon/decision_log.cpp
@@ -90,7 +90,7 @@
 
 bool decision_log::admitRequestLine()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = boot_clock::now();
     if (now - m_secondBegan >= std::chrono::seconds(1)) {
         m_secondBegan = now;
         m_linesInSecond = 0;
--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -1,5 +1,6 @@
 #include "daemon/http_client.h"
 
+#include "daemon/boot_timer.h"
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -100,7 +101,7 @@
     if (!endpoint)
         co_return endpoint.error();
     m_connection = std::make_unique<connection>(m_client.m_context.io());
-    m_connection->stream.expires_at(std::min(deadline, m_client.m_context.now() + m_client.m_connectTimeout));
+    expireStreamAt(m_connection->stream, std::min(deadline, m_client.m_context.now() + m_client.m_connectTimeout));
     const auto [error] = co_await m_connection->stream.async_connect(endpoint.value(), asTuple);
     if (error) {
         m_connection.reset();
@@ -129,7 +130,7 @@
         request.set(http::field::host, m_address);
     request.keep_alive(true);
     request.prepare_payload();
-    m_connection->stream.expires_at(deadline);
+    expireStreamAt(m_connection->stream, deadline);
     const auto [writeError, written] = co_await http::async_write(m_connection->stream, request, asTuple);
     // A server may begin to work before it has read the whole request.
     if (writeError)
@@ -152,7 +153,7 @@
 void http_call::expireAt(instant deadline)
 {
     if (m_connection)
-        m_connection->stream.expires_at(deadline);
+        expireStreamAt(m_connection->stream, deadline);
 }
 
 awaitable<result<std::string_view>> http_call::read()
--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -1,10 +1,10 @@
 #include "daemon/http_server.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/log.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -64,7 +64,7 @@
         m_parser->body_limit(m_limits.maxBodyBytes);
         m_busy = false;
         if (m_buffer.size() == 0) {
-            m_stream.expires_at(idleSince + m_limits.idleTimeout);
+            expireStreamAt(m_stream, idleSince + m_limits.idleTimeout);
             m_idle = true;
             const auto [waitError, first] = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
             m_idle = false;
@@ -72,8 +72,8 @@
                 co_return false;
             m_buffer.commit(first);
         }
-        m_receivedAt = std::chrono::steady_clock::now();
-        m_stream.expires_at(m_receivedAt + m_limits.headerTimeout);
+        m_receivedAt = boot_clock::now();
+        expireStreamAt(m_stream, m_receivedAt + m_limits.headerTimeout);
         auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
         if (const auto refused = error ? std::nullopt : framingFailure(m_parser->get())) {
             m_mustClose = true;
@@ -299,7 +299,7 @@
         if (m_draining)
             co_return;
         if (error) {
-            asio::steady_timer pause(m_context.io(), acceptBackoff);
+            boot_timer pause(m_context.io(), acceptBackoff);
             co_await pause.async_wait(asTuple);
             continue;
         }
--- a/Source/daemon/process_context.cpp
+++ b/Source/daemon/process_context.cpp
@@ -18,7 +18,7 @@
     , m_zone(std::move(zone))
     , m_role(std::move(role))
     , m_incarnation(static_cast<std::uint64_t>(wallNow()))
-    , m_startedAt(std::chrono::steady_clock::now())
+    , m_startedAt(boot_clock::now())
     , m_timeline(m_name, m_zone, timelineCapacity)
     , m_random(std::random_device {}())
 {
--- a/Source/daemon/process_context.h
+++ b/Source/daemon/process_context.h
@@ -22,7 +22,7 @@
     const std::string& role() const { return m_role; }
     // Rises with each start of the process: its start time in wall nanoseconds.
     std::uint64_t incarnation() const { return m_incarnation; }
-    instant now() const { return std::chrono::steady_clock::now(); }
+    instant now() const { return boot_clock::now(); }
     instant startedAt() const { return m_startedAt; }
 
     metrics& counters() { return m_metrics; }
--- a/Source/entry/entry_server.cpp
+++ b/Source/entry/entry_server.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_server.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/header_names.h"
 #include "daemon/log.h"
 #include "discovery/platform_source.h"
@@ -7,7 +8,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
@@ -23,7 +23,7 @@
 
     awaitable<void> sleepFor(process_context& context, duration time)
     {
-        asio::steady_timer timer(context.io(), time);
+        boot_timer timer(context.io(), time);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 
@@ -196,7 +196,7 @@
 // True when it is this request's turn; false if the deadline came first.
 awaitable<bool> entry_server::enterSession(std::string session, instant deadline)
 {
-    auto turn = std::make_shared<asio::steady_timer>(m_context.io(), deadline);
+    auto turn = std::make_shared<boot_timer>(m_context.io(), deadline);
     m_sessions[session].push_back(turn);
     if (m_sessions[session].size() > 1)
         co_await turn->async_wait(asio::as_tuple(asio::use_awaitable));
--- a/Source/entry/entry_server.h
+++ b/Source/entry/entry_server.h
@@ -1,6 +1,7 @@
 // The entry VM's process: callers' HTTP on one side, agents on the other.
 #pragma once
 
+#include "daemon/boot_timer.h"
 #include "daemon/configuration_node.h"
 #include "daemon/http_client.h"
 #include "daemon/operator_pages.h"
@@ -54,7 +55,7 @@
     rate_limiter m_limiter;
     std::shared_ptr<const fleet_snapshot> m_fleet;
     // Requests of one session run one after the other, in the order they came.
-    std::map<std::string, std::deque<std::shared_ptr<boost::asio::steady_timer>>> m_sessions;
+    std::map<std::string, std::deque<std::shared_ptr<boot_timer>>> m_sessions;
     std::unique_ptr<http_server> m_http;
     std::unique_ptr<peer_server> m_peerServer;
     std::uint64_t m_nextRequest = 1;
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "entry/request_dispatcher.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/caller_watch.h"
 #include "daemon/header_names.h"
 #include "policy/home_guard.h"
@@ -7,7 +8,6 @@
 #include "policy/rendezvous.h"
 #include "policy/retry_policy.h"
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <charconv>
@@ -141,7 +141,7 @@
         const instant failingSince = std::min(cameAt, m_table.failingSince(m_table.find(home), cameAt));
         if (m_context.now() + handoverPause > std::min(request.deadline, failingSince + handoverPatience))
             co_return failed;
-        asio::steady_timer pause(m_context.io(), handoverPause);
+        boot_timer pause(m_context.io(), handoverPause);
         co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
         if (exchange.callerGone())
             co_return std::nullopt;
--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -1,11 +1,11 @@
 #include "gateway/agent_process.h"
 
+#include "daemon/boot_timer.h"
 #include "gateway/rank_wire.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
@@ -151,7 +151,7 @@
 awaitable<void> agent_process::watchLoop()
 {
     for (;;) {
-        asio::steady_timer timer(m_context.io(), watchInterval);
+        boot_timer timer(m_context.io(), watchInterval);
         co_await timer.async_wait(asTuple);
         if (!m_leader.configured() || !ownBackend())
             continue;
@@ -287,7 +287,7 @@
     for (;;) {
         // From beginning to beginning: a look at 129 ranks takes about as long as the pause.
         const milliseconds pause = m_leader.configured() ? m_leader.lookInterval() : watchInterval;
-        asio::steady_timer timer(m_context.io(), std::max(begun + pause, m_context.now() + leastBetweenLooks));
+        boot_timer timer(m_context.io(), std::max(begun + pause, m_context.now() + leastBetweenLooks));
         co_await timer.async_wait(asTuple);
         begun = m_context.now();
         if (m_leader.configured() && leads())
@@ -308,7 +308,7 @@
 awaitable<void> agent_process::leadLoop()
 {
     for (;;) {
-        asio::steady_timer timer(m_context.io(), leadInterval);
+        boot_timer timer(m_context.io(), leadInterval);
         co_await timer.async_wait(asTuple);
         if (!leads())
             continue;
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -1,11 +1,11 @@
 #include "gateway/gateway_process.h"
 
+#include "daemon/boot_timer.h"
 #include "policy/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
@@ -39,7 +39,7 @@
 
     awaitable<void> pauseFor(process_context& context, milliseconds length)
     {
-        asio::steady_timer timer(context.io(), length);
+        boot_timer timer(context.io(), length);
         co_await timer.async_wait(asTuple);
     }
 
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -1,10 +1,10 @@
 #include "gateway/group_leader.h"
 
+#include "daemon/boot_timer.h"
 #include "gateway/placement_codec.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
@@ -247,7 +247,7 @@
         }
         if (m_context.now() >= limit)
             change.cancel();
-        asio::steady_timer timer(m_context.io(), roundPause);
+        boot_timer timer(m_context.io(), roundPause);
         co_await timer.async_wait(asTuple);
     }
 }
@@ -302,7 +302,7 @@
         co_await ask(change, order.kind, order, std::move(targets), prepareTime);
         co_return;
     }
-    asio::steady_timer timer(m_context.io(), copyLookPause);
+    boot_timer timer(m_context.io(), copyLookPause);
     co_await timer.async_wait(asTuple);
     co_await ask(change, order.kind, std::nullopt, std::move(toLookAt), callBudget(m_caller.limits(stateAnswerBytes)));
 }
--- a/Source/gateway/held_caller.cpp
+++ b/Source/gateway/held_caller.cpp
@@ -1,7 +1,7 @@
 #include "gateway/held_caller.h"
 
+#include "daemon/boot_timer.h"
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
@@ -12,7 +12,7 @@
 {
     exchange.onCallerGone(nullptr);
     while (missing() && context.now() < until && !exchange.callerGone()) {
-        asio::steady_timer timer(context.io(), pause);
+        boot_timer timer(context.io(), pause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -1,12 +1,12 @@
 #include "gateway/peer_exchange.h"
 
+#include "daemon/boot_timer.h"
 #include "gateway/peer_wire.h"
 #include "policy/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
@@ -265,7 +265,7 @@
 {
     while (m_state.published().empty()) {
         askForKnown(m_peers.otherSeeds());
-        asio::steady_timer timer(m_context.io(), joinInterval);
+        boot_timer timer(m_context.io(), joinInterval);
         co_await timer.async_wait(asTuple);
     }
 }
@@ -282,7 +282,7 @@
 {
     int count = 0;
     for (;;) {
-        asio::steady_timer timer(m_context.io(), m_settings.reportInterval);
+        boot_timer timer(m_context.io(), m_settings.reportInterval);
         co_await timer.async_wait(asTuple);
         if (m_leaving)
             co_return;
@@ -334,7 +334,7 @@
 awaitable<void> peer_exchange::proofLoop()
 {
     for (;;) {
-        asio::steady_timer timer(m_context.io(), proofLookInterval);
+        boot_timer timer(m_context.io(), proofLookInterval);
         co_await timer.async_wait(asTuple);
         m_state.settle();
         m_snapshots.fetchDue();
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -1,11 +1,11 @@
 #include "gateway/rank_link.h"
 
+#include "daemon/boot_timer.h"
 #include "gateway/choice_codec.h"
 #include "gateway/rank_wire.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
@@ -50,7 +50,7 @@
 // Collects the answers to one call and wakes the caller after the last one.
 struct rank_link::gathering {
     explicit gathering(asio::io_context& io)
-        : done(io, asio::steady_timer::time_point::max())
+        : done(io, boot_timer::time_point::max())
     {
     }
 
@@ -64,7 +64,7 @@
     // Packed once for all parts; empty without an order.
     std::optional<gateway::rank_order> wireOrder;
     std::size_t open = 0;
-    asio::steady_timer done;
+    boot_timer done;
 };
 
 rank_link::rank_link(process_context& context, decision_log& log, rank_port& port, unsigned short agentPort, std::string ownEngine)
@@ -147,7 +147,7 @@
         const auto state = co_await m_port.state(m_ownEngine);
         if (state && state.value().preparedPlacement >= placement)
             co_return;
-        asio::steady_timer timer(m_context.io(), preparedPoll);
+        boot_timer timer(m_context.io(), preparedPoll);
         co_await timer.async_wait(asTuple);
     }
 }
--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/store_follower.cpp
@@ -1,10 +1,10 @@
 #include "gateway/store_follower.h"
 
+#include "daemon/boot_timer.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
@@ -49,7 +49,7 @@
         if (!wanted) {
             // What peers send meanwhile is newer than what a reading left off at.
             m_needAll = m_state.published().empty();
-            asio::steady_timer timer(m_context.io(), idlePause);
+            boot_timer timer(m_context.io(), idlePause);
             co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
@@ -62,7 +62,7 @@
             pause = firstPause;
             continue;
         }
-        asio::steady_timer timer(m_context.io(), pause);
+        boot_timer timer(m_context.io(), pause);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         pause = std::min(pause * 2, longestPause);
     }
--- a/Source/policy/verdict.h
+++ b/Source/policy/verdict.h
@@ -1,8 +1,9 @@
 // Whether a request may have run, and the failure that carries the answer.
 #pragma once
 
+#include "policy/instant.h"
+
 #include <boost/outcome.hpp>
-#include <chrono>
 #include <compare>
 #include <optional>
 #include <string>
@@ -10,10 +11,6 @@
 
 namespace rampgap {
 
-using instant = std::chrono::steady_clock::time_point;
-using duration = std::chrono::steady_clock::duration;
-using milliseconds = std::chrono::milliseconds;
-
 // What is known about the execution of a request that failed.
 enum class verdict { not_run,
     may_have_run,
--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -1,5 +1,6 @@
 #include "standin/engine_standin.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/header_names.h"
 #include "daemon/operator_pages.h"
 #include "discovery/json_reading.h"
@@ -91,7 +92,7 @@
 
 awaitable<void> engine_standin::stepLoop()
 {
-    asio::steady_timer timer(m_context.io());
+    boot_timer timer(m_context.io());
     instant next = m_context.now();
     for (;;) {
         const auto step = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(m_flags.stepMs * m_slowFactor));
--- a/Source/standin/engine_standin.h
+++ b/Source/standin/engine_standin.h
@@ -1,10 +1,10 @@
 // Fake of a model engine or a plain service: continuous batching with a step time.
 #pragma once
 
+#include "daemon/boot_timer.h"
 #include "daemon/http_server.h"
 #include "standin/standin_flags.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <map>
 
@@ -27,7 +27,7 @@
             : signal(io, instant::max())
         {
         }
-        boost::asio::steady_timer signal;
+        boot_timer signal;
         bool inBatch = false;
         int stepsToFirst = 0;
         std::uint64_t steps = 0;
--- a/Source/standin/group_standin.cpp
+++ b/Source/standin/group_standin.cpp
@@ -1,5 +1,6 @@
 #include "standin/group_standin.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/daemon_main.h"
 #include "discovery/json_reading.h"
 #include "policy/digest.h"
@@ -7,7 +8,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <cmath>
@@ -110,7 +110,7 @@
 
 awaitable<void> group_standin::stepLoop()
 {
-    asio::steady_timer timer(m_context.io());
+    boot_timer timer(m_context.io());
     for (;;) {
         timer.expires_after(milliseconds(m_flags.stepMs));
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/Source/standin/platform_standin.cpp
+++ b/Source/standin/platform_standin.cpp
@@ -1,5 +1,6 @@
 #include "standin/platform_standin.h"
 
+#include "daemon/boot_timer.h"
 #include "daemon/operator_pages.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -143,7 +144,7 @@
 awaitable<void> platform_standin::waitForChange(instant until)
 {
     // All watches wait on one timer; a change cancels it for all of them.
-    asio::steady_timer own(m_context.io(), until);
+    boot_timer own(m_context.io(), until);
     if (m_change.expiry() != instant::max())
         m_change.expires_at(instant::max());
     own.async_wait([this](boost::system::error_code error) {
--- a/Source/standin/platform_standin.h
+++ b/Source/standin/platform_standin.h
@@ -1,10 +1,10 @@
 // Fake of the configuration service and the VM list: read and watch, calls counted.
 #pragma once
 
+#include "daemon/boot_timer.h"
 #include "daemon/http_server.h"
 #include "discovery/vm_list.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 
 namespace rampgap::standin {
@@ -34,7 +34,7 @@
     std::uint64_t m_reads = 0;
     bool m_down = false;
     std::uint64_t m_staleAt = UINT64_MAX;
-    boost::asio::steady_timer m_change;
+    boot_timer m_change;
 };
 
 } // namespace rampgap::standin
--- a/Tests/platform/drain-reading/test.cpp
+++ b/Tests/platform/drain-reading/test.cpp
@@ -1,11 +1,11 @@
 // A server that drains still answers a request whose first bytes have come.
+#include "daemon/boot_timer.h"
 #include "daemon/http_server.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
@@ -47,7 +47,7 @@
     co_await asio::async_write(partial, asio::buffer(std::string("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhe")), asio::use_awaitable);
     // Until the server has accepted both and holds the first bytes in its reading.
     while (server.openConnections() < 2) {
-        asio::steady_timer turn(context.io(), milliseconds(1));
+        boot_timer turn(context.io(), milliseconds(1));
         co_await turn.async_wait(asTuple);
     }
     server.drain();
--- a/Tests/platform/restarted-server/test.cpp
+++ b/Tests/platform/restarted-server/test.cpp
@@ -1,10 +1,10 @@
 // A server that was started again under its id has lost the calls that it had.
+#include "daemon/boot_timer.h"
 #include "gateway/call_registry.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <doctest/doctest.h>
 
@@ -29,7 +29,7 @@
 awaitable<void> start(http_call& call, std::string address, milliseconds timeout, std::optional<failure>& failed)
 {
     http_request request { http::verb::post, "/draft", 11 };
-    const auto head = co_await call.start(std::move(address), std::move(request), std::chrono::steady_clock::now() + timeout);
+    const auto head = co_await call.start(std::move(address), std::move(request), boot_clock::now() + timeout);
     if (!head)
         failed = head.error();
 }
@@ -62,7 +62,7 @@
     std::optional<failure> lostFailed;
     std::optional<failure> otherFailed;
     std::size_t ended = 0;
-    const instant began = std::chrono::steady_clock::now();
+    const instant began = boot_clock::now();
     asio::co_spawn(
         context.io(), [&]() -> awaitable<void> {
             co_await start(lost, restarted.address(), longest, lostFailed);
@@ -71,7 +71,7 @@
         },
         asio::detached);
     asio::co_spawn(context.io(), start(other, elsewhere.address(), longest, otherFailed), asio::detached);
-    asio::steady_timer restart(context.io(), milliseconds(20));
+    boot_timer restart(context.io(), milliseconds(20));
     restart.async_wait([&](boost::system::error_code) { ended = calls.end("restarted"); });
     context.io().run();
     CHECK(ended == 1);
@@ -79,5 +79,5 @@
     CHECK_FALSE(atOther.ended());
     REQUIRE(lostFailed);
     CHECK((lostFailed->ran == verdict::may_have_run));
-    CHECK(std::chrono::steady_clock::now() - began < longest / 2);
+    CHECK(boot_clock::now() - began < longest / 2);
 }
--- a/Tests/platform/start-of-all/test.cpp
+++ b/Tests/platform/start-of-all/test.cpp
@@ -1,12 +1,12 @@
 // Load pattern: all processes end at once, and their callers are back before the first
 // configuration has been read.
+#include "daemon/boot_timer.h"
 #include "gateway/gateway_server.h"
 #include "platform/http_codec.h"
 #include "platform/item_decoder.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 #include <unistd.h>
 
@@ -33,7 +33,7 @@
     awaitable<bool> send(http_response response) override
     {
         status = static_cast<int>(response.result_int());
-        answeredAfter = std::chrono::steady_clock::now() - m_receivedAt;
+        answeredAfter = boot_clock::now() - m_receivedAt;
         co_return true;
     }
     awaitable<bool> begin(http_head) override { co_return true; }
@@ -50,7 +50,7 @@
     bool gone = false;
 
 private:
-    instant m_receivedAt = std::chrono::steady_clock::now();
+    instant m_receivedAt = boot_clock::now();
     http_request m_request;
 };
 
@@ -75,7 +75,7 @@
     starting_process process;
     one_exchange exchange;
     process.serve(exchange);
-    asio::steady_timer reading(process.context.io(), milliseconds(60));
+    boot_timer reading(process.context.io(), milliseconds(60));
     reading.async_wait([&](boost::system::error_code) {
         CHECK(exchange.status == 0);
         process.state.take(published_snapshot { { { "op/config", configurationText, 3, 3 } }, 3 }, process.context.now());
@@ -105,7 +105,7 @@
     // Its key is unknown, which can be said only once the proof has come.
     one_exchange exchange("/a/x");
     process.serve(exchange);
-    asio::steady_timer proof(process.context.io(), milliseconds(60));
+    boot_timer proof(process.context.io(), milliseconds(60));
     proof.async_wait([&](boost::system::error_code) {
         CHECK(exchange.status == 0);
         process.state.noteProof(3, process.context.now());
--- a/Tests/platform/suspended-vm/test.cpp
+++ b/Tests/platform/suspended-vm/test.cpp
@@ -6,7 +6,6 @@
 #include "policy/published_state.h"
 #include "support/suspended_time.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
 using namespace rampgap;
--- a/Tests/requests/cancelled-call/test.cpp
+++ b/Tests/requests/cancelled-call/test.cpp
@@ -37,7 +37,7 @@
 awaitable<void> start(http_call& call, std::string address, milliseconds timeout, std::optional<failure>& failed)
 {
     http_request request { http::verb::post, "/draft", 11 };
-    const auto head = co_await call.start(std::move(address), std::move(request), std::chrono::steady_clock::now() + timeout);
+    const auto head = co_await call.start(std::move(address), std::move(request), boot_clock::now() + timeout);
     if (!head)
         failed = head.error();
 }
