--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -19,6 +19,7 @@
 
 namespace {
 
+    constexpr int crashExitCode = 70;
     constexpr std::size_t prefixCharacters = 64;
     constexpr std::uint64_t defaultTokens = 16;
 
@@ -187,6 +188,8 @@
     std::uint64_t sent = asked->resumeFrom;
     while (callerThere && !exchange.callerGone() && sent < asked->maxTokens) {
         co_await nextStep(*own);
+        if (!m_crashOn.empty() && asked->prompt.find(m_crashOn) != std::string::npos)
+            std::_Exit(crashExitCode);
         const std::uint64_t ready = std::min(asked->maxTokens, asked->resumeFrom + own->steps);
         for (; sent < ready && callerThere; ++sent) {
             if (m_breakAfter >= 0 && sent >= static_cast<std::uint64_t>(m_breakAfter)) {
@@ -238,6 +241,8 @@
         m_breakAfter = std::atoi(broken.c_str());
     if (const std::string refuse = queryValue(target, "refuse"); !refuse.empty())
         m_refuse = refuse == "1";
+    if (const std::string word = queryValue(target, "crash_on"); !word.empty())
+        m_crashOn = word;
     return makeResponse(200, "text/plain", "ok\n");
 }
 
--- a/Source/standin/engine_standin.h
+++ b/Source/standin/engine_standin.h
@@ -55,6 +55,8 @@
     // Streams break after this many tokens; negative: never.
     int m_breakAfter = -1;
     bool m_refuse = false;
+    // The process ends when it begins to answer a prompt that holds this; empty: never.
+    std::string m_crashOn;
 };
 
 } // namespace rampgap::standin
