entry, agent: what crashed several engines is not sent to another, on the own interface too

Cause: the same as on the platform. Hypothesis: one history serves both; it only lacks the evidence and the telling. Change: the agent finds out that its engine crashed (daemon/crash_watch, shared with the gateway) and refuses barred requests; the entry VM asks the agent of a lost call what it knows before it tries again, and refuses what is barred at once. Exchanges between processes carry the records (wire/crash_codec, one copy for both interfaces).

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -44,6 +44,7 @@
         return peer.error();
     made->m_peerServer = std::move(peer.value());
     const std::string host = hostOf(made->m_settings.process.peerListen);
+    made->m_engine.onNews([raw = made.get()] { raw->m_configuration.tellCrashes(); });
     made->m_configuration.start(host + ":" + std::to_string(made->peerPort()));
     made->m_gate.start();
     made->m_keeper.start();
@@ -57,7 +58,8 @@
     , m_client(context)
     , m_peers(context)
     , m_platform(platform_source::makeHttp(context, m_client, m_settings.process.platform))
-    , m_configuration(context, m_settings.process, *m_platform, m_peers, *this)
+    , m_configuration(context, m_settings.process, *m_platform, m_peers, m_history, *this)
+    , m_engine(context, m_history, m_settings.process.name, m_settings.engine)
     , m_pages(context, m_settings.process, m_configuration)
     , m_permits(context.incarnation(), context.startedAt())
     , m_guard(m_settings.process.name, context.incarnation(), context.startedAt(), ledgerLimits(m_settings))
@@ -154,6 +156,7 @@
         return notRun(failure_reason::not_home, "the request was meant for another backend server", leavingRetryAfter);
     order.admission.priority = static_cast<int>(headerNumber(request, header::priority, order.admission.priority));
     order.admission.deadline = receivedAt + milliseconds(headerNumber(request, header::timeoutMs, defaultTimeoutMs));
+    order.fingerprint = { static_cast<std::uint64_t>(std::strtoull(headerText(request, header::fingerprint).c_str(), nullptr, 16)) };
     if (!headerText(request, header::notRepeatable).empty()) {
         order.onceId = request_id { order.admission.workspace, service, headerText(request, header::idempotencyKey) };
         order.bodyDigest = hash64(request.body());
@@ -186,6 +189,10 @@
         co_await refuse(exchange, notRun(reason, m_leaving ? "this backend server is leaving" : "this backend server is not declared", leavingRetryAfter), correlation);
         co_return;
     }
+    if (const auto barred = m_engine.barred(order.value().fingerprint)) {
+        co_await refuse(exchange, *barred, correlation);
+        co_return;
+    }
     if (order.value().onceId) {
         auto claimed = claim(request, order.value());
         if (!claimed) {
@@ -227,6 +234,12 @@
     co_return failed;
 }
 
+awaitable<void> agent_server::noteLost(server_life life, const work_order& order, std::uint64_t events, instant sentAt)
+{
+    lost_call call { order.correlation, order.fingerprint, events, sentAt, m_context.now() };
+    co_await m_engine.noteLost(std::move(life), std::move(call));
+}
+
 awaitable<std::optional<failure>> agent_server::callEngine(http_exchange& exchange, const work_order& order)
 {
     const bool once = order.onceId.has_value();
@@ -235,6 +248,8 @@
     request.set(header::timeoutMs, std::to_string(std::max<std::int64_t>(1, left.count())));
     request.erase(std::string(header::permit));
     http_call call(m_client);
+    const instant sentAt = m_context.now();
+    const server_life life = m_engine.life();
     // What may run only once is not cut off: its answer is kept for a repeat of the call.
     const caller_watch watch(exchange, [&call, once] {
         if (!once)
@@ -243,6 +258,8 @@
     auto head = co_await call.start(m_settings.engine, std::move(request), order.admission.deadline);
     if (!head) {
         failure failed = head.error();
+        if (failed.ran != verdict::not_run && failed.reason == failure_reason::connection_lost && !exchange.callerGone())
+            co_await noteLost(life, order, 0, sentAt);
         if (failed.ran == verdict::not_run)
             failed.reason = failure_reason::backend_error;
         if (once && failed.ran == verdict::not_run)
@@ -264,11 +281,15 @@
         m_guard.ledger().finish(*order.onceId, { status, contentType, *outcome.recorded }, m_context.now());
     else if (once)
         m_guard.ledger().finishWithoutAnswer(*order.onceId, m_context.now());
-    if (outcome.end == relay_end::whole)
+    if (outcome.end == relay_end::whole) {
         m_context.counters().add(metric::requests_answered);
+        m_engine.noteServed(order.fingerprint);
+    }
     if (outcome.end != relay_end::cut)
         co_return std::nullopt;
     failure cut = outcome.failed.value_or(failure {});
+    if (cut.reason == failure_reason::connection_lost)
+        co_await noteLost(life, order, progress.events, sentAt);
     cut.ran = verdict::may_have_run;
     cut.reason = failure_reason::backend_error;
     co_return cut;
--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -1,6 +1,7 @@
 // The agent in a backend server VM: the only way to its engine.
 #pragma once
 
+#include "agent/engine_guard.h"
 #include "agent/group_member.h"
 #include "agent/home_keeper.h"
 #include "daemon/admission_gate.h"
@@ -36,6 +37,7 @@
         admission_request admission;
         std::optional<request_id> onceId;
         std::uint64_t bodyDigest = 0;
+        request_fingerprint fingerprint;
     };
 
     agent_server(process_context&, agent_settings);
@@ -47,6 +49,8 @@
     result<std::optional<stored_answer>> claim(const http_request&, const work_order&);
     awaitable<std::optional<failure>> run(http_exchange&, const work_order&);
     awaitable<std::optional<failure>> callEngine(http_exchange&, const work_order&);
+    // The engine ended a call after so many events.
+    awaitable<void> noteLost(server_life, const work_order&, std::uint64_t events, instant sentAt);
     awaitable<void> refuse(http_exchange&, const failure&, const std::string& correlation);
     void addOwnHeaders(http::fields&);
 
@@ -55,7 +59,9 @@
     http_client m_client;
     peer_client m_peers;
     std::unique_ptr<platform_source> m_platform;
+    crash_history m_history;
     configuration_node m_configuration;
+    engine_guard m_engine;
     operator_pages m_pages;
     permit_office m_permits;
     execution_guard m_guard;
--- /dev/null
+++ b/Source/agent/engine_guard.cpp
@@ -0,0 +1,71 @@
+#include "agent/engine_guard.h"
+
+#include "daemon/boot_timer.h"
+#include "daemon/log.h"
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace rampgap {
+
+namespace {
+
+    constexpr milliseconds lookPoll { 1 };
+
+} // namespace
+
+engine_guard::engine_guard(process_context& context, crash_history& history, std::string name, std::string engine)
+    : m_context(context)
+    , m_history(history)
+    , m_watch(context, *this)
+    , m_engine(std::move(engine))
+    , m_life { std::move(name), context.incarnation() }
+{
+}
+
+std::optional<failure> engine_guard::barred(request_fingerprint request)
+{
+    m_watch.settle();
+    m_history.settle(m_context.now());
+    auto refused = m_history.refusal(request, m_context.now());
+    if (refused)
+        m_history.noteBarred(request, m_context.now());
+    return refused;
+}
+
+awaitable<void> engine_guard::noteLost(server_life life, lost_call call)
+{
+    m_watch.noteLost(life, m_engine, call);
+    while (m_watch.looking(life)) {
+        boot_timer timer(m_context.io(), lookPoll);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+}
+
+void engine_guard::noteServed(request_fingerprint request)
+{
+    m_history.noteServed(request, m_context.now());
+    tell();
+}
+
+void engine_guard::onServerCrashed(const server_life& life, const std::string& address, const std::string& why, std::size_t calls)
+{
+    if (life == m_life)
+        ++m_life.incarnation;
+    logProblem("engine_crashed", "engine=" + address + " reason=\"" + why + "\" calls=" + std::to_string(calls));
+}
+
+void engine_guard::onCallCrashed(const server_life& life, const lost_call& call)
+{
+    m_history.noteCrash(call.request, hashOf(life), call.events, m_context.now());
+    m_context.counters().add(metric::calls_crashed);
+    logState("call_crashed", "request=" + call.requestId + " fingerprint=" + toString(call.request) + " events=" + std::to_string(call.events));
+    tell();
+}
+
+void engine_guard::tell()
+{
+    if (m_onNews && m_history.hasNews())
+        m_onNews();
+}
+
+} // namespace rampgap
--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -5,6 +5,7 @@
 #include "discovery/platform_source.h"
 #include "peer.pb.h"
 #include "policy/reader_choice.h"
+#include "wire/crash_codec.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -30,6 +31,11 @@
     // A process whose peers are all out of reach serves what it has after this.
     constexpr milliseconds confirmGrace { 2'000 };
     constexpr int announceFanout = 4;
+    constexpr std::size_t crashesPerMessage = 20;
+    // So few processes are all told of a crash at once: a caller comes again within milliseconds.
+    constexpr std::size_t toldDirectly = 12;
+    // A look at an engine takes a round trip on the machine.
+    constexpr milliseconds crashAnswerTimeout { 100 };
     constexpr milliseconds secondAnnouncement { 300 };
     // One exchange in this many goes to another zone; a standby's every second one to a reader.
     constexpr unsigned otherZoneOneIn = 4;
@@ -37,11 +43,12 @@
 
 } // namespace
 
-configuration_node::configuration_node(process_context& context, const process_settings& settings, platform_source& platform, peer_client& peers, configuration_listener& listener)
+configuration_node::configuration_node(process_context& context, const process_settings& settings, platform_source& platform, peer_client& peers, crash_history& crashes, configuration_listener& listener)
     : m_context(context)
     , m_settings(settings)
     , m_platform(platform)
     , m_peers(peers)
+    , m_crashes(crashes)
     , m_listener(listener)
     , m_lastPeer(context.now())
 {
@@ -68,7 +75,7 @@
 awaitable<void> configuration_node::bootstrap()
 {
     for (const auto& address : m_settings.seedPeers)
-        co_await exchangeWith(address, address);
+        co_await exchangeWith(address, address, makeRequest());
     auto vms = co_await m_platform.watchVms(0, milliseconds(0));
     if (vms)
         takeVms(std::move(vms.value()));
@@ -177,7 +184,7 @@
 {
     for (;;) {
         if (const auto peer = randomPeer())
-            co_await exchangeWith(peer->address, peer->name);
+            co_await exchangeWith(peer->address, peer->name, makeRequest());
         // Until it is ready, a process asks more often.
         co_await sleep(jittered(ready() ? duration(m_settings.exchangeInterval) : duration(retryPause)));
     }
@@ -222,12 +229,12 @@
     wire::ExchangeRequest request;
     stamp(request);
     request.set_vm_list_version(m_vms.version);
+    addCrashes(*request.mutable_crashes(), m_crashes.repeated(m_context.now()));
     return request;
 }
 
-awaitable<result<void>> configuration_node::exchangeWith(std::string address, std::string name)
+awaitable<result<void>> configuration_node::exchangeWith(std::string address, std::string name, wire::ExchangeRequest request)
 {
-    auto request = makeRequest();
     m_context.counters().add(metric::exchanges_sent);
     m_context.counters().add(metric::exchange_bytes, static_cast<double>(request.ByteSizeLong()));
     auto reply = co_await m_peers.exchange(std::move(address), std::move(request), exchangeTimeout);
@@ -239,6 +246,8 @@
     m_context.counters().add(metric::exchange_bytes, static_cast<double>(reply.value().ByteSizeLong()));
     m_context.timeline().observe(reply.value().sender().clock());
     m_lastPeer = m_context.now();
+    if (mergeCrashes(reply.value().crashes(), m_crashes, m_context.now()))
+        tellCrashes();
     m_peerSeen = m_peerSeen || reply.value().sender().revision() > 0;
     for (const auto& document : reply.value().documents()) {
         if (document.kind() == wire::Document::DECLARATION) {
@@ -261,6 +270,10 @@
     m_unreachable.erase(request.sender().name());
     wire::ExchangeReply reply;
     stamp(reply);
+    addCrashes(*reply.mutable_crashes(), m_crashes.repeated(m_context.now()));
+    if (mergeCrashes(request.crashes(), m_crashes, m_context.now()))
+        tellCrashes();
+    addCrashes(*reply.mutable_crashes(), m_crashes.about({ request.asked_request() }, m_context.now()));
     reply.set_vm_list_version(m_vms.version);
     for (auto& text : m_chain.after(request.sender().revision())) {
         auto* document = reply.add_documents();
@@ -284,21 +297,54 @@
 
 awaitable<void> configuration_node::pullFrom(std::string address, std::string name)
 {
-    co_await exchangeWith(std::move(address), std::move(name));
+    co_await exchangeWith(std::move(address), std::move(name), makeRequest());
     m_pulling = false;
 }
 
 // Tells a few random processes that there is something new; they fetch it.
 void configuration_node::announce()
+{
+    announce(makeRequest());
+}
+
+void configuration_node::announce(const wire::ExchangeRequest& request)
 {
     const auto all = peers();
     for (int i = 0; i < announceFanout && !all.empty(); ++i)
-        asio::co_spawn(m_context.io(), announceTo(all[m_context.random()() % all.size()]), asio::detached);
+        asio::co_spawn(m_context.io(), announceTo(all[m_context.random()() % all.size()], request), asio::detached);
 }
 
-awaitable<void> configuration_node::announceTo(peer_place peer)
+awaitable<void> configuration_node::announceTo(peer_place peer, wire::ExchangeRequest request)
 {
-    co_await exchangeWith(peer.address, peer.name);
+    co_await exchangeWith(peer.address, peer.name, std::move(request));
+}
+
+void configuration_node::tellCrashes()
+{
+    while (m_crashes.hasNews()) {
+        auto request = makeRequest();
+        addCrashes(*request.mutable_crashes(), m_crashes.takeNews(crashesPerMessage, m_context.now()));
+        const auto all = peers();
+        if (all.size() > toldDirectly) {
+            announce(request);
+            continue;
+        }
+        for (const auto& peer : all)
+            asio::co_spawn(m_context.io(), announceTo(peer, request), asio::detached);
+    }
+}
+
+awaitable<void> configuration_node::askAbout(request_fingerprint lost, std::string backend)
+{
+    const auto all = peers();
+    const auto agent = std::find_if(all.begin(), all.end(), [&backend](const peer_place& peer) { return peer.name == backend; });
+    if (agent == all.end())
+        co_return;
+    auto request = makeRequest();
+    request.set_asked_request(lost.value);
+    const auto reply = co_await m_peers.exchange(agent->address, std::move(request), crashAnswerTimeout);
+    if (reply && mergeCrashes(reply.value().crashes(), m_crashes, m_context.now()))
+        tellCrashes();
 }
 
 void configuration_node::takeOutcome(const offer_outcome& outcome, const std::string& from)
--- a/Source/daemon/configuration_node.h
+++ b/Source/daemon/configuration_node.h
@@ -4,6 +4,7 @@
 #include "daemon/peer_link.h"
 #include "daemon/settings.h"
 #include "discovery/vm_list.h"
+#include "policy/crash_history.h"
 #include "policy/revision_chain.h"
 
 namespace rampgap {
@@ -25,12 +26,16 @@
 // processes repairs what was missed.
 class configuration_node {
 public:
-    configuration_node(process_context&, const process_settings&, platform_source&, peer_client&, configuration_listener&);
+    configuration_node(process_context&, const process_settings&, platform_source&, peer_client&, crash_history&, configuration_listener&);
 
     // Starts the loops. `peerAddress` is where this process's peer server listens.
     void start(std::string peerAddress);
 
     awaitable<wire::ExchangeReply> onExchange(wire::ExchangeRequest);
+    // Tells a few random processes what is new in the history of crashes; they tell others.
+    void tellCrashes();
+    // Learns what the agent of a backend server knows of a request that was lost there.
+    awaitable<void> askAbout(request_fingerprint, std::string backend);
     // Fills in what this process says of itself.
     template <class Message>
     void stamp(Message& message) const
@@ -59,9 +64,10 @@
     awaitable<void> watchDeclarationsLoop();
     awaitable<void> watchVmsLoop();
     awaitable<void> exchangeLoop();
-    awaitable<result<void>> exchangeWith(std::string address, std::string name);
+    awaitable<result<void>> exchangeWith(std::string address, std::string name, wire::ExchangeRequest);
     awaitable<void> pullFrom(std::string address, std::string name);
     void announce();
+    void announce(const wire::ExchangeRequest&);
     awaitable<void> announceLater();
     duration ownLookPause();
     wire::ExchangeRequest makeRequest() const;
@@ -73,7 +79,7 @@
         std::string zone;
         std::string address;
     };
-    awaitable<void> announceTo(peer_place);
+    awaitable<void> announceTo(peer_place, wire::ExchangeRequest);
     std::vector<peer_place> peers() const;
     std::vector<std::string> ownReaderOrder() const;
     bool mayLook(instant& nextOwnLook);
@@ -85,6 +91,7 @@
     const process_settings& m_settings;
     platform_source& m_platform;
     peer_client& m_peers;
+    crash_history& m_crashes;
     configuration_listener& m_listener;
     std::string m_peerAddress;
     revision_chain m_chain;
--- /dev/null
+++ b/Source/daemon/crash_watch.h
@@ -0,0 +1,45 @@
+// Finds out whether a server that ended calls has crashed.
+#pragma once
+
+#include "daemon/http_message.h"
+#include "daemon/process_context.h"
+#include "policy/crash_detector.h"
+
+namespace rampgap {
+
+// Told of each finding, on the process's thread.
+class crash_listener {
+public:
+    virtual ~crash_listener() = default;
+
+    // Once for each server; then once for each call that it was running.
+    virtual void onServerCrashed(const server_life&, const std::string& address, const std::string& why, std::size_t calls) = 0;
+    virtual void onCallCrashed(const server_life&, const lost_call&) = 0;
+};
+
+class crash_watch {
+public:
+    crash_watch(process_context&, crash_listener&);
+
+    // A call ended without its answer; looks at the server if nobody does yet.
+    void noteLost(const server_life&, const std::string& address, const lost_call&);
+    // True while it is being looked at.
+    bool looking(const server_life& life) const { return m_detector.looking(life); }
+    // A later life of the server was seen.
+    void noteStartedAnew(const server_life&, const std::string& address);
+    // Lives of which it is not known whether they ended.
+    std::vector<server_life> undecided() const { return m_detector.undecided(); }
+    // Forgets what nobody found out about.
+    void settle() { m_detector.settle(m_context.now()); }
+
+private:
+    // Looks whether anything listens at the address.
+    awaitable<void> look(server_life, std::string address);
+    void noteCrashed(const server_life&, const std::string& address, const std::string& why);
+
+    process_context& m_context;
+    crash_listener& m_listener;
+    crash_detector m_detector;
+};
+
+} // namespace rampgap
--- a/Source/daemon/header_names.h
+++ b/Source/daemon/header_names.h
@@ -22,6 +22,7 @@
 // Between an entry VM and an agent; dropped from what callers send.
 inline constexpr std::string_view workspace = "Rampgap-Workspace";
 inline constexpr std::string_view service = "Rampgap-Service";
+inline constexpr std::string_view fingerprint = "Rampgap-Fingerprint";
 inline constexpr std::string_view permit = "Rampgap-Permit";
 inline constexpr std::string_view clock = "Rampgap-Clock";
 inline constexpr std::string_view load = "Rampgap-Load";
--- a/Source/entry/caller_request.cpp
+++ b/Source/entry/caller_request.cpp
@@ -91,6 +91,7 @@
     if (!mayUse(*made.workspace, made.service->name))
         return notRun(failure_reason::forbidden, "this workspace may not use '" + made.service->name + "'");
 
+    made.fingerprint = fingerprintOf(request.method_string(), request.target(), made.workspace->name, request.body());
     const std::string given = headerText(request, header::requestId);
     made.correlation = given.empty() ? std::move(correlation) : given.substr(0, maxKeyBytes);
     const std::int64_t defaultTimeout = made.fleet->declared().rules().defaultTimeout.count();
--- a/Source/entry/caller_request.h
+++ b/Source/entry/caller_request.h
@@ -3,6 +3,7 @@
 
 #include "daemon/http_message.h"
 #include "entry/fleet_snapshot.h"
+#include "policy/request_fingerprint.h"
 #include "policy/request_id.h"
 
 #include <memory>
@@ -16,6 +17,8 @@
     const workspace_declaration* workspace = nullptr;
     const service_declaration* service = nullptr;
     std::string correlation;
+    // The same when the caller comes again.
+    request_fingerprint fingerprint;
     // Set if the request may run at most once.
     std::optional<request_id> onceId;
     int priority = 5;
--- a/Source/entry/entry_server.cpp
+++ b/Source/entry/entry_server.cpp
@@ -55,10 +55,10 @@
     , m_client(context)
     , m_peers(context)
     , m_platform(platform_source::makeHttp(context, m_client, m_settings.process.platform))
-    , m_configuration(context, m_settings.process, *m_platform, m_peers, *this)
+    , m_configuration(context, m_settings.process, *m_platform, m_peers, m_history, *this)
     , m_pages(context, m_settings.process, m_configuration)
     , m_pauses(context.now(), std::chrono::system_clock::now())
-    , m_dispatcher(context, m_client, std::move(routing), m_pauses)
+    , m_dispatcher(context, m_client, m_configuration, m_history, std::move(routing), m_pauses)
 {
 }
 
@@ -166,6 +166,12 @@
     }
     request.value().pauseEpoch = pauseEpoch;
     const caller_request& made = request.value();
+    m_history.settle(m_context.now());
+    if (const auto barred = m_history.refusal(made.fingerprint, m_context.now())) {
+        m_history.noteBarred(made.fingerprint, m_context.now());
+        co_await refuse(exchange, *barred, made.correlation);
+        co_return;
+    }
     const auto entered = m_limiter.enter(*made.workspace, m_context.now());
     if (!entered) {
         co_await refuse(exchange, entered.error(), made.correlation);
--- a/Source/entry/entry_server.h
+++ b/Source/entry/entry_server.h
@@ -48,6 +48,7 @@
     http_client m_client;
     peer_client m_peers;
     std::unique_ptr<platform_source> m_platform;
+    crash_history m_history;
     configuration_node m_configuration;
     operator_pages m_pages;
     pause_detector m_pauses;
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -70,9 +70,11 @@
 
 } // namespace
 
-request_dispatcher::request_dispatcher(process_context& context, http_client& client, std::unique_ptr<routing_policy> routing, pause_detector& pauses)
+request_dispatcher::request_dispatcher(process_context& context, http_client& client, configuration_node& configuration, crash_history& crashes, std::unique_ptr<routing_policy> routing, pause_detector& pauses)
     : m_context(context)
     , m_client(client)
+    , m_configuration(configuration)
+    , m_crashes(crashes)
     , m_routing(std::move(routing))
     , m_pauses(pauses)
     , m_table(context.zone())
@@ -126,6 +128,12 @@
         // Once a try may have run, so may the request: a later refusal cannot take it back.
         worst = std::max(worst, last->ran);
         last->ran = worst;
+        if (last->ran != verdict::not_run)
+            co_await m_configuration.askAbout(request.fingerprint, m_table.view(chosen).name);
+        if (auto refused = m_crashes.refusal(request.fingerprint, m_context.now())) {
+            refused->ran = worst;
+            co_return refused;
+        }
     }
 }
 
@@ -227,6 +235,7 @@
     upstream.set(header::workspace, request.workspace->name);
     upstream.set(header::service, request.service->name);
     upstream.set(header::requestId, request.correlation);
+    upstream.set(header::fingerprint, toString(request.fingerprint));
     upstream.set(header::priority, std::to_string(request.priority));
     upstream.set(header::timeoutMs, std::to_string(std::max<std::int64_t>(1, left.count())));
     upstream.set(header::revision, std::to_string(request.fleet->revision()));
--- a/Source/entry/request_dispatcher.h
+++ b/Source/entry/request_dispatcher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "daemon/answer_relay.h"
+#include "daemon/configuration_node.h"
 #include "entry/caller_request.h"
 #include "policy/backend_table.h"
 #include "policy/pause_detector.h"
@@ -15,7 +16,7 @@
 
 class request_dispatcher {
 public:
-    request_dispatcher(process_context&, http_client&, std::unique_ptr<routing_policy>, pause_detector&);
+    request_dispatcher(process_context&, http_client&, configuration_node&, crash_history&, std::unique_ptr<routing_policy>, pause_detector&);
 
     void apply(const declaration&);
     void noteListedLeaving(const std::vector<std::string>& names) { m_table.noteListedLeaving(names); }
@@ -52,6 +53,8 @@
 
     process_context& m_context;
     http_client& m_client;
+    configuration_node& m_configuration;
+    crash_history& m_crashes;
     std::unique_ptr<routing_policy> m_routing;
     pause_detector& m_pauses;
     backend_table m_table;
--- a/Source/gateway/crash_gossip.cpp
+++ b/Source/gateway/crash_gossip.cpp
@@ -1,7 +1,7 @@
 #include "gateway/crash_gossip.h"
 
 #include "daemon/boot_timer.h"
-#include "gateway/peer_wire.h"
+#include "wire/crash_codec.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -47,7 +47,7 @@
 {
     while (m_history.hasNews()) {
         auto datagram = m_sender.makeDatagram();
-        addCrashes(datagram, m_history.takeNews(recordsPerDatagram, m_context.now()));
+        addCrashes(*datagram.mutable_crashes(), m_history.takeNews(recordsPerDatagram, m_context.now()));
         if (m_peers.self().role == peer_role::entry) {
             for (const auto& peer : m_peers.sample(peer_role::entry, fanout, m_context.random()))
                 m_sender.send(peer.host, datagram);
@@ -60,8 +60,7 @@
 
 void crash_gossip::receive(const gateway::peer_datagram& datagram, const std::string& host)
 {
-    for (const auto& [record, age] : crashesOf(datagram))
-        m_history.merge(record, age, m_context.now());
+    mergeCrashes(datagram.crashes(), m_history, m_context.now());
     tell();
     if (datagram.crash_digest() != m_history.digest())
         answer(host);
@@ -78,7 +77,7 @@
     for (std::size_t from = 0; from == 0 || from < records.size(); from += recordsPerDatagram) {
         const auto to = std::min(records.size(), from + recordsPerDatagram);
         auto datagram = m_sender.makeDatagram();
-        addCrashes(datagram, { records.begin() + static_cast<std::ptrdiff_t>(from), records.begin() + static_cast<std::ptrdiff_t>(to) });
+        addCrashes(*datagram.mutable_crashes(), { records.begin() + static_cast<std::ptrdiff_t>(from), records.begin() + static_cast<std::ptrdiff_t>(to) });
         m_sender.send(host, datagram);
     }
 }
--- a/Source/gateway/peer_wire.cpp
+++ b/Source/gateway/peer_wire.cpp
@@ -74,36 +74,6 @@
     }
 }
 
-void addCrashes(gateway::peer_datagram& datagram, const aged_crashes& all)
-{
-    for (const auto& [record, age] : all) {
-        auto* added = datagram.add_crashes();
-        added->set_request(record.request.value);
-        for (const auto& crash : record.crashes) {
-            if (crash.early)
-                added->add_early_servers(crash.server);
-            else
-                added->add_late_servers(crash.server);
-        }
-        added->set_served(record.served);
-        added->set_age_ms(static_cast<std::uint32_t>(age.count()));
-    }
-}
-
-aged_crashes crashesOf(const gateway::peer_datagram& datagram)
-{
-    aged_crashes all;
-    for (const auto& told : datagram.crashes()) {
-        crash_record record { { told.request() }, {}, told.served() };
-        for (const auto server : told.early_servers())
-            record.crashes.push_back({ server, true });
-        for (const auto server : told.late_servers())
-            record.crashes.push_back({ server, false });
-        all.push_back({ std::move(record), milliseconds(told.age_ms()) });
-    }
-    return all;
-}
-
 std::vector<gateway::peer_datagram> rankDatagrams(const gateway::peer_datagram& common, const ranks_report& report)
 {
     std::vector<gateway::peer_datagram> all { withoutRanks(common, report) };
--- a/Source/gateway/peer_wire.h
+++ b/Source/gateway/peer_wire.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "gateway.pb.h"
-#include "policy/crash_history.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/peer_table.h"
@@ -20,11 +19,6 @@
 
 void addGroups(gateway::peer_datagram&, const std::vector<std::pair<group_news, milliseconds>>&);
 
-// With the time since each request was last seen.
-using aged_crashes = std::vector<std::pair<crash_record, milliseconds>>;
-void addCrashes(gateway::peer_datagram&, const aged_crashes&);
-aged_crashes crashesOf(const gateway::peer_datagram&);
-
 // Requests at the ranks of a group and what lengthens its steps, by the group's leader.
 struct ranks_report {
     group_key group;
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -130,11 +130,12 @@
 // streams served (a run of the soak with six engines' lives of three ranks).
 std::optional<failure> upstream_dispatcher::barred(const progress& state)
 {
-    const auto length = m_history.barredFor(state.fingerprint, m_context.now());
-    if (!length)
-        return std::nullopt;
-    m_history.noteBarred(state.fingerprint, m_context.now());
-    return failure { state.worst, failure_reason::crashes_servers, "several servers crashed as they began to run this request", length };
+    auto refused = m_history.refusal(state.fingerprint, m_context.now());
+    if (refused) {
+        m_history.noteBarred(state.fingerprint, m_context.now());
+        refused->ran = state.worst;
+    }
+    return refused;
 }
 
 // After a start of all no group is open, and each of a hundred requests that were sent before
--- a/Source/policy/crash_detector.cpp
+++ b/Source/policy/crash_detector.cpp
@@ -63,6 +63,12 @@
     return calls;
 }
 
+bool crash_detector::looking(const server_life& life) const
+{
+    const auto held = m_suspicions.find(life);
+    return held != m_suspicions.end() && held->second.looking;
+}
+
 std::vector<server_life> crash_detector::undecided() const
 {
     std::vector<server_life> lives;
--- a/Source/policy/crash_detector.h
+++ b/Source/policy/crash_detector.h
@@ -53,6 +53,8 @@
     // Nothing listens at its address, or it was started anew. Returns the calls that it had.
     std::vector<lost_call> noteCrashed(const server_life&, instant now);
 
+    // True until the look that `noteLost` asked for has brought something.
+    bool looking(const server_life&) const;
     // Lives of which it is not known whether they ended.
     std::vector<server_life> undecided() const;
     // Forgets what nobody found out about.
--- a/Tests/platform/crash-news/test.cpp
+++ b/Tests/platform/crash-news/test.cpp
@@ -1,6 +1,7 @@
 // News of a request that ends servers reach every entry VM of the planned size, within what its
 // link and core bear.
-#include "gateway/peer_wire.h"
+#include "gateway.pb.h"
+#include "wire/crash_codec.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -35,7 +36,7 @@
             if (!histories[from].hasNews())
                 continue;
             gateway::peer_datagram datagram;
-            addCrashes(datagram, histories[from].takeNews(recordsPerDatagram, now));
+            addCrashes(*datagram.mutable_crashes(), histories[from].takeNews(recordsPerDatagram, now));
             for (std::size_t i = 0; i < fanout; ++i) {
                 sentBytes[from] += datagram.ByteSizeLong();
                 largest = std::max(largest, datagram.ByteSizeLong());
@@ -44,8 +45,7 @@
             }
         }
         for (const auto& [to, datagram] : underWay) {
-            for (const auto& [record, age] : crashesOf(datagram))
-                histories[to].merge(record, age, now);
+            mergeCrashes(datagram.crashes(), histories[to], now);
         }
     }
 
@@ -94,9 +94,8 @@
         knows.noteCrash({ 1 }, server, 0, instant {});
     REQUIRE(knows.digest() != missed.digest());
     gateway::peer_datagram datagram;
-    addCrashes(datagram, knows.repeated(instant {} + milliseconds(5'000)));
-    for (const auto& [record, age] : crashesOf(datagram))
-        missed.merge(record, age, instant {} + milliseconds(900'000));
+    addCrashes(*datagram.mutable_crashes(), knows.repeated(instant {} + milliseconds(5'000)));
+    mergeCrashes(datagram.crashes(), missed, instant {} + milliseconds(900'000));
     CHECK(knows.digest() == missed.digest());
     CHECK(missed.barredFor({ 1 }, instant {} + milliseconds(900'000)) == milliseconds(595'000));
 }
