--- a/Tests/platform/crash-history/test.cpp
+++ b/Tests/platform/crash-history/test.cpp
@@ -2,7 +2,9 @@
 #include "policy/crash_history.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
+#include <random>
 #include <rapidcheck.h>
 
 using namespace rampgap;
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -63,6 +63,11 @@
     ("leads_beside_a_leader", "leadership.cpp", "now - *m_quietSince >= patienceOf(position)", "true", "platform/leadership"),
     ("held_beyond_its_time", "group_wait.cpp", "std::min(patienceLeft, servable)", "patienceLeft", "platform/group-state"),
     ("all_read_at_the_start", "store_reading.cpp", "return process.isSeed || ", "return true || ", "platform/peers"),
+    ("neighbour_blamed", "crash_history.cpp", "weigh(m_requests.at(other)) > own;", "false;", "platform/crash-history"),
+    ("rivals_barred", "crash_history.cpp", " && !hasRival(unexplained, request, own)", "", "platform/crash-history"),
+    ("served_still_suspect", "crash_history.cpp", "    if (held.served)\n        return {};\n", "", "platform/crash-history"),
+    ("never_barred", "crash_history.cpp", "unexplained.size() >= mostCrashes ||", "", "platform/crash-history"),
+    ("alive_taken_for_crashed", "crash_detector.cpp", "std::erase_if(held->second.calls, [now](const lost_call& call) { return call.lostAt <= now; });", "", "platform/crash-detection"),
     ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
 ]
 
