--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    // Events after which a request no longer counts as just begun. Of 24 calls that two crashes
-    // ended (logs of such a day) the one at fault had none, the others 1 to 15.
+    // Events after which a request no longer counts as just begun. Of the 16 calls that two crashes
+    // ended (logs of such a day) one in each had had no event, the others 1 to 16.
     constexpr std::uint64_t earlyEvents = 2;
     // Crashes that bar a request which had just begun each time and has no rival: one crash may
     // be the server's own, and each further one closes its whole group for seconds.
