--- a/Source/agent/engine_guard.cpp
+++ b/Source/agent/engine_guard.cpp
@@ -24,16 +24,12 @@
 
 std::optional<failure> engine_guard::barred(request_fingerprint request)
 {
-    m_watch.settle();
-    m_history.settle(m_context.now());
-    auto refused = m_history.refusal(request, m_context.now());
-    if (refused)
-        m_history.noteBarred(request, m_context.now());
-    return refused;
+    return m_history.refuse(request, m_context.now());
 }
 
 awaitable<void> engine_guard::noteLost(server_life life, lost_call call)
 {
+    m_watch.settle();
     m_watch.noteLost(life, m_engine, call);
     while (m_watch.looking(life)) {
         boot_timer timer(m_context.io(), lookPoll);
--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -183,6 +183,7 @@
 awaitable<void> configuration_node::exchangeLoop()
 {
     for (;;) {
+        m_crashes.settle(m_context.now());
         if (const auto peer = randomPeer())
             co_await exchangeWith(peer->address, peer->name, makeRequest());
         // Until it is ready, a process asks more often.
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -130,7 +130,7 @@
         last->ran = worst;
         if (last->ran != verdict::not_run)
             co_await m_configuration.askAbout(request.fingerprint, m_table.view(chosen).name);
-        if (auto refused = m_crashes.refusal(request.fingerprint, m_context.now())) {
+        if (auto refused = m_crashes.refuse(request.fingerprint, m_context.now())) {
             refused->ran = worst;
             co_return refused;
         }
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -130,11 +130,9 @@
 // other streams served (a soak run with one group of three engines).
 std::optional<failure> upstream_dispatcher::barred(const progress& state)
 {
-    auto refused = m_history.refusal(state.fingerprint, m_context.now());
-    if (refused) {
-        m_history.noteBarred(state.fingerprint, m_context.now());
+    auto refused = m_history.refuse(state.fingerprint, m_context.now());
+    if (refused)
         refused->ran = state.worst;
-    }
     return refused;
 }
 
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -189,11 +189,12 @@
     return std::chrono::duration_cast<milliseconds>(held->second.seenAt + memory - now);
 }
 
-std::optional<failure> crash_history::refusal(request_fingerprint request, instant now) const
+std::optional<failure> crash_history::refuse(request_fingerprint request, instant now)
 {
     const auto length = barredFor(request, now);
     if (!length)
         return std::nullopt;
+    noteBarred(request, now);
     return notRun(failure_reason::crashes_servers, "several servers crashed as they began to run this request", length);
 }
 
--- a/Source/policy/crash_history.h
+++ b/Source/policy/crash_history.h
@@ -47,8 +47,8 @@
 
     // Empty if the request may be sent to a server; otherwise how long it may not.
     std::optional<milliseconds> barredFor(request_fingerprint, instant now) const;
-    // The refusal that its caller gets while it is barred.
-    std::optional<failure> refusal(request_fingerprint, instant now) const;
+    // The refusal that its caller gets while it is barred; its coming keeps it barred for longer.
+    std::optional<failure> refuse(request_fingerprint, instant now);
     // The caller of a barred request came again: it stays barred for so much longer.
     void noteBarred(request_fingerprint, instant now);
 
