gateway: logs and metrics that tell which history of the store a reading is of

When the store comes back from an older copy, the logs showed 410 and nothing else: neither that the answers belong to another history nor that the full listing in between was refused as old. Now 'store_epoch_seen' and 'listing_refused' say so, with both revisions, and rampgap_store_epoch, rampgap_store_revision and rampgap_store_readings_refused_total count it. No decision changes.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -40,6 +40,9 @@
         { metric::servers_crashed, "rampgap_servers_crashed_total", "Backend servers found to have crashed while they ran requests from here", false },
         { metric::calls_crashed, "rampgap_calls_crashed_total", "Calls that a backend server was running as it crashed", false },
         { metric::requests_barred, "rampgap_requests_barred", "Requests that are sent to no server since several crashed under each", true },
+        { metric::store_epoch, "rampgap_store_epoch", "Epoch of the users' store in the newest answer: it rises when the store comes back from an older copy", true },
+        { metric::store_revision, "rampgap_store_revision", "Revision of the users' store that this process holds", true },
+        { metric::store_readings_refused, "rampgap_store_readings_refused_total", "Listings of the users' store that were refused as older than what is held", false },
     } };
 
     struct latency_row {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -45,9 +45,12 @@
     servers_crashed,
     calls_crashed,
     requests_barred,
+    store_epoch,
+    store_revision,
+    store_readings_refused,
 };
 
-inline constexpr std::size_t metricCount = 26;
+inline constexpr std::size_t metricCount = 29;
 
 struct metric_row {
     metric id;
--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -87,6 +87,7 @@
 
 void fleet_state::apply(const std::vector<published_change>& changes, const std::string& source)
 {
+    m_context.counters().set(metric::store_revision, static_cast<double>(m_published.revision()));
     for (const auto& change : changes) {
         if (m_decoder.isConfiguration(change.item.key)) {
             if (change.removed)
--- a/Source/gateway/published_source.h
+++ b/Source/gateway/published_source.h
@@ -13,6 +13,7 @@
 struct published_update {
     std::vector<published_change> changes;
     store_revision revision = 0;
+    store_epoch epoch = 0;
     // The store no longer has the changes that were asked for: read everything anew.
     bool historyLost = false;
 
--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/store_follower.cpp
@@ -78,6 +78,11 @@
         co_return false;
     }
     m_state.noteSourceRegained();
+    noteEpoch(snapshot.value().epoch, snapshot.value().revision);
+    if (snapshot.value().revision < m_state.published().revision()) {
+        m_context.counters().add(metric::store_readings_refused);
+        m_log.line("listing_refused").add("epoch", snapshot.value().epoch).add("revision", snapshot.value().revision).add("held", m_state.published().revision());
+    }
     m_state.take(snapshot.value(), askedAt);
     m_needAll = false;
     co_return true;
@@ -93,6 +98,7 @@
         co_return false;
     }
     m_state.noteSourceRegained();
+    noteEpoch(update.value().epoch, update.value().revision);
     if (update.value().historyLost) {
         m_log.line("history_lost").add("revision", m_state.published().revision()).add("outcome", "reading everything anew");
         m_needAll = true;
@@ -104,4 +110,13 @@
     co_return true;
 }
 
+void store_follower::noteEpoch(store_epoch epoch, store_revision revision)
+{
+    if (m_epoch == epoch)
+        return;
+    m_log.line("store_epoch_seen").add("epoch", epoch).add("before", m_epoch.value_or(0)).add("revision", revision).add("held", m_state.published().revision());
+    m_epoch = epoch;
+    m_context.counters().set(metric::store_epoch, static_cast<double>(epoch));
+}
+
 } // namespace rampgap
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -20,6 +20,7 @@
     awaitable<void> run();
     awaitable<bool> readAll();
     awaitable<bool> watchOnce();
+    void noteEpoch(store_epoch, store_revision);
 
     process_context& m_context;
     decision_log& m_log;
@@ -30,6 +31,8 @@
     std::function<void()> m_onNews;
     bool m_reading = false;
     bool m_needAll = true;
+    // Of the newest answer.
+    std::optional<store_epoch> m_epoch;
 };
 
 } // namespace rampgap
--- a/Source/policy/published_state.h
+++ b/Source/policy/published_state.h
@@ -12,6 +12,9 @@
 namespace rampgap {
 
 using store_revision = std::uint64_t;
+// Rises by one each time the store comes back from a copy that lacks what it had acknowledged
+// since; 0 where the store does not tell. Revisions of two epochs do not compare.
+using store_epoch = std::uint64_t;
 
 struct published_item {
     std::string key;
@@ -34,6 +37,7 @@
 struct published_snapshot {
     std::vector<published_item> items;
     store_revision revision = 0;
+    store_epoch epoch = 0;
 
     bool operator==(const published_snapshot&) const = default;
 };
