--- /dev/null
+++ b/Tests/platform/restored-store/test.cpp
@@ -0,0 +1,203 @@
+// The metadata store was restored from a copy some seconds old and gave out its revisions again. An entry VM that held
+// revision 35 refused every listing as older, asked again at once, and when the count had passed 35 watched on from there:
+// what had been written below never reached it, and a server that had said that it leaves got requests for 2.5 s more. Its
+// log had "store_epoch_seen epoch=2 before=1 revision=31 held=35", "listing_refused epoch=2 revision=31 held=35" a hundred
+// times a second, and then "configuration_in_force version=28 revision=36" without what came between.
+#include "daemon/boot_timer.h"
+#include "gateway/store_follower.h"
+#include "platform/item_decoder.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+#include <unistd.h>
+
+using namespace rampgap;
+
+namespace {
+
+namespace asio = boost::asio;
+
+// The users' bound on what is written after the return.
+constexpr milliseconds inForceWithin { 2'000 };
+constexpr milliseconds watchWait { 800 };
+constexpr milliseconds poll { 5 };
+// Each of 390 VMs may ask five times a second; twice the bound, and one more for each of four writes.
+constexpr int mostReadings = 14;
+
+std::string configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"v","host":"h","path_prefix":"/v)" + std::to_string(version)
+        + R"(/","type":"idempotent","service":"plain"}],"services":[{"name":"plain","health_path":"/h"}]})";
+}
+
+std::string server(const std::string& state)
+{
+    return R"({"service":"plain","address":"10.0.0.1:80","zone":"a","version":"v1","capacity":4,"state":")" + state + R"(","cold_remaining_ms":0,"sequence":1,"born":1000})";
+}
+
+const std::string configurationKey = "op/config";
+const std::string serverKey = "servers/i-1";
+
+// A store in memory that can be restored from a copy of itself.
+class restorable_store : public published_source {
+public:
+    explicit restorable_store(asio::io_context& io)
+        : m_io(io)
+    {
+    }
+
+    void put(const std::string& key, const std::string& value)
+    {
+        const store_revision revision = ++m_held.revision;
+        const auto before = m_held.items.find(key);
+        const published_item item { key, value, revision, before == m_held.items.end() ? revision : before->second.created };
+        m_held.items[key] = item;
+        m_held.log.push_back({ item, false });
+    }
+    void copy() { m_copy = m_held; }
+    void restore()
+    {
+        m_held = m_copy;
+        ++m_epoch;
+    }
+    store_revision revision() const { return m_held.revision; }
+    int readings() const { return m_readings; }
+
+    awaitable<result<published_snapshot>> readAll() override
+    {
+        co_await answerTime();
+        published_snapshot listing;
+        listing.revision = m_held.revision;
+        listing.epoch = m_epoch;
+        for (const auto& [key, item] : m_held.items)
+            listing.items.push_back(item);
+        co_return listing;
+    }
+
+    awaitable<result<published_update>> watch(store_revision after, milliseconds wait) override
+    {
+        const auto epoch = m_epoch;
+        const instant until = boot_clock::now() + wait;
+        co_await answerTime();
+        while (after == m_held.revision && epoch == m_epoch && boot_clock::now() < until) {
+            boot_timer timer(m_io, poll);
+            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+        published_update update;
+        update.revision = m_held.revision;
+        update.epoch = m_epoch;
+        update.historyLost = after > m_held.revision;
+        for (const auto& change : m_held.log) {
+            if (!update.historyLost && change.item.revision > after)
+                update.changes.push_back(change);
+        }
+        co_return update;
+    }
+
+private:
+    awaitable<void> answerTime()
+    {
+        ++m_readings;
+        boot_timer timer(m_io, poll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+
+    struct contents {
+        std::map<std::string, published_item> items;
+        std::vector<published_change> log;
+        store_revision revision = 0;
+    };
+
+    asio::io_context& m_io;
+    contents m_held;
+    contents m_copy;
+    store_epoch m_epoch = 1;
+    int m_readings = 0;
+};
+
+// An entry VM that follows the store; `runUntil` lets time pass.
+struct following_vm {
+    following_vm()
+    {
+        store.put(configurationKey, configuration(1));
+        store.put(serverKey, server("ready"));
+        store.copy();
+        for (int version = 2; version <= 4; ++version)
+            store.put(configurationKey, configuration(version));
+        follower.start();
+        REQUIRE(runUntil([this] { return state.configuration() && state.configuration()->version() == 4; }));
+    }
+
+    bool runUntil(const std::function<bool()>& reached)
+    {
+        const instant end = context.now() + inForceWithin;
+        while (!reached() && context.now() < end) {
+            context.io().restart();
+            context.io().run_for(poll);
+        }
+        return reached();
+    }
+    bool serverDrains() { return !state.backends().open("i-1"); }
+    std::uint64_t version() const { return state.configuration()->version(); }
+
+    process_context context { "entry", "a", "entry" };
+    decision_log log { "entry", STDERR_FILENO };
+    platform::item_decoder decoder;
+    restorable_store store { context.io() };
+    fleet_state state { context, log, decoder, milliseconds(0) };
+    store_follower follower { context, log, store, state, watchWait };
+};
+
+} // namespace
+
+TEST_CASE("what is written below the old mark of a restored store is in force")
+{
+    following_vm vm;
+    const int before = vm.store.readings();
+    vm.store.restore();
+    vm.store.put(serverKey, server("draining"));
+    CHECK(vm.store.revision() < 5);
+    CHECK(vm.runUntil([&] { return vm.serverDrains(); }));
+    CHECK(vm.version() == 4);
+    vm.runUntil([] { return false; });
+    CHECK(vm.store.readings() - before <= mostReadings);
+}
+
+TEST_CASE("what is written up to and past the old mark of a restored store is in force")
+{
+    for (const int last : { 5, 6, 7, 8 }) {
+        CAPTURE(last);
+        following_vm vm;
+        vm.store.restore();
+        vm.store.put(serverKey, server("draining"));
+        for (int version = 5; version <= last; ++version)
+            vm.store.put(configurationKey, configuration(version));
+        CHECK(vm.runUntil([&] { return vm.version() == static_cast<std::uint64_t>(last) && vm.serverDrains(); }));
+    }
+}
+
+TEST_CASE("a store that is restored twice in a row is followed")
+{
+    following_vm vm;
+    vm.store.restore();
+    vm.store.put(configurationKey, configuration(5));
+    CHECK(vm.runUntil([&] { return vm.version() == 5; }));
+    vm.store.restore();
+    vm.store.put(serverKey, server("draining"));
+    vm.store.put(configurationKey, configuration(6));
+    CHECK(vm.runUntil([&] { return vm.version() == 6 && vm.serverDrains(); }));
+}
+
+TEST_CASE("a server that has said that it leaves gets nothing more when the store forgets it")
+{
+    following_vm vm;
+    vm.store.put(serverKey, server("draining"));
+    REQUIRE(vm.runUntil([&] { return vm.serverDrains(); }));
+    vm.store.restore();
+    vm.store.put(configurationKey, configuration(5));
+    CHECK(vm.runUntil([&] { return vm.version() == 5; }));
+    CHECK(vm.serverDrains());
+}
