policy, gateway: readings of the store are ordered by its epoch, then by revision

Callers saw a route that had been added answered with 404, requests sent to a server 2.5 s after it had said that it leaves, and nobody with a key served for 3.4 s. The store had been restored from an older copy, and revisions of its two histories were compared as one: listings were refused as older (up to 115 calls a second and VM), the watch went on in the new history at a number of the old one, and a peer's proof for that number renewed other items.

A reading now has a position, epoch before revision, and that is what is compared and passed on: listings, watches (which must join what is held), proofs, what peers tell and fetch, what was announced. A listing in vain is followed by a pause.

--- a/Source/daemon/http_message.cpp
+++ b/Source/daemon/http_message.cpp
@@ -78,6 +78,26 @@
     return "event: error\ndata: " + errorBody(failed) + "\n\n";
 }
 
+std::string queryValue(std::string_view target, std::string_view name)
+{
+    auto at = target.find('?');
+    while (at != std::string_view::npos) {
+        target.remove_prefix(at + 1);
+        const auto end = target.find('&');
+        const std::string_view part = target.substr(0, end);
+        const auto equals = part.find('=');
+        if (part.substr(0, equals) == name && equals != std::string_view::npos)
+            return std::string(part.substr(equals + 1));
+        at = end;
+    }
+    return {};
+}
+
+std::string pathOf(std::string_view target)
+{
+    return std::string(target.substr(0, target.find('?')));
+}
+
 std::string hostOf(const std::string& address)
 {
     return address.substr(0, address.rfind(':'));
--- a/Source/daemon/http_message.h
+++ b/Source/daemon/http_message.h
@@ -33,6 +33,10 @@
 // The event that ends a stream which was cut off.
 std::string streamErrorEvent(const failure&);
 
+// The value of `name` in the query of a request target, empty if absent.
+std::string queryValue(std::string_view target, std::string_view name);
+// The path of a request target, without its query.
+std::string pathOf(std::string_view target);
 // The host of "host:port".
 std::string hostOf(const std::string& address);
 // "host:port" as an endpoint. The text was checked when it was declared.
--- a/Source/daemon/operator_pages.h
+++ b/Source/daemon/operator_pages.h
@@ -31,10 +31,6 @@
     bool m_leaving = false;
 };
 
-// The value of `name` in the query of a request target, empty if absent.
-std::string queryValue(std::string_view target, std::string_view name);
-// The path of a request target, without its query.
-std::string pathOf(std::string_view target);
 // The bearer key of a request, empty if there is none.
 std::string bearerKey(const http_request&);
 
--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -23,16 +23,19 @@
 {
 }
 
-void fleet_state::take(const published_snapshot& snapshot, instant askedAt)
+bool fleet_state::take(const published_snapshot& snapshot, instant askedAt)
 {
+    if (snapshot.position() < m_published.position())
+        return false;
     apply(m_published.take(snapshot), "store");
-    m_published.noteProof(snapshot.revision, askedAt);
+    m_published.noteProof(snapshot.position(), askedAt);
+    return true;
 }
 
-void fleet_state::take(const published_update& update, instant askedAt)
+void fleet_state::take(const published_update& update, store_position from, instant askedAt)
 {
-    apply(m_published.take(update.changes, update.revision), "store");
-    m_published.noteProof(update.revision, askedAt);
+    apply(m_published.take(update.changes, from, update.revision), "store");
+    m_published.noteProof({ from.epoch, update.revision }, askedAt);
 }
 
 void fleet_state::take(const published_delta& delta, std::optional<instant> provenAt, milliseconds doubt, const std::string& peer)
@@ -40,19 +43,19 @@
     m_doubtUntil = std::max(m_doubtUntil, m_context.now() + doubt);
     apply(m_published.take(delta), "peer " + peer);
     if (provenAt)
-        m_published.noteProof(delta.revision, *provenAt);
+        m_published.noteProof(delta.position, *provenAt);
 }
 
-void fleet_state::noteProof(store_revision revision, instant askedAt)
+void fleet_state::noteProof(store_position position, instant askedAt)
 {
-    m_published.noteProof(revision, askedAt);
+    m_published.noteProof(position, askedAt);
 }
 
 void fleet_state::noteSourceLost(const std::string& why)
 {
     if (!m_lostAt) {
         m_lostAt = m_context.now();
-        m_log.line("dependency_lost").add("dependency", "store").add("reason", why).add("revision", m_published.revision());
+        m_log.line("dependency_lost").add("dependency", "store").add("reason", why).add("revision", m_published.position().revision);
     }
 }
 
@@ -60,7 +63,7 @@
 {
     if (!m_lostAt)
         return;
-    m_log.line("dependency_regained").add("dependency", "store").add("lost_ms", m_context.now() - *m_lostAt).add("revision", m_published.revision());
+    m_log.line("dependency_regained").add("dependency", "store").add("lost_ms", m_context.now() - *m_lostAt).add("revision", m_published.position().revision);
     m_lostAt.reset();
     const auto age = proofAge();
     if (age && *age > shortestLapse)
@@ -87,7 +90,7 @@
 
 void fleet_state::apply(const std::vector<published_change>& changes, const std::string& source)
 {
-    m_context.counters().set(metric::store_revision, static_cast<double>(m_published.revision()));
+    m_context.counters().set(metric::store_revision, static_cast<double>(m_published.position().revision));
     for (const auto& change : changes) {
         if (m_decoder.isConfiguration(change.item.key)) {
             if (change.removed)
--- a/Source/gateway/fleet_state.h
+++ b/Source/gateway/fleet_state.h
@@ -14,13 +14,15 @@
     // `lapsedLife`: see backend_directory.
     fleet_state(process_context&, decision_log&, const fleet_decoder&, milliseconds lapsedLife);
 
-    // From the store itself. `askedAt`: when the reading was sent.
-    void take(const published_snapshot&, instant askedAt);
-    void take(const published_update&, instant askedAt);
+    // From the store itself. `askedAt`: when the reading was sent. False if the listing is
+    // older than what is held.
+    bool take(const published_snapshot&, instant askedAt);
+    // `from`: the position after which changes were asked for.
+    void take(const published_update&, store_position from, instant askedAt);
     // From a peer, which may itself doubt the list of servers for some time yet. `provenAt`:
     // by its proof's age.
     void take(const published_delta&, std::optional<instant> provenAt, milliseconds doubt, const std::string& peer);
-    void noteProof(store_revision, instant askedAt);
+    void noteProof(store_position, instant askedAt);
     // The store did not answer this process, or answers again.
     void noteSourceLost(const std::string& why);
     void noteSourceRegained();
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -103,7 +103,7 @@
     process->m_state.onRestart([raw = process.get()](const listed_backend& backend) { raw->m_dispatcher.noteRestart(backend); });
     process->m_dispatcher.onCrash([raw = process.get()] { raw->m_peers->tellCrashes(); });
     process->m_follower.setWanted([raw = process.get()] { return raw->wantsToRead(); });
-    process->m_follower.onNews([raw = process.get()] { raw->m_peers->announceRevision(); });
+    process->m_follower.onNews([raw = process.get()] { raw->m_peers->announcePosition(); });
     process->m_follower.start();
     process->m_peers->start();
     asio::co_spawn(context.io(), process->housekeeping(), asio::detached);
@@ -121,10 +121,7 @@
         return makeResponse(isReady ? 200 : 503, "text/plain", isReady ? "ready\n" : "not ready\n");
     });
     m_controlPages.add(snapshotPath, [this](const http_request& request) {
-        const std::string target(request.target());
-        const auto equals = target.find('=');
-        const auto held = equals == std::string::npos ? 0 : std::strtoull(target.c_str() + equals + 1, nullptr, 10);
-        return m_peers->snapshots().answerFor(held);
+        return m_peers->snapshots().answerTo(request);
     });
     m_metricsPages.add("/metrics", [this](const http_request&) {
         m_context.counters().set(metric::in_flight, m_front.inFlight());
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -96,7 +96,8 @@
 {
     gateway::peer_datagram datagram;
     *datagram.mutable_sender() = toWire(m_peers.self());
-    datagram.set_revision(m_state.published().revision());
+    datagram.set_epoch(m_state.published().position().epoch);
+    datagram.set_revision(m_state.published().position().revision);
     datagram.set_crash_digest(m_history.digest());
     return datagram;
 }
@@ -208,7 +209,7 @@
         m_loads.notePeer(host, workOf(datagram), now);
     takeRanks(datagram);
     if (sender.role == peer_role::entry)
-        noteRevision(sender, datagram.revision());
+        notePosition(sender, { datagram.epoch(), datagram.revision() });
     if (datagram.has_question())
         answerQuestion(datagram, host);
     if (datagram.has_answer())
@@ -234,10 +235,10 @@
     m_loads.noteRanks(report.loads, now);
 }
 
-void peer_exchange::noteRevision(const peer_info& sender, store_revision revision)
+void peer_exchange::notePosition(const peer_info& sender, store_position position)
 {
     const bool sameZone = sender.zone == m_peers.self().zone;
-    m_snapshots.noteTold(sender.host, sameZone, revision);
+    m_snapshots.noteTold(sender.host, sameZone, position);
 }
 
 void peer_exchange::answerQuestion(const gateway::peer_datagram& datagram, const std::string& host)
@@ -247,7 +248,8 @@
         return;
     auto reply = makeDatagram();
     reply.mutable_answer()->set_nonce(datagram.question().nonce());
-    reply.mutable_answer()->set_revision(m_state.published().revision());
+    reply.mutable_answer()->set_epoch(m_state.published().position().epoch);
+    reply.mutable_answer()->set_revision(m_state.published().position().revision);
     reply.mutable_answer()->set_proof_age_ms(static_cast<std::uint32_t>(age->count()));
     send(host, reply);
 }
@@ -259,9 +261,7 @@
     if (asked == m_questions.end())
         return;
     const instant provenAt = asked->second - milliseconds(datagram.answer().proof_age_ms() + 1);
-    const store_revision revision = datagram.answer().revision();
-    if (revision == m_state.published().revision())
-        m_state.noteProof(revision, provenAt);
+    m_state.noteProof({ datagram.answer().epoch(), datagram.answer().revision() }, provenAt);
 }
 
 // Until something is known every moment counts: callers wait.
@@ -312,11 +312,11 @@
     }
 }
 
-void peer_exchange::announceRevision()
+void peer_exchange::announcePosition()
 {
-    if (m_announced >= m_state.published().revision())
+    if (m_announced >= m_state.published().position())
         return;
-    m_announced = m_state.published().revision();
+    m_announced = m_state.published().position();
     const auto datagram = makeDatagram();
     for (const auto& peer : m_peers.live(peer_role::entry))
         send(peer.host, datagram);
@@ -367,7 +367,6 @@
     for (const auto& host : asked) {
         auto datagram = makeDatagram();
         datagram.mutable_question()->set_nonce(++m_nonce);
-        datagram.mutable_question()->set_revision(m_state.published().revision());
         m_questions[m_nonce] = m_context.now();
         send(host, datagram);
     }
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -33,7 +33,7 @@
     void announceLeaving();
     const peer_table& peers() const { return m_peers; }
     // Tells all peers at once that something newer is published.
-    void announceRevision();
+    void announcePosition();
     // Tells the entry VMs how many requests are at each rank, through one of each zone;
     // leaders of groups only.
     void tellRanks(const group_key&, const group_strain&, const load_report_by_hash&);
@@ -54,7 +54,7 @@
     void askForKnown(const std::vector<std::string>& hosts);
     awaitable<void> reportLoop();
     awaitable<void> proofLoop();
-    void noteRevision(const peer_info& sender, store_revision);
+    void notePosition(const peer_info& sender, store_position);
     void receive(const gateway::peer_datagram&, const std::string& host);
     void answerQuestion(const gateway::peer_datagram&, const std::string& host);
     void takeAnswer(const gateway::peer_datagram&);
@@ -84,7 +84,7 @@
     std::uint64_t m_nonce = 0;
     std::map<std::uint64_t, instant> m_questions;
     bool m_leaving = false;
-    store_revision m_announced = 0;
+    store_position m_announced;
 };
 
 } // namespace rampgap
--- a/Source/gateway/published_source.h
+++ b/Source/gateway/published_source.h
@@ -14,7 +14,7 @@
     std::vector<published_change> changes;
     store_revision revision = 0;
     store_epoch epoch = 0;
-    // The store no longer has the changes that were asked for: read everything anew.
+    // The store does not have the changes that were asked for: read everything anew.
     bool historyLost = false;
 
     bool operator==(const published_update&) const = default;
--- a/Source/gateway/snapshot_exchange.h
+++ b/Source/gateway/snapshot_exchange.h
@@ -1,5 +1,5 @@
 // Hands the fleet's state from process to process: fetches it from peers that hold a newer
-// revision, and serves it to others.
+// one, and serves it to others.
 #pragma once
 
 #include "daemon/http_client.h"
@@ -13,12 +13,12 @@
     // `controlPort`: of every process that serves its state.
     snapshot_exchange(process_context&, decision_log&, fleet_state&, unsigned short controlPort);
 
-    // A peer told which revision it holds.
-    void noteTold(const std::string& host, bool sameZone, store_revision);
+    // A peer told the position of what it holds.
+    void noteTold(const std::string& host, bool sameZone, store_position);
     // Fetches what nobody of the own zone had in time.
     void fetchDue();
-    // The answer to a peer's request for the state; `heldRevision` is what it has.
-    http_response answerFor(store_revision heldRevision) const;
+    // The answer to a peer's request for the state, whose target tells what it has.
+    http_response answerTo(const http_request&) const;
 
 private:
     void fetchFrom(const std::optional<std::string>& host);
--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/store_follower.cpp
@@ -44,7 +44,7 @@
         const bool wanted = !m_wanted || m_wanted();
         if (wanted != m_reading) {
             m_reading = wanted;
-            m_log.line(wanted ? "reading_begun" : "reading_ended").add("dependency", "store").add("revision", m_state.published().revision()).add("proof_age_ms", m_state.proofAge().value_or(milliseconds(-1)));
+            m_log.line(wanted ? "reading_begun" : "reading_ended").add("dependency", "store").add("revision", m_state.published().position().revision).add("proof_age_ms", m_state.proofAge().value_or(milliseconds(-1)));
         }
         if (!wanted) {
             // What peers send meanwhile is newer than what a reading left off at.
@@ -78,45 +78,62 @@
         co_return false;
     }
     m_state.noteSourceRegained();
-    noteEpoch(snapshot.value().epoch, snapshot.value().revision);
-    if (snapshot.value().revision < m_state.published().revision()) {
+    noteEpoch(snapshot.value().position());
+    m_needAll = false;
+    const bool taken = m_state.take(snapshot.value(), askedAt);
+    if (taken) {
+        announceNews();
+    } else {
+        const store_position held = m_state.published().position();
         m_context.counters().add(metric::store_readings_refused);
-        m_log.line("listing_refused").add("epoch", snapshot.value().epoch).add("revision", snapshot.value().revision).add("held", m_state.published().revision());
+        m_log.line("listing_refused").add("epoch", snapshot.value().epoch).add("revision", snapshot.value().revision).add("held_epoch", held.epoch).add("held", held.revision);
     }
-    m_state.take(snapshot.value(), askedAt);
-    m_needAll = false;
-    co_return true;
+    // What is older than its peers' readings is asked again after a pause.
+    co_return taken;
 }
 
 awaitable<bool> store_follower::watchOnce()
 {
     const instant askedAt = m_context.now();
     m_context.counters().add(metric::platform_reads);
-    const auto update = co_await m_source.watch(m_state.published().revision(), m_wait);
+    const store_position from = m_state.published().position();
+    const auto update = co_await m_source.watch(from.revision, m_wait);
     if (!update) {
         m_state.noteSourceLost(update.error().message);
         co_return false;
     }
     m_state.noteSourceRegained();
-    noteEpoch(update.value().epoch, update.value().revision);
-    if (update.value().historyLost) {
-        m_log.line("history_lost").add("revision", m_state.published().revision()).add("outcome", "reading everything anew");
+    noteEpoch({ update.value().epoch, update.value().revision });
+    // A restored store may have the revision that was asked from, in another history: what it
+    // gives after that joins nothing.
+    const bool restored = update.value().epoch > from.epoch;
+    if (update.value().historyLost || restored) {
+        m_log.line("history_lost").add("epoch", from.epoch).add("revision", from.revision).add("restored", static_cast<int>(restored)).add("outcome", "reading everything anew");
         m_needAll = true;
-        co_return true;
+        // Without a pause, unless the listing before did not help.
+        co_return std::exchange(m_watched, false);
     }
-    m_state.take(update.value(), askedAt);
+    if (update.value().epoch < from.epoch)
+        co_return false;
+    m_watched = true;
+    m_state.take(update.value(), from, askedAt);
+    announceNews();
+    co_return true;
+}
+
+void store_follower::announceNews()
+{
     if (m_onNews)
         m_onNews();
-    co_return true;
 }
 
-void store_follower::noteEpoch(store_epoch epoch, store_revision revision)
+void store_follower::noteEpoch(store_position read)
 {
-    if (m_epoch == epoch)
+    if (m_epoch == read.epoch)
         return;
-    m_log.line("store_epoch_seen").add("epoch", epoch).add("before", m_epoch.value_or(0)).add("revision", revision).add("held", m_state.published().revision());
-    m_epoch = epoch;
-    m_context.counters().set(metric::store_epoch, static_cast<double>(epoch));
+    m_log.line("store_epoch_seen").add("epoch", read.epoch).add("before", m_epoch.value_or(0)).add("revision", read.revision).add("held", m_state.published().position().revision);
+    m_epoch = read.epoch;
+    m_context.counters().set(metric::store_epoch, static_cast<double>(read.epoch));
 }
 
 } // namespace rampgap
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -20,7 +20,8 @@
     awaitable<void> run();
     awaitable<bool> readAll();
     awaitable<bool> watchOnce();
-    void noteEpoch(store_epoch, store_revision);
+    void noteEpoch(store_position read);
+    void announceNews();
 
     process_context& m_context;
     decision_log& m_log;
@@ -31,6 +32,8 @@
     std::function<void()> m_onNews;
     bool m_reading = false;
     bool m_needAll = true;
+    // A watch has been answered since the last listing.
+    bool m_watched = true;
     // Of the newest answer.
     std::optional<store_epoch> m_epoch;
 };
--- a/Source/policy/published_state.cpp
+++ b/Source/policy/published_state.cpp
@@ -8,7 +8,7 @@
 std::vector<published_change> published_state::take(const published_snapshot& snapshot)
 {
     std::vector<published_change> changes;
-    if (snapshot.revision < m_revision)
+    if (snapshot.position() < m_position)
         return changes;
     std::map<std::string, published_item> next;
     for (const auto& item : snapshot.items)
@@ -23,13 +23,15 @@
             changes.push_back({ item, false });
     }
     m_items = std::move(next);
-    m_revision = snapshot.revision;
+    m_position = snapshot.position();
     return changes;
 }
 
-std::vector<published_change> published_state::take(const std::vector<published_change>& changes, store_revision upTo)
+std::vector<published_change> published_state::take(const std::vector<published_change>& changes, store_position from, store_revision upTo)
 {
     std::vector<published_change> fresh;
+    if (from.epoch != m_position.epoch || from.revision > m_position.revision)
+        return fresh;
     for (const auto& change : changes) {
         const auto held = m_items.find(change.item.key);
         const bool isHeld = held != m_items.end();
@@ -45,13 +47,13 @@
         if (!sameValue)
             fresh.push_back(change);
     }
-    m_revision = std::max(m_revision, upTo);
+    m_position.revision = std::max(m_position.revision, upTo);
     return fresh;
 }
 
-void published_state::noteProof(store_revision upTo, instant askedAt)
+void published_state::noteProof(store_position upTo, instant askedAt)
 {
-    if (upTo < m_revision || upTo == 0)
+    if (upTo != m_position || empty())
         return;
     if (!m_provenAt || askedAt > *m_provenAt)
         m_provenAt = askedAt;
@@ -59,10 +61,11 @@
 
 std::vector<published_change> published_state::take(const published_delta& delta)
 {
-    if (delta.revision < m_revision)
+    if (delta.position < m_position)
         return {};
     published_snapshot whole;
-    whole.revision = delta.revision;
+    whole.revision = delta.position.revision;
+    whole.epoch = delta.position.epoch;
     whole.items = delta.items;
     std::set<std::string> fresh;
     for (const auto& item : delta.items)
@@ -75,13 +78,14 @@
     return take(whole);
 }
 
-published_delta published_state::since(store_revision revision) const
+published_delta published_state::since(store_position position) const
 {
     published_delta delta;
-    delta.revision = m_revision;
+    delta.position = m_position;
+    const bool sameHistory = position.epoch == m_position.epoch;
     for (const auto& [key, item] : m_items) {
         delta.keys.push_back(key);
-        if (item.revision > revision)
+        if (!sameHistory || item.revision > position.revision)
             delta.items.push_back(item);
     }
     return delta;
--- a/Source/policy/published_state.h
+++ b/Source/policy/published_state.h
@@ -1,9 +1,9 @@
 // The items that the users' metadata store publishes, with the proof of how fresh they are.
 #pragma once
 
+#include "policy/store_position.h"
 #include "policy/verdict.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -11,11 +11,6 @@
 
 namespace rampgap {
 
-using store_revision = std::uint64_t;
-// Rises by one each time the store comes back from a copy that lacks what it had acknowledged
-// since; 0 where the store does not tell. Revisions of two epochs do not compare.
-using store_epoch = std::uint64_t;
-
 struct published_item {
     std::string key;
     std::string value;
@@ -39,6 +34,7 @@
     store_revision revision = 0;
     store_epoch epoch = 0;
 
+    store_position position() const { return { epoch, revision }; }
     bool operator==(const published_snapshot&) const = default;
 };
 
@@ -46,35 +42,36 @@
 struct published_delta {
     std::vector<published_item> items;
     std::vector<std::string> keys;
-    store_revision revision = 0;
+    store_position position;
 
     bool operator==(const published_delta&) const = default;
 };
 
-// Copy of the store's items. Its revision only rises, whoever it was learned from.
+// Copy of the store's items. Its position only rises, whoever it was learned from.
 class published_state {
 public:
     // Takes a complete listing; returns what changed. An older one than held changes nothing.
     std::vector<published_change> take(const published_snapshot&);
-    // Takes changes after the held revision, up to `upTo`; returns those that were new.
-    std::vector<published_change> take(const std::vector<published_change>&, store_revision upTo);
+    // Takes the changes from one position on, up to revision `upTo` of the same epoch; returns
+    // those that were new. Changes that do not join what is held change nothing.
+    std::vector<published_change> take(const std::vector<published_change>&, store_position from, store_revision upTo);
     // Takes what another holder sent; an older state than held changes nothing.
     std::vector<published_change> take(const published_delta&);
-    // What a holder of an earlier revision lacks.
-    published_delta since(store_revision) const;
+    // What a holder of an earlier position lacks.
+    published_delta since(store_position) const;
     // A reading sent at `askedAt` showed nothing newer than `upTo`. Counts only if that is
-    // what is held, since a proof about older items says nothing about these.
-    void noteProof(store_revision upTo, instant askedAt);
+    // what is held, since a proof about other items says nothing about these.
+    void noteProof(store_position upTo, instant askedAt);
 
-    store_revision revision() const { return m_revision; }
-    bool empty() const { return m_revision == 0; }
+    store_position position() const { return m_position; }
+    bool empty() const { return m_position.revision == 0; }
     // When the newest reading that proved the held items was sent; empty if there was none.
     std::optional<instant> provenAt() const { return m_provenAt; }
     const std::map<std::string, published_item>& items() const { return m_items; }
 
 private:
     std::map<std::string, published_item> m_items;
-    store_revision m_revision = 0;
+    store_position m_position;
     std::optional<instant> m_provenAt;
 };
 
--- a/Source/policy/snapshot_choice.cpp
+++ b/Source/policy/snapshot_choice.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-std::optional<std::string> snapshot_choice::noteTold(const std::string& host, bool sameZone, store_revision told, store_revision held, instant now)
+std::optional<std::string> snapshot_choice::noteTold(const std::string& host, bool sameZone, store_position told, store_position held, instant now)
 {
     if (told <= held)
         return std::nullopt;
@@ -20,12 +20,12 @@
     m_newest = std::max(m_newest, told);
     m_host = host;
     // Who holds nothing yet cannot serve, and takes what it can get.
-    if (sameZone || held == 0 || waitedEnough(now))
+    if (sameZone || held == store_position {} || waitedEnough(now))
         return host;
     return std::nullopt;
 }
 
-std::optional<std::string> snapshot_choice::due(store_revision held, instant now) const
+std::optional<std::string> snapshot_choice::due(store_position held, instant now) const
 {
     if (m_newest <= held || !waitedEnough(now))
         return std::nullopt;
--- a/Source/policy/snapshot_choice.h
+++ b/Source/policy/snapshot_choice.h
@@ -1,4 +1,4 @@
-// From whom to fetch the fleet's state when others hold a newer revision.
+// From whom to fetch the fleet's state when others hold a newer state.
 #pragma once
 
 #include "policy/published_state.h"
@@ -14,16 +14,16 @@
 // peer of its own zone to hold the change.
 class snapshot_choice {
 public:
-    // A peer told its revision. The host to fetch from now, if any.
-    std::optional<std::string> noteTold(const std::string& host, bool sameZone, store_revision told, store_revision held, instant now);
+    // A peer told its position. The host to fetch from now, if any.
+    std::optional<std::string> noteTold(const std::string& host, bool sameZone, store_position told, store_position held, instant now);
     // The host to fetch from where nobody of the own zone had the change in time.
-    std::optional<std::string> due(store_revision held, instant now) const;
+    std::optional<std::string> due(store_position held, instant now) const;
 
 private:
     bool waitedEnough(instant now) const;
 
-    // The newest revision that was told, since when one is missing here, and who told it.
-    store_revision m_newest = 0;
+    // The newest position that was told, since when one is missing here, and who told it.
+    store_position m_newest;
     std::optional<instant> m_missingSince;
     std::string m_host;
 };
--- /dev/null
+++ b/Source/policy/store_position.h
@@ -0,0 +1,23 @@
+// Where a reading of the users' metadata store stands in the store's history.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace rampgap {
+
+using store_revision = std::uint64_t;
+// Rises by one each time the store comes back from a copy that lacks what it had acknowledged
+// since; 0 where the store does not tell.
+using store_epoch = std::uint64_t;
+
+// Ordered by epoch first: a restored store gives out its revisions again, and of two readings
+// the one of the later epoch is the newer, whatever their revisions are.
+struct store_position {
+    store_epoch epoch = 0;
+    store_revision revision = 0;
+
+    auto operator<=>(const store_position&) const = default;
+};
+
+} // namespace rampgap
--- a/Tests/platform/published-state/test.cpp
+++ b/Tests/platform/published-state/test.cpp
@@ -23,7 +23,7 @@
     state.take(published_snapshot { { item("a", "2", 7) }, 9 });
     CHECK(state.take(published_snapshot { { item("a", "1", 3) }, 4 }).empty());
     CHECK(state.items().at("a").value == "2");
-    CHECK(state.revision() == 9);
+    CHECK(state.position() == store_position { 0, 9 });
 }
 
 TEST_CASE("a change that a page of the listing already showed is not taken twice")
@@ -32,7 +32,7 @@
     // Pages are no snapshot: the first said revision 5, a later page showed a change of 6.
     state.take(published_snapshot { { item("a", "1", 3), item("b", "new", 6) }, 5 });
     const std::vector<published_change> changes { { item("b", "new", 6), false }, { item("a", "2", 7), false } };
-    const auto fresh = state.take(changes, 7);
+    const auto fresh = state.take(changes, { 0, 5 }, 7);
     REQUIRE(fresh.size() == 1);
     CHECK(fresh.front().item.key == "a");
 }
@@ -41,14 +41,57 @@
 {
     published_state state;
     state.take(published_snapshot { { item("a", "1", 3) }, 5 });
-    state.noteProof(4, zero + milliseconds(100));
+    state.noteProof({ 0, 4 }, zero + milliseconds(100));
     CHECK_FALSE(state.provenAt());
-    state.noteProof(5, zero + milliseconds(90));
+    state.noteProof({ 0, 5 }, zero + milliseconds(90));
     CHECK(state.provenAt() == zero + milliseconds(90));
-    state.noteProof(5, zero + milliseconds(80));
+    state.noteProof({ 0, 5 }, zero + milliseconds(80));
     CHECK(state.provenAt() == zero + milliseconds(90));
 }
 
+// A restored store gives out its revisions again: VMs that had followed it by themselves and VMs that knew it by a peer held
+// other items under the same number ("version=67 revision=46" beside "version=57 revision=46"), and proofs went round for both.
+TEST_CASE("a listing of a restored store replaces one with a higher revision, and not the other way round")
+{
+    published_state state;
+    state.take(published_snapshot { { item("a", "lost", 46) }, 46, 1 });
+    CHECK(state.take(published_snapshot { { item("a", "written again", 40) }, 40, 2 }).size() == 1);
+    CHECK(state.position() == store_position { 2, 40 });
+    CHECK(state.take(published_snapshot { { item("a", "lost", 46) }, 46, 1 }).empty());
+    CHECK(state.items().at("a").value == "written again");
+}
+
+TEST_CASE("changes that do not join what is held change nothing")
+{
+    published_state state;
+    state.take(published_snapshot { { item("a", "1", 40) }, 40, 2 });
+    const std::vector<published_change> changes { { item("a", "2", 47), false } };
+    CHECK(state.take(changes, { 1, 46 }, 47).empty());
+    CHECK(state.take(changes, { 2, 46 }, 47).empty());
+    CHECK(state.position() == store_position { 2, 40 });
+    CHECK(state.take(changes, { 2, 40 }, 47).size() == 1);
+}
+
+TEST_CASE("a proof for the same number in another history proves nothing")
+{
+    published_state state;
+    state.take(published_snapshot { { item("a", "1", 46) }, 46, 1 });
+    state.noteProof({ 2, 46 }, zero + milliseconds(100));
+    CHECK_FALSE(state.provenAt());
+}
+
+TEST_CASE("whoever holds another history gets all items, also those with a lower revision than it holds")
+{
+    published_state source;
+    source.take(published_snapshot { { item("a", "1", 3), item("b", "2", 40) }, 40, 2 });
+    CHECK(source.since({ 2, 39 }).items.size() == 1);
+    CHECK(source.since({ 1, 46 }).items.size() == 2);
+    published_state follower;
+    follower.take(published_snapshot { { item("a", "1", 3), item("b", "lost", 41), item("c", "lost", 46) }, 46, 1 });
+    follower.take(source.since(follower.position()));
+    CHECK(follower.items() == source.items());
+}
+
 TEST_CASE("whoever follows by deltas holds the same items as the source")
 {
     CHECK(rc::check([] {
@@ -59,13 +102,45 @@
             const std::string key = "k" + std::to_string(step % 7);
             ++revision;
             const bool removed = step >= 30;
-            source.take({ published_change { item(key, std::to_string(step), revision), removed } }, revision);
+            source.take({ published_change { item(key, std::to_string(step), revision), removed } }, source.position(), revision);
             if (step % 3 != 0)
                 continue;
-            const store_revision held = follower.revision();
+            const store_position held = follower.position();
             follower.take(source.since(held));
             RC_ASSERT(follower.items() == source.items());
-            RC_ASSERT(follower.revision() == source.revision());
+            RC_ASSERT(follower.position() == source.position());
+        }
+    }));
+}
+
+TEST_CASE("whoever follows by deltas holds the same items as a source that is restored now and then")
+{
+    CHECK(rc::check([] {
+        published_state source;
+        published_state follower;
+        published_snapshot store;
+        published_snapshot copy;
+        for (const auto step : *rc::gen::container<std::vector<int>>(80, rc::gen::inRange(0, 60))) {
+            if (step >= 50) {
+                const store_epoch epoch = store.epoch + 1;
+                store = copy;
+                store.epoch = epoch;
+            } else if (step >= 45) {
+                copy = store;
+            } else {
+                const std::string key = "k" + std::to_string(step % 7);
+                std::erase_if(store.items, [&key](const published_item& held) { return held.key == key; });
+                ++store.revision;
+                if (step < 35)
+                    store.items.push_back(item(key, std::to_string(*rc::gen::inRange(0, 1'000)), store.revision));
+            }
+            if (step % 2 == 0)
+                source.take(store);
+            if (step % 3 == 0) {
+                follower.take(source.since(follower.position()));
+                RC_ASSERT(follower.items() == source.items());
+                RC_ASSERT(follower.position() == source.position());
+            }
         }
     }));
 }
