policy: an entry that is only kept takes no address from one that is listed

After a restoration a server that had taken over an address could get nothing for 2 s, and be unknown to its agent for 5 s: the entry before it, missing from the list and kept in doubt or remembered by the VM alone, had the higher creation, of another history. Of entries with one address only those that the store lists are compared.

--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -198,18 +198,21 @@
 {
     const std::string id = m_decoder.backendId(change.item.key);
     if (change.removed) {
-        const bool doubtful = listDoubt() > milliseconds(0) && !change.knownGone;
+        const bool doubtful = listDoubt() > milliseconds(0) && !change.retained;
         m_backends.unlist(id, m_context.now(), doubtful ? m_doubtUntil : m_context.now());
         m_log.line("backend_unlisted").add("backend", id).add("source", source).add("doubt_ms", listDoubt()).add("outcome", doubtful ? "kept for now" : "removed");
         return;
     }
-    const auto decoded = m_decoder.backend(change.item);
+    auto decoded = m_decoder.backend(change.item);
     if (!decoded) {
         // Whoever wrote it: it names no server to send to, also where an earlier one did.
         m_backends.remove(id);
         m_log.line("backend_entry_refused").add("backend", id).add("revision", change.item.revision).add("reason", decoded.error().message).add("outcome", "no server");
         return;
     }
+    // Its creation is of another history than those that are listed.
+    if (change.retained)
+        decoded.value().createdAt = 0;
     const auto* held = m_backends.find(id);
     if (!held || !(*held == decoded.value())) {
         m_log.line("backend_listed").add("backend", id).add("address", decoded.value().address).add("state", decoded.value().draining ? "draining" : "ready").add("source", source);
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -62,12 +62,14 @@
     return !m_services || m_services->contains(listed.service);
 }
 
-// After an entry has gone, an older one at its address counts again.
+// After an entry has gone, an older one at its address counts again. One that is only kept is of
+// an earlier listing, after which a restored store gives out its revisions again: until the doubt
+// ended (2 s, and 5 s at an agent) it would have kept out the server that is listed there.
 void backend_directory::noteNewestAt(const std::string& address)
 {
     m_newestAt.erase(address);
     for (const auto& [id, held] : m_entries) {
-        if (held.listed.address == address && serves(held.listed)) {
+        if (held.listed.address == address && serves(held.listed) && !held.keptUntil) {
             auto& newest = m_newestAt[address];
             newest = std::max(newest, held.listed.createdAt);
         }
@@ -80,10 +82,12 @@
     if (held == m_entries.end())
         return;
     const instant until = std::max(keepUntil, now + m_lapsedLife);
-    if (now < until && !held->second.listed.draining)
-        held->second.keptUntil = until;
-    else
+    if (now >= until || held->second.listed.draining) {
         remove(id);
+        return;
+    }
+    held->second.keptUntil = until;
+    noteNewestAt(held->second.listed.address);
 }
 
 void backend_directory::remove(const std::string& id)
@@ -144,7 +148,9 @@
     if (held == m_entries.end() || held->second.listed.draining || held->second.replaced)
         return false;
     const auto newest = m_newestAt.find(held->second.listed.address);
-    return newest == m_newestAt.end() || held->second.listed.createdAt >= newest->second;
+    if (newest == m_newestAt.end())
+        return true;
+    return !held->second.keptUntil && held->second.listed.createdAt >= newest->second;
 }
 
 bool backend_directory::avoided(const std::string& id, instant now) const
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -102,7 +102,7 @@
     milliseconds m_lapsedLife;
     std::map<std::string, entry> m_entries;
     std::optional<std::set<std::string>> m_services;
-    // Highest creation revision of the entries with an address.
+    // Highest creation revision of the listed entries with an address.
     std::map<std::string, std::uint64_t> m_newestAt;
 };
 
--- a/Source/policy/published_state.cpp
+++ b/Source/policy/published_state.cpp
@@ -88,17 +88,23 @@
     m_retained.prune(key, shown);
     const auto* next = m_retained.inForce(key, shown);
     const auto held = m_items.find(key);
+    const bool fromStore = next == shown;
+    const bool wasFromStore = !m_notListed.contains(key);
+    if (fromStore)
+        m_notListed.erase(key);
+    else
+        m_notListed.insert(key);
     if (!next) {
         if (held == m_items.end())
             return;
         m_items.erase(held);
-        changes.push_back({ { key, {}, m_position.revision }, true, shown != nullptr });
+        changes.push_back({ { key, {}, m_position.revision }, true, !fromStore });
         return;
     }
-    const bool same = held != m_items.end() && held->second.value == next->value && held->second.created == next->created;
+    const bool same = held != m_items.end() && held->second.value == next->value && held->second.created == next->created && fromStore == wasFromStore;
     m_items[key] = *next;
     if (!same)
-        changes.push_back({ *next, false });
+        changes.push_back({ *next, false, !fromStore });
 }
 
 std::vector<published_change> published_state::join(const std::vector<retained_item>& told, bool lastingOnly)
--- a/Source/policy/published_state.h
+++ b/Source/policy/published_state.h
@@ -12,8 +12,8 @@
 struct published_change {
     published_item item;
     bool removed = false;
-    // Known to have been removed before, whatever the store lists now.
-    bool knownGone = false;
+    // Not what the store lists, but what was confirmed before it was restored.
+    bool retained = false;
 
     bool operator==(const published_change&) const = default;
 };
@@ -91,6 +91,8 @@
     // As the store shows them, and what is in force.
     items_by_key m_listed;
     items_by_key m_items;
+    // Keys under which what is in force is not what the store shows.
+    std::set<std::string> m_notListed;
     retained_items m_retained;
     store_position m_position;
     std::optional<instant> m_provenAt;
--- a/Tests/platform/backend-list/test.cpp
+++ b/Tests/platform/backend-list/test.cpp
@@ -167,3 +167,17 @@
     list.list(server("mover", "10.0.0.2:80", 9));
     CHECK(list.open("old"));
 }
+
+// A restored store gives out its revisions again: a server that took over an address after the return was listed with a
+// lower creation (38) than the one before it (40), which was missing from the list and kept in doubt, and got nothing.
+TEST_CASE("an entry that is missing from the list takes no address from one that is listed")
+{
+    backend_directory list;
+    list.list(server("lost", "10.0.0.1:80", 40));
+    list.unlist("lost", zero, doubtEnds);
+    CHECK(list.pool("model") == std::vector<std::string> { "lost" });
+    list.list(server("next", "10.0.0.1:80", 38));
+    CHECK(list.pool("model") == std::vector<std::string> { "next" });
+    list.settle(doubtEnds);
+    CHECK(list.pool("model") == std::vector<std::string> { "next" });
+}
--- a/Tests/platform/retained-items/test.cpp
+++ b/Tests/platform/retained-items/test.cpp
@@ -146,6 +146,17 @@
     CHECK(knowing.open());
 }
 
+TEST_CASE("a server that only the VM remembers takes no address from one that the store lists")
+{
+    vm knowing;
+    knowing.reads({ configurationItem(1, 1) }, { 1, 2 });
+    knowing.reads({ configurationItem(1, 1), serverItem("draining", 100, 41, 40) }, { 1, 41 });
+    published_item next { "servers/i-2", server("ready", 300), 38, 38 };
+    knowing.reads({ configurationItem(1, 1), serverItem("ready", 100, 36, 36), next }, { 2, 38 });
+    CHECK_FALSE(knowing.open());
+    CHECK(knowing.state.backends().open("i-2"));
+}
+
 TEST_CASE("a proof of a peer that knows less proves nothing for one that knows more, nor the other way round")
 {
     vm knowing;
