daemon, discovery: VM lists are ordered by the epoch of their service, then by version

A list says its epoch, peers compare both. Declarations were looked at too: they are linked by digests, and a number that is given out again is refused as another declaration.

--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -76,7 +76,7 @@
 {
     for (const auto& address : m_settings.seedPeers)
         co_await exchangeWith(address, address, makeRequest());
-    auto vms = co_await m_platform.watchVms(0, milliseconds(0));
+    auto vms = co_await m_platform.watchVms({}, milliseconds(0));
     if (vms)
         takeVms(std::move(vms.value()));
     co_await readWindow();
@@ -172,7 +172,7 @@
             co_await sleep(jittered(readerCheck));
             continue;
         }
-        auto list = co_await m_platform.watchVms(m_vms.version, watchWait);
+        auto list = co_await m_platform.watchVms(m_vms.position(), watchWait);
         if (!list)
             co_await sleep(jittered(retryPause));
         else
@@ -230,6 +230,7 @@
     wire::ExchangeRequest request;
     stamp(request);
     request.set_vm_list_version(m_vms.version);
+    request.set_vm_list_epoch(m_vms.epoch);
     addCrashes(*request.mutable_crashes(), m_crashes.repeated(m_context.now()));
     return request;
 }
@@ -276,18 +277,20 @@
         tellCrashes();
     addCrashes(*reply.mutable_crashes(), m_crashes.about({ request.asked_request() }, m_context.now()));
     reply.set_vm_list_version(m_vms.version);
+    reply.set_vm_list_epoch(m_vms.epoch);
     for (auto& text : m_chain.after(request.sender().revision())) {
         auto* document = reply.add_documents();
         document->set_kind(wire::Document::DECLARATION);
         document->set_text(std::move(text));
     }
-    if (request.vm_list_version() < m_vms.version) {
+    const store_position senderList { request.vm_list_epoch(), request.vm_list_version() };
+    if (senderList < m_vms.position()) {
         auto* document = reply.add_documents();
         document->set_kind(wire::Document::VM_LIST);
         document->set_version(m_vms.version);
         document->set_text(toJson(m_vms));
     }
-    const bool behind = request.sender().revision() > m_chain.revision() || request.vm_list_version() > m_vms.version;
+    const bool behind = request.sender().revision() > m_chain.revision() || senderList > m_vms.position();
     if (behind && !m_pulling && !m_context.isCut(request.sender().peer_address())) {
         m_pulling = true;
         asio::co_spawn(m_context.io(), pullFrom(request.sender().peer_address(), request.sender().name()), asio::detached);
@@ -387,7 +390,9 @@
 
 void configuration_node::takeVms(vm_list list)
 {
-    if (list.version <= m_vms.version)
+    // Versions are given out again after the service was restored: a list of the later epoch
+    // is the newer, or VMs that were added since would not be asked until its version passes.
+    if (list.position() <= m_vms.position())
         return;
     m_vms = std::move(list);
     m_listener.onVmList(m_vms);
--- a/Source/discovery/platform_source.cpp
+++ b/Source/discovery/platform_source.cpp
@@ -35,9 +35,9 @@
             return documents("/v1/declarations?after=" + std::to_string(revision) + "&wait_ms=" + std::to_string(wait.count()), wait + readTimeout);
         }
 
-        awaitable<result<vm_list>> watchVms(std::uint64_t version, milliseconds wait) override
+        awaitable<result<vm_list>> watchVms(store_position held, milliseconds wait) override
         {
-            const auto body = co_await get("/v1/vms?after=" + std::to_string(version) + "&wait_ms=" + std::to_string(wait.count()), wait + readTimeout);
+            const auto body = co_await get("/v1/vms?epoch=" + std::to_string(held.epoch) + "&after=" + std::to_string(held.revision) + "&wait_ms=" + std::to_string(wait.count()), wait + readTimeout);
             if (!body)
                 co_return body.error();
             auto list = parseVmList(body.value());
--- a/Source/discovery/platform_source.h
+++ b/Source/discovery/platform_source.h
@@ -22,8 +22,8 @@
     virtual awaitable<result<std::vector<published_document>>> latestDeclarations(int count) = 0;
     // Declarations after `revision`; waits up to `wait` for the first. Empty after that.
     virtual awaitable<result<std::vector<published_document>>> watchDeclarations(std::uint64_t revision, milliseconds wait) = 0;
-    // The VM list once it is newer than `version`; waits up to `wait`.
-    virtual awaitable<result<vm_list>> watchVms(std::uint64_t version, milliseconds wait) = 0;
+    // The VM list once it is newer than the held one; waits up to `wait`.
+    virtual awaitable<result<vm_list>> watchVms(store_position held, milliseconds wait) = 0;
 
     // The configuration service over HTTP; each call counts as one read there.
     static std::unique_ptr<platform_source> makeHttp(process_context&, http_client&, std::string address);
--- a/Source/discovery/vm_list.cpp
+++ b/Source/discovery/vm_list.cpp
@@ -20,6 +20,10 @@
         return std::string("the VM list has no version or no vms");
     vm_list list;
     list.version = version->to_number<std::uint64_t>(error);
+    if (const json::value* epoch = object.if_contains("epoch"); epoch && epoch->is_number())
+        list.epoch = epoch->to_number<store_epoch>(error);
+    if (error)
+        return std::string("version or epoch of the VM list is not a whole number");
     for (const json::value& item : vms->get_array()) {
         if (!item.is_object())
             return std::string("an entry of the VM list is not an object");
@@ -44,7 +48,7 @@
             { "peer_address", vm.peerAddress },
         });
     }
-    return json::serialize(json::object { { "version", list.version }, { "vms", std::move(vms) } });
+    return json::serialize(json::object { { "epoch", list.epoch }, { "version", list.version }, { "vms", std::move(vms) } });
 }
 
 } // namespace rampgap
--- a/Source/discovery/vm_list.h
+++ b/Source/discovery/vm_list.h
@@ -1,6 +1,8 @@
 // The platform's list of VMs: lags behind reality, so it is a hint.
 #pragma once
 
+#include "policy/store_position.h"
+
 #include <boost/outcome.hpp>
 #include <cstdint>
 #include <string>
@@ -27,6 +29,10 @@
 struct vm_list {
     std::uint64_t version = 0;
     std::vector<vm_record> vms;
+    // Of the service that publishes it; 0 where it does not tell.
+    store_epoch epoch = 0;
+
+    store_position position() const { return { epoch, version }; }
 
     bool operator==(const vm_list&) const = default;
 };
--- a/Source/policy/store_position.h
+++ b/Source/policy/store_position.h
@@ -1,4 +1,4 @@
-// Where a reading of the users' metadata store stands in the store's history.
+// Where a reading stands in the history of the store that it is of.
 #pragma once
 
 #include <compare>
--- a/Source/standin/platform_standin.cpp
+++ b/Source/standin/platform_standin.cpp
@@ -132,9 +132,9 @@
 
 awaitable<http_response> platform_standin::watchVms(const std::string& target)
 {
-    const std::uint64_t after = numberOf(target, "after", 0);
+    const store_position held { numberOf(target, "epoch", 0), numberOf(target, "after", 0) };
     const instant until = m_context.now() + milliseconds(numberOf(target, "wait_ms", 0));
-    while (m_vms.version <= after && m_context.now() < until && !m_down)
+    while (m_vms.position() <= held && m_context.now() < until && !m_down)
         co_await waitForChange(until);
     if (m_down)
         co_return makeResponse(503, "text/plain", "down\n");
