--- a/Source/policy/published_state.cpp
+++ b/Source/policy/published_state.cpp
@@ -37,17 +37,18 @@
     const bool restored = snapshot.epoch != m_position.epoch && !empty();
     if (restored)
         m_retained.keep(m_items, next);
-    std::set<std::string> keys;
+    std::set<std::string> unlisted;
     for (const auto& [key, item] : m_items) {
-        if (!next.contains(key)) {
-            keys.insert(key);
-            if (!restored && meaning == removal::gone)
-                m_retained.noteRemoved(item);
-        }
+        if (next.contains(key))
+            continue;
+        unlisted.insert(key);
+        // Missing from a restored store, it may only have been forgotten.
+        if (!restored && meaning == removal::gone)
+            m_retained.noteRemoved(item);
     }
     m_listed = std::move(next);
     m_position = snapshot.position();
-    for (const auto& key : keys)
+    for (const auto& key : unlisted)
         refresh(key, changes);
     for (const auto& [key, item] : m_listed)
         refresh(key, changes);
@@ -88,23 +89,23 @@
     m_retained.prune(key, shown);
     const auto* next = m_retained.inForce(key, shown);
     const auto held = m_items.find(key);
-    const bool fromStore = next == shown;
-    const bool wasFromStore = !m_notListed.contains(key);
-    if (fromStore)
-        m_notListed.erase(key);
+    const bool retained = next != shown;
+    const bool wasRetained = m_retainedKeys.contains(key);
+    if (retained)
+        m_retainedKeys.insert(key);
     else
-        m_notListed.insert(key);
+        m_retainedKeys.erase(key);
     if (!next) {
         if (held == m_items.end())
             return;
         m_items.erase(held);
-        changes.push_back({ { key, {}, m_position.revision }, true, !fromStore });
+        changes.push_back({ { key, {}, m_position.revision }, true, retained });
         return;
     }
-    const bool same = held != m_items.end() && held->second.value == next->value && held->second.created == next->created && fromStore == wasFromStore;
+    const bool same = held != m_items.end() && held->second.value == next->value && held->second.created == next->created && retained == wasRetained;
     m_items[key] = *next;
     if (!same)
-        changes.push_back({ *next, false, !fromStore });
+        changes.push_back({ *next, false, retained });
 }
 
 std::vector<published_change> published_state::join(const std::vector<retained_item>& told, bool lastingOnly)
--- a/Source/policy/published_state.h
+++ b/Source/policy/published_state.h
@@ -91,8 +91,8 @@
     // As the store shows them, and what is in force.
     items_by_key m_listed;
     items_by_key m_items;
-    // Keys under which what is in force is not what the store shows.
-    std::set<std::string> m_notListed;
+    // Keys under which what is in force is retained, not what the store shows.
+    std::set<std::string> m_retainedKeys;
     retained_items m_retained;
     store_position m_position;
     std::optional<instant> m_provenAt;
--- a/Source/policy/retained_items.cpp
+++ b/Source/policy/retained_items.cpp
@@ -56,8 +56,12 @@
 {
     std::erase_if(m_items, [&](const auto& kept) { return !holds(kept.second, find(listed, kept.first)); });
     for (const auto& [key, item] : inForce) {
+        const auto* shown = find(listed, key);
+        // Nearly all: what says the same has the same rank, and need not be read for it.
+        if (shown && shown->value == item.value)
+            continue;
         const retained_item confirmed { item, false };
-        if (holds(confirmed, find(listed, key)))
+        if (holds(confirmed, shown))
             m_items[key] = confirmed;
     }
     for (const auto& item : m_removed) {
