--- a/Source/harness/child_process.cpp
+++ b/Source/harness/child_process.cpp
@@ -6,12 +6,25 @@
 #include <spawn.h>
 #include <stdexcept>
 #include <sys/wait.h>
+#include <thread>
 #include <unistd.h>
 
 extern char** environ;
 
 namespace rampgap::test {
 
+namespace {
+
+    // Until the process ends.
+    void copyToStderr(FILE* lines)
+    {
+        char line[4'096] = "";
+        while (fgets(line, sizeof line, lines))
+            fputs(line, stderr);
+    }
+
+} // namespace
+
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
 {
     const std::string path = std::string(RAMPGAP_PROGRAMS) + "/" + program;
@@ -26,7 +39,8 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, ends[1], 1);
-    if (!getenv("RAMPGAP_TEST_LOGS"))
+    const bool showLogs = getenv("RAMPGAP_TEST_LOGS") != nullptr;
+    if (!showLogs)
         posix_spawn_file_actions_addopen(&actions, 2, "/dev/null", O_WRONLY, 0);
     const int failed = posix_spawn(&m_id, path.c_str(), &actions, nullptr, words.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
@@ -45,6 +59,8 @@
     // The pipe stays open, so that later lines of the process do not end it.
     if (m_httpPort == 0)
         throw std::runtime_error(program + " did not become ready");
+    if (showLogs)
+        std::thread(copyToStderr, out).detach();
 }
 
 child_process::~child_process()
--- /dev/null
+++ b/Tests/platform/dying-server/test.cpp
@@ -0,0 +1,105 @@
+// An engine that crashed was taken for one that lives: beside load, its process had closed the connections of its calls and
+// not yet the socket on which it listened, so that the look at its address was let in. Neither of its calls counted, and a
+// prompt that ends engines went on to the next one: of eight engines four had ended, with two "engine_crashed" in the
+// agents' logs and two looks that were let in. Each of 6 such runs in 60 had as many of these looks as engines too many.
+#include "daemon/boot_timer.h"
+#include "daemon/crash_watch.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <doctest/doctest.h>
+#include <list>
+
+using namespace rampgap;
+
+namespace {
+
+namespace asio = boost::asio;
+constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+// How long the processor was away between two steps of a process that ends.
+constexpr milliseconds betweenItsEnds { 20 };
+constexpr milliseconds longest { 2'000 };
+const server_life life { "i-1", 1'000 };
+
+struct findings : crash_listener {
+    void onServerCrashed(const server_life&, const std::string&, const std::string&, std::size_t calls) override { crashedCalls = calls; }
+    void onCallCrashed(const server_life&, const lost_call&) override { }
+
+    std::optional<std::size_t> crashedCalls;
+};
+
+class server {
+public:
+    explicit server(asio::io_context& io)
+        : m_acceptor(io, { asio::ip::address_v4::loopback(), 0 })
+    {
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    // Closes what it listens on, and with it the connections that wait to be accepted.
+    void end() { m_acceptor.close(); }
+    // Accepts, and closes each connection at once if it is full.
+    awaitable<void> serve(bool full)
+    {
+        for (;;) {
+            auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
+            if (error)
+                co_return;
+            if (!full)
+                m_open.push_back(std::move(socket));
+        }
+    }
+
+private:
+    tcp::acceptor m_acceptor;
+    std::list<tcp::socket> m_open;
+};
+
+struct watching_process {
+    lost_call call() const { return { "r", fingerprintOf("POST", "/draft", "key", ""), 0, context.now(), context.now() }; }
+    void look(const std::string& address)
+    {
+        watch.noteLost(life, address, call());
+        const instant end = context.now() + longest;
+        while (watch.looking(life) && context.now() < end) {
+            context.io().restart();
+            context.io().run_for(milliseconds(1));
+        }
+    }
+
+    process_context context { "agent", "a", "test" };
+    findings found;
+    crash_watch watch { context, found };
+};
+
+} // namespace
+
+TEST_CASE("a server that still listens while its process ends has crashed")
+{
+    watching_process process;
+    server dying(process.context.io());
+    boost::asio::co_spawn(
+        process.context.io(), [&]() -> awaitable<void> {
+            boot_timer timer(process.context.io(), betweenItsEnds);
+            co_await timer.async_wait(asTuple);
+            dying.end();
+        },
+        asio::detached);
+    process.look(dying.address());
+    CHECK(process.found.crashedCalls == 1);
+}
+
+TEST_CASE("a server that goes on listening has not crashed, whether it has room or not")
+{
+    watching_process process;
+    server living(process.context.io());
+    for (const bool full : { false, true }) {
+        CAPTURE(full);
+        asio::co_spawn(process.context.io(), living.serve(full), asio::detached);
+        process.look(living.address());
+        CHECK_FALSE(process.found.crashedCalls);
+        CHECK(process.watch.undecided().empty());
+    }
+}
