daemon: a server that lets a connection in and ends it has not shown that it lives

A prompt that ends engines ended four of eight where three are allowed. The look at an engine that had ended its calls was let in while its process was still ending: connections and the listening socket are closed one after the other.

--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -11,6 +11,36 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    // A process that ends closes its connections and the socket on which it listens one after the
+    // other, and may lose the processor in between: whoever is let in looks whether it stays in.
+    // In 23 of 60 runs with five fleets on eight cores some ended server had let the look in.
+    constexpr milliseconds staysIn { 50 };
+    // A server that has no room for connections closes each at once, and lives.
+    constexpr int mostLooks = 3;
+
+    enum class look_result { refused,
+        letIn,
+        closed,
+        noAnswer };
+
+    awaitable<look_result> connectAndStay(asio::io_context& io, tcp::endpoint endpoint)
+    {
+        boost::beast::tcp_stream stream(io);
+        stream.expires_after(serverConnectTimeout);
+        const auto [refused] = co_await stream.async_connect(endpoint, asTuple);
+        if (refused)
+            co_return refused == asio::error::connection_refused ? look_result::refused : look_result::noAnswer;
+        stream.expires_after(staysIn);
+        char byte = 0;
+        const auto [ended, size] = co_await stream.async_read_some(asio::buffer(&byte, 1), asTuple);
+        co_return !ended || ended == boost::beast::error::timeout ? look_result::letIn : look_result::closed;
+    }
+
+} // namespace
+
 crash_watch::crash_watch(process_context& context, crash_listener& listener)
     : m_context(context)
     , m_listener(listener)
@@ -45,12 +75,12 @@
         m_detector.noteNoAnswer(life);
         co_return;
     }
-    boost::beast::tcp_stream stream(m_context.io());
-    stream.expires_after(serverConnectTimeout);
-    const auto [error] = co_await stream.async_connect(endpoint.value(), asio::as_tuple(asio::use_awaitable));
-    if (error == asio::error::connection_refused)
+    auto seen = co_await connectAndStay(m_context.io(), endpoint.value());
+    for (int looks = 1; seen == look_result::closed && looks < mostLooks; ++looks)
+        seen = co_await connectAndStay(m_context.io(), endpoint.value());
+    if (seen == look_result::refused)
         noteCrashed(life, address, "nothing listens at its address");
-    else if (error)
+    else if (seen == look_result::noAnswer)
         m_detector.noteNoAnswer(life);
     else
         m_detector.noteAlive(life, m_context.now());
