--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/boot_timer.h"
 #include "daemon/caller_watch.h"
+#include "daemon/graceful_stop.h"
 #include "daemon/header_names.h"
 #include "daemon/log.h"
 #include "discovery/platform_source.h"
@@ -18,7 +19,6 @@
 namespace {
 
     constexpr milliseconds leavingRetryAfter { 500 };
-    constexpr milliseconds pollPause { 10 };
     constexpr std::size_t maxStoredAnswer = 262'144;
     constexpr std::int64_t defaultTimeoutMs = 30'000;
 
@@ -313,11 +313,8 @@
     co_await m_keeper.giveAway();
     boot_timer timer(m_context.io(), m_settings.process.linger);
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    m_http->drain();
-    while (m_inFlight > 0 || m_http->openConnections() > 0) {
-        timer.expires_after(pollPause);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
+    std::function<int()> inFlight = [this] { return m_inFlight; };
+    co_await drainToEnd(m_context, *m_http, std::move(inFlight));
     logState("stopped", "");
     m_context.io().stop();
 }
--- a/Source/entry/entry_server.cpp
+++ b/Source/entry/entry_server.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry_server.h"
 
 #include "daemon/boot_timer.h"
+#include "daemon/graceful_stop.h"
 #include "daemon/header_names.h"
 #include "daemon/log.h"
 #include "discovery/platform_source.h"
@@ -236,9 +237,8 @@
 {
     co_await sleepFor(m_context, m_settings.process.linger);
     m_refusing = true;
-    m_http->drain();
-    while (m_inFlight > 0 || m_http->openConnections() > 0)
-        co_await sleepFor(m_context, pollPause);
+    std::function<int()> inFlight = [this] { return m_inFlight; };
+    co_await drainToEnd(m_context, *m_http, std::move(inFlight));
     logState("stopped", "");
     m_context.io().stop();
 }
--- a/Tests/platform/placement-ease/test.cpp
+++ b/Tests/platform/placement-ease/test.cpp
@@ -2,6 +2,7 @@
 // group can carry, or near all of it.
 #include "model/expert_demand.h"
 #include "policy/group_monitor.h"
+#include "support/engine_costs.h"
 
 #include <doctest/doctest.h>
 
@@ -19,21 +20,6 @@
 constexpr double shiftedShare = 0.55;
 constexpr double choicesPerLook = 8'000;
 
-engine_costs costs()
-{
-    engine_costs made;
-    made.capacity = 10;
-    made.stepMs = 4.55;
-    made.perSequenceMs = 0.905;
-    made.contextMsPerThousand = 0.0183;
-    made.stepsPerPass = 5;
-    made.prefillTokensPerMs = 61.4;
-    made.usualPromptTokens = 850;
-    made.usualAnswerTokens = 95;
-    made.expertShare = 0.85;
-    return made;
-}
-
 monitor_settings settingsWith(double gainAtEase)
 {
     monitor_settings settings;
@@ -43,7 +29,7 @@
     settings.limits.newPerRank = 2;
     settings.leastGain = 0.053;
     settings.leastGainAtEase = gainAtEase;
-    settings.costs = costs();
+    settings.costs = test::usualCosts();
     return settings;
 }
 
@@ -92,7 +78,7 @@
         }
         monitor.noteChoices(choices, now);
         const double skew = groupSkew(inUse, shares, rank_paces(ranks, 1));
-        const double pass = passTime(costs(), requestsPerRank, { skew, 1 }) * (changing ? 1.15 : 1);
+        const double pass = passTime(test::usualCosts(), requestsPerRank, { skew, 1 }) * (changing ? 1.15 : 1);
         seen.meanPass += pass;
         seen.late += pass > static_cast<double>(gap.count()) ? 1 : 0;
         if (changing)
--- a/Tests/platform/slow-group/test.cpp
+++ b/Tests/platform/slow-group/test.cpp
@@ -1,6 +1,7 @@
 // Load pattern: one rank of one group turns slow, or demand shifts there. All ranks run in
 // lock-step: every stream of the group is late, at whichever rank it is.
 #include "policy/upstream_choice.h"
+#include "support/engine_costs.h"
 
 #include <doctest/doctest.h>
 #include <map>
@@ -14,21 +15,6 @@
 constexpr int ranksOfGroup = 24;
 constexpr int capacity = 10;
 
-engine_costs costs()
-{
-    engine_costs made;
-    made.capacity = capacity;
-    made.stepMs = 4.55;
-    made.perSequenceMs = 0.905;
-    made.contextMsPerThousand = 0.0183;
-    made.stepsPerPass = 5;
-    made.prefillTokensPerMs = 61.4;
-    made.usualPromptTokens = 850;
-    made.usualAnswerTokens = 95;
-    made.expertShare = 0.85;
-    return made;
-}
-
 struct fleet {
     fleet()
     {
@@ -57,7 +43,7 @@
         for (int i = 0; i < 300; ++i) {
             upstream_question question;
             question.service = service;
-            question.costs = costs();
+            question.costs = test::usualCosts();
             question.promptTokens = 800;
             question.ownZone = std::string(1, static_cast<char>('a' + i % 3));
             question.now = zero;
@@ -95,7 +81,7 @@
     fleet made;
     const group_strain shifted { 3, 1 };
     made.groups.noteStrain({ service, "a" }, shifted, zero);
-    const int limit = sequencesToRun(costs(), shifted, milliseconds(135));
+    const int limit = sequencesToRun(test::usualCosts(), shifted, milliseconds(135));
     REQUIRE(limit > 1);
     REQUIRE(limit < capacity);
     for (const std::string group : { "b", "c" })
