gateway, policy: who finds a restoration late keeps missing entries no longer than its peers do

Processes tell how long ago they found the store restored; the earliest counts for all. Nothing changes where the store was not restored.

--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -58,8 +58,8 @@
         noteEpoch(told.delta.position, told.restoredAt.value_or(now));
     const std::string source = "peer " + peer;
     auto changes = m_published.take(told.delta, meaningOfRemoval());
-    if (told.restoredAt && told.summary.position.epoch == m_published.position().epoch)
-        m_restoredAt = std::min(m_restoredAt.value_or(now), *told.restoredAt);
+    if (told.restoredAt)
+        notePeerRestored(told.summary.position.epoch, *told.restoredAt);
     const bool listSettled = !m_restoredAt || now - *m_restoredAt >= listSettlesWithin;
     // What the peer retains stands in the place of what it read, from the first moment on.
     for (auto& retained : m_published.join(told.retained, listSettled)) {
@@ -79,6 +79,17 @@
         m_published.noteProof(told.position, provenAt);
 }
 
+// Whoever finds the restoration late, suspended or cut off until then, need not wait as long once
+// more for what its peers have found to be gone.
+void fleet_state::notePeerRestored(store_epoch epoch, instant restoredAt)
+{
+    if (epoch != m_published.position().epoch || restoredAt >= m_restoredAt.value_or(instant::max()))
+        return;
+    m_restoredAt = restoredAt;
+    m_doubtUntil = std::min(m_doubtUntil, restoredAt + lapsedEntriesReturn);
+    m_backends.keepNoLongerThan(m_doubtUntil);
+}
+
 void fleet_state::noteEpoch(store_position next, instant seenAt)
 {
     const store_position held = m_published.position();
@@ -130,10 +141,8 @@
 void fleet_state::settle()
 {
     settleProof();
-    if (m_restoredAt && m_context.now() - *m_restoredAt >= listSettlesWithin) {
+    if (m_restoredAt && m_context.now() - *m_restoredAt >= listSettlesWithin)
         apply(m_published.expireRetained(), "time");
-        m_restoredAt.reset();
-    }
     m_backends.settle(m_context.now());
 }
 
--- a/Source/gateway/fleet_state.h
+++ b/Source/gateway/fleet_state.h
@@ -37,6 +37,8 @@
     void take(const peer_state&, const std::string& peer);
     // A peer that holds `told` has proved it at that moment.
     void notePeerProof(const state_summary& told, instant provenAt);
+    // A peer has known since `restoredAt` of the restoration that began an epoch.
+    void notePeerRestored(store_epoch, instant restoredAt);
     // The store did not answer this process, or answers again.
     void noteSourceLost(const std::string& why);
     void noteSourceRegained();
@@ -48,7 +50,7 @@
     backend_directory& backends() { return m_backends; }
     const published_state& published() const { return m_published; }
     state_summary summary() const { return { m_published.position(), m_published.retained().digest() }; }
-    // Since when the store is known to have been restored; empty once its list has settled.
+    // Since when the store is known to have been restored, if it was.
     std::optional<instant> restoredAt() const { return m_restoredAt; }
     // So long yet, entries missing from the list may only have lapsed in an outage.
     milliseconds listDoubt() const;
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -99,6 +99,8 @@
     datagram.set_epoch(m_state.published().position().epoch);
     datagram.set_revision(m_state.published().position().revision);
     datagram.set_retained_digest(m_state.summary().retained);
+    if (const auto restoredAt = m_state.restoredAt())
+        datagram.set_restored_ms_ago(wholeMilliseconds(m_context.now() - *restoredAt));
     datagram.set_crash_digest(m_history.digest());
     return datagram;
 }
@@ -211,6 +213,8 @@
     takeRanks(datagram);
     if (sender.role == peer_role::entry)
         noteSummary(sender, { { datagram.epoch(), datagram.revision() }, datagram.retained_digest() });
+    if (sender.role == peer_role::entry && datagram.has_restored_ms_ago())
+        m_state.notePeerRestored(datagram.epoch(), now - milliseconds(datagram.restored_ms_ago()));
     if (datagram.has_question())
         answerQuestion(datagram, host);
     if (datagram.has_answer())
--- a/Source/gateway/peer_wire.cpp
+++ b/Source/gateway/peer_wire.cpp
@@ -1,6 +1,7 @@
 #include "gateway/peer_wire.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace rampgap {
 
@@ -28,6 +29,12 @@
 
 } // namespace
 
+std::uint32_t wholeMilliseconds(duration age)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(age).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 gateway::process_identity toWire(const peer_info& peer)
 {
     gateway::process_identity wire;
--- a/Source/gateway/peer_wire.h
+++ b/Source/gateway/peer_wire.h
@@ -10,6 +10,8 @@
 
 namespace rampgap {
 
+// An age as it travels; one of 49 days or more is cut to that.
+std::uint32_t wholeMilliseconds(duration);
 gateway::process_identity toWire(const peer_info&);
 peer_info fromWire(const gateway::process_identity&);
 
--- a/Source/gateway/snapshot_exchange.cpp
+++ b/Source/gateway/snapshot_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/snapshot_exchange.h"
 
 #include "gateway.pb.h"
+#include "gateway/peer_wire.h"
 #include "gateway/snapshot_codec.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -122,7 +123,7 @@
     wire.set_list_doubt_ms(static_cast<std::uint32_t>(m_state.listDoubt().count()));
     wire.set_list_settled(m_state.listSettled());
     if (const auto restoredAt = m_state.restoredAt())
-        wire.set_restored_ms_ago(static_cast<std::uint32_t>(std::chrono::duration_cast<milliseconds>(m_context.now() - *restoredAt).count()));
+        wire.set_restored_ms_ago(wholeMilliseconds(m_context.now() - *restoredAt));
     const published_delta delta = published.since(held);
     for (const auto& key : delta.keys)
         wire.add_keys(key);
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -90,6 +90,16 @@
     noteNewestAt(held->second.listed.address);
 }
 
+void backend_directory::keepNoLongerThan(instant until)
+{
+    if (m_lapsedLife > milliseconds(0))
+        return;
+    for (auto& [id, held] : m_entries) {
+        if (held.keptUntil)
+            held.keptUntil = std::min(*held.keptUntil, until);
+    }
+}
+
 void backend_directory::remove(const std::string& id)
 {
     const auto held = m_entries.find(id);
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -69,6 +69,8 @@
     void setServices(std::set<std::string>);
     // `keepUntil`: until then the entry may only have lapsed in an outage and come back.
     void unlist(const std::string& id, instant now, instant keepUntil);
+    // Entries that are missing are not kept beyond `until`, unless they are for `lapsedLife`.
+    void keepNoLongerThan(instant until);
     // Forgets a server at once, if it is known.
     void remove(const std::string& id);
     // Drops what has not come back.
--- a/Tests/platform/retained-items/test.cpp
+++ b/Tests/platform/retained-items/test.cpp
@@ -157,6 +157,26 @@
     CHECK(knowing.state.backends().open("i-2"));
 }
 
+// An entry VM had been suspended while the store was restored, listed it by itself as it went on, and kept a server that had
+// gone 2 s before for two more ("dependency_regained lost_ms=4571", "backend_unlisted ... doubt_ms=1849 outcome=kept for now",
+// a request there 1.2 s later), though its peers had seen the store back all the while.
+TEST_CASE("a VM that finds a store restored keeps entries only for as long after the return as its peers")
+{
+    vm woken;
+    woken.reads({ configurationItem(1, 1), serverItem("ready", 100, 2) }, { 1, 2 });
+    woken.reads({ configurationItem(1, 1) }, { 2, 3 });
+    CHECK(woken.open());
+    const instant now = woken.context.now();
+    woken.state.notePeerRestored(1, now - milliseconds(9'000));
+    CHECK(woken.open());
+    woken.state.notePeerRestored(2, now - milliseconds(500));
+    woken.state.settle();
+    CHECK(woken.open());
+    woken.state.notePeerRestored(2, now - milliseconds(2'000));
+    woken.state.settle();
+    CHECK_FALSE(woken.open());
+}
+
 TEST_CASE("a proof of a peer that knows less proves nothing for one that knows more, nor the other way round")
 {
     vm knowing;
