--- a/Source/policy/published_state.cpp
+++ b/Source/policy/published_state.cpp
@@ -86,7 +86,6 @@
 void published_state::refresh(const std::string& key, std::vector<published_change>& changes)
 {
     const auto* shown = listed(key);
-    m_retained.prune(key, shown);
     const auto* next = m_retained.inForce(key, shown);
     const auto held = m_items.find(key);
     const bool retained = next != shown;
--- a/Source/policy/retained_items.cpp
+++ b/Source/policy/retained_items.cpp
@@ -84,21 +84,16 @@
     return true;
 }
 
-const published_item* retained_items::inForce(const std::string& key, const published_item* listed) const
+const published_item* retained_items::inForce(const std::string& key, const published_item* listed)
 {
     const auto kept = m_items.find(key);
-    if (kept == m_items.end() || !holds(kept->second, listed))
+    if (kept == m_items.end())
         return listed;
-    return kept->second.removed ? nullptr : &kept->second.item;
-}
-
-void retained_items::prune(const std::string& key, const published_item* listed)
-{
-    const auto kept = m_items.find(key);
-    if (kept == m_items.end() || holds(kept->second, listed))
-        return;
+    if (holds(kept->second, listed))
+        return kept->second.removed ? nullptr : &kept->second.item;
     m_items.erase(kept);
     updateDigest();
+    return listed;
 }
 
 std::vector<std::string> retained_items::expire()
--- a/Source/policy/retained_items.h
+++ b/Source/policy/retained_items.h
@@ -33,10 +33,9 @@
     // Takes what a peer retains. True if it is news, given what is listed under its key; null
     // if nothing is.
     bool join(const retained_item&, const published_item* listed);
-    // What is in force under a key; null if nothing is.
-    const published_item* inForce(const std::string& key, const published_item* listed) const;
-    // Forgets an item in whose place the store now shows as much.
-    void prune(const std::string& key, const published_item* listed);
+    // What is in force under a key; null if nothing is. An item in whose place the store now
+    // shows as much is forgotten.
+    const published_item* inForce(const std::string& key, const published_item* listed);
     // Forgets what only stands in for servers that would say more of themselves, or would have
     // lapsed, by now; returns the keys.
     std::vector<std::string> expire();
