--- a/Source/daemon/http_message.cpp
+++ b/Source/daemon/http_message.cpp
@@ -93,6 +93,12 @@
     return {};
 }
 
+std::uint64_t queryNumber(std::string_view target, std::string_view name, std::uint64_t fallback)
+{
+    const std::string text = queryValue(target, name);
+    return text.empty() ? fallback : std::strtoull(text.c_str(), nullptr, 10);
+}
+
 std::string pathOf(std::string_view target)
 {
     return std::string(target.substr(0, target.find('?')));
--- a/Source/daemon/http_message.h
+++ b/Source/daemon/http_message.h
@@ -35,6 +35,8 @@
 
 // The value of `name` in the query of a request target, empty if absent.
 std::string queryValue(std::string_view target, std::string_view name);
+// A whole number in the query, or `fallback`; 0 where it is no number.
+std::uint64_t queryNumber(std::string_view target, std::string_view name, std::uint64_t fallback);
 // The path of a request target, without its query.
 std::string pathOf(std::string_view target);
 // The host of "host:port".
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -96,9 +96,7 @@
 {
     gateway::peer_datagram datagram;
     *datagram.mutable_sender() = toWire(m_peers.self());
-    datagram.set_epoch(m_state.published().position().epoch);
-    datagram.set_revision(m_state.published().position().revision);
-    datagram.set_retained_digest(m_state.summary().retained);
+    setSummary(datagram, m_state.summary());
     if (const auto restoredAt = m_state.restoredAt())
         datagram.set_restored_ms_ago(wholeMilliseconds(m_context.now() - *restoredAt));
     datagram.set_crash_digest(m_history.digest());
@@ -110,7 +108,7 @@
     for (const auto& peer : m_peers.sample(peer_role::entry, knownPerDatagram, m_context.random())) {
         auto* known = datagram.add_known();
         *known->mutable_process() = toWire(peer);
-        known->set_age_ms(static_cast<std::uint32_t>(m_peers.age(peer.host, m_context.now()).count()));
+        known->set_age_ms(wholeMilliseconds(m_peers.age(peer.host, m_context.now())));
     }
 }
 
@@ -212,7 +210,7 @@
         m_loads.notePeer(host, workOf(datagram), now);
     takeRanks(datagram);
     if (sender.role == peer_role::entry)
-        noteSummary(sender, { { datagram.epoch(), datagram.revision() }, datagram.retained_digest() });
+        noteSummary(sender, summaryOf(datagram));
     if (sender.role == peer_role::entry && datagram.has_restored_ms_ago())
         m_state.notePeerRestored(datagram.epoch(), now - milliseconds(datagram.restored_ms_ago()));
     if (datagram.has_question())
@@ -253,10 +251,8 @@
         return;
     auto reply = makeDatagram();
     reply.mutable_answer()->set_nonce(datagram.question().nonce());
-    reply.mutable_answer()->set_epoch(m_state.published().position().epoch);
-    reply.mutable_answer()->set_retained_digest(m_state.summary().retained);
-    reply.mutable_answer()->set_revision(m_state.published().position().revision);
-    reply.mutable_answer()->set_proof_age_ms(static_cast<std::uint32_t>(age->count()));
+    setSummary(*reply.mutable_answer(), m_state.summary());
+    reply.mutable_answer()->set_proof_age_ms(wholeMilliseconds(*age));
     send(host, reply);
 }
 
@@ -267,8 +263,7 @@
     if (asked == m_questions.end())
         return;
     const instant provenAt = asked->second - milliseconds(datagram.answer().proof_age_ms() + 1);
-    const auto& answer = datagram.answer();
-    m_state.notePeerProof({ { answer.epoch(), answer.revision() }, answer.retained_digest() }, provenAt);
+    m_state.notePeerProof(summaryOf(datagram.answer()), provenAt);
 }
 
 // Until something is known every moment counts: callers wait.
--- a/Source/gateway/peer_wire.h
+++ b/Source/gateway/peer_wire.h
@@ -5,6 +5,7 @@
 #include "policy/group_board.h"
 #include "policy/load_board.h"
 #include "policy/peer_table.h"
+#include "policy/published_state.h"
 
 #include <vector>
 
@@ -12,6 +13,22 @@
 
 // An age as it travels; one of 49 days or more is cut to that.
 std::uint32_t wholeMilliseconds(duration);
+
+// What a process holds, in each message that says so.
+template <class Message>
+void setSummary(Message& message, const state_summary& summary)
+{
+    message.set_epoch(summary.position.epoch);
+    message.set_revision(summary.position.revision);
+    message.set_retained_digest(summary.retained);
+}
+
+template <class Message>
+state_summary summaryOf(const Message& message)
+{
+    return { { message.epoch(), message.revision() }, message.retained_digest() };
+}
+
 gateway::process_identity toWire(const peer_info&);
 peer_info fromWire(const gateway::process_identity&);
 
--- a/Source/gateway/snapshot_exchange.cpp
+++ b/Source/gateway/snapshot_exchange.cpp
@@ -23,12 +23,6 @@
         return std::string(snapshotPath) + "?" + std::string(epochName) + "=" + std::to_string(held.epoch) + "&" + std::string(revisionName) + "=" + std::to_string(held.revision);
     }
 
-    // A number that is missing or cannot be read is 0: then everything is sent.
-    std::uint64_t numberOf(const std::string& target, std::string_view name)
-    {
-        return std::strtoull(queryValue(target, name).c_str(), nullptr, 10);
-    }
-
     void setItem(gateway::published_item& wire, const published_item& item)
     {
         wire.set_key(item.key);
@@ -46,7 +40,7 @@
     peer_state peerStateOf(const gateway::fleet_snapshot& wire, instant askedAt)
     {
         peer_state told;
-        told.summary = { { wire.epoch(), wire.revision() }, wire.retained_digest() };
+        told.summary = summaryOf(wire);
         told.delta.position = told.summary.position;
         told.delta.keys.assign(wire.keys().begin(), wire.keys().end());
         for (const auto& item : wire.items())
@@ -111,16 +105,15 @@
 http_response snapshot_exchange::answerTo(const http_request& request) const
 {
     const std::string target(request.target());
-    const store_position held { numberOf(target, epochName), numberOf(target, revisionName) };
+    // Who tells nothing, or what cannot be read, is sent everything.
+    const store_position held { queryNumber(target, epochName, 0), queryNumber(target, revisionName, 0) };
     gateway::fleet_snapshot wire;
     const auto& published = m_state.published();
-    wire.set_epoch(published.position().epoch);
-    wire.set_revision(published.position().revision);
-    wire.set_retained_digest(published.retained().digest());
+    setSummary(wire, m_state.summary());
     const auto age = m_state.proofAge();
     wire.set_proven(age.has_value());
-    wire.set_proof_age_ms(static_cast<std::uint32_t>(age.value_or(milliseconds(0)).count()));
-    wire.set_list_doubt_ms(static_cast<std::uint32_t>(m_state.listDoubt().count()));
+    wire.set_proof_age_ms(wholeMilliseconds(age.value_or(milliseconds(0))));
+    wire.set_list_doubt_ms(wholeMilliseconds(m_state.listDoubt()));
     wire.set_list_settled(m_state.listSettled());
     if (const auto restoredAt = m_state.restoredAt())
         wire.set_restored_ms_ago(wholeMilliseconds(m_context.now() - *restoredAt));
--- a/Source/standin/platform_standin.cpp
+++ b/Source/standin/platform_standin.cpp
@@ -18,12 +18,6 @@
     constexpr std::string_view declarationPath = "/v1/declarations/";
     constexpr std::size_t manyDocuments = 64;
 
-    std::uint64_t numberOf(const std::string& target, std::string_view name, std::uint64_t fallback)
-    {
-        const std::string text = queryValue(target, name);
-        return text.empty() ? fallback : std::strtoull(text.c_str(), nullptr, 10);
-    }
-
 } // namespace
 
 platform_standin::platform_standin(process_context& context)
@@ -109,7 +103,7 @@
 
 http_response platform_standin::latest(const std::string& target) const
 {
-    const std::uint64_t count = numberOf(target, "count", 1);
+    const std::uint64_t count = queryNumber(target, "count", 1);
     std::vector<std::uint64_t> revisions;
     for (const auto& [revision, text] : m_declarations) {
         if (revision <= m_staleAt)
@@ -121,8 +115,8 @@
 
 awaitable<http_response> platform_standin::watch(const std::string& target)
 {
-    const std::uint64_t after = numberOf(target, "after", 0);
-    const instant until = m_context.now() + milliseconds(numberOf(target, "wait_ms", 0));
+    const std::uint64_t after = queryNumber(target, "after", 0);
+    const instant until = m_context.now() + milliseconds(queryNumber(target, "wait_ms", 0));
     while (visible() <= after && m_context.now() < until && !m_down)
         co_await waitForChange(until);
     if (m_down)
@@ -132,8 +126,8 @@
 
 awaitable<http_response> platform_standin::watchVms(const std::string& target)
 {
-    const store_position held { numberOf(target, "epoch", 0), numberOf(target, "after", 0) };
-    const instant until = m_context.now() + milliseconds(numberOf(target, "wait_ms", 0));
+    const store_position held { queryNumber(target, "epoch", 0), queryNumber(target, "after", 0) };
+    const instant until = m_context.now() + milliseconds(queryNumber(target, "wait_ms", 0));
     while (m_vms.position() <= held && m_context.now() < until && !m_down)
         co_await waitForChange(until);
     if (m_down)
