daemon: the watch for crashes books what it finds itself

The entry VM's and the agent's listeners recorded and counted each crashed call with the same two lines; a third listener would have had to know them. The watch does both before it tells the listener, which only logs and spreads the news. Behaviour is the same: 28 of 28 tests of crashes and requests.

--- a/Source/agent/engine_guard.cpp
+++ b/Source/agent/engine_guard.cpp
@@ -16,7 +16,7 @@
 engine_guard::engine_guard(process_context& context, crash_history& history, std::string name, std::string engine)
     : m_context(context)
     , m_history(history)
-    , m_watch(context, *this)
+    , m_watch(context, history, *this)
     , m_engine(std::move(engine))
     , m_life { std::move(name), context.incarnation() }
 {
@@ -50,10 +50,8 @@
     logProblem("engine_crashed", "engine=" + address + " reason=\"" + why + "\" calls=" + std::to_string(calls));
 }
 
-void engine_guard::onCallCrashed(const server_life& life, const lost_call& call)
+void engine_guard::onCallCrashed(const server_life&, const lost_call& call)
 {
-    m_history.noteCrash(call.request, hashOf(life), call.events, m_context.now());
-    m_context.counters().add(metric::calls_crashed);
     logState("call_crashed", "request=" + call.requestId + " fingerprint=" + toString(call.request) + " events=" + std::to_string(call.events));
     tell();
 }
--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -41,8 +41,9 @@
 
 } // namespace
 
-crash_watch::crash_watch(process_context& context, crash_listener& listener)
+crash_watch::crash_watch(process_context& context, crash_history& history, crash_listener& listener)
     : m_context(context)
+    , m_history(history)
     , m_listener(listener)
 {
 }
@@ -51,7 +52,7 @@
 {
     switch (m_detector.noteLost(life, call, m_context.now())) {
     case crash_detector::finding::crashed:
-        m_listener.onCallCrashed(life, call);
+        noteCallCrashed(life, call);
         break;
     case crash_detector::finding::look:
         asio::co_spawn(m_context.io(), look(life, address), asio::detached);
@@ -92,7 +93,14 @@
     m_context.counters().add(metric::servers_crashed);
     m_listener.onServerCrashed(life, address, why, calls.size());
     for (const auto& call : calls)
-        m_listener.onCallCrashed(life, call);
+        noteCallCrashed(life, call);
+}
+
+void crash_watch::noteCallCrashed(const server_life& life, const lost_call& call)
+{
+    m_history.noteCrash(call.request, hashOf(life), call.events, m_context.now());
+    m_context.counters().add(metric::calls_crashed);
+    m_listener.onCallCrashed(life, call);
 }
 
 } // namespace rampgap
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -4,6 +4,7 @@
 #include "daemon/http_message.h"
 #include "daemon/process_context.h"
 #include "policy/crash_detector.h"
+#include "policy/crash_history.h"
 
 namespace rampgap {
 
@@ -19,7 +20,8 @@
 
 class crash_watch {
 public:
-    crash_watch(process_context&, crash_listener&);
+    // What it finds goes into the history before the listener is told.
+    crash_watch(process_context&, crash_history&, crash_listener&);
 
     // A call ended without its answer; looks at the server if nobody does yet.
     void noteLost(const server_life&, const std::string& address, const lost_call&);
@@ -36,8 +38,10 @@
     // Looks whether anything listens at the address.
     awaitable<void> look(server_life, std::string address);
     void noteCrashed(const server_life&, const std::string& address, const std::string& why);
+    void noteCallCrashed(const server_life&, const lost_call&);
 
     process_context& m_context;
+    crash_history& m_history;
     crash_listener& m_listener;
     crash_detector m_detector;
 };
--- a/Source/gateway/crash_reporter.cpp
+++ b/Source/gateway/crash_reporter.cpp
@@ -9,7 +9,7 @@
     , m_log(log)
     , m_state(state)
     , m_history(history)
-    , m_watch(context, *this)
+    , m_watch(context, history, *this)
 {
 }
 
@@ -41,8 +41,6 @@
 
 void crash_reporter::onCallCrashed(const server_life& life, const lost_call& call)
 {
-    m_history.noteCrash(call.request, hashOf(life), call.events, m_context.now());
-    m_context.counters().add(metric::calls_crashed);
     m_log.requestLine("call_crashed").add("request", call.requestId).add("fingerprint", toString(call.request)).add("backend", life.id).add("ran_ms", call.lostAt - call.sentAt).add("events", call.events);
     tell();
 }
--- a/Tests/platform/dying-server/test.cpp
+++ b/Tests/platform/dying-server/test.cpp
@@ -71,7 +71,8 @@
 
     process_context context { "agent", "a", "test" };
     findings found;
-    crash_watch watch { context, found };
+    crash_history history;
+    crash_watch watch { context, history, found };
 };
 
 } // namespace
