--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -1,16 +1,14 @@
 #include "agent/agent_server.h"
 
-#include "daemon/boot_timer.h"
 #include "daemon/caller_watch.h"
 #include "daemon/graceful_stop.h"
 #include "daemon/header_names.h"
 #include "daemon/log.h"
+#include "daemon/sleep.h"
 #include "discovery/platform_source.h"
 #include "peer.pb.h"
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
@@ -311,8 +309,7 @@
 awaitable<void> agent_server::leaveGracefully()
 {
     co_await m_keeper.giveAway();
-    boot_timer timer(m_context.io(), m_settings.process.linger);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await sleepFor(m_context.io(), m_settings.process.linger);
     std::function<int()> inFlight = [this] { return m_inFlight; };
     co_await drainToEnd(m_context, *m_http, std::move(inFlight));
     logState("stopped", "");
--- a/Source/agent/engine_guard.cpp
+++ b/Source/agent/engine_guard.cpp
@@ -1,9 +1,7 @@
 #include "agent/engine_guard.h"
 
-#include "daemon/boot_timer.h"
 #include "daemon/log.h"
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "daemon/sleep.h"
 
 namespace rampgap {
 
@@ -32,8 +30,7 @@
     m_watch.settle();
     m_watch.noteLost(life, m_engine, call);
     while (m_watch.looking(life)) {
-        boot_timer timer(m_context.io(), lookPoll);
-        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        co_await sleepFor(m_context.io(), lookPoll);
     }
 }
 
--- a/Source/ctl/commands.cpp
+++ b/Source/ctl/commands.cpp
@@ -1,12 +1,10 @@
 #include "ctl/commands.h"
 
 #include "ctl/fleet_reader.h"
-#include "daemon/boot_timer.h"
 #include "daemon/daemon_main.h"
+#include "daemon/sleep.h"
 #include "policy/change_plan.h"
 #include "policy/digest.h"
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -61,12 +59,6 @@
         return declaration::parse(text.value(), path);
     }
 
-    awaitable<void> sleepFor(process_context& context, duration time)
-    {
-        boot_timer timer(context.io(), time);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-
     json::object planObject(const change_plan& plan)
     {
         json::array changes;
@@ -225,7 +217,7 @@
             }
             if (!flags.watch)
                 co_return exit_ok;
-            co_await sleepFor(context, watchPause);
+            co_await sleepFor(context.io(), watchPause);
         }
     }
 
@@ -256,7 +248,7 @@
                 co_return fail("revision " + std::to_string(wanted) + " is not in force in:" + lacking);
             if (isatty(STDERR_FILENO))
                 std::cerr << "waiting for:" << lacking << "\n";
-            co_await sleepFor(context, waitPause);
+            co_await sleepFor(context.io(), waitPause);
         }
     }
 
--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -1,15 +1,13 @@
 #include "daemon/configuration_node.h"
 
-#include "daemon/boot_timer.h"
 #include "daemon/log.h"
+#include "daemon/sleep.h"
 #include "discovery/platform_source.h"
 #include "peer.pb.h"
 #include "policy/reader_choice.h"
 #include "wire/crash_codec.h"
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
@@ -60,12 +58,6 @@
     asio::co_spawn(m_context.io(), bootstrap(), asio::detached);
 }
 
-awaitable<void> configuration_node::sleep(duration time)
-{
-    boot_timer timer(m_context.io(), time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 // Between 0.75 and 1.25 times `time`, so that processes do not act in step.
 duration configuration_node::jittered(duration time)
 {
@@ -146,17 +138,17 @@
     instant nextOwnLook = m_context.now() + ownLookPause();
     for (;;) {
         if (!mayLook(nextOwnLook)) {
-            co_await sleep(jittered(readerCheck));
+            co_await sleepFor(m_context.io(), jittered(readerCheck));
             continue;
         }
         if (!m_chain.inForce()) {
             co_await readWindow();
-            co_await sleep(jittered(retryPause));
+            co_await sleepFor(m_context.io(), jittered(retryPause));
             continue;
         }
         const auto documents = co_await m_platform.watchDeclarations(m_chain.highestSeen(), watchWait);
         if (!documents) {
-            co_await sleep(jittered(retryPause));
+            co_await sleepFor(m_context.io(), jittered(retryPause));
             continue;
         }
         for (const auto& document : documents.value())
@@ -169,12 +161,12 @@
     instant nextOwnLook = m_context.now() + ownLookPause();
     for (;;) {
         if (!mayLook(nextOwnLook)) {
-            co_await sleep(jittered(readerCheck));
+            co_await sleepFor(m_context.io(), jittered(readerCheck));
             continue;
         }
         auto list = co_await m_platform.watchVms(m_vms.position(), watchWait);
         if (!list)
-            co_await sleep(jittered(retryPause));
+            co_await sleepFor(m_context.io(), jittered(retryPause));
         else
             takeVms(std::move(list.value()));
     }
@@ -187,7 +179,7 @@
         if (const auto peer = randomPeer())
             co_await exchangeWith(peer->address, peer->name, makeRequest());
         // Until it is ready, a process asks more often.
-        co_await sleep(jittered(ready() ? duration(m_settings.exchangeInterval) : duration(retryPause)));
+        co_await sleepFor(m_context.io(), jittered(ready() ? duration(m_settings.exchangeInterval) : duration(retryPause)));
     }
 }
 
@@ -364,7 +356,7 @@
 // the slow exchange.
 awaitable<void> configuration_node::announceLater()
 {
-    co_await sleep(jittered(secondAnnouncement));
+    co_await sleepFor(m_context.io(), jittered(secondAnnouncement));
     announce();
 }
 
--- a/Source/daemon/configuration_node.h
+++ b/Source/daemon/configuration_node.h
@@ -84,7 +84,6 @@
     std::vector<std::string> ownReaderOrder() const;
     bool mayLook(instant& nextOwnLook);
     std::optional<peer_place> randomPeer();
-    awaitable<void> sleep(duration);
     duration jittered(duration);
 
     process_context& m_context;
--- a/Source/daemon/graceful_stop.cpp
+++ b/Source/daemon/graceful_stop.cpp
@@ -1,8 +1,6 @@
 #include "daemon/graceful_stop.h"
 
-#include "daemon/boot_timer.h"
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "daemon/sleep.h"
 
 namespace rampgap {
 
@@ -16,8 +14,7 @@
 {
     server.drain();
     while (inFlight() > 0 || server.openConnections() > 0) {
-        boot_timer timer(context.io(), drainPoll);
-        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+        co_await sleepFor(context.io(), drainPoll);
     }
 }
 
--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/boot_timer.h"
 #include "daemon/log.h"
+#include "daemon/sleep.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -299,8 +300,7 @@
         if (m_draining)
             co_return;
         if (error) {
-            boot_timer pause(m_context.io(), acceptBackoff);
-            co_await pause.async_wait(asTuple);
+            co_await sleepFor(m_context.io(), acceptBackoff);
             continue;
         }
         if (epoch != m_dropEpoch || openConnections() >= m_limits.maxConnections) {
--- a/Source/entry/entry_server.cpp
+++ b/Source/entry/entry_server.cpp
@@ -4,6 +4,7 @@
 #include "daemon/graceful_stop.h"
 #include "daemon/header_names.h"
 #include "daemon/log.h"
+#include "daemon/sleep.h"
 #include "discovery/platform_source.h"
 #include "peer.pb.h"
 #include <boost/asio/as_tuple.hpp>
@@ -22,12 +23,6 @@
     constexpr milliseconds revisionPatience { 500 };
     constexpr milliseconds pollPause { 10 };
 
-    awaitable<void> sleepFor(process_context& context, duration time)
-    {
-        boot_timer timer(context.io(), time);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-    }
-
 } // namespace
 
 result<std::unique_ptr<entry_server>> entry_server::start(process_context& context, entry_settings settings)
@@ -96,7 +91,7 @@
 awaitable<void> entry_server::watchForPauses()
 {
     for (;;) {
-        co_await sleepFor(m_context, pauseLook);
+        co_await sleepFor(m_context.io(), pauseLook);
         lookForPause();
     }
 }
@@ -194,7 +189,7 @@
 awaitable<bool> entry_server::waitForRevision(std::uint64_t revision, instant deadline)
 {
     while (m_fleet->revision() < revision && m_context.now() < deadline)
-        co_await sleepFor(m_context, pollPause);
+        co_await sleepFor(m_context.io(), pollPause);
     co_return m_fleet->revision() >= revision;
 }
 
@@ -235,7 +230,7 @@
 // The balancer needs a moment to see that this VM is not ready; until then all is served.
 awaitable<void> entry_server::leaveGracefully()
 {
-    co_await sleepFor(m_context, m_settings.process.linger);
+    co_await sleepFor(m_context.io(), m_settings.process.linger);
     m_refusing = true;
     std::function<int()> inFlight = [this] { return m_inFlight; };
     co_await drainToEnd(m_context, *m_http, std::move(inFlight));
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -1,14 +1,12 @@
 #include "entry/request_dispatcher.h"
 
-#include "daemon/boot_timer.h"
 #include "daemon/caller_watch.h"
 #include "daemon/header_names.h"
+#include "daemon/sleep.h"
 #include "policy/home_guard.h"
 #include "policy/permit_office.h"
 #include "policy/rendezvous.h"
 #include "policy/retry_policy.h"
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <charconv>
 
@@ -149,8 +147,7 @@
         const instant failingSince = std::min(cameAt, m_table.failingSince(m_table.find(home), cameAt));
         if (m_context.now() + handoverPause > std::min(request.deadline, failingSince + handoverPatience))
             co_return failed;
-        boot_timer pause(m_context.io(), handoverPause);
-        co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await sleepFor(m_context.io(), handoverPause);
         if (exchange.callerGone())
             co_return std::nullopt;
     }
--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -1,6 +1,6 @@
 #include "gateway/agent_process.h"
 
-#include "daemon/boot_timer.h"
+#include "daemon/sleep.h"
 #include "gateway/rank_wire.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -151,8 +151,7 @@
 awaitable<void> agent_process::watchLoop()
 {
     for (;;) {
-        boot_timer timer(m_context.io(), watchInterval);
-        co_await timer.async_wait(asTuple);
+        co_await sleepFor(m_context.io(), watchInterval);
         if (!m_leader.configured() || !ownBackend())
             continue;
         const auto view = co_await m_port.state(m_settings.engineAddress);
@@ -287,8 +286,7 @@
     for (;;) {
         // From beginning to beginning: a look at 129 ranks takes about as long as the pause.
         const milliseconds pause = m_leader.configured() ? m_leader.lookInterval() : watchInterval;
-        boot_timer timer(m_context.io(), std::max(begun + pause, m_context.now() + leastBetweenLooks));
-        co_await timer.async_wait(asTuple);
+        co_await sleepUntil(m_context.io(), std::max(begun + pause, m_context.now() + leastBetweenLooks));
         begun = m_context.now();
         if (m_leader.configured() && leads())
             co_await lookAndTell();
@@ -308,8 +306,7 @@
 awaitable<void> agent_process::leadLoop()
 {
     for (;;) {
-        boot_timer timer(m_context.io(), leadInterval);
-        co_await timer.async_wait(asTuple);
+        co_await sleepFor(m_context.io(), leadInterval);
         if (!leads())
             continue;
         auto known = knownMembers();
--- a/Source/gateway/crash_gossip.cpp
+++ b/Source/gateway/crash_gossip.cpp
@@ -1,11 +1,9 @@
 #include "gateway/crash_gossip.h"
 
-#include "daemon/boot_timer.h"
+#include "daemon/sleep.h"
 #include "wire/crash_codec.h"
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
@@ -52,8 +50,7 @@
             for (const auto& peer : m_peers.sample(peer_role::entry, fanout, m_context.random()))
                 m_sender.send(peer.host, datagram);
         }
-        boot_timer timer(m_context.io(), spreadPause);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await sleepFor(m_context.io(), spreadPause);
     }
     m_spreading = false;
 }
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -1,6 +1,6 @@
 #include "gateway/gateway_process.h"
 
-#include "daemon/boot_timer.h"
+#include "daemon/sleep.h"
 #include "policy/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -37,12 +37,6 @@
     // Idle connections are kept a little longer than callers may use them.
     constexpr milliseconds idleMargin { 1'000 };
 
-    awaitable<void> pauseFor(process_context& context, milliseconds length)
-    {
-        boot_timer timer(context.io(), length);
-        co_await timer.async_wait(asTuple);
-    }
-
     unsigned short portOf(const std::string& address)
     {
         const auto endpoint = parseEndpoint(address);
@@ -60,7 +54,7 @@
 {
     for (;;) {
         log.flush();
-        co_await pauseFor(context, logFlushInterval);
+        co_await sleepFor(context.io(), logFlushInterval);
     }
 }
 
@@ -207,7 +201,7 @@
 awaitable<void> gateway_process::housekeeping()
 {
     for (int tick = 0;; ++tick) {
-        co_await pauseFor(m_context, housekeepingInterval);
+        co_await sleepFor(m_context.io(), housekeepingInterval);
         noteReadiness();
         const peer_table& peers = m_peers->peers();
         m_dispatcher.settle();
@@ -260,10 +254,10 @@
     m_peers->announceLeaving();
     // Callers that get an answer now come back through the balancer, soon to another VM.
     m_frontPort->announceClose();
-    co_await pauseFor(m_context, outOfRotationAfter);
+    co_await sleepFor(m_context.io(), outOfRotationAfter);
     m_frontPort->drain();
     while (m_context.now() < killAt && (m_front.inFlight() > 0 || m_frontPort->openConnections() > 0))
-        co_await pauseFor(m_context, stopPoll);
+        co_await sleepFor(m_context.io(), stopPoll);
     m_log.line("stopped").add("in_flight", m_front.inFlight());
     m_log.flush();
     m_context.io().stop();
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/group_leader.cpp
@@ -1,19 +1,14 @@
 #include "gateway/group_leader.h"
 
-#include "daemon/boot_timer.h"
+#include "daemon/sleep.h"
 #include "gateway/placement_codec.h"
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
-namespace asio = boost::asio;
-
 namespace {
 
-    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     // Between two rounds of orders that were not confirmed.
     constexpr milliseconds roundPause { 5 };
     // While a step may be held the whole group may wait: then a change that is not confirmed
@@ -247,8 +242,7 @@
         }
         if (m_context.now() >= limit)
             change.cancel();
-        boot_timer timer(m_context.io(), roundPause);
-        co_await timer.async_wait(asTuple);
+        co_await sleepFor(m_context.io(), roundPause);
     }
 }
 
@@ -302,8 +296,7 @@
         co_await ask(change, order.kind, order, std::move(targets), prepareTime);
         co_return;
     }
-    boot_timer timer(m_context.io(), copyLookPause);
-    co_await timer.async_wait(asTuple);
+    co_await sleepFor(m_context.io(), copyLookPause);
     co_await ask(change, order.kind, std::nullopt, std::move(toLookAt), callBudget(m_caller.limits(stateAnswerBytes)));
 }
 
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -1,6 +1,6 @@
 #include "gateway/peer_exchange.h"
 
-#include "daemon/boot_timer.h"
+#include "daemon/sleep.h"
 #include "gateway/peer_wire.h"
 #include "policy/store_reading.h"
 #include <algorithm>
@@ -271,8 +271,7 @@
 {
     while (m_state.published().empty()) {
         askForKnown(m_peers.otherSeeds());
-        boot_timer timer(m_context.io(), joinInterval);
-        co_await timer.async_wait(asTuple);
+        co_await sleepFor(m_context.io(), joinInterval);
     }
 }
 
@@ -288,8 +287,7 @@
 {
     int count = 0;
     for (;;) {
-        boot_timer timer(m_context.io(), m_settings.reportInterval);
-        co_await timer.async_wait(asTuple);
+        co_await sleepFor(m_context.io(), m_settings.reportInterval);
         if (m_leaving)
             co_return;
         for (const auto& host : m_peers.dropSilent(m_context.now())) {
@@ -340,8 +338,7 @@
 awaitable<void> peer_exchange::proofLoop()
 {
     for (;;) {
-        boot_timer timer(m_context.io(), proofLookInterval);
-        co_await timer.async_wait(asTuple);
+        co_await sleepFor(m_context.io(), proofLookInterval);
         m_state.settle();
         m_snapshots.fetchDue();
         const instant now = m_context.now();
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/rank_link.cpp
@@ -1,6 +1,7 @@
 #include "gateway/rank_link.h"
 
 #include "daemon/boot_timer.h"
+#include "daemon/sleep.h"
 #include "gateway/choice_codec.h"
 #include "gateway/rank_wire.h"
 #include <boost/asio/as_tuple.hpp>
@@ -147,8 +148,7 @@
         const auto state = co_await m_port.state(m_ownEngine);
         if (state && state.value().preparedPlacement >= placement)
             co_return;
-        boot_timer timer(m_context.io(), preparedPoll);
-        co_await timer.async_wait(asTuple);
+        co_await sleepFor(m_context.io(), preparedPoll);
     }
 }
 
--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/store_follower.cpp
@@ -1,11 +1,9 @@
 #include "gateway/store_follower.h"
 
-#include "daemon/boot_timer.h"
+#include "daemon/sleep.h"
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <random>
 
 namespace rampgap {
@@ -54,8 +52,7 @@
         if (!wanted) {
             // What peers send meanwhile is newer than what a reading left off at.
             m_needAll = m_state.published().empty();
-            boot_timer timer(m_context.io(), idlePause);
-            co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+            co_await sleepFor(m_context.io(), idlePause);
             continue;
         }
         const instant begun = m_context.now();
@@ -69,8 +66,7 @@
             continue;
         }
         // A reading that was left without an answer has taken its pause already.
-        boot_timer timer(m_context.io(), std::max(begun + pause, m_context.now() + firstPause));
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await sleepUntil(m_context.io(), std::max(begun + pause, m_context.now() + firstPause));
         pause = std::min(pause * 2, longestPause);
     }
 }
@@ -88,8 +84,7 @@
             m_needAll = false;
             co_return true;
         }
-        boot_timer timer(m_context.io(), idlePause);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        co_await sleepFor(m_context.io(), idlePause);
     }
     co_return false;
 }
