policy: an answer clears a request of the crashes before it only

What callers would see: a request that servers of one version run to their end and those of the next crash under went to each of the new servers, whose crash closed the group for all callers each time, without end: one answer cleared it for good. Found by reading; shown red by the new test: never barred (14 crashes and more).

Cause: "served" was one flag of a request, merged by "or", with no order against the crashes.

Mend: it is cleared of the crashes known so far, by server; a third crash since then bars it, as it bars any request (two do not: it has been served once). Records tell both kinds apart by two entries, so that the message stays as it is, and a process of an earlier version takes the second one as it did before.

The check "no fault, whatever crashed" held for three later crashes: that is the fault itself. It is replaced by: cleared of two later ones and, once served again, of two more; barred by the third. What else it held is unchanged.

--- a/Source/gateway/crash_reporter.cpp
+++ b/Source/gateway/crash_reporter.cpp
@@ -64,8 +64,12 @@
 {
     const auto barred = m_history.barred(m_context.now());
     const std::set<request_fingerprint> now(barred.begin(), barred.end());
+    std::set<request_fingerprint> seen;
     for (const auto& [record, age] : m_history.repeated(m_context.now())) {
         const bool isBarred = now.contains(record.request);
+        // What it is cleared of stands in a second record.
+        if (!seen.insert(record.request).second)
+            continue;
         if (isBarred != m_barred.contains(record.request))
             m_log.line(isBarred ? "request_barred" : "request_cleared").add("fingerprint", toString(record.request)).add("crashes", record.crashes.size()).add("served", static_cast<int>(record.served)).add("age_ms", age);
     }
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -43,12 +43,22 @@
 
 } // namespace
 
+std::vector<seen_crash> crash_history::openCrashes(const entry& held)
+{
+    std::vector<seen_crash> open;
+    std::copy_if(held.crashes.begin(), held.crashes.end(), std::back_inserter(open), [&held](const seen_crash& crash) { return !held.cleared.contains(crash.server); });
+    return open;
+}
+
+// What a server has run to its end is suspected of nothing until it crashes as many more as bar
+// any request: servers of another version may crash under it, one after the other.
 crash_history::weight crash_history::weigh(const entry& held)
 {
-    if (held.served)
+    const auto open = openCrashes(held);
+    if (!held.cleared.empty() && open.size() < mostCrashes)
         return {};
-    const auto early = std::count_if(held.crashes.begin(), held.crashes.end(), [](const seen_crash& crash) { return crash.early; });
-    return { held.crashes.size(), static_cast<std::size_t>(early) };
+    const auto early = std::count_if(open.begin(), open.end(), [](const seen_crash& crash) { return crash.early; });
+    return { open.size(), static_cast<std::size_t>(early) };
 }
 
 milliseconds crash_history::memoryOf(const entry& held)
@@ -65,8 +75,9 @@
 // Only of what is in question: nearly all requests are served, and never were near a crash.
 void crash_history::noteServed(request_fingerprint request, instant now)
 {
-    if (m_requests.contains(request))
-        take({ request, {}, true }, milliseconds(0), now, true);
+    const auto held = m_requests.find(request);
+    if (held != m_requests.end())
+        take({ request, openCrashes(held->second), true }, milliseconds(0), now, true);
 }
 
 bool crash_history::merge(const crash_record& record, milliseconds age, instant now)
@@ -85,15 +96,26 @@
     }
     auto& held = m_requests.at(record.request);
     held.seenAt = std::max(held.seenAt, now - age);
-    bool news = record.served && !held.served;
-    held.served = held.served || record.served;
+    bool news = false;
     for (const auto& crash : record.crashes)
         news = add(held, record.request, crash, now - age) || news;
+    if (record.served)
+        news = clear(held, record.crashes) || news;
     if (news)
         noteChange(record.request);
     return news;
 }
 
+bool crash_history::clear(entry& held, const std::vector<seen_crash>& crashes)
+{
+    bool news = false;
+    for (const auto& crash : crashes) {
+        const bool isKept = std::any_of(held.crashes.begin(), held.crashes.end(), [&crash](const seen_crash& each) { return each.server == crash.server; });
+        news = (isKept && held.cleared.insert(crash.server).second) || news;
+    }
+    return news;
+}
+
 // Two VMs may have seen the same crash, one of them a moment later in the answer: early holds.
 // Of more crashes than are kept, every process keeps the same.
 bool crash_history::add(entry& held, request_fingerprint request, const seen_crash& crash, instant crashedAt)
@@ -111,6 +133,7 @@
         return true;
     const seen_crash last = *held.crashes.rbegin();
     held.crashes.erase(last);
+    held.cleared.erase(last.server);
     forgetSuspect(last.server, request);
     return last.server != crash.server;
 }
@@ -127,9 +150,11 @@
     m_digest = 0;
     for (const auto request : repeatedRequests()) {
         const auto& held = m_requests.at(request);
-        std::uint32_t hash = XXH32(&request.value, sizeof(request.value), held.served ? 1 : 0);
-        for (const auto& crash : held.crashes)
-            hash = XXH32(&crash.server, sizeof(crash.server), hash + (crash.early ? 1 : 0));
+        std::uint32_t hash = XXH32(&request.value, sizeof(request.value), 0);
+        for (const auto& crash : held.crashes) {
+            const std::uint32_t flags = (crash.early ? 1 : 0) + (held.cleared.contains(crash.server) ? 2 : 0);
+            hash = XXH32(&crash.server, sizeof(crash.server), hash + flags);
+        }
         m_digest ^= hash;
     }
 }
@@ -170,7 +195,8 @@
 {
     const auto& suspects = m_servers.at(crash.server).suspects;
     return std::any_of(suspects.begin(), suspects.end(), [&](request_fingerprint other) {
-        return other != request && weigh(m_requests.at(other)) > own;
+        const auto& held = m_requests.at(other);
+        return other != request && !held.cleared.contains(crash.server) && weigh(held) > own;
     });
 }
 
@@ -188,13 +214,13 @@
 std::optional<milliseconds> crash_history::barredFor(request_fingerprint request, instant now) const
 {
     const auto held = m_requests.find(request);
-    if (held == m_requests.end() || held->second.served || now - held->second.seenAt >= memoryOf(held->second))
+    if (held == m_requests.end() || now - held->second.seenAt >= memoryOf(held->second))
         return std::nullopt;
     const weight own = weigh(held->second);
     if (own.crashes < earlyCrashes)
         return std::nullopt;
-    std::vector<seen_crash> unexplained;
-    std::copy_if(held->second.crashes.begin(), held->second.crashes.end(), std::back_inserter(unexplained), [&](const seen_crash& crash) { return !explained(crash, request, own); });
+    auto unexplained = openCrashes(held->second);
+    std::erase_if(unexplained, [&](const seen_crash& crash) { return explained(crash, request, own); });
     const auto early = static_cast<std::size_t>(std::count_if(unexplained.begin(), unexplained.end(), [](const seen_crash& crash) { return crash.early; }));
     const bool isBarred = unexplained.size() >= mostCrashes || (early >= earlyCrashes && !hasRival(unexplained, request, own));
     if (!isBarred)
@@ -215,7 +241,7 @@
 bool crash_history::isSuspected(request_fingerprint request, instant now) const
 {
     const auto held = m_requests.find(request);
-    if (held == m_requests.end() || held->second.served || now - held->second.seenAt >= memoryOf(held->second))
+    if (held == m_requests.end() || !held->second.cleared.empty() || now - held->second.seenAt >= memoryOf(held->second))
         return false;
     const weight own = weigh(held->second);
     return std::any_of(held->second.crashes.begin(), held->second.crashes.end(), [&](const seen_crash& crash) {
@@ -286,7 +312,7 @@
     fresh.resize(std::min(limit, fresh.size()));
     aged_crashes news;
     for (const auto request : fresh) {
-        news.push_back(recordOf(request, now));
+        addRecords(news, request, now);
         m_news.erase(request);
     }
     return news;
@@ -309,7 +335,7 @@
 {
     aged_crashes records;
     for (const auto request : repeatedRequests())
-        records.push_back(recordOf(request, now));
+        addRecords(records, request, now);
     return records;
 }
 
@@ -322,15 +348,23 @@
 
 aged_crashes crash_history::about(request_fingerprint request, instant now) const
 {
-    if (!m_requests.contains(request))
-        return {};
-    return { recordOf(request, now) };
+    aged_crashes records;
+    if (m_requests.contains(request))
+        addRecords(records, request, now);
+    return records;
 }
 
-std::pair<crash_record, milliseconds> crash_history::recordOf(request_fingerprint request, instant now) const
+void crash_history::addRecords(aged_crashes& records, request_fingerprint request, instant now) const
 {
     const auto& held = m_requests.at(request);
-    return { { request, { held.crashes.begin(), held.crashes.end() }, held.served }, since(held.seenAt, now) };
+    const milliseconds age = since(held.seenAt, now);
+    crash_record open { request, openCrashes(held), false };
+    crash_record cleared { request, {}, true };
+    std::copy_if(held.crashes.begin(), held.crashes.end(), std::back_inserter(cleared.crashes), [&held](const seen_crash& crash) { return held.cleared.contains(crash.server); });
+    for (auto& record : { std::move(open), std::move(cleared) }) {
+        if (!record.crashes.empty())
+            records.emplace_back(record, age);
+    }
 }
 
 void crash_history::settle(instant now)
--- a/Source/policy/crash_history.h
+++ b/Source/policy/crash_history.h
@@ -25,11 +25,11 @@
     auto operator<=>(const seen_crash&) const = default;
 };
 
-// All that is known of one request; what processes tell each other.
+// Crashes under one request; what processes tell each other.
 struct crash_record {
     request_fingerprint request;
     std::vector<seen_crash> crashes;
-    // A server ran it to the end: whatever crashed, it was not its doing.
+    // A server ran it to the end after these crashes: they were not its doing.
     bool served = false;
 
     bool operator==(const crash_record&) const = default;
@@ -76,7 +76,8 @@
     bool hasNews() const { return !m_news.empty(); }
     // The requests that several servers crashed under, for a peer that lacks some.
     aged_crashes repeated(instant now) const;
-    // What is known of one request; empty if nothing is.
+    // What is known of one request; empty if nothing is. The crashes that it is cleared of stand in
+    // a record of their own.
     aged_crashes about(request_fingerprint, instant now) const;
     // Of what `repeated` returns; equal where two processes know the same. 0: none.
     std::uint32_t digest() const { return m_digest; }
@@ -90,7 +91,8 @@
 private:
     struct entry {
         std::set<seen_crash> crashes;
-        bool served = false;
+        // Of their servers those that it is cleared of: another ran it to the end since.
+        std::set<std::uint32_t> cleared;
         instant seenAt;
     };
     // What is to blame first: by crashes, then by how many of them followed its beginning.
@@ -107,10 +109,12 @@
         instant crashedAt;
     };
 
+    static std::vector<seen_crash> openCrashes(const entry&);
     static weight weigh(const entry&);
     static milliseconds memoryOf(const entry&);
     bool take(const crash_record&, milliseconds age, instant now, bool own);
     // True if it was not known.
+    static bool clear(entry&, const std::vector<seen_crash>&);
     bool add(entry&, request_fingerprint, const seen_crash&, instant crashedAt);
     void noteChange(request_fingerprint);
     void updateDigest();
@@ -119,7 +123,7 @@
     void erase(request_fingerprint);
     void forgetSuspect(std::uint32_t server, request_fingerprint);
     std::vector<request_fingerprint> repeatedRequests() const;
-    std::pair<crash_record, milliseconds> recordOf(request_fingerprint, instant now) const;
+    void addRecords(aged_crashes&, request_fingerprint, instant now) const;
     // Another request explains the crash better: more servers crashed under it.
     bool explained(const seen_crash&, request_fingerprint, const weight&) const;
     // Servers crashed at the same moment without it: that is not the request's doing.
--- a/Tests/platform/crash-history/test.cpp
+++ b/Tests/platform/crash-history/test.cpp
@@ -78,18 +78,43 @@
     CHECK(isBarred(history, request(1)));
 }
 
-TEST_CASE("a request that a server has run to its end is at no fault, whatever crashed")
+TEST_CASE("a request that a server has run to its end is at no fault in what had crashed")
 {
     crash_history history;
     history.noteCrash(request(1), 10, 0, zero);
     history.noteServed(request(1), zero);
-    for (const std::uint32_t server : { 11U, 12U, 13U })
+    for (const std::uint32_t server : { 11U, 12U })
         history.noteCrash(request(1), server, 0, zero);
     CHECK_FALSE(isBarred(history, request(1)));
     // Nor does it explain the crashes of another.
     for (const std::uint32_t server : { 11U, 12U })
         history.noteCrash(request(2), server, 0, zero);
     CHECK(isBarred(history, request(2)));
+    // Served again, it is cleared of these as well.
+    history.noteServed(request(1), zero);
+    for (const std::uint32_t server : { 13U, 14U })
+        history.noteCrash(request(1), server, 0, zero);
+    CHECK_FALSE(isBarred(history, request(1)));
+}
+
+TEST_CASE("a request that servers of one version ran and those of the next crash under is barred by their third crash")
+{
+    // One answer cleared a request for good, and it went to each server of the new version.
+    crash_history history;
+    history.noteCrash(request(1), 10, 0, zero);
+    history.noteServed(request(1), zero);
+    std::uint32_t server = 11;
+    for (; !isBarred(history, request(1)); ++server) {
+        REQUIRE(server < 14);
+        history.noteCrash(request(1), server, 0, zero);
+    }
+    CHECK(server == 14);
+    // Whoever is told of it knows the same.
+    crash_history other;
+    for (const auto& [record, age] : history.repeated(zero))
+        other.merge(record, age, zero);
+    CHECK(isBarred(other, request(1)));
+    CHECK(other.digest() == history.digest());
 }
 
 TEST_CASE("servers that crash one by one under different requests bar none")
