--- a/Tests/platform/suspected-request/test.cpp
+++ b/Tests/platform/suspected-request/test.cpp
@@ -1,6 +1,6 @@
 // A request that has crashed one server as it began. Copies of it waited at several entry VMs until
 // the group was back, and each VM sent its own on before the second crash was known to any: "call_crashed
-// ... fingerprint=e5bc860e56063349 events=0" came from six VMs at four servers within 39 ms. The history
+// ... fingerprint=e5bc860e56063349 events=0" came from seven VMs at four servers within 39 ms. The history
 // counted crashes, and said nothing of a request with one.
 #include "policy/crash_history.h"
 #include "policy/peer_table.h"
