gateway: the other try of a call that a server broke off waits for the look at that server

Cause: the try was sent in the moment in which its call ended; whether the server had crashed was known a millisecond later. Ruled out: copies of other callers (one request id in both).

Mend: it waits until the look has brought something: a refused connection takes a round trip, a server that lets the look in and lives 50 ms, one that does not answer 250 ms. Only where a crash closes a group, and not after silence. The agent on the own interface has waited so all along; both use one wait now.

--- a/Source/agent/engine_guard.cpp
+++ b/Source/agent/engine_guard.cpp
@@ -1,16 +1,9 @@
 #include "agent/engine_guard.h"
 
 #include "daemon/log.h"
-#include "daemon/sleep.h"
 
 namespace rampgap {
 
-namespace {
-
-    constexpr milliseconds lookPoll { 1 };
-
-} // namespace
-
 engine_guard::engine_guard(process_context& context, crash_history& history, std::string name, std::string engine)
     : m_context(context)
     , m_history(history)
@@ -29,9 +22,7 @@
 {
     m_watch.settle();
     m_watch.noteLost(life, m_engine, call);
-    while (m_watch.looking(life)) {
-        co_await sleepFor(m_context.io(), lookPoll);
-    }
+    co_await m_watch.awaitLook(std::move(life));
 }
 
 void engine_guard::noteServed(request_fingerprint request)
--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -1,5 +1,6 @@
 #include "daemon/crash_watch.h"
 
+#include "daemon/sleep.h"
 #include "policy/try_rules.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -21,6 +22,8 @@
     // A server that has no room for connections closes each at once, and lives.
     constexpr int mostLooks = 3;
 
+    constexpr milliseconds lookPoll { 1 };
+
     enum class look_result { refused,
         letIn,
         closed,
@@ -62,6 +65,12 @@
     }
 }
 
+awaitable<void> crash_watch::awaitLook(server_life life)
+{
+    while (looking(life))
+        co_await sleepFor(m_context.io(), lookPoll);
+}
+
 void crash_watch::noteStartedAnew(const server_life& life, const std::string& address)
 {
     noteCrashed(life, address, "it was started anew");
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -27,6 +27,8 @@
     void noteLost(const server_life&, const std::string& address, const lost_call&);
     // True while it is being looked at.
     bool looking(const server_life& life) const { return m_detector.looking(life); }
+    // Returns when it is known whether the server crashed, or that this cannot be seen now.
+    awaitable<void> awaitLook(server_life);
     // A later life of the server was seen.
     void noteStartedAnew(const server_life&, const std::string& address);
     // Lives of which it is not known whether they ended.
--- a/Source/gateway/crash_reporter.h
+++ b/Source/gateway/crash_reporter.h
@@ -18,6 +18,8 @@
     // Called when the history has news for the fleet.
     void onNews(std::function<void()> action) { m_onNews = std::move(action); }
     void noteLost(const listed_backend&, const lost_call&);
+    // Returns when it is known whether the server crashed, or that this cannot be seen now.
+    awaitable<void> awaitLook(const listed_backend& backend) { return m_watch.awaitLook({ backend.id, backend.incarnation }); }
     // A server ran the request to its end.
     void noteServed(request_fingerprint);
     // Periodic work: says which requests are barred; a server that fell silent is known to have
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -120,6 +120,8 @@
         // Once a try may have run, so may the request: a later refusal cannot take it back.
         state.worst = std::max(state.worst, last->failed->ran);
         last->failed->ran = state.worst;
+        if (mustAwaitLook(request, *last))
+            co_await m_crashes.awaitLook(backend);
         if (exchange.callerGone())
             co_return std::nullopt;
     }
@@ -130,8 +132,7 @@
 // other streams served (a soak run with one group of three engines).
 std::optional<failure> upstream_dispatcher::barred(const admitted_request& request, const progress& state)
 {
-    const bool closesGroup = request.costs && request.costs->layerSets > 0;
-    auto refused = m_history.refuse({ state.fingerprint, closesGroup, state.runs > 0 }, m_context.now());
+    auto refused = m_history.refuse({ state.fingerprint, closesGroup(request), state.runs > 0 }, m_context.now());
     if (refused)
         refused->ran = state.worst;
     return refused;
@@ -329,6 +330,18 @@
     return outcome.failed && outcome.failed->reason == failure_reason::connection_lost && outcome.failed->ran != verdict::not_run;
 }
 
+bool upstream_dispatcher::closesGroup(const admitted_request& request)
+{
+    return request.costs && request.costs->layerSets > 0;
+}
+
+// Sent in the moment in which the call ends, the other try would be at the next group before the
+// crash of the first server is known, and would close that as well.
+bool upstream_dispatcher::mustAwaitLook(const admitted_request& request, const try_outcome& last)
+{
+    return closesGroup(request) && last.result != try_result::silent && endedByServer(last);
+}
+
 void upstream_dispatcher::noteLost(const admitted_request& request, const progress& state, const listed_backend& backend, std::uint64_t events, instant sentAt)
 {
     m_crashes.noteLost(backend, { request.said.id, state.fingerprint, events, sentAt, m_context.now() });
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -66,6 +66,9 @@
     static bool endedByServer(const try_outcome&);
     // A try ended without its answer: the server may have crashed.
     void noteLost(const admitted_request&, const progress&, const listed_backend&, std::uint64_t events, instant sentAt);
+    // Another try of a call that its server broke off waits for that: its crash puts the request off.
+    static bool mustAwaitLook(const admitted_request&, const try_outcome&);
+    static bool closesGroup(const admitted_request&);
     // A server with room that refuses belongs to a group that has closed.
     void noteRefusal(const admitted_request&, const listed_backend&);
     awaitable<void> refuse(http_exchange&, const admitted_request&, const progress&, failure);
