policy, gateway: copies that have not begun are taken back once a server has crashed under one

Cause: what had been sent before the first crash was known ran on.

Ways: let them run (what stood: one of them might have been served, and would clear the request); take back what has sent nothing yet (kept): its caller is refused like all others of the request for that minute, and a group is saved.

Also: the weight of a suspect is counted without copying its crashes.

--- a/Source/gateway/call_registry.cpp
+++ b/Source/gateway/call_registry.cpp
@@ -2,9 +2,9 @@
 
 namespace rampgap {
 
-call_registry::registration::registration(call_registry& registry, const std::string& backendId, http_call& call)
+call_registry::registration::registration(call_registry& registry, const std::string& backendId, http_call& call, std::optional<request_fingerprint> request)
     : m_registry(registry)
-    , m_entry(registry.m_calls.insert({ backendId, { &call } }))
+    , m_entry(registry.m_calls.insert({ backendId, { &call, request } }))
 {
 }
 
@@ -23,4 +23,17 @@
     return static_cast<std::size_t>(std::distance(first, last));
 }
 
+std::size_t call_registry::takeBack(request_fingerprint request)
+{
+    std::size_t taken = 0;
+    for (auto& [backendId, held] : m_calls) {
+        if (held.request != request || held.takenBack)
+            continue;
+        held.takenBack = true;
+        held.call->cancel();
+        ++taken;
+    }
+    return taken;
+}
+
 } // namespace rampgap
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -55,6 +55,7 @@
     , m_places(context, state, loads, groups)
     , m_budget(bounds, context.startedAt())
 {
+    m_history.onChange([this](request_fingerprint request) { takeBackCopies(request); });
 }
 
 awaitable<void> upstream_dispatcher::dispatch(http_exchange& exchange, const admitted_request& request)
@@ -238,7 +239,7 @@
     upstream_facts facts { backend.id, request.workspace, request.timeLeft(sentAt), state.relay.lastEventId, std::nullopt };
     http_call call(m_client);
     const caller_watch watch(exchange, [&call] { call.cancel(); });
-    const call_registry::registration underWay(m_calls, backend.id, call);
+    call_registry::registration underWay(m_calls, backend.id, call, closesGroup(request) ? std::optional(state.fingerprint) : std::nullopt);
     if (request.route.repeat == repeat_rule::non_idempotent)
         call.useFreshConnection();
     std::int64_t unread = request.said.promptTokens;
@@ -250,7 +251,7 @@
     auto head = co_await call.start(backend.address, m_codec.makeUpstream(exchange.request(), request.said, facts), headDeadline);
     try_outcome outcome;
     if (head) {
-        outcome = co_await takeReply(exchange, request, state, backend, call, std::move(head.value()), sentAt, unread);
+        outcome = co_await takeReply(exchange, request, state, backend, underWay, std::move(head.value()), sentAt, unread);
     } else {
         outcome.failed = head.error();
         const bool unreachable = head.error().ran == verdict::not_run;
@@ -259,11 +260,13 @@
         state.runs += unreachable ? 0 : 1;
     }
     m_loads.noteEnded(backend.id, unread);
+    if (underWay.takenBack() && outcome.failed)
+        outcome = { mayHaveRun(failure_reason::crashes_servers, "a server crashed under a copy of this request"), try_result::failed };
     if (outcome.result == try_result::answered && !exchange.callerGone())
         m_crashes.noteServed(state.fingerprint);
     if (request.costs && outcome.result == try_result::answered && !exchange.callerGone())
         m_places.noteEnd(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
-    if (!exchange.callerGone() && !underWay.ended()) {
+    if (!exchange.callerGone() && !underWay.ended() && !underWay.takenBack()) {
         m_state.backends().noteResult(backend.id, outcome.result, m_context.now());
         m_groups.noteReach(request.service, backendHash(backend.id), outcome.result != try_result::unreachable, m_context.now());
     }
@@ -276,8 +279,9 @@
     co_return outcome;
 }
 
-awaitable<upstream_dispatcher::try_outcome> upstream_dispatcher::takeReply(http_exchange& exchange, const admitted_request& request, progress& state, const listed_backend& backend, http_call& call, http_head head, instant sentAt, std::int64_t& unread)
+awaitable<upstream_dispatcher::try_outcome> upstream_dispatcher::takeReply(http_exchange& exchange, const admitted_request& request, progress& state, const listed_backend& backend, call_registry::registration& underWay, http_head head, instant sentAt, std::int64_t& unread)
 {
+    http_call& call = underWay.call();
     const reply_verdict reply = m_codec.judge(head, request.said);
     if (reply.kind == reply_kind::not_executed || reply.kind == reply_kind::wrong_server) {
         co_await drop(call);
@@ -301,6 +305,7 @@
     if (streams && mayGoOnElsewhere)
         options.silenceLimit = streamSilenceLimit(m_groups.openElsewhere(request.service, backendHash(backend.id), sentAt));
     options.onFirstBytes = [&, sentAt] {
+        underWay.noteBegun();
         m_context.counters().observe(latency::first_byte, m_context.now() - request.receivedAt);
         m_places.noteFirstEvent(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
         m_loads.noteBegun(backend.id, unread);
@@ -335,6 +340,17 @@
     return request.costs && request.costs->layerSets > 0;
 }
 
+// A run until the crash takes a tenth of a second and more, news of the first one a few
+// milliseconds: a copy at another group is there in time to be saved, and that group with it.
+void upstream_dispatcher::takeBackCopies(request_fingerprint request)
+{
+    if (!m_history.isPutOff(request, m_context.now()))
+        return;
+    const std::size_t taken = m_calls.takeBack(request);
+    if (taken > 0)
+        m_log.line("calls_taken_back").add("fingerprint", toString(request)).add("calls", taken).add("reason", "a server crashed under a copy of the request");
+}
+
 // Sent in the moment in which the call ends, the other try would be at the next group before the
 // crash of the first server is known, and would close that as well.
 bool upstream_dispatcher::mustAwaitLook(const admitted_request& request, const try_outcome& last)
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -55,7 +55,7 @@
     std::optional<failure> barred(const admitted_request&, const progress&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
-    awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, http_call&, http_head, instant sentAt, std::int64_t& unread);
+    awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, call_registry::registration&, http_head, instant sentAt, std::int64_t& unread);
     // Until when a try may stay without an answer.
     instant headDeadlineOf(const admitted_request&, const progress&, instant sentAt);
     // Whether another try is safe and within the route's limit, whatever the budget says.
@@ -69,6 +69,8 @@
     // Another try of a call that its server broke off waits for that: its crash puts the request off.
     static bool mustAwaitLook(const admitted_request&, const try_outcome&);
     static bool closesGroup(const admitted_request&);
+    // Copies that have not begun are taken back from other servers once one has crashed.
+    void takeBackCopies(request_fingerprint);
     // A server with room that refuses belongs to a group that has closed.
     void noteRefusal(const admitted_request&, const listed_backend&);
     awaitable<void> refuse(http_exchange&, const admitted_request&, const progress&, failure);
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -54,11 +54,16 @@
 // any request: servers of another version may crash under it, one after the other.
 crash_history::weight crash_history::weigh(const entry& held)
 {
-    const auto open = openCrashes(held);
-    if (!held.cleared.empty() && open.size() < mostCrashes)
+    weight open;
+    for (const auto& crash : held.crashes) {
+        if (held.cleared.contains(crash.server))
+            continue;
+        ++open.crashes;
+        open.early += crash.early ? 1 : 0;
+    }
+    if (!held.cleared.empty() && open.crashes < mostCrashes)
         return {};
-    const auto early = std::count_if(open.begin(), open.end(), [](const seen_crash& crash) { return crash.early; });
-    return { open.size(), static_cast<std::size_t>(early) };
+    return open;
 }
 
 milliseconds crash_history::memoryOf(const entry& held)
@@ -103,6 +108,8 @@
         news = clear(held, record.crashes) || news;
     if (news)
         noteChange(record.request);
+    if (news && m_onChange)
+        m_onChange(record.request);
     return news;
 }
 
@@ -250,7 +257,7 @@
 }
 
 // One crash convicts nobody, but copies of the request that come to several processes would all
-// begin before the second crash is known anywhere: one request ended twelve engines of twelve so.
+// begin before the second crash is known anywhere: one request can end all engines of a service so.
 // What the crash of a lock-step group takes from all callers for seconds outweighs the two or
 // three requests that had just begun beside the one at fault; where a crash takes one server only,
 // the caller's other try goes on, and new copies begin one at a time.
--- a/Source/policy/crash_history.h
+++ b/Source/policy/crash_history.h
@@ -63,6 +63,10 @@
     std::optional<failure> refuse(const send_question&, instant now);
     // Which process lets suspected requests begin; every one does where none is set.
     void setTrialChoice(std::function<bool(request_fingerprint)> isChosen) { m_isChosen = std::move(isChosen); }
+    // Called when something new is known of a request.
+    void onChange(std::function<void(request_fingerprint)> action) { m_onChange = std::move(action); }
+    // It is barred, or suspected of a crash as it began.
+    bool isPutOff(request_fingerprint request, instant now) const { return barredFor(request, now) || isSuspected(request, now); }
     // A request begins at a server: until its end no copy of it does here if it is suspected.
     // False if it is not.
     bool beginTrial(request_fingerprint, instant now);
@@ -138,6 +142,7 @@
     // Suspected requests that are at a server, and until when that counts.
     std::map<request_fingerprint, instant> m_trials;
     std::function<bool(request_fingerprint)> m_isChosen;
+    std::function<void(request_fingerprint)> m_onChange;
     std::set<request_fingerprint> m_news;
     std::uint32_t m_digest = 0;
 };
--- a/Tests/platform/restarted-server/test.cpp
+++ b/Tests/platform/restarted-server/test.cpp
@@ -47,6 +47,30 @@
 
 } // namespace
 
+TEST_CASE("copies of a request that have not begun are taken back, others go on")
+{
+    process_context context { "caller", "a", "test" };
+    http_client client { context };
+    http_call copy(client);
+    http_call begunCopy(client);
+    http_call other(client);
+    http_call plain(client);
+    call_registry calls;
+    constexpr request_fingerprint suspected { 1 };
+    const call_registry::registration ofCopy(calls, "a", copy, suspected);
+    call_registry::registration ofBegunCopy(calls, "b", begunCopy, suspected);
+    const call_registry::registration ofOther(calls, "a", other, request_fingerprint { 2 });
+    const call_registry::registration ofPlain(calls, "a", plain);
+    ofBegunCopy.noteBegun();
+    CHECK(calls.takeBack(suspected) == 1);
+    CHECK(calls.takeBack(suspected) == 0);
+    CHECK(ofCopy.takenBack());
+    CHECK_FALSE(ofBegunCopy.takenBack());
+    CHECK_FALSE(ofOther.takenBack());
+    CHECK_FALSE(ofPlain.takenBack());
+    CHECK_FALSE(ofCopy.ended());
+}
+
 TEST_CASE("calls at a server that was started again end at once, others go on")
 {
     constexpr milliseconds longest { 60'000 };
--- a/Tests/platform/suspected-request/test.cpp
+++ b/Tests/platform/suspected-request/test.cpp
@@ -46,6 +46,20 @@
     CHECK_FALSE(history.barredFor(suspect, zero));
 }
 
+TEST_CASE("whoever has sent a copy hears of the crash, and only of what is new")
+{
+    crash_history history;
+    std::vector<request_fingerprint> heard;
+    history.onChange([&](request_fingerprint request) {
+        CHECK(history.isPutOff(request, zero));
+        heard.push_back(request);
+    });
+    const crash_record told { suspect, { { 10, true } }, false };
+    history.merge(told, milliseconds(5), zero);
+    history.merge(told, milliseconds(9), zero);
+    CHECK(heard == std::vector<request_fingerprint> { suspect });
+}
+
 TEST_CASE("a second crash after that minute bars it")
 {
     auto history = crashedOnce();
