--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -239,9 +239,9 @@
 {
     const instant at = m_servers.at(crash.server).crashedAt;
     return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& each) {
-        const auto& [server, other] = each;
-        const bool ranIt = std::any_of(held.crashes.begin(), held.crashes.end(), [&server](const seen_crash& own) { return own.server == server; });
-        return !ranIt && (at < other.crashedAt ? other.crashedAt - at : at - other.crashedAt) < sameMoment;
+        const bool ranIt = std::any_of(held.crashes.begin(), held.crashes.end(), [&each](const seen_crash& own) { return own.server == each.first; });
+        const instant otherAt = each.second.crashedAt;
+        return !ranIt && (at < otherAt ? otherAt - at : at - otherAt) < sameMoment;
     });
 }
 
