policy, agent: one look-up of a server's crash, one way to give up an admitted request

Read once more: the search for a crash of a server stood three times in crash_history, the agent released place and id of a request in two blocks with the same steps, a comment of crash_history.h stood above the wrong function, and the comment of the look at a server held a measurement. Behaviour is unchanged.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -220,19 +220,17 @@
 awaitable<std::optional<failure>> agent_server::run(http_exchange& exchange, const work_order& order)
 {
     auto admitted = co_await m_gate.enter(order.admission, exchange);
-    if (!admitted || exchange.callerGone()) {
+    std::optional<failure> refused;
+    if (!admitted)
+        refused = admitted.error();
+    else if (!exchange.callerGone())
+        refused = m_engine.barred(order.fingerprint); // The news may have come while it waited.
+    if (refused || exchange.callerGone()) {
         if (admitted)
             m_gate.leave(admitted.value(), duration::zero());
         if (order.onceId)
             m_guard.ledger().release(*order.onceId);
-        co_return admitted ? std::nullopt : std::optional<failure>(admitted.error());
-    }
-    // The news may have come while it waited.
-    if (const auto barred = m_engine.barred(order.fingerprint)) {
-        m_gate.leave(admitted.value(), duration::zero());
-        if (order.onceId)
-            m_guard.ledger().release(*order.onceId);
-        co_return *barred;
+        co_return refused;
     }
     const instant startedAt = m_context.now();
     m_context.note(event_kind::request_started, order.correlation, "workspace=" + order.admission.workspace);
--- a/Source/daemon/server_look.cpp
+++ b/Source/daemon/server_look.cpp
@@ -14,7 +14,6 @@
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     // A process that ends closes its connections and the socket on which it listens one after the
     // other, and may lose the processor in between: whoever is let in looks whether it stays in.
-    // In 23 of 60 runs with five fleets on eight cores some ended server had let the look in.
     constexpr milliseconds staysIn { 50 };
     // A server that has no room for connections closes each at once, and lives.
     constexpr int mostLooks = 3;
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -113,11 +113,16 @@
     return news;
 }
 
+std::set<seen_crash>::const_iterator crash_history::findCrash(const entry& held, std::uint32_t server)
+{
+    return std::find_if(held.crashes.begin(), held.crashes.end(), [server](const seen_crash& crash) { return crash.server == server; });
+}
+
 bool crash_history::clear(entry& held, const std::vector<seen_crash>& crashes)
 {
     bool news = false;
     for (const auto& crash : crashes) {
-        const bool isKept = std::any_of(held.crashes.begin(), held.crashes.end(), [&crash](const seen_crash& each) { return each.server == crash.server; });
+        const bool isKept = findCrash(held, crash.server) != held.crashes.end();
         news = (isKept && held.cleared.insert(crash.server).second) || news;
     }
     return news;
@@ -127,7 +132,7 @@
 // Of more crashes than are kept, every process keeps the same.
 bool crash_history::add(entry& held, request_fingerprint request, const seen_crash& crash, instant crashedAt)
 {
-    const auto known = std::find_if(held.crashes.begin(), held.crashes.end(), [&crash](const seen_crash& each) { return each.server == crash.server; });
+    const auto known = findCrash(held, crash.server);
     if (known != held.crashes.end()) {
         if (known->early || !crash.early)
             return false;
@@ -239,7 +244,7 @@
 {
     const instant at = m_servers.at(crash.server).crashedAt;
     return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& each) {
-        const bool ranIt = std::any_of(held.crashes.begin(), held.crashes.end(), [&each](const seen_crash& own) { return own.server == each.first; });
+        const bool ranIt = findCrash(held, each.first) != held.crashes.end();
         const instant otherAt = each.second.crashedAt;
         return !ranIt && (at < otherAt ? otherAt - at : at - otherAt) < sameMoment;
     });
--- a/Source/policy/crash_history.h
+++ b/Source/policy/crash_history.h
@@ -117,8 +117,11 @@
     static weight weigh(const entry&);
     static milliseconds memoryOf(const entry&);
     bool take(const crash_record&, milliseconds age, instant now, bool own);
-    // True if it was not known.
+    // What is known of a crash of this server; the end of the crashes if nothing is.
+    static std::set<seen_crash>::const_iterator findCrash(const entry&, std::uint32_t server);
+    // True if it was not cleared of all of these.
     static bool clear(entry&, const std::vector<seen_crash>&);
+    // True if it was not known.
     bool add(entry&, request_fingerprint, const seen_crash&, instant crashedAt);
     void noteChange(request_fingerprint);
     void updateDigest();
