gateway, platform: the limit that a server names is read and logged

Each try's line now tells limit_per_s where the answer named a limit, so that the hypotheses of docs/incidents/server-limit.md can be told apart: whether a VM's own tries keep to the limit that it was told, and whether what is beyond it are second tries. An unreadable value is named. Nothing is decided by it yet.

--- a/Source/gateway/request_codec.h
+++ b/Source/gateway/request_codec.h
@@ -70,6 +70,16 @@
     bool operator==(const reply_verdict&) const = default;
 };
 
+// What a server says of itself in any of its answers.
+struct server_notice {
+    // Requests a second that it takes from all VMs together; empty: any number.
+    std::optional<double> limitPerSecond;
+    // Names of headers whose values cannot be read, for the log.
+    std::string unreadable;
+
+    bool operator==(const server_notice&) const = default;
+};
+
 class request_codec {
 public:
     virtual ~request_codec() = default;
@@ -77,6 +87,7 @@
     virtual result<gateway_request> decode(const http_request&) const = 0;
     virtual http_request makeUpstream(const http_request&, const gateway_request&, const upstream_facts&) const = 0;
     virtual reply_verdict judge(const http_head&, const gateway_request&) const = 0;
+    virtual server_notice notice(const http_head&) const = 0;
     // The final answer to a request that failed here.
     virtual http_response refuse(const failure&, const std::string& requestId) const = 0;
 };
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -250,7 +250,9 @@
     const instant headDeadline = headDeadlineOf(request, state, sentAt);
     auto head = co_await call.start(backend.address, m_codec.makeUpstream(exchange.request(), request.said, facts), headDeadline);
     try_outcome outcome;
+    state.notice = {};
     if (head) {
+        state.notice = m_codec.notice(head.value());
         outcome = co_await takeReply(exchange, request, state, backend, underWay, std::move(head.value()), sentAt, unread);
     } else {
         outcome.failed = head.error();
@@ -372,6 +374,10 @@
         line.add("group_news_ms", *age);
     if (state.relay.firstBytesAt)
         line.add("first_ms", *state.relay.firstBytesAt - request.receivedAt).add("longest_pause_ms", state.relay.longestPause);
+    if (state.notice.limitPerSecond)
+        line.add("limit_per_s", *state.notice.limitPerSecond);
+    if (!state.notice.unreadable.empty())
+        line.add("unreadable", state.notice.unreadable);
     if (outcome.failed)
         line.add("outcome", toString(outcome.failed->reason)).add("verdict", toString(outcome.failed->ran)).add("reason", outcome.failed->message);
     else
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -40,6 +40,8 @@
         relay_progress relay;
         verdict worst = verdict::not_run;
         std::string lastBackend;
+        // What the last server said of itself.
+        server_notice notice;
     };
     // How one try ended; without a failure the caller has its answer or is gone.
     struct try_outcome {
--- a/Tests/platform/decoding/test.cpp
+++ b/Tests/platform/decoding/test.cpp
@@ -187,6 +187,25 @@
     CHECK((codec.judge(head, request).kind == reply_kind::wrong_server));
 }
 
+TEST_CASE("a server's limit is read from any answer, and an unreadable one is named")
+{
+    const http_codec codec;
+    http_head head;
+    CHECK((codec.notice(head) == server_notice {}));
+    for (const unsigned status : { 200U, 500U, 503U }) {
+        head.result(status);
+        head.set("Server-Limit", "1.25");
+        CHECK((codec.notice(head).limitPerSecond == 1.25));
+        head.set("Server-Limit", "0");
+        CHECK((codec.notice(head).limitPerSecond == 0.0));
+    }
+    for (const auto* text : { "-1", "nan", "inf", "1 a second", "1,5" }) {
+        head.set("Server-Limit", text);
+        CHECK_FALSE(codec.notice(head).limitPerSecond.has_value());
+        CHECK(codec.notice(head).unreadable == "Server-Limit");
+    }
+}
+
 TEST_CASE("statuses that promise that nothing ran are kept for what surely did not run")
 {
     const http_codec codec;
