policy, gateway: a server's limit is kept by all entry VMs together

Cause: what a server asks for in its answers was decoded by nobody; an answer was judged by its status and marks only. Its class: a word on the wire that no decoder reads; and, for this one, a bound on the sum of what many processes send that no process can keep alone.

Now the word is kept with its age, told to peers while it is a change, and a server with a limit gets a request only from who has a grant for it. Grants come from the server's arbiter, the entry VM that rendezvous hashing picks for it: a bucket that fills at 0.9 of the limit and begins empty. They go to who asks, which only those do who have a request, and are void after a second, so nobody keeps a share that it does not use. Every try counts alike: first ones, second ones, resumed streams. Who reaches no arbiter sends nothing; an arbiter that sees a part of the fleet grants that part. A word ends with a newer answer without it, with the server's life, or after 30 s that nothing confirms; one request in ten seconds goes to a server that takes none, so that the end is found. Where all servers of a service name limits, what has no grant is refused at once, the more urgent last. Places that the limit leaves empty are not counted among those of the group.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -110,7 +110,7 @@
     exchange.reportInterval = peerReportInterval;
     exchange.proofWanted = proofWanted;
     peer_table table({ m_settings.host, m_settings.zone, peer_role::agent, m_context.incarnation() }, m_settings.seedHosts, peerSilence);
-    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, m_groups, m_history, std::move(table), exchange);
+    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, m_groups, m_history, m_limits, std::move(table), exchange);
     if (!peers)
         return peers.error();
     m_peers = std::move(peers.value());
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -64,6 +64,7 @@
     load_board m_loads;
     group_board m_groups;
     crash_history m_history;
+    server_limits m_limits;
     rank_link m_link;
     group_leader m_leader;
     leadership m_leadership;
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-result<std::unique_ptr<peer_exchange>> peer_exchange::open(process_context& context, decision_log& log, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, peer_table peers, peer_exchange_settings settings)
+result<std::unique_ptr<peer_exchange>> peer_exchange::open(process_context& context, decision_log& log, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, server_limits& limits, peer_table peers, peer_exchange_settings settings)
 {
     boost::system::error_code error;
     udp::socket socket(context.io());
@@ -55,10 +55,10 @@
     if (error)
         return notRun(failure_reason::not_ready, "cannot receive datagrams on " + peers.self().host + ":" + std::to_string(settings.datagramPort) + ": " + error.message());
     socket.non_blocking(true);
-    return std::unique_ptr<peer_exchange>(new peer_exchange(context, log, state, loads, groups, history, std::move(peers), settings, std::move(socket)));
+    return std::unique_ptr<peer_exchange>(new peer_exchange(context, log, state, loads, groups, history, limits, std::move(peers), settings, std::move(socket)));
 }
 
-peer_exchange::peer_exchange(process_context& context, decision_log& log, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, peer_table peers, peer_exchange_settings settings, udp::socket socket)
+peer_exchange::peer_exchange(process_context& context, decision_log& log, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, server_limits& limits, peer_table peers, peer_exchange_settings settings, udp::socket socket)
     : m_context(context)
     , m_log(log)
     , m_state(state)
@@ -70,6 +70,7 @@
     , m_socket(std::move(socket))
     , m_snapshots(context, log, state, settings.controlPort)
     , m_crashes(context, history, m_peers, *this)
+    , m_limits(context, log, limits, m_peers, *this)
 {
 }
 
@@ -204,6 +205,7 @@
     if (takeGroups(datagram) && isEntry)
         spreadGroups();
     m_crashes.receive(datagram, host);
+    m_limits.receive(datagram, host);
     if (datagram.pass_on() && isEntry)
         passOn(datagram);
     if (datagram.has_report())
@@ -220,6 +222,8 @@
     if (datagram.wants_known()) {
         auto reply = makeDatagram();
         addKnown(reply);
+        if (sender.role == peer_role::entry)
+            m_limits.addKnown(reply);
         reply.mutable_answer();
         send(host, reply);
     }
@@ -298,6 +302,7 @@
         auto datagram = makeDatagram();
         addGroups(datagram, m_groups.news(m_context.now()));
         addWork(datagram, m_loads.report());
+        m_limits.addNews(datagram);
         if (withKnown)
             addKnown(datagram);
         const bool tellsAll = m_peers.self().role == peer_role::entry;
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/crash_gossip.h"
+#include "gateway/limit_exchange.h"
 #include "gateway/snapshot_exchange.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
@@ -25,7 +26,7 @@
 
 class peer_exchange : private datagram_sender {
 public:
-    static result<std::unique_ptr<peer_exchange>> open(process_context&, decision_log&, fleet_state&, load_board&, group_board&, crash_history&, peer_table, peer_exchange_settings);
+    static result<std::unique_ptr<peer_exchange>> open(process_context&, decision_log&, fleet_state&, load_board&, group_board&, crash_history&, server_limits&, peer_table, peer_exchange_settings);
     ~peer_exchange() override;
 
     void start();
@@ -41,13 +42,15 @@
     void tellGroup(const group_news&);
     // Tells the fleet what is new in the history of crashes.
     void tellCrashes() { m_crashes.tell(); }
+    // Asks the arbiters of servers with a limit for grants.
+    void askForGrants() { m_limits.ask(); }
     void setSeeds(std::vector<std::string> hosts) { m_peers.setSeeds(std::move(hosts)); }
     const snapshot_exchange& snapshots() const { return m_snapshots; }
     // True if each other seed has said what it holds.
     bool heardAllSeeds() const { return m_peers.seedsToAsk().empty(); }
 
 private:
-    peer_exchange(process_context&, decision_log&, fleet_state&, load_board&, group_board&, crash_history&, peer_table, peer_exchange_settings, boost::asio::ip::udp::socket);
+    peer_exchange(process_context&, decision_log&, fleet_state&, load_board&, group_board&, crash_history&, server_limits&, peer_table, peer_exchange_settings, boost::asio::ip::udp::socket);
 
     awaitable<void> receiveLoop();
     // Asks the seeds until this process holds something.
@@ -83,6 +86,7 @@
     boost::asio::ip::udp::socket m_socket;
     snapshot_exchange m_snapshots;
     crash_gossip m_crashes;
+    limit_exchange m_limits;
     std::uint64_t m_nonce = 0;
     std::map<std::uint64_t, instant> m_questions;
     bool m_leaving = false;
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/caller_watch.h"
 #include "gateway/held_caller.h"
+#include "policy/admission_wait.h"
 #include "policy/group_wait.h"
 #include "policy/silence_limit.h"
 #include "policy/try_rules.h"
@@ -27,6 +28,9 @@
     // half a second.
     constexpr milliseconds longSilence { 1'000 };
     constexpr milliseconds noBackendRetryAfter { 300 };
+    // The arbiter of a server's limit answers within a round trip or two between zones.
+    constexpr milliseconds longestGrantWait { 60 };
+    constexpr milliseconds grantPoll { 5 };
     constexpr milliseconds fullRetryAfter { 200 };
 
     // Longest body of a refusal that is read for the sake of keeping the connection.
@@ -42,7 +46,7 @@
 
 } // namespace
 
-upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, retry_bounds bounds)
+upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, server_limits& limits, retry_bounds bounds)
     : m_context(context)
     , m_log(log)
     , m_codec(codec)
@@ -50,9 +54,10 @@
     , m_loads(loads)
     , m_groups(groups)
     , m_history(history)
+    , m_limits(limits)
     , m_client(context, serverConnectTimeout)
     , m_crashes(context, log, state, history)
-    , m_places(context, state, loads, groups)
+    , m_places(context, state, loads, groups, limits)
     , m_budget(bounds, context.startedAt())
 {
     m_history.onChange([this](request_fingerprint request) { takeBackCopies(request); });
@@ -103,12 +108,13 @@
             co_return refused;
         if (last && !takeRetry(request, *last))
             co_return last->failed;
-        const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, state.silent, m_context.zone(), now, request.route.gapTarget };
-        const std::string id = m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_context.random());
+        const std::string id = co_await takeServer(exchange, request, state);
+        if (exchange.callerGone())
+            co_return std::nullopt;
         if (id.empty()) {
             if (last)
                 co_return last->failed;
-            co_return notRun(failure_reason::no_backend, "no backend server is listed for the service", noBackendRetryAfter);
+            co_return noServer(request);
         }
         const listed_backend backend = *m_state.backends().find(id);
         state.tried.push_back(id);
@@ -171,6 +177,71 @@
     co_return failure { state.worst, failure_reason::no_backend, "no expert group of the service has been open for " + std::to_string(m_groups.closedFor(request.service, m_context.now()).count()) + " ms", decision.retryAfter };
 }
 
+std::string upstream_dispatcher::chooseServer(const admitted_request& request, const progress& state)
+{
+    const instant now = m_context.now();
+    const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, state.silent, m_context.zone(), now, request.priority, request.route.gapTarget };
+    return m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_limits, m_context.random());
+}
+
+// A grant may be used by another request while this one is held: whoever finds a server takes it
+// in the same step.
+awaitable<std::string> upstream_dispatcher::takeServer(http_exchange& exchange, const admitted_request& request, const progress& state)
+{
+    if (m_limits.any())
+        m_limits.want(request.service, serversOf(request.service), request.priority, m_context.now());
+    const instant until = m_context.now() + longestGrantWait;
+    std::string id = chooseServer(request, state);
+    while (id.empty() && m_context.now() < until && awaitsGrant(request) && !exchange.callerGone()) {
+        std::function<bool()> missing = [this, &request] { return awaitsGrant(request); };
+        co_await holdCaller(m_context, exchange, std::move(missing), until, grantPoll);
+        id = chooseServer(request, state);
+    }
+    if (!id.empty())
+        m_limits.use(backendHash(id), m_context.now());
+    co_return id;
+}
+
+std::vector<server_hash> upstream_dispatcher::serversOf(const std::string& service) const
+{
+    std::vector<server_hash> servers;
+    for (const auto& id : m_state.backends().pool(service))
+        servers.push_back(backendHash(id));
+    return servers;
+}
+
+bool upstream_dispatcher::awaitsGrant(const admitted_request& request) const
+{
+    const auto servers = serversOf(request.service);
+    return std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_limits.awaitsAnswer(server, m_context.now()); });
+}
+
+// Callers who come back at moments of their own find what the servers take by then.
+failure upstream_dispatcher::noServer(const admitted_request& request)
+{
+    const instant now = m_context.now();
+    const auto servers = serversOf(request.service);
+    const bool limited = std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_limits.limitOf(server, now).has_value(); });
+    if (!limited)
+        return notRun(failure_reason::no_backend, "no backend server is listed for the service", noBackendRetryAfter);
+    m_limits.noteUnserved(request.priority, now);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
+    return notRun(failure_reason::queue_full, "the service's servers take no more requests now", backlogPause(request.timeLeft(now), draw));
+}
+
+// Another server's words are not those of the one that was asked, nor are bytes that are no answer.
+void upstream_dispatcher::takeNotice(const listed_backend& backend, reply_kind kind, const server_notice& notice)
+{
+    if (kind != reply_kind::answer && kind != reply_kind::not_executed)
+        return;
+    const instant now = m_context.now();
+    const server_hash server = backendHash(backend.id);
+    const auto before = m_limits.limitOf(server, now);
+    m_limits.noteAnswer(server, notice.limitPerSecond, now);
+    if (before.has_value() != notice.limitPerSecond.has_value())
+        m_log.line("server_limit").add("backend", backend.id).add("backend_hash", server).add("limit_per_s", notice.limitPerSecond.value_or(-1)).add("source", "answer");
+}
+
 void upstream_dispatcher::setSharers(std::size_t entries, std::size_t mostEntries)
 {
     m_places.setEntries(entries);
@@ -180,6 +251,7 @@
 void upstream_dispatcher::noteRestart(const listed_backend& backend)
 {
     m_client.forgetIdle(backend.address);
+    m_limits.forget(backendHash(backend.id), m_context.now());
     const std::size_t ended = m_calls.end(backend.id);
     if (ended > 0)
         m_log.line("calls_ended").add("backend", backend.id).add("calls", ended).add("reason", "the server was started again");
@@ -285,6 +357,7 @@
 {
     http_call& call = underWay.call();
     const reply_verdict reply = m_codec.judge(head, request.said);
+    takeNotice(backend, reply.kind, state.notice);
     if (reply.kind == reply_kind::not_executed || reply.kind == reply_kind::wrong_server) {
         co_await drop(call);
         const bool replaced = reply.kind == reply_kind::wrong_server;
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -14,7 +14,7 @@
 
 class upstream_dispatcher {
 public:
-    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, crash_history&, retry_bounds);
+    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, crash_history&, server_limits&, retry_bounds);
 
     // Answers the exchange, whatever happens.
     awaitable<void> dispatch(http_exchange&, const admitted_request&);
@@ -56,6 +56,15 @@
     // Set if no server may run the request now, since some crashed under it.
     std::optional<failure> barred(const admitted_request&, const progress&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
+    // The server for the next try, with a grant where it has a limit; empty if there is none.
+    awaitable<std::string> takeServer(http_exchange&, const admitted_request&, const progress&);
+    std::string chooseServer(const admitted_request&, const progress&);
+    // True while the answer to a question for a grant may bring a server.
+    bool awaitsGrant(const admitted_request&) const;
+    std::vector<server_hash> serversOf(const std::string& service) const;
+    failure noServer(const admitted_request&);
+    // Keeps what the server said of itself.
+    void takeNotice(const listed_backend&, reply_kind, const server_notice&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
     awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, call_registry::registration&, http_head, instant sentAt, std::int64_t& unread);
     // Until when a try may stay without an answer.
@@ -85,6 +94,7 @@
     load_board& m_loads;
     group_board& m_groups;
     crash_history& m_history;
+    server_limits& m_limits;
     http_client m_client;
     call_registry m_calls;
     crash_reporter m_crashes;
--- a/Source/policy/peer_table.cpp
+++ b/Source/policy/peer_table.cpp
@@ -114,12 +114,12 @@
     return ask;
 }
 
-bool peer_table::isPickedEntry(std::string_view key) const
+std::string peer_table::pickedEntry(std::string_view key) const
 {
     std::vector<std::string> hosts { m_self.host };
     for (const auto& peer : live(peer_role::entry))
         hosts.push_back(peer.host);
-    return rendezvousPick(key, hosts) == m_self.host;
+    return std::string(rendezvousPick(key, hosts));
 }
 
 milliseconds peer_table::age(const std::string& host, instant now) const
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -54,8 +54,10 @@
     std::vector<std::string> otherSeeds() const;
     // Seeds that are not among the live peers: to be asked until one answers.
     std::vector<std::string> seedsToAsk() const;
-    // Of all live entry VMs this one is picked for `key`; they agree on one, but for news under way.
-    bool isPickedEntry(std::string_view key) const;
+    // Host of the entry VM that is picked for `key`, this one included; all live ones agree on it, but
+    // for news under way.
+    std::string pickedEntry(std::string_view key) const;
+    bool isPickedEntry(std::string_view key) const { return pickedEntry(key) == m_self.host; }
     // How long ago a peer was heard of.
     milliseconds age(const std::string& host, instant now) const;
     // Up to `count` random live peers.
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/pass_model.h"
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 namespace rampgap {
@@ -80,36 +81,53 @@
 
 } // namespace
 
-pool_load poolLoad(const std::string& service, const backend_directory& backends, const load_board& loads, const group_board& groups, const std::optional<engine_costs>& costs, milliseconds longestGap, instant now)
+namespace {
+
+    // The places of a server that requests can fill, within the limit that it has named.
+    int fillablePlaces(const listed_backend& listed, const server_limits& limits, const pool_question& question)
+    {
+        const auto perSecond = limits.limitOf(backendHash(listed.id), question.now);
+        if (!perSecond)
+            return listed.capacity;
+        const double filled = *perSecond * std::chrono::duration<double>(question.usualRun).count();
+        return static_cast<int>(std::clamp(std::ceil(filled), 1.0, static_cast<double>(std::max(1, listed.capacity))));
+    }
+
+} // namespace
+
+pool_load poolLoad(const pool_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_limits& limits)
 {
     pool_load sum;
-    for (const auto& id : runningPool(service, backends, groups, now)) {
-        const int capacity = backends.find(id)->capacity;
+    for (const auto& id : runningPool(question.service, backends, groups, question.now)) {
+        const int capacity = fillablePlaces(*backends.find(id), limits, question);
         sum.capacity += capacity;
-        const bool limited = costs && longestGap > milliseconds(0);
-        sum.toRun += limited ? std::min(capacity, sequencesToRun(*costs, groups.strainAt(service, backendHash(id), now), longestGap)) : capacity;
-        sum.requests += loads.total(id, now).requests;
+        const bool bounded = question.costs && question.longestGap > milliseconds(0);
+        sum.toRun += bounded ? std::min(capacity, sequencesToRun(*question.costs, groups.strainAt(question.service, backendHash(id), question.now), question.longestGap)) : capacity;
+        sum.requests += loads.total(id, question.now).requests;
     }
     return sum;
 }
 
-std::vector<upstream_choice::candidate> upstream_choice::candidates(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups)
+std::vector<upstream_choice::candidate> upstream_choice::candidates(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_limits& limits)
 {
     std::vector<candidate> found;
     std::map<std::string, group_load> byGroup;
     for (auto& id : runningPool(question.service, backends, groups, question.now)) {
         if (std::find(question.tried.begin(), question.tried.end(), id) != question.tried.end())
             continue;
+        const std::uint32_t hash = backendHash(id);
+        if (!limits.maySend(hash, question.priority, question.now))
+            continue;
         const auto* listed = backends.find(id);
         const backend_load load = loads.total(id, question.now);
         candidate each;
+        each.granted = limits.limitOf(hash, question.now).has_value();
         each.delay = expectedDelay(load, listed->capacity, question.costs, question.promptTokens);
         each.delay += failedTryMs * backends.health(id).failureShare;
         each.inOwnZone = listed->zone == question.ownZone;
         if (!each.inOwnZone)
             each.delay += otherZoneMs;
         each.avoided = backends.avoided(id, question.now);
-        const std::uint32_t hash = backendHash(id);
         each.group = groups.groupOf(question.service, hash);
         auto& group = byGroup[each.group];
         if (group.ranks++ == 0)
@@ -154,7 +172,9 @@
     for (const auto& each : all)
         weights.push_back(each.inOwnZone ? ownZoneWeight : 1);
     std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-    const candidate* best = &all[draw(random)];
+    // A grant that is not used soon is lost: what the server takes would go unused.
+    const auto granted = std::find_if(all.begin(), all.end(), [](const candidate& each) { return each.granted; });
+    const candidate* best = granted != all.end() ? &*granted : &all[draw(random)];
     for (int i = 1; i < comparedServers; ++i)
         best = &std::min(*best, all[draw(random)], byDelay);
     if (best->delay < overCapacityMs)
@@ -162,9 +182,9 @@
     return *std::min_element(all.begin(), all.end(), byDelay);
 }
 
-std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, std::mt19937_64& random) const
+std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_limits& limits, std::mt19937_64& random) const
 {
-    std::vector<candidate> all = candidates(question, backends, loads, groups);
+    std::vector<candidate> all = candidates(question, backends, loads, groups, limits);
     if (all.empty())
         return {};
     prefer(all, question, groups);
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/upstream_choice.h
@@ -5,6 +5,7 @@
 #include "policy/fleet_configuration.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
+#include "policy/server_limits.h"
 
 #include <optional>
 #include <random>
@@ -23,6 +24,8 @@
     std::vector<std::string> silent;
     std::string ownZone;
     instant now;
+    // 0 is first.
+    int priority = 0;
     // Longest pause between two events that the caller accepts; 0: any.
     milliseconds longestGap { 0 };
 };
@@ -42,14 +45,24 @@
     bool operator==(const pool_load&) const = default;
 };
 
-pool_load poolLoad(const std::string& service, const backend_directory&, const load_board&, const group_board&, const std::optional<engine_costs>&, milliseconds longestGap, instant now);
+// What poolLoad is asked.
+struct pool_question {
+    std::string service;
+    std::optional<engine_costs> costs;
+    milliseconds longestGap { 0 };
+    // From a place to the end of the answer: with a limit on its requests a server fills so many places.
+    milliseconds usualRun { 0 };
+    instant now;
+};
+
+pool_load poolLoad(const pool_question&, const backend_directory&, const load_board&, const group_board&, const server_limits&);
 
 class upstream_choice {
 public:
-    // The id of the server; empty if the service has none. A server whose group is closed is
+    // The id of the server; empty if the service has none that may be sent to. A server whose group is closed is
     // chosen only where all are, one whose group's passes are too long for the caller, or that
     // has all that it can run in time, only where no other is left.
-    std::string choose(const upstream_question&, const backend_directory&, const load_board&, const group_board&, std::mt19937_64&) const;
+    std::string choose(const upstream_question&, const backend_directory&, const load_board&, const group_board&, const server_limits&, std::mt19937_64&) const;
 
 private:
     struct candidate {
@@ -59,11 +72,13 @@
         double delay = 0;
         bool avoided = false;
         bool inOwnZone = false;
+        // This process has a grant for it.
+        bool granted = false;
         // By what is known its group has room, and passes that are short enough.
         bool timely = true;
     };
 
-    static std::vector<candidate> candidates(const upstream_question&, const backend_directory&, const load_board&, const group_board&);
+    static std::vector<candidate> candidates(const upstream_question&, const backend_directory&, const load_board&, const group_board&, const server_limits&);
     // Leaves what is best kept away from, as long as anything else is left.
     static void prefer(std::vector<candidate>&, const upstream_question&, const group_board&);
     static const candidate& bestOfFew(const std::vector<candidate>&, std::mt19937_64&);
