policy, gateway: a server that asks for rest has it

Callers waited 0.1 s and more for a second try though other ranks had room, and some were refused for want of a retry budget: four engines of twelve turned away nearly all they got, and each entry VM sent them request after request (4 and 8 within a rest of 3 s where two may come).

Cause: the Retry-After of a server's 503 was decoded by nobody, so a server that refused was avoided for 40 ms. Class: a word on the wire that no decoder reads. Beside it one refusal by a server with room was taken for the closing of its whole group, and callers waited until a report showed the group open.

Ruled out: the rest being given up where all servers are avoided (eight of twelve had room). The group taken for closed explains the waits, not the requests within the rest; it is mended with it, since a server that asks for rest speaks for itself.

Now the rest is kept to its end by the boot clock, by the VM that was asked; a shorter one does not cut it short. After it one request goes there first, others with its answer. Where all servers of a service rest, callers are refused at once and told when the first is back, each a little later than that. Another life of the server knows nothing of it.

Weighed: telling peers of a rest (it is asked of one VM only); all at once after the end (what is turned away then costs the retry budget once a request, not once a VM).

--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -61,7 +61,7 @@
     load_board m_loads;
     group_board m_groups;
     crash_history m_history;
-    server_limits m_limits;
+    server_wishes m_wishes;
     upstream_dispatcher m_dispatcher;
     gateway_server m_front;
     store_follower m_follower;
--- a/Source/gateway/request_codec.h
+++ b/Source/gateway/request_codec.h
@@ -74,6 +74,8 @@
 struct server_notice {
     // Requests a second that it takes from all VMs together; empty: any number.
     std::optional<double> limitPerSecond;
+    // It turned the request away and wants nothing from this process for so long.
+    std::optional<milliseconds> rest;
     // Names of headers whose values cannot be read, for the log.
     std::string unreadable;
 
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -31,6 +31,8 @@
     // The arbiter of a server's limit answers within a round trip or two between zones.
     constexpr milliseconds longestGrantWait { 60 };
     constexpr milliseconds grantPoll { 5 };
+    // Over so long those come back whom all servers asked for rest.
+    constexpr milliseconds returnSpread { 300 };
     constexpr milliseconds fullRetryAfter { 200 };
 
     // Longest body of a refusal that is read for the sake of keeping the connection.
@@ -46,7 +48,7 @@
 
 } // namespace
 
-upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, server_limits& limits, retry_bounds bounds)
+upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, server_wishes& wishes, retry_bounds bounds)
     : m_context(context)
     , m_log(log)
     , m_codec(codec)
@@ -54,10 +56,10 @@
     , m_loads(loads)
     , m_groups(groups)
     , m_history(history)
-    , m_limits(limits)
+    , m_wishes(wishes)
     , m_client(context, serverConnectTimeout)
     , m_crashes(context, log, state, history)
-    , m_places(context, state, loads, groups, limits)
+    , m_places(context, state, loads, groups, wishes)
     , m_budget(bounds, context.startedAt())
 {
     m_history.onChange([this](request_fingerprint request) { takeBackCopies(request); });
@@ -98,6 +100,8 @@
             co_return closed;
         if (exchange.callerGone())
             co_return std::nullopt;
+        if (auto resting = allRest(request, state))
+            co_return resting;
         const auto place = co_await m_places.take(exchange, request, state.relay.begun, last.has_value());
         if (exchange.callerGone())
             co_return std::nullopt;
@@ -114,7 +118,7 @@
         if (id.empty()) {
             if (last)
                 co_return last->failed;
-            co_return noServer(request);
+            co_return noServer(request, state);
         }
         const listed_backend backend = *m_state.backends().find(id);
         state.tried.push_back(id);
@@ -181,15 +185,15 @@
 {
     const instant now = m_context.now();
     const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, state.silent, m_context.zone(), now, request.priority, request.route.gapTarget };
-    return m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_limits, m_context.random());
+    return m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_wishes, m_context.random());
 }
 
 // A grant may be used by another request while this one is held: whoever finds a server takes it
 // in the same step.
 awaitable<std::string> upstream_dispatcher::takeServer(http_exchange& exchange, const admitted_request& request, const progress& state)
 {
-    if (m_limits.any())
-        m_limits.want(request.service, serversOf(request.service), request.priority, m_context.now());
+    if (m_wishes.limits.any())
+        m_wishes.limits.want(request.service, serversOf(request.service), request.priority, m_context.now());
     const instant until = m_context.now() + longestGrantWait;
     std::string id = chooseServer(request, state);
     while (id.empty() && m_context.now() < until && awaitsGrant(request) && !exchange.callerGone()) {
@@ -198,7 +202,7 @@
         id = chooseServer(request, state);
     }
     if (!id.empty())
-        m_limits.use(backendHash(id), m_context.now());
+        m_wishes.use(backendHash(id), m_context.now());
     co_return id;
 }
 
@@ -213,18 +217,33 @@
 bool upstream_dispatcher::awaitsGrant(const admitted_request& request) const
 {
     const auto servers = serversOf(request.service);
-    return std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_limits.awaitsAnswer(server, m_context.now()); });
+    return std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_wishes.limits.awaitsAnswer(server, m_context.now()); });
+}
+
+// Nobody is held for servers that are known to take nothing. Callers who come back a little after
+// the first rest, each at a moment of its own, do not meet there.
+std::optional<failure> upstream_dispatcher::allRest(const admitted_request& request, const progress& state)
+{
+    const instant now = m_context.now();
+    const auto pause = m_wishes.rests.untilFirst(serversOf(request.service), now);
+    if (!pause)
+        return std::nullopt;
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
+    const auto spread = std::chrono::duration_cast<milliseconds>(returnSpread * draw);
+    return failure { state.worst, failure_reason::queue_full, "all servers of the service asked for rest", *pause + spread };
 }
 
 // Callers who come back at moments of their own find what the servers take by then.
-failure upstream_dispatcher::noServer(const admitted_request& request)
+failure upstream_dispatcher::noServer(const admitted_request& request, const progress& state)
 {
+    if (auto resting = allRest(request, state))
+        return *resting;
     const instant now = m_context.now();
     const auto servers = serversOf(request.service);
-    const bool limited = std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_limits.limitOf(server, now).has_value(); });
+    const bool limited = std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_wishes.limits.limitOf(server, now).has_value(); });
     if (!limited)
         return notRun(failure_reason::no_backend, "no backend server is listed for the service", noBackendRetryAfter);
-    m_limits.noteUnserved(request.priority, now);
+    m_wishes.limits.noteUnserved(request.priority, now);
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
     return notRun(failure_reason::queue_full, "the service's servers take no more requests now", backlogPause(request.timeLeft(now), draw));
 }
@@ -236,8 +255,12 @@
         return;
     const instant now = m_context.now();
     const server_hash server = backendHash(backend.id);
-    const auto before = m_limits.limitOf(server, now);
-    m_limits.noteAnswer(server, notice.limitPerSecond, now);
+    if (notice.rest)
+        m_wishes.rests.noteAsked(server, *notice.rest, now);
+    else
+        m_wishes.rests.noteAnswered(server, now);
+    const auto before = m_wishes.limits.limitOf(server, now);
+    m_wishes.limits.noteAnswer(server, notice.limitPerSecond, now);
     if (before.has_value() != notice.limitPerSecond.has_value())
         m_log.line("server_limit").add("backend", backend.id).add("backend_hash", server).add("limit_per_s", notice.limitPerSecond.value_or(-1)).add("source", "answer");
 }
@@ -251,7 +274,7 @@
 void upstream_dispatcher::noteRestart(const listed_backend& backend)
 {
     m_client.forgetIdle(backend.address);
-    m_limits.forget(backendHash(backend.id), m_context.now());
+    m_wishes.forget(backendHash(backend.id), m_context.now());
     const std::size_t ended = m_calls.end(backend.id);
     if (ended > 0)
         m_log.line("calls_ended").add("backend", backend.id).add("calls", ended).add("reason", "the server was started again");
@@ -277,9 +300,12 @@
 
 // A rank that no leader has counted may belong to a group that this process never heard of;
 // but a process that has just started has heard of none, and a group that started with it is
-// still forming.
-void upstream_dispatcher::noteRefusal(const admitted_request& request, const listed_backend& backend)
+// still forming. A server that asks for rest speaks for itself: taken for a closed group it made
+// callers wait though other ranks had room.
+void upstream_dispatcher::noteRefusal(const admitted_request& request, const listed_backend& backend, const server_notice& notice)
 {
+    if (notice.rest)
+        return;
     const bool justStarted = m_context.now() - m_context.startedAt() < firstNews;
     if (request.costs && (justStarted || m_loads.counted(backend.id)) && m_loads.total(backend.id, m_context.now()).requests <= backend.capacity)
         m_groups.noteRefusal(request.service, backendHash(backend.id), m_context.now());
@@ -362,7 +388,7 @@
         co_await drop(call);
         const bool replaced = reply.kind == reply_kind::wrong_server;
         if (!replaced)
-            noteRefusal(request, backend);
+            noteRefusal(request, backend, state.notice);
         co_return try_outcome { notRun(failure_reason::queue_full, reply.reason, fullRetryAfter), replaced ? try_result::replaced : try_result::refused };
     }
     ++state.runs;
@@ -449,6 +475,8 @@
         line.add("first_ms", *state.relay.firstBytesAt - request.receivedAt).add("longest_pause_ms", state.relay.longestPause);
     if (state.notice.limitPerSecond)
         line.add("limit_per_s", *state.notice.limitPerSecond);
+    if (state.notice.rest)
+        line.add("rest_ms", *state.notice.rest);
     if (!state.notice.unreadable.empty())
         line.add("unreadable", state.notice.unreadable);
     if (outcome.failed)
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -14,7 +14,7 @@
 
 class upstream_dispatcher {
 public:
-    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, crash_history&, server_limits&, retry_bounds);
+    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, crash_history&, server_wishes&, retry_bounds);
 
     // Answers the exchange, whatever happens.
     awaitable<void> dispatch(http_exchange&, const admitted_request&);
@@ -62,7 +62,9 @@
     // True while the answer to a question for a grant may bring a server.
     bool awaitsGrant(const admitted_request&) const;
     std::vector<server_hash> serversOf(const std::string& service) const;
-    failure noServer(const admitted_request&);
+    failure noServer(const admitted_request&, const progress&);
+    // Set if each server of the service has asked this process for rest.
+    std::optional<failure> allRest(const admitted_request&, const progress&);
     // Keeps what the server said of itself.
     void takeNotice(const listed_backend&, reply_kind, const server_notice&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
@@ -82,8 +84,8 @@
     static bool closesGroup(const admitted_request&);
     // Copies that have not begun are taken back from other servers once one has crashed.
     void takeBackCopies(request_fingerprint);
-    // A server with room that refuses belongs to a group that has closed.
-    void noteRefusal(const admitted_request&, const listed_backend&);
+    // A server with room that refuses belongs to a group that has closed, unless it asks for rest.
+    void noteRefusal(const admitted_request&, const listed_backend&, const server_notice&);
     awaitable<void> refuse(http_exchange&, const admitted_request&, const progress&, failure);
     void logTry(const admitted_request&, const progress&, const listed_backend&, const try_outcome&, instant sentAt);
 
@@ -94,7 +96,7 @@
     load_board& m_loads;
     group_board& m_groups;
     crash_history& m_history;
-    server_limits& m_limits;
+    server_wishes& m_wishes;
     http_client m_client;
     call_registry m_calls;
     crash_reporter m_crashes;
--- a/Source/model/entry_model.h
+++ b/Source/model/entry_model.h
@@ -129,8 +129,8 @@
     delay_estimate m_run;
     shared_retry_budget m_budget;
     upstream_choice m_choice;
-    // The model's servers name none.
-    server_limits m_limits;
+    // The model's servers ask for nothing.
+    server_wishes m_wishes;
     std::map<attempt_id, attempt> m_attempts;
     std::map<admission_id, attempt_id> m_waiting;
     int m_secondTries = 0;
--- a/Tests/platform/decoding/test.cpp
+++ b/Tests/platform/decoding/test.cpp
@@ -206,6 +206,25 @@
     }
 }
 
+TEST_CASE("a rest is read in fractions of seconds, from a server that turns a request away only")
+{
+    const http_codec codec;
+    http_head head;
+    head.set("Retry-After", "2.5");
+    head.result(503);
+    CHECK((codec.notice(head).rest == milliseconds(2'500)));
+    head.set("Retry-After", "0.0001");
+    CHECK((codec.notice(head).rest == milliseconds(1)));
+    head.set("Retry-After", "1e300");
+    CHECK(codec.notice(head).rest.value() > std::chrono::hours(24));
+    head.set("Retry-After", "soon");
+    CHECK_FALSE(codec.notice(head).rest.has_value());
+    CHECK(codec.notice(head).unreadable == "Retry-After");
+    head.set("Retry-After", "2.5");
+    head.result(200);
+    CHECK((codec.notice(head) == server_notice {}));
+}
+
 TEST_CASE("statuses that promise that nothing ran are kept for what surely did not run")
 {
     const http_codec codec;
