policy, gateway: a server that says in its answers that it leaves gets no more requests

Cause: Server-Leaving was decoded by nobody; a server counted as leaving only by the store's list. Class: a word on the wire that no decoder reads.

Now a server that said so is closed for this VM until its life ends: an entry that is listed as ready, lapses or comes back changes nothing, another life under the id or another id does. Memory: ten minutes after the server is no longer listed.

Weighed: telling peers. Each learns it with its own first answer, which the users' rule allows and drain_ms leaves time for; news that are wrong or late would take a live server from all VMs at once.

--- a/Source/gateway/request_codec.h
+++ b/Source/gateway/request_codec.h
@@ -76,6 +76,8 @@
     std::optional<double> limitPerSecond;
     // It turned the request away and wants nothing from this process for so long.
     std::optional<milliseconds> rest;
+    // It takes no new requests any more.
+    bool leaving = false;
     // Names of headers whose values cannot be read, for the log.
     std::string unreadable;
 
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -255,6 +255,8 @@
         return;
     const instant now = m_context.now();
     const server_hash server = backendHash(backend.id);
+    if (notice.leaving && m_state.backends().noteLeaving(backend.id, now))
+        m_log.line("backend_leaving").add("backend", backend.id).add("source", "answer");
     if (notice.rest)
         m_wishes.rests.noteAsked(server, *notice.rest, now);
     else
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -27,6 +27,9 @@
         return std::min(pause, longestUnreachablePause);
     }
 
+    // Entries lapse and come back; a server that leaves and is missing for longer has gone.
+    constexpr milliseconds leavingMemory { 600'000 };
+
     const backend_health unknownHealth;
 
 } // namespace
@@ -37,8 +40,10 @@
     const std::string addressBefore = held.listed.address;
     // Not only a higher one: clocks of two starts may differ, the list's order does not.
     const bool restarted = held.listed.incarnation != 0 && listed.incarnation != held.listed.incarnation;
-    if (restarted)
+    if (restarted) {
         held = {};
+        m_leaving.erase(listed.id);
+    }
     held.listed = listed;
     held.keptUntil.reset();
     noteNewestAt(listed.address);
@@ -119,6 +124,14 @@
     }
     for (const auto& id : expired)
         remove(id);
+    for (auto& [id, seenAt] : m_leaving)
+        seenAt = m_entries.contains(id) ? now : seenAt;
+    std::erase_if(m_leaving, [now](const auto& held) { return now - held.second >= leavingMemory; });
+}
+
+bool backend_directory::noteLeaving(const std::string& id, instant now)
+{
+    return m_leaving.insert_or_assign(id, now).second;
 }
 
 void backend_directory::noteResult(const std::string& id, try_result result, instant now)
@@ -155,7 +168,7 @@
 bool backend_directory::open(const std::string& id) const
 {
     const auto held = m_entries.find(id);
-    if (held == m_entries.end() || held->second.listed.draining || held->second.replaced)
+    if (held == m_entries.end() || held->second.listed.draining || held->second.replaced || m_leaving.contains(id))
         return false;
     const auto newest = m_newestAt.find(held->second.listed.address);
     if (newest == m_newestAt.end())
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -76,6 +76,9 @@
     // Drops what has not come back.
     void settle(instant now);
 
+    // The server itself said that it leaves: it gets nothing more in this life, whatever the list
+    // says of it. True if that is new.
+    bool noteLeaving(const std::string& id, instant now);
     void noteResult(const std::string& id, try_result, instant now);
 
     // May get new work: listed, not leaving, and not replaced by a newer one at its address.
@@ -103,6 +106,8 @@
 
     milliseconds m_lapsedLife;
     std::map<std::string, entry> m_entries;
+    // Servers that said that they leave, and when each was last listed or said so.
+    std::map<std::string, instant> m_leaving;
     std::optional<std::set<std::string>> m_services;
     // Highest creation revision of the listed entries with an address.
     std::map<std::string, std::uint64_t> m_newestAt;
--- a/Tests/platform/backend-list/test.cpp
+++ b/Tests/platform/backend-list/test.cpp
@@ -181,3 +181,38 @@
     list.settle(doubtEnds);
     CHECK(list.pool("model") == std::vector<std::string> { "next" });
 }
+
+TEST_CASE("a server that said that it leaves gets nothing more in its life, whatever the list says")
+{
+    backend_directory list;
+    listed_backend leaving = server("s", "10.0.0.1:80", 1);
+    leaving.incarnation = 100;
+    list.list(leaving);
+    CHECK(list.noteLeaving("s", zero));
+    CHECK_FALSE(list.noteLeaving("s", zero));
+    CHECK(list.pool("model").empty());
+    list.list(leaving);
+    CHECK_FALSE(list.open("s"));
+    list.unlist("s", zero, doubtEnds);
+    list.settle(doubtEnds);
+    list.list(leaving);
+    CHECK_FALSE(list.open("s"));
+    leaving.incarnation = 200;
+    list.list(leaving);
+    CHECK(list.open("s"));
+}
+
+TEST_CASE("a server that left long ago is forgotten, one that is still listed is not")
+{
+    backend_directory list;
+    list.list(server("stays", "10.0.0.1:80", 1));
+    list.list(server("gone", "10.0.0.2:80", 1));
+    list.noteLeaving("stays", zero);
+    list.noteLeaving("gone", zero);
+    list.unlist("gone", zero, zero);
+    list.settle(zero + std::chrono::minutes(9));
+    list.settle(zero + std::chrono::minutes(11));
+    list.list(server("gone", "10.0.0.2:80", 1));
+    CHECK_FALSE(list.open("stays"));
+    CHECK(list.open("gone"));
+}
--- a/Tests/platform/decoding/test.cpp
+++ b/Tests/platform/decoding/test.cpp
@@ -225,6 +225,22 @@
     CHECK((codec.notice(head) == server_notice {}));
 }
 
+TEST_CASE("a server that leaves says so in any answer")
+{
+    const http_codec codec;
+    http_head head;
+    for (const unsigned status : { 200U, 500U, 503U }) {
+        head.result(status);
+        head.set("Server-Leaving", "1");
+        CHECK(codec.notice(head).leaving);
+        head.set("Server-Leaving", "0");
+        CHECK((codec.notice(head) == server_notice {}));
+    }
+    head.set("Server-Leaving", "soon");
+    CHECK_FALSE(codec.notice(head).leaving);
+    CHECK(codec.notice(head).unreadable == "Server-Leaving");
+}
+
 TEST_CASE("statuses that promise that nothing ran are kept for what surely did not run")
 {
     const http_codec codec;
