agent, entry: an engine's limit is kept on the own interface, too

The same cause elsewhere: on the own interface an engine had no word for what it takes, and its agent passed on whatever came. Now Rampgap-Limit-Per-Second in any of its answers bounds it: the agent is the only way to its engine, so it counts for all entry VMs, exactly and without a message between them. What is beyond is refused as not run with server_limit and the time of that entry VM's turn; the entry VM leaves the server out until then, so that refusals do not use up the retry budget. A refused connection ends the engine's life, and its limit.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -146,6 +146,7 @@
 {
     work_order order;
     order.correlation = headerText(request, header::requestId);
+    order.entry = headerText(request, header::entry);
     order.admission.workspace = headerText(request, header::workspace);
     const std::string service = headerText(request, header::service);
     if (order.admission.workspace.empty() || service.empty())
@@ -225,6 +226,10 @@
         refused = admitted.error();
     else if (!exchange.callerGone())
         refused = m_engine.barred(order.fingerprint); // The news may have come while it waited.
+    if (admitted && !refused && !exchange.callerGone()) {
+        if (const auto taken = m_intake.enter(order.entry, m_context.now()); !taken)
+            refused = taken.error();
+    }
     if (refused || exchange.callerGone()) {
         if (admitted)
             m_gate.leave(admitted.value(), duration::zero());
@@ -246,6 +251,11 @@
     co_await m_engine.noteLost(std::move(life), std::move(call));
 }
 
+void agent_server::takeNotice(const http_head& head)
+{
+    m_intake.noteLimit(headerAmount(head, header::limitPerSecond), m_context.now());
+}
+
 awaitable<std::optional<failure>> agent_server::callEngine(http_exchange& exchange, const work_order& order)
 {
     const bool once = order.onceId.has_value();
@@ -266,14 +276,19 @@
         failure failed = head.error();
         if (failed.ran != verdict::not_run && failed.reason == failure_reason::connection_lost && !exchange.callerGone())
             co_await noteLost(life, order, 0, sentAt);
-        if (failed.ran == verdict::not_run)
+        if (failed.ran == verdict::not_run) {
+            // Nothing listens there: what comes next is another life of the engine.
+            m_intake.forget();
             failed.reason = failure_reason::backend_error;
+        }
         if (once && failed.ran == verdict::not_run)
             m_guard.ledger().release(*order.onceId);
         else if (once)
             m_guard.ledger().finishWithoutAnswer(*order.onceId, m_context.now());
         co_return failed;
     }
+    takeNotice(head.value());
+    head.value().erase(std::string(header::limitPerSecond));
     const int status = static_cast<int>(head.value().result_int());
     const std::string contentType(head.value()[http::field::content_type]);
     addOwnHeaders(head.value());
--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -7,6 +7,7 @@
 #include "daemon/admission_gate.h"
 #include "daemon/answer_relay.h"
 #include "daemon/operator_pages.h"
+#include "policy/engine_intake.h"
 #include "policy/permit_office.h"
 
 namespace rampgap {
@@ -38,6 +39,8 @@
         std::optional<request_id> onceId;
         std::uint64_t bodyDigest = 0;
         request_fingerprint fingerprint;
+        // The entry VM that sent it.
+        std::string entry;
     };
 
     agent_server(process_context&, agent_settings);
@@ -49,6 +52,8 @@
     result<std::optional<stored_answer>> claim(const http_request&, const work_order&);
     awaitable<std::optional<failure>> run(http_exchange&, const work_order&);
     awaitable<std::optional<failure>> callEngine(http_exchange&, const work_order&);
+    // Keeps what the engine says of itself.
+    void takeNotice(const http_head&);
     // The engine ended a call after so many events.
     awaitable<void> noteLost(server_life, const work_order&, std::uint64_t events, instant sentAt);
     awaitable<void> refuse(http_exchange&, const failure&, const std::string& correlation);
@@ -62,6 +67,7 @@
     crash_history m_history;
     configuration_node m_configuration;
     engine_guard m_engine;
+    engine_intake m_intake;
     operator_pages m_pages;
     permit_office m_permits;
     execution_guard m_guard;
--- a/Source/daemon/header_names.h
+++ b/Source/daemon/header_names.h
@@ -29,4 +29,7 @@
 inline constexpr std::string_view entry = "Rampgap-Entry";
 inline constexpr std::string_view retryAfterMs = "Rampgap-Retry-After-Ms";
 
+// From an engine to its agent, in any answer: requests a second that it takes, a decimal number.
+inline constexpr std::string_view limitPerSecond = "Rampgap-Limit-Per-Second";
+
 } // namespace rampgap::header
--- a/Source/daemon/http_message.cpp
+++ b/Source/daemon/http_message.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 #include <charconv>
+#include <cmath>
 
 namespace rampgap {
 
@@ -38,6 +39,16 @@
     return error == std::errc() && end == text.data() + text.size() ? value : fallback;
 }
 
+std::optional<double> headerAmount(const http::fields& fields, std::string_view name)
+{
+    const std::string text = headerText(fields, name);
+    double amount = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), amount);
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(amount) || amount < 0)
+        return std::nullopt;
+    return amount;
+}
+
 http_response makeResponse(int status, std::string contentType, std::string body)
 {
     http_response response { static_cast<http::status>(status), 11 };
--- a/Source/daemon/http_message.h
+++ b/Source/daemon/http_message.h
@@ -25,6 +25,9 @@
 // A whole number from a header, or `fallback`.
 std::int64_t headerNumber(const http::fields&, std::string_view name, std::int64_t fallback);
 
+// A decimal number of 0 or more from a header; empty if it is absent or anything else.
+std::optional<double> headerAmount(const http::fields&, std::string_view name);
+
 http_response makeResponse(int status, std::string contentType, std::string body);
 // The answer for a failure, with its verdict, reason and `Retry-After`.
 http_response makeFailure(const failure&);
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -267,6 +267,8 @@
 
 void request_dispatcher::noteRefusal(backend_id id, const failure& refused)
 {
+    if (refused.reason == failure_reason::server_limit && refused.retryAfter)
+        m_table.notePause(id, *refused.retryAfter, m_context.now());
     if (refused.reason == failure_reason::leaving)
         m_table.noteLeaving(id, m_context.now());
     if (refused.reason == failure_reason::backend_error && refused.ran == verdict::not_run)
--- a/Source/policy/backend_table.cpp
+++ b/Source/policy/backend_table.cpp
@@ -126,6 +126,11 @@
     view.suspectUntil = now + leavingLife;
 }
 
+void backend_table::notePause(backend_id id, milliseconds pause, instant now)
+{
+    m_views[id].pausedUntil = now + pause;
+}
+
 void backend_table::noteEnded(backend_id id)
 {
     if (m_views[id].ownInFlight > 0)
@@ -135,6 +140,8 @@
 bool backend_table::usable(backend_id id, instant now) const
 {
     const backend_view& view = m_views[id];
+    if (now < view.pausedUntil)
+        return false;
     if (view.state == backend_state::up)
         return true;
     return view.state != backend_state::stopped && now >= view.suspectUntil;
--- a/Source/policy/backend_table.h
+++ b/Source/policy/backend_table.h
@@ -39,6 +39,8 @@
     instant suspectUntil;
     int failuresInRow = 0;
     instant failingSince;
+    // Its engine takes nothing before this.
+    instant pausedUntil {};
     instant joinedAt;
     int ownInFlight = 0;
     load_report load;
@@ -62,6 +64,8 @@
     void noteServed(backend_id);
     void noteConnectFailed(backend_id, instant now);
     void noteLeaving(backend_id, instant now);
+    // Its engine takes nothing more for so long.
+    void notePause(backend_id, milliseconds, instant now);
     void noteEnded(backend_id);
 
     // May new work go there: up, or suspect past its time, and not leaving.
--- a/Source/policy/verdict.h
+++ b/Source/policy/verdict.h
@@ -41,6 +41,7 @@
     connection_lost,
     backend_error,
     crashes_servers,
+    server_limit,
 };
 
 // A failure of one request. `retryAfter` is set where coming back helps.
--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -135,6 +135,12 @@
     return hit;
 }
 
+void engine_standin::addNotice(http::fields& fields) const
+{
+    if (!m_limit.empty())
+        fields.set(header::limitPerSecond, m_limit);
+}
+
 void engine_standin::countRun(const http_request& request)
 {
     ++m_totalRuns;
@@ -182,6 +188,7 @@
         head.version(11);
         head.result(http::status::ok);
         head.set(http::field::content_type, "text/event-stream");
+        addNotice(head);
         callerThere = co_await exchange.begin(std::move(head));
     }
     std::string text;
@@ -209,7 +216,9 @@
         co_return;
     }
     if (!asked->stream) {
-        co_await exchange.send(makeResponse(200, "application/json", wholeAnswer(*asked, text)));
+        auto answer = makeResponse(200, "application/json", wholeAnswer(*asked, text));
+        addNotice(answer);
+        co_await exchange.send(std::move(answer));
         co_return;
     }
     co_await exchange.write("data: [DONE]\n\n");
@@ -228,7 +237,9 @@
         exchange.abort();
         co_return;
     }
-    co_await exchange.send(makeResponse(200, "text/plain", "echo:" + exchange.request().body()));
+    auto echo = makeResponse(200, "text/plain", "echo:" + exchange.request().body());
+    addNotice(echo);
+    co_await exchange.send(std::move(echo));
 }
 
 http_response engine_standin::setFaults(const std::string& target)
@@ -241,6 +252,8 @@
         m_breakAfter = std::atoi(broken.c_str());
     if (const std::string refuse = queryValue(target, "refuse"); !refuse.empty())
         m_refuse = refuse == "1";
+    if (const std::string limit = queryValue(target, "limit"); !limit.empty())
+        m_limit = limit == "none" ? "" : limit;
     if (const std::string word = queryValue(target, "crash_on"); !word.empty())
         m_crashOn = word;
     return makeResponse(200, "text/plain", "ok\n");
--- a/Source/standin/engine_standin.h
+++ b/Source/standin/engine_standin.h
@@ -40,6 +40,8 @@
     bool notePrefix(const std::string& prompt);
     http_response setFaults(const std::string& target);
     http_response runs() const;
+    // What it says of itself in every answer.
+    void addNotice(http::fields&) const;
     void countRun(const http_request&);
 
     process_context& m_context;
@@ -55,6 +57,8 @@
     // Streams break after this many tokens; negative: never.
     int m_breakAfter = -1;
     bool m_refuse = false;
+    // Requests a second that it names as its limit; empty: it names none.
+    std::string m_limit;
     // The process ends when it begins to answer a prompt that holds this; empty: never.
     std::string m_crashOn;
 };
