agent, entry: an engine's rest and its leaving are kept on the own interface, too

Now its agent, the only way to it, sends it nothing until the rest is over and refuses with server_rest and what is left of it; the entry VM leaves the server out until then. Rampgap-Leaving: 1 in any answer closes the engine until a connection to it ends, which is how the agent notices another life.

requests.resting-engine: one engine of two asks for 1.5 s of rest, 120 requests at two entry VMs: all served, two turned away at the most; one that leaves gets none of 120, and has its part again once it was started anew. Two checks of the tests were red at first, since repeated prompts go to the engine that has kept them: they ask with new prompts now, as strictly.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -7,8 +7,10 @@
 #include "daemon/sleep.h"
 #include "discovery/platform_source.h"
 #include "peer.pb.h"
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 namespace rampgap {
 
@@ -17,7 +19,11 @@
 namespace {
 
     constexpr milliseconds leavingRetryAfter { 500 };
+    // Between two connections to an engine that leaves and cannot be reached.
+    constexpr milliseconds engineLookPause { 250 };
     constexpr std::size_t maxStoredAnswer = 262'144;
+    // Body of an engine's refusal that is read for the sake of keeping the connection.
+    constexpr std::size_t longestRefusal = 65'536;
     constexpr std::int64_t defaultTimeoutMs = 30'000;
 
     ledger_limits ledgerLimits(const agent_settings& settings)
@@ -28,6 +34,16 @@
         return limits;
     }
 
+    // How long the engine, which has not run the request, wants no more of them.
+    std::optional<milliseconds> restOf(const http_head& head)
+    {
+        const bool notRun = head.result() == http::status::service_unavailable && headerText(head, header::verdict) == toString(verdict::not_run);
+        const auto seconds = notRun ? headerAmount(head, header::retryAfter) : std::nullopt;
+        if (!seconds)
+            return std::nullopt;
+        return toMilliseconds(*seconds);
+    }
+
 } // namespace
 
 result<std::unique_ptr<agent_server>> agent_server::start(process_context& context, agent_settings settings)
@@ -254,6 +270,30 @@
 void agent_server::takeNotice(const http_head& head)
 {
     m_intake.noteLimit(headerAmount(head, header::limitPerSecond), m_context.now());
+    if (const auto rest = restOf(head))
+        m_intake.noteRest(*rest, m_context.now());
+    if (headerText(head, header::leaving) == "1" && m_intake.noteLeaving()) {
+        logState("engine_leaving", "engine=" + m_settings.engine);
+        asio::co_spawn(m_context.io(), awaitEngineEnd(), asio::detached);
+    }
+}
+
+awaitable<void> agent_server::awaitEngineEnd()
+{
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    const auto endpoint = parseEndpoint(m_settings.engine);
+    for (bool ended = !endpoint; !ended;) {
+        tcp::socket socket(m_context.io());
+        const auto [refused] = co_await socket.async_connect(endpoint.value(), asTuple);
+        ended = !refused || refused == asio::error::connection_refused;
+        char byte = 0;
+        if (!refused)
+            co_await socket.async_read_some(asio::buffer(&byte, 1), asTuple);
+        else if (!ended)
+            co_await sleepFor(m_context.io(), engineLookPause);
+    }
+    m_intake.forget();
+    logState("engine_ended", "engine=" + m_settings.engine);
 }
 
 awaitable<std::optional<failure>> agent_server::callEngine(http_exchange& exchange, const work_order& order)
@@ -288,7 +328,14 @@
         co_return failed;
     }
     takeNotice(head.value());
+    if (const auto rest = restOf(head.value())) {
+        co_await call.readAll(longestRefusal);
+        if (once)
+            m_guard.ledger().release(*order.onceId);
+        co_return notRun(failure_reason::server_rest, "the engine asked for rest", rest);
+    }
     head.value().erase(std::string(header::limitPerSecond));
+    head.value().erase(std::string(header::leaving));
     const int status = static_cast<int>(head.value().result_int());
     const std::string contentType(head.value()[http::field::content_type]);
     addOwnHeaders(head.value());
--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -54,6 +54,9 @@
     awaitable<std::optional<failure>> callEngine(http_exchange&, const work_order&);
     // Keeps what the engine says of itself.
     void takeNotice(const http_head&);
+    // Returns when a connection to the engine ends, or none is let in: what comes next may be
+    // another life of it.
+    awaitable<void> awaitEngineEnd();
     // The engine ended a call after so many events.
     awaitable<void> noteLost(server_life, const work_order&, std::uint64_t events, instant sentAt);
     awaitable<void> refuse(http_exchange&, const failure&, const std::string& correlation);
--- a/Source/daemon/header_names.h
+++ b/Source/daemon/header_names.h
@@ -31,5 +31,7 @@
 
 // From an engine to its agent, in any answer: requests a second that it takes, a decimal number.
 inline constexpr std::string_view limitPerSecond = "Rampgap-Limit-Per-Second";
+// "1" in any answer of an engine that takes no new requests any more.
+inline constexpr std::string_view leaving = "Rampgap-Leaving";
 
 } // namespace rampgap::header
--- a/Source/daemon/http_message.cpp
+++ b/Source/daemon/http_message.cpp
@@ -39,6 +39,12 @@
     return error == std::errc() && end == text.data() + text.size() ? value : fallback;
 }
 
+milliseconds toMilliseconds(double seconds)
+{
+    constexpr double longest = 30.0 * 24 * 3'600;
+    return milliseconds(static_cast<std::int64_t>(std::ceil(std::min(seconds, longest) * millisecondsPerSecond)));
+}
+
 std::optional<double> headerAmount(const http::fields& fields, std::string_view name)
 {
     const std::string text = headerText(fields, name);
--- a/Source/daemon/http_message.h
+++ b/Source/daemon/http_message.h
@@ -25,6 +25,8 @@
 // A whole number from a header, or `fallback`.
 std::int64_t headerNumber(const http::fields&, std::string_view name, std::int64_t fallback);
 
+// Rounded up, and at the most a month.
+milliseconds toMilliseconds(double seconds);
 // A decimal number of 0 or more from a header; empty if it is absent or anything else.
 std::optional<double> headerAmount(const http::fields&, std::string_view name);
 
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -267,7 +267,8 @@
 
 void request_dispatcher::noteRefusal(backend_id id, const failure& refused)
 {
-    if (refused.reason == failure_reason::server_limit && refused.retryAfter)
+    const bool asksForLess = refused.reason == failure_reason::server_limit || refused.reason == failure_reason::server_rest;
+    if (asksForLess && refused.retryAfter)
         m_table.notePause(id, *refused.retryAfter, m_context.now());
     if (refused.reason == failure_reason::leaving)
         m_table.noteLeaving(id, m_context.now());
--- a/Source/harness/test_fleet.cpp
+++ b/Source/harness/test_fleet.cpp
@@ -80,17 +80,32 @@
     m_entries[name] = std::make_unique<child_process>("rampgap-entry", flags);
 }
 
-void test_fleet::addBackend(const backend_plan& plan)
+void test_fleet::startEngine(const backend_plan& plan, const std::string& listen)
 {
     const bool isService = plan.serves == "filings";
-    std::vector<std::string> flags { isService ? "service" : "engine", "--step-ms", "2", "--slots", std::to_string(plan.slots) };
+    std::vector<std::string> flags { isService ? "service" : "engine", "--listen", listen, "--step-ms", "2", "--slots", std::to_string(plan.slots) };
     flags.insert(flags.end(), plan.standinFlags.begin(), plan.standinFlags.end());
+    m_engines[plan.name] = std::make_unique<child_process>("rampgap-standin", flags);
+}
+
+void test_fleet::addBackend(const backend_plan& plan)
+{
     if (plan.engine.empty())
-        m_engines[plan.name] = std::make_unique<child_process>("rampgap-standin", flags);
+        startEngine(plan, "127.0.0.1:0");
     m_backends.push_back(plan);
     startAgent(plan.name, 0, 0);
 }
 
+void test_fleet::restartEngine(const std::string& name)
+{
+    const std::string address = engine(name).address();
+    m_engines.at(name).reset();
+    for (const auto& plan : m_backends) {
+        if (plan.name == name)
+            startEngine(plan, address);
+    }
+}
+
 void test_fleet::addEntry(const std::string& name, const std::string& zone)
 {
     m_entryZones[name] = zone;
--- a/Source/harness/test_fleet.h
+++ b/Source/harness/test_fleet.h
@@ -37,6 +37,8 @@
     // Starts a backend's agent anew, on the same ports, with empty memory.
     void restartAgent(const std::string& name);
     void restartEntry(const std::string& name);
+    // Ends a backend's engine and starts another at its address.
+    void restartEngine(const std::string& name);
 
     // The INI text of the body of a declaration for this fleet. `extra` is added to the
     // named backends' sections, for example "draining = yes".
@@ -76,6 +78,7 @@
 private:
     std::vector<std::string> settingFlags(const std::string& name, const std::string& zone, int httpPort, int peerPort) const;
     child_process& process(const std::string& name);
+    void startEngine(const backend_plan&, const std::string& listen);
     void startAgent(const std::string& name, int httpPort, int peerPort);
     void startEntry(const std::string& name, int httpPort, int peerPort);
 
--- a/Source/policy/engine_intake.h
+++ b/Source/policy/engine_intake.h
@@ -5,14 +5,20 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 namespace rampgap {
 
-// Of an engine with a limit; its agent is the only way to it, and counts for all entry VMs.
+// Of an engine that asks for less than it gets; its agent is the only way to it, and counts for all
+// entry VMs.
 class engine_intake {
 public:
     // An answer of the engine named this limit in requests a second, or none.
     void noteLimit(std::optional<double> perSecond, instant now);
+    // It turned a request away and wants none for so long. What it asked for before is not cut short.
+    void noteRest(milliseconds, instant now);
+    // It takes no new requests in this life. True if that is new.
+    bool noteLeaving() { return !std::exchange(m_leaving, true); }
     // The engine was started again: nothing that it said holds any more.
     void forget();
     // Takes one request of this entry VM in, or refuses it with the time after which it may come.
@@ -22,6 +28,8 @@
     milliseconds pauseFor(const std::string& entry, instant now);
 
     std::optional<double> m_perSecond;
+    instant m_restsUntil {};
+    bool m_leaving = false;
     double m_tokens = 0;
     instant m_filledAt {};
     // When each entry VM was last refused.
--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -139,6 +139,8 @@
 {
     if (!m_limit.empty())
         fields.set(header::limitPerSecond, m_limit);
+    if (m_leaving)
+        fields.set(header::leaving, "1");
 }
 
 void engine_standin::countRun(const http_request& request)
@@ -165,6 +167,13 @@
         co_await exchange.send(makeResponse(503, "text/plain", "refusing\n"));
         co_return;
     }
+    if (!m_rest.empty()) {
+        ++m_turnedAway;
+        auto refusal = makeFailure(notRun(failure_reason::queue_full, "asks for rest"));
+        refusal.set(header::retryAfter, m_rest);
+        co_await exchange.send(std::move(refusal));
+        co_return;
+    }
     countRun(exchange.request());
     if (m_flags.kind == "service")
         co_await callService(exchange);
@@ -254,6 +263,10 @@
         m_refuse = refuse == "1";
     if (const std::string limit = queryValue(target, "limit"); !limit.empty())
         m_limit = limit == "none" ? "" : limit;
+    if (const std::string rest = queryValue(target, "rest"); !rest.empty())
+        m_rest = rest == "none" ? "" : rest;
+    if (const std::string leaving = queryValue(target, "leaving"); !leaving.empty())
+        m_leaving = leaving == "1";
     if (const std::string word = queryValue(target, "crash_on"); !word.empty())
         m_crashOn = word;
     return makeResponse(200, "text/plain", "ok\n");
@@ -267,7 +280,7 @@
         most = std::max(most, count);
         byKey[key] = count;
     }
-    return makeResponse(200, "application/json", json::serialize(json::object { { "total", m_totalRuns }, { "most_per_key", most }, { "cancelled", m_cancelled }, { "in_batch", m_sequences.size() }, { "runs", std::move(byKey) } }));
+    return makeResponse(200, "application/json", json::serialize(json::object { { "total", m_totalRuns }, { "most_per_key", most }, { "cancelled", m_cancelled }, { "in_batch", m_sequences.size() }, { "turned_away", m_turnedAway }, { "runs", std::move(byKey) } }));
 }
 
 } // namespace rampgap::standin
--- a/Tests/requests/limited-engine/test.cpp
+++ b/Tests/requests/limited-engine/test.cpp
@@ -22,17 +22,18 @@
     return std::atoi(body.c_str() + body.find(':') + 1);
 }
 
-// Callers at all entry VMs, until the time is over; returns how many were not served.
+// Callers at all entry VMs, with prompts that no engine has seen, until the time is over; returns how many were not served.
 int askAll(test_fleet& fleet, std::chrono::seconds length)
 {
+    static std::atomic<int> prompts = 0;
     std::atomic<int> unserved = 0;
     std::vector<std::thread> callers;
     for (const auto& name : fleet.entryNames()) {
         callers.emplace_back([&, name] {
             test_client client(fleet.entry(name).address());
             const auto end = std::chrono::steady_clock::now() + length;
-            for (int i = 0; std::chrono::steady_clock::now() < end; ++i)
-                unserved += client.send(completion(smallKey, "assistant", name + std::to_string(i), 1, false)).status == 200 ? 0 : 1;
+            while (std::chrono::steady_clock::now() < end)
+                unserved += client.send(completion(smallKey, "assistant", "prompt " + std::to_string(++prompts), 1, false)).status == 200 ? 0 : 1;
         });
     }
     for (auto& caller : callers)
--- /dev/null
+++ b/Tests/requests/resting-engine/test.cpp
@@ -0,0 +1,93 @@
+// An engine that asks its agent for rest, or says that it leaves, gets nothing more; callers are served elsewhere.
+#include "harness/test_fleet.h"
+#include "policy/engine_intake.h"
+
+#include <doctest/doctest.h>
+
+using namespace rampgap::test;
+using namespace rampgap;
+
+namespace {
+
+constexpr int asked = 60;
+
+// A number that the engine behind a backend tells of itself.
+int countAt(test_fleet& fleet, const std::string& name, const std::string& count)
+{
+    const std::string body = get(fleet.engine(name).address(), "/standin/runs").body;
+    return std::atoi(body.c_str() + body.find(':', body.find('"' + count + '"')) + 1);
+}
+
+// Prompts that no engine has seen, so that none is preferred for having kept one.
+void serve(test_fleet& fleet)
+{
+    static int prompts = 0;
+    for (const auto& name : fleet.entryNames()) {
+        test_client client(fleet.entry(name).address());
+        for (int i = 0; i < asked; ++i)
+            CHECK(client.send(completion(smallKey, "assistant", "prompt " + std::to_string(++prompts), 1, false)).status == 200);
+    }
+}
+
+void startTwo(test_fleet& fleet)
+{
+    fleet.addBackend({ "a1", "lac", "assistant", 8, {} });
+    fleet.addBackend({ "a2", "lac", "assistant", 8, {} });
+    fleet.addEntry("e1", "lac");
+    fleet.addEntry("e2", "lac");
+    fleet.startServing();
+}
+
+instant at(int ms) { return instant(std::chrono::hours(1)) + milliseconds(ms); }
+
+} // namespace
+
+TEST_CASE("an engine that asked for rest gets nothing until its end")
+{
+    test_fleet fleet;
+    startTwo(fleet);
+    post(fleet.engine("a1").address(), "/standin/faults?rest=1.5");
+    serve(fleet);
+    CHECK(countAt(fleet, "a1", "turned_away") >= 1);
+    // One of each entry VM may be under way as the first is turned away.
+    CHECK(countAt(fleet, "a1", "turned_away") <= 2);
+    post(fleet.engine("a1").address(), "/standin/faults?rest=none");
+    const int before = countAt(fleet, "a1", "total");
+    CHECK(eventually([&] {
+        serve(fleet);
+        return countAt(fleet, "a1", "total") > before;
+    }));
+}
+
+TEST_CASE("an engine that says that it leaves gets nothing more until it was started again")
+{
+    test_fleet fleet;
+    startTwo(fleet);
+    post(fleet.engine("a1").address(), "/standin/faults?leaving=1");
+    serve(fleet);
+    const int before = countAt(fleet, "a1", "total");
+    serve(fleet);
+    CHECK(countAt(fleet, "a1", "total") == before);
+    fleet.restartEngine("a1");
+    CHECK(eventually([&] {
+        serve(fleet);
+        return countAt(fleet, "a1", "total") > 0;
+    }));
+}
+
+TEST_CASE("an engine's rest is not cut short, and what it said ends with its life")
+{
+    engine_intake intake;
+    intake.noteRest(milliseconds(3'000), at(0));
+    intake.noteRest(milliseconds(500), at(100));
+    const auto refused = intake.enter("e1", at(1'000));
+    REQUIRE_FALSE(refused.has_value());
+    CHECK((refused.error().reason == failure_reason::server_rest));
+    CHECK((refused.error().retryAfter == milliseconds(2'000)));
+    CHECK(intake.enter("e1", at(3'000)).has_value());
+    CHECK(intake.noteLeaving());
+    CHECK_FALSE(intake.noteLeaving());
+    CHECK((intake.enter("e1", at(3'000)).error().reason == failure_reason::leaving));
+    intake.forget();
+    CHECK(intake.enter("e1", at(3'000)).has_value());
+}
