--- a/Tests/requests/limited-engine/test.cpp
+++ b/Tests/requests/limited-engine/test.cpp
@@ -1,6 +1,5 @@
 // An engine that names a limit gets what it takes from all entry VMs together, and the others the rest.
 #include "harness/test_fleet.h"
-#include "policy/engine_intake.h"
 
 #include <atomic>
 #include <chrono>
@@ -8,7 +7,6 @@
 #include <thread>
 
 using namespace rampgap::test;
-using namespace rampgap;
 
 namespace {
 
@@ -41,8 +39,6 @@
     return unserved;
 }
 
-instant at(int ms) { return instant(std::chrono::hours(1)) + milliseconds(ms); }
-
 } // namespace
 
 TEST_CASE("an engine that names a limit gets no more than that from all entry VMs together")
@@ -67,46 +63,3 @@
     askAll(fleet, std::chrono::seconds(2));
     CHECK(runsAt(fleet, "a1") - ended > 2 * limitPerSecond * 2);
 }
-
-TEST_CASE("an engine's limit holds from its first word to a word without it, or to the end of its life")
-{
-    engine_intake intake;
-    CHECK(intake.enter("e1", at(0)).has_value());
-    intake.noteLimit(2.0, at(0));
-    CHECK_FALSE(intake.enter("e1", at(0)).has_value());
-    int taken = 0;
-    for (int now = 0; now < 10'000; now += 10)
-        taken += intake.enter("e1", at(now)).has_value() ? 1 : 0;
-    CHECK(taken >= 18);
-    CHECK(taken <= 22);
-    intake.noteLimit(std::nullopt, at(10'000));
-    CHECK(intake.enter("e1", at(10'000)).has_value());
-    intake.noteLimit(2.0, at(10'000));
-    intake.forget();
-    CHECK(intake.enter("e1", at(10'000)).has_value());
-}
-
-TEST_CASE("entry VMs that an engine's limit refused are given turns, not one moment")
-{
-    engine_intake intake;
-    intake.noteLimit(1.0, at(0));
-    milliseconds last { 0 };
-    for (const std::string entry : { "e1", "e2", "e3", "e4" }) {
-        const auto refused = intake.enter(entry, at(0));
-        REQUIRE_FALSE(refused.has_value());
-        CHECK((refused.error().reason == failure_reason::server_limit));
-        CHECK(refused.error().retryAfter.value() > last);
-        last = refused.error().retryAfter.value();
-    }
-}
-
-TEST_CASE("an engine that takes nothing is tried now and then")
-{
-    engine_intake intake;
-    intake.noteLimit(0.0, at(0));
-    int taken = 0;
-    for (int now = 0; now < 60'000; now += 100)
-        taken += intake.enter("e1", at(now)).has_value() ? 1 : 0;
-    CHECK(taken >= 5);
-    CHECK(taken <= 7);
-}
--- a/Tests/requests/resting-engine/test.cpp
+++ b/Tests/requests/resting-engine/test.cpp
@@ -1,11 +1,9 @@
 // An engine that asks its agent for rest, or says that it leaves, gets nothing more; callers are served elsewhere.
 #include "harness/test_fleet.h"
-#include "policy/engine_intake.h"
 
 #include <doctest/doctest.h>
 
 using namespace rampgap::test;
-using namespace rampgap;
 
 namespace {
 
@@ -38,8 +36,6 @@
     fleet.startServing();
 }
 
-instant at(int ms) { return instant(std::chrono::hours(1)) + milliseconds(ms); }
-
 } // namespace
 
 TEST_CASE("an engine that asked for rest gets nothing until its end")
@@ -74,20 +70,3 @@
         return countAt(fleet, "a1", "total") > 0;
     }));
 }
-
-TEST_CASE("an engine's rest is not cut short, and what it said ends with its life")
-{
-    engine_intake intake;
-    intake.noteRest(milliseconds(3'000), at(0));
-    intake.noteRest(milliseconds(500), at(100));
-    const auto refused = intake.enter("e1", at(1'000));
-    REQUIRE_FALSE(refused.has_value());
-    CHECK((refused.error().reason == failure_reason::server_rest));
-    CHECK((refused.error().retryAfter == milliseconds(2'000)));
-    CHECK(intake.enter("e1", at(3'000)).has_value());
-    CHECK(intake.noteLeaving());
-    CHECK_FALSE(intake.noteLeaving());
-    CHECK((intake.enter("e1", at(3'000)).error().reason == failure_reason::leaving));
-    intake.forget();
-    CHECK(intake.enter("e1", at(3'000)).has_value());
-}
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -72,6 +72,18 @@
     ("copies_side_by_side", "crash_history.cpp", "trial != m_trials.end() && now < trial->second", "false", "platform/suspected-request"),
     ("common_crash_blames", "crash_history.cpp", " && !hasCrashBeside(crash, held->second)", "", "platform/suspected-request"),
     ("alive_taken_for_crashed", "crash_detector.cpp", "std::erase_if(held->second.calls, [now](const lost_call& call) { return call.lostAt <= now; });", "", "platform/crash-detection"),
+    ("limit_for_each_vm", "server_limits.cpp", "if (!limitOf(server, now))\n        return true;\n    const auto own", "if (limitOf(server, now))\n        return true;\n    const auto own", "platform/server-limit"),
+    ("grants_beyond_the_limit", "grant_office.cpp", "static_cast<int>(held.tokens - reserve)", "question.wanted", "platform/server-limit"),
+    ("arbiter_begins_full", "grant_office.cpp", "held.tokens -= granted;", "", "platform/server-limit"),
+    ("part_of_the_fleet_grants_all", "grant_office.cpp", "leastPerSecond) * part()", "leastPerSecond)", "platform/server-limit"),
+    ("limit_outlives_the_life", "server_limits.cpp", "m_forgotten[server] = now;", "", "platform/server-limit"),
+    ("grants_never_void", "server_limits.cpp", "return end > now && end <= voidFrom;", "return end <= voidFrom;", "platform/server-limit"),
+    ("less_urgent_take_it", "server_limits.cpp", "moreUrgentUnserved(priority, now) ? now + grantLife / 2 : instant::max()", "instant::max()", "platform/server-limit"),
+    ("rest_cut_short", "server_rests.cpp", "std::max(held.until, now + std::min(asked, longestRest))", "now + std::min(asked, longestRest)", "platform/server-rest"),
+    ("all_at_once_after_a_rest", "server_rests.cpp", "held->second.triedAt = now;", "held->second.triedAt.reset();", "platform/server-rest"),
+    ("answer_ends_rest", "server_rests.cpp", " && now >= held->second.until", "", "platform/server-rest"),
+    ("list_outweighs_leaving", "backend_directory.cpp", " || m_leaving.contains(id)", "", "platform/backend-list"),
+    ("engine_limit_for_each_vm", "engine_intake.cpp", "if (m_tokens < 1)", "if (false)", "requests/engine-intake"),
     ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
 ]
 
