--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -2,7 +2,6 @@
 
 #include "daemon/caller_watch.h"
 #include "gateway/held_caller.h"
-#include "policy/admission_wait.h"
 #include "policy/group_wait.h"
 #include "policy/silence_limit.h"
 #include "policy/try_rules.h"
@@ -27,12 +26,6 @@
     // A server that says nothing for so long may have crashed without a word; other gaps last up to
     // half a second.
     constexpr milliseconds longSilence { 1'000 };
-    constexpr milliseconds noBackendRetryAfter { 300 };
-    // The arbiter of a server's limit answers within a round trip or two between zones.
-    constexpr milliseconds longestGrantWait { 60 };
-    constexpr milliseconds grantPoll { 5 };
-    // Over so long those come back whom all servers asked for rest.
-    constexpr milliseconds returnSpread { 300 };
     constexpr milliseconds fullRetryAfter { 200 };
 
     // Longest body of a refusal that is read for the sake of keeping the connection.
@@ -60,6 +53,7 @@
     , m_client(context, serverConnectTimeout)
     , m_crashes(context, log, state, history)
     , m_places(context, state, loads, groups, wishes)
+    , m_picker(context, log, state, loads, groups, wishes)
     , m_budget(bounds, context.startedAt())
 {
     m_history.onChange([this](request_fingerprint request) { takeBackCopies(request); });
@@ -100,8 +94,10 @@
             co_return closed;
         if (exchange.callerGone())
             co_return std::nullopt;
-        if (auto resting = allRest(request, state))
+        if (auto resting = m_picker.allRest(request)) {
+            resting->ran = state.worst;
             co_return resting;
+        }
         const auto place = co_await m_places.take(exchange, request, state.relay.begun, last.has_value());
         if (exchange.callerGone())
             co_return std::nullopt;
@@ -112,22 +108,22 @@
             co_return refused;
         if (last && !takeRetry(request, *last))
             co_return last->failed;
-        const std::string id = co_await takeServer(exchange, request, state);
+        const std::string id = co_await m_picker.take(exchange, request, state.tried);
         if (exchange.callerGone())
             co_return std::nullopt;
         if (id.empty()) {
             if (last)
                 co_return last->failed;
-            co_return noServer(request, state);
+            co_return m_picker.none(request);
         }
         const listed_backend backend = *m_state.backends().find(id);
-        state.tried.push_back(id);
+        state.tried.all.push_back(id);
         state.lastBackend = id;
         last = co_await tryOn(exchange, request, state, backend);
         if (!last->failed)
             co_return std::nullopt;
         if (last->result == try_result::silent || last->result == try_result::unreachable)
-            state.silent.push_back(id);
+            state.tried.silent.push_back(id);
         // Once a try may have run, so may the request: a later refusal cannot take it back.
         state.worst = std::max(state.worst, last->failed->ran);
         last->failed->ran = state.worst;
@@ -181,92 +177,6 @@
     co_return failure { state.worst, failure_reason::no_backend, "no expert group of the service has been open for " + std::to_string(m_groups.closedFor(request.service, m_context.now()).count()) + " ms", decision.retryAfter };
 }
 
-std::string upstream_dispatcher::chooseServer(const admitted_request& request, const progress& state)
-{
-    const instant now = m_context.now();
-    const upstream_question question { request.service, request.costs, request.said.promptTokens, state.tried, state.silent, m_context.zone(), now, request.priority, request.route.gapTarget };
-    return m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_wishes, m_context.random());
-}
-
-// A grant may be used by another request while this one is held: whoever finds a server takes it
-// in the same step.
-awaitable<std::string> upstream_dispatcher::takeServer(http_exchange& exchange, const admitted_request& request, const progress& state)
-{
-    if (m_wishes.limits.any())
-        m_wishes.limits.want(request.service, serversOf(request.service), request.priority, m_context.now());
-    const instant until = m_context.now() + longestGrantWait;
-    std::string id = chooseServer(request, state);
-    while (id.empty() && m_context.now() < until && awaitsGrant(request) && !exchange.callerGone()) {
-        std::function<bool()> missing = [this, &request] { return awaitsGrant(request); };
-        co_await holdCaller(m_context, exchange, std::move(missing), until, grantPoll);
-        id = chooseServer(request, state);
-    }
-    if (!id.empty())
-        m_wishes.use(backendHash(id), m_context.now());
-    co_return id;
-}
-
-std::vector<server_hash> upstream_dispatcher::serversOf(const std::string& service) const
-{
-    std::vector<server_hash> servers;
-    for (const auto& id : m_state.backends().pool(service))
-        servers.push_back(backendHash(id));
-    return servers;
-}
-
-bool upstream_dispatcher::awaitsGrant(const admitted_request& request) const
-{
-    const auto servers = serversOf(request.service);
-    return std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_wishes.limits.awaitsAnswer(server, m_context.now()); });
-}
-
-// Nobody is held for servers that are known to take nothing. Callers who come back a little after
-// the first rest, each at a moment of its own, do not meet there.
-std::optional<failure> upstream_dispatcher::allRest(const admitted_request& request, const progress& state)
-{
-    const instant now = m_context.now();
-    const auto pause = m_wishes.rests.untilFirst(serversOf(request.service), now);
-    if (!pause)
-        return std::nullopt;
-    const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
-    const auto spread = std::chrono::duration_cast<milliseconds>(returnSpread * draw);
-    return failure { state.worst, failure_reason::queue_full, "all servers of the service asked for rest", *pause + spread };
-}
-
-// Callers who come back at moments of their own find what the servers take by then.
-failure upstream_dispatcher::noServer(const admitted_request& request, const progress& state)
-{
-    if (auto resting = allRest(request, state))
-        return *resting;
-    const instant now = m_context.now();
-    const auto servers = serversOf(request.service);
-    const bool limited = std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_wishes.limits.limitOf(server, now).has_value(); });
-    if (!limited)
-        return notRun(failure_reason::no_backend, "no backend server is listed for the service", noBackendRetryAfter);
-    m_wishes.limits.noteUnserved(request.priority, now);
-    const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
-    return notRun(failure_reason::queue_full, "the service's servers take no more requests now", backlogPause(request.timeLeft(now), draw));
-}
-
-// Another server's words are not those of the one that was asked, nor are bytes that are no answer.
-void upstream_dispatcher::takeNotice(const listed_backend& backend, reply_kind kind, const server_notice& notice)
-{
-    if (kind != reply_kind::answer && kind != reply_kind::not_executed)
-        return;
-    const instant now = m_context.now();
-    const server_hash server = backendHash(backend.id);
-    if (notice.leaving && m_state.backends().noteLeaving(backend.id, now))
-        m_log.line("backend_leaving").add("backend", backend.id).add("source", "answer");
-    if (notice.rest)
-        m_wishes.rests.noteAsked(server, *notice.rest, now);
-    else
-        m_wishes.rests.noteAnswered(server, now);
-    const auto before = m_wishes.limits.limitOf(server, now);
-    m_wishes.limits.noteAnswer(server, notice.limitPerSecond, now);
-    if (before.has_value() != notice.limitPerSecond.has_value())
-        m_log.line("server_limit").add("backend", backend.id).add("backend_hash", server).add("limit_per_s", notice.limitPerSecond.value_or(-1)).add("source", "answer");
-}
-
 void upstream_dispatcher::setSharers(std::size_t entries, std::size_t mostEntries)
 {
     m_places.setEntries(entries);
@@ -285,7 +195,7 @@
 bool upstream_dispatcher::mayRepeat(const admitted_request& request, const progress& state, const try_outcome& last)
 {
     const bool resumable = request.route.repeat == repeat_rule::streaming && request.route.resumable;
-    return mayTryAgain({ last.failed->ran, request.route.repeatable(), resumable, request.route.maxAttempts, state.runs, state.tried.size(), state.relay.begun });
+    return mayTryAgain({ last.failed->ran, request.route.repeatable(), resumable, request.route.maxAttempts, state.runs, state.tried.all.size(), state.relay.begun });
 }
 
 bool upstream_dispatcher::takeRetry(const admitted_request& request, const try_outcome& last)
@@ -385,7 +295,7 @@
 {
     http_call& call = underWay.call();
     const reply_verdict reply = m_codec.judge(head, request.said);
-    takeNotice(backend, reply.kind, state.notice);
+    m_picker.takeNotice(backend, reply.kind, state.notice);
     if (reply.kind == reply_kind::not_executed || reply.kind == reply_kind::wrong_server) {
         co_await drop(call);
         const bool replaced = reply.kind == reply_kind::wrong_server;
@@ -469,7 +379,7 @@
 void upstream_dispatcher::logTry(const admitted_request& request, const progress& state, const listed_backend& backend, const try_outcome& outcome, instant sentAt)
 {
     auto line = m_log.requestLine("try_ended");
-    line.add("request", request.said.id).add("fingerprint", toString(state.fingerprint)).add("backend", backend.id).add("address", backend.address).add("try", state.tried.size());
+    line.add("request", request.said.id).add("fingerprint", toString(state.fingerprint)).add("backend", backend.id).add("address", backend.address).add("try", state.tried.all.size());
     line.add("waited_ms", sentAt - request.receivedAt).add("took_ms", m_context.now() - sentAt).add("load", m_loads.total(backend.id, m_context.now()).requests).add("events", state.relay.events);
     if (const auto age = m_groups.newsAge(request.service, backendHash(backend.id), m_context.now()))
         line.add("group_news_ms", *age);
@@ -492,7 +402,7 @@
     m_context.counters().countFailure(failed);
     auto line = m_log.requestLine("request_failed");
     line.add("request", request.said.id).add("fingerprint", toString(state.fingerprint)).add("route", request.route.name).add("service", request.service).add("age_ms", m_context.now() - request.receivedAt);
-    line.add("tries", state.tried.size()).add("verdict", toString(failed.ran)).add("reason", toString(failed.reason)).add("detail", failed.message);
+    line.add("tries", state.tried.all.size()).add("verdict", toString(failed.ran)).add("reason", toString(failed.reason)).add("detail", failed.message);
     line.add("version", m_state.configuration() ? m_state.configuration()->version() : 0);
     if (exchange.callerGone())
         co_return;
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -6,9 +6,9 @@
 #include "gateway/crash_reporter.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/place_giver.h"
+#include "gateway/upstream_picker.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
-#include "policy/upstream_choice.h"
 
 namespace rampgap {
 
@@ -32,9 +32,7 @@
     // How far one request has come.
     struct progress {
         request_fingerprint fingerprint;
-        std::vector<std::string> tried;
-        // Of those, the ones that stayed silent or could not be reached.
-        std::vector<std::string> silent;
+        tried_servers tried;
         // Tries that a server may have run.
         int runs = 0;
         relay_progress relay;
@@ -56,17 +54,6 @@
     // Set if no server may run the request now, since some crashed under it.
     std::optional<failure> barred(const admitted_request&, const progress&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
-    // The server for the next try, with a grant where it has a limit; empty if there is none.
-    awaitable<std::string> takeServer(http_exchange&, const admitted_request&, const progress&);
-    std::string chooseServer(const admitted_request&, const progress&);
-    // True while the answer to a question for a grant may bring a server.
-    bool awaitsGrant(const admitted_request&) const;
-    std::vector<server_hash> serversOf(const std::string& service) const;
-    failure noServer(const admitted_request&, const progress&);
-    // Set if each server of the service has asked this process for rest.
-    std::optional<failure> allRest(const admitted_request&, const progress&);
-    // Keeps what the server said of itself.
-    void takeNotice(const listed_backend&, reply_kind, const server_notice&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
     awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, call_registry::registration&, http_head, instant sentAt, std::int64_t& unread);
     // Until when a try may stay without an answer.
@@ -101,8 +88,8 @@
     call_registry m_calls;
     crash_reporter m_crashes;
     place_giver m_places;
+    upstream_picker m_picker;
     shared_retry_budget m_budget;
-    upstream_choice m_choice;
 };
 
 } // namespace rampgap
--- a/Source/policy/server_rests.h
+++ b/Source/policy/server_rests.h
@@ -18,6 +18,8 @@
     // A request is sent to it now.
     void use(server_hash, instant now);
 
+    // True if any server has asked for rest, as far as is remembered.
+    bool any() const { return !m_rests.empty(); }
     bool maySend(server_hash server, instant now) const { return remaining(server, now) <= duration(0); }
     // Until a request may be sent to it; 0 or less: now.
     duration remaining(server_hash, instant now) const;
