--- a/Tests/platform/limit-exchange/test.cpp
+++ b/Tests/platform/limit-exchange/test.cpp
@@ -3,9 +3,11 @@
 #include "gateway/limit_exchange.h"
 
 #include "daemon/boot_timer.h"
+#include "gateway/peer_wire.h"
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <doctest/doctest.h>
+#include <limits>
 #include <memory>
 #include <set>
 #include <thread>
@@ -29,7 +31,7 @@
 public:
     node(network&, process_context&, decision_log&, const std::string& host);
 
-    gateway::peer_datagram makeDatagram() const override { return {}; }
+    gateway::peer_datagram makeDatagram() const override;
     void send(const std::string& host, const gateway::peer_datagram&) override;
     bool maySend() const { return limits.maySend(server, usual, boot_clock::now()); }
     void want() { limits.want("s", { server }, usual, boot_clock::now()); }
@@ -97,6 +99,16 @@
     limits.onQuestions([this] { exchange.ask(); });
 }
 
+// With as much as a real one says of its sender.
+gateway::peer_datagram node::makeDatagram() const
+{
+    gateway::peer_datagram datagram;
+    *datagram.mutable_sender() = toWire({ "127.199.199.199", "a-zone-with-a-long-name", peer_role::entry, std::numeric_limits<std::uint64_t>::max() });
+    setSummary(datagram, state_summary { { 1'000, 1'000'000 }, 1 });
+    datagram.set_crash_digest(1);
+    return datagram;
+}
+
 void node::send(const std::string& to, const gateway::peer_datagram& datagram)
 {
     wires.deliver(host, to, datagram);
