policy, gateway, agent: backpressure and backoff in the place of wishes and rest

Names only: what a server asks for in its answers is its backpressure (server_backpressure), and the time for which it wants nothing from a VM a backoff (server_backoffs, server_backoff, backoff_ms in the log), as the field says.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -35,7 +35,7 @@
     }
 
     // How long the engine, which has not run the request, wants no more of them.
-    std::optional<milliseconds> restOf(const http_head& head)
+    std::optional<milliseconds> backoffOf(const http_head& head)
     {
         const bool notRun = head.result() == http::status::service_unavailable && headerText(head, header::verdict) == toString(verdict::not_run);
         const auto seconds = notRun ? headerAmount(head, header::retryAfter) : std::nullopt;
@@ -270,8 +270,8 @@
 void agent_server::takeNotice(const http_head& head)
 {
     m_intake.noteLimit(headerAmount(head, header::limitPerSecond), m_context.now());
-    if (const auto rest = restOf(head))
-        m_intake.noteRest(*rest, m_context.now());
+    if (const auto backoff = backoffOf(head))
+        m_intake.noteBackoff(*backoff, m_context.now());
     if (headerText(head, header::leaving) == "1" && m_intake.noteLeaving()) {
         logState("engine_leaving", "engine=" + m_settings.engine);
         asio::co_spawn(m_context.io(), awaitEngineEnd(), asio::detached);
@@ -328,11 +328,11 @@
         co_return failed;
     }
     takeNotice(head.value());
-    if (const auto rest = restOf(head.value())) {
+    if (const auto backoff = backoffOf(head.value())) {
         co_await call.readAll(longestRefusal);
         if (once)
             m_guard.ledger().release(*order.onceId);
-        co_return notRun(failure_reason::server_rest, "the engine asked for rest", rest);
+        co_return notRun(failure_reason::server_backoff, "the engine asked to back off", backoff);
     }
     head.value().erase(std::string(header::limitPerSecond));
     head.value().erase(std::string(header::leaving));
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -267,7 +267,7 @@
 
 void request_dispatcher::noteRefusal(backend_id id, const failure& refused)
 {
-    const bool asksForLess = refused.reason == failure_reason::server_limit || refused.reason == failure_reason::server_rest;
+    const bool asksForLess = refused.reason == failure_reason::server_limit || refused.reason == failure_reason::server_backoff;
     if (asksForLess && refused.retryAfter)
         m_table.notePause(id, *refused.retryAfter, m_context.now());
     if (refused.reason == failure_reason::leaving)
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -76,7 +76,7 @@
     , m_state(context, log, m_adapter.decoder, milliseconds(0))
     , m_loads(loadReportLife)
     , m_groups(groupNewsLife)
-    , m_dispatcher(context, log, m_adapter.codec, m_state, m_loads, m_groups, m_history, m_wishes, m_settings.retries)
+    , m_dispatcher(context, log, m_adapter.codec, m_state, m_loads, m_groups, m_history, m_backpressure, m_settings.retries)
     , m_front(context, log, m_adapter.codec, m_state, m_dispatcher, freshness_rule(m_settings.strictRevocation, m_settings.revocationBound, readingMargin))
     , m_follower(context, log, m_adapter.source, m_state, watchWait)
     , m_signals(context.io(), SIGTERM, SIGINT, SIGHUP)
@@ -95,7 +95,7 @@
         return opened.error();
     process->m_state.onConfiguration([raw = process.get()] { raw->applyLimits(); });
     process->m_state.onRestart([raw = process.get()](const listed_backend& backend) { raw->m_dispatcher.noteRestart(backend); });
-    process->m_wishes.limits.onQuestions([raw = process.get()] { raw->m_peers->askForGrants(); });
+    process->m_backpressure.limits.onQuestions([raw = process.get()] { raw->m_peers->askForGrants(); });
     process->m_dispatcher.onCrash([raw = process.get()] { raw->m_peers->tellCrashes(); });
     process->m_history.setTrialChoice([raw = process.get()](request_fingerprint request) { return raw->m_peers->peers().isPickedEntry(toString(request)); });
     process->m_follower.setWanted([raw = process.get()] { return raw->wantsToRead(); });
@@ -153,7 +153,7 @@
     peer_exchange_settings exchange;
     exchange.datagramPort = m_settings.firstPeerPort;
     exchange.controlPort = portOf(m_settings.controlAddress);
-    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, m_groups, m_history, m_wishes.limits, peer_table(selfOf(m_context, m_settings), m_settings.seedHosts, peerSilence), exchange);
+    auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, m_groups, m_history, m_backpressure.limits, peer_table(selfOf(m_context, m_settings), m_settings.seedHosts, peerSilence), exchange);
     if (!peers)
         return peers.error();
     m_peers = std::move(peers.value());
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -61,7 +61,7 @@
     load_board m_loads;
     group_board m_groups;
     crash_history m_history;
-    server_wishes m_wishes;
+    server_backpressure m_backpressure;
     upstream_dispatcher m_dispatcher;
     gateway_server m_front;
     store_follower m_follower;
--- a/Source/gateway/place_giver.cpp
+++ b/Source/gateway/place_giver.cpp
@@ -23,12 +23,12 @@
     gate.reserve(lastChanceUrgency, lastChanceNth);
 }
 
-place_giver::place_giver(process_context& context, fleet_state& state, load_board& loads, group_board& groups, const server_wishes& wishes)
+place_giver::place_giver(process_context& context, fleet_state& state, load_board& loads, group_board& groups, const server_backpressure& backpressure)
     : m_context(context)
     , m_state(state)
     , m_loads(loads)
     , m_groups(groups)
-    , m_wishes(wishes)
+    , m_backpressure(backpressure)
 {
 }
 
@@ -69,7 +69,7 @@
     const instant now = m_context.now();
     const milliseconds gap = timelyPass(request.route.gapTarget);
     const pool_question question { request.service, request.costs, gap, own.run.mean(), now };
-    const pool_load load = poolLoad(question, m_state.backends(), m_loads, m_groups, m_wishes);
+    const pool_load load = poolLoad(question, m_state.backends(), m_loads, m_groups, m_backpressure);
     own.busyPart = load.capacity > 0 ? static_cast<double>(load.requests) / load.capacity : 1;
     own.gate.setSlots(admissionShare({ load.toRun, load.requests, own.gate.queue().running(), m_entries, m_groups.openFor(request.service, now) }));
 }
--- a/Source/gateway/place_giver.h
+++ b/Source/gateway/place_giver.h
@@ -7,7 +7,7 @@
 #include "policy/delay_estimate.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
-#include "policy/server_wishes.h"
+#include "policy/server_backpressure.h"
 
 #include <map>
 
@@ -15,7 +15,7 @@
 
 class place_giver {
 public:
-    place_giver(process_context&, fleet_state&, load_board&, group_board&, const server_wishes&);
+    place_giver(process_context&, fleet_state&, load_board&, group_board&, const server_backpressure&);
 
     // Waits for a place, as long as that serves the caller. `begun`: a stream that was cut off
     // and is to go on. `again`: it has been at a server, so that its caller may have no other
@@ -55,7 +55,7 @@
     fleet_state& m_state;
     load_board& m_loads;
     group_board& m_groups;
-    const server_wishes& m_wishes;
+    const server_backpressure& m_backpressure;
     std::map<std::string, desk> m_desks;
     std::size_t m_entries = 1;
 };
--- a/Source/gateway/request_codec.h
+++ b/Source/gateway/request_codec.h
@@ -75,7 +75,7 @@
     // Requests a second that it takes from all VMs together; empty: any number.
     std::optional<double> limitPerSecond;
     // It turned the request away and wants nothing from this process for so long.
-    std::optional<milliseconds> rest;
+    std::optional<milliseconds> backoff;
     // It takes no new requests any more.
     bool leaving = false;
     // Names of headers whose values cannot be read, for the log.
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, server_wishes& wishes, retry_bounds bounds)
+upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_board& loads, group_board& groups, crash_history& history, server_backpressure& backpressure, retry_bounds bounds)
     : m_context(context)
     , m_log(log)
     , m_codec(codec)
@@ -49,11 +49,11 @@
     , m_loads(loads)
     , m_groups(groups)
     , m_history(history)
-    , m_wishes(wishes)
+    , m_backpressure(backpressure)
     , m_client(context, serverConnectTimeout)
     , m_crashes(context, log, state, history)
-    , m_places(context, state, loads, groups, wishes)
-    , m_picker(context, log, state, loads, groups, wishes)
+    , m_places(context, state, loads, groups, backpressure)
+    , m_picker(context, log, state, loads, groups, backpressure)
     , m_budget(bounds, context.startedAt())
 {
     m_history.onChange([this](request_fingerprint request) { takeBackCopies(request); });
@@ -94,9 +94,9 @@
             co_return closed;
         if (exchange.callerGone())
             co_return std::nullopt;
-        if (auto resting = m_picker.allRest(request)) {
-            resting->ran = state.worst;
-            co_return resting;
+        if (auto refused = m_picker.allBackOff(request)) {
+            refused->ran = state.worst;
+            co_return refused;
         }
         const auto place = co_await m_places.take(exchange, request, state.relay.begun, last.has_value());
         if (exchange.callerGone())
@@ -186,7 +186,7 @@
 void upstream_dispatcher::noteRestart(const listed_backend& backend)
 {
     m_client.forgetIdle(backend.address);
-    m_wishes.forget(backendHash(backend.id), m_context.now());
+    m_backpressure.forget(backendHash(backend.id), m_context.now());
     const std::size_t ended = m_calls.end(backend.id);
     if (ended > 0)
         m_log.line("calls_ended").add("backend", backend.id).add("calls", ended).add("reason", "the server was started again");
@@ -212,11 +212,11 @@
 
 // A rank that no leader has counted may belong to a group that this process never heard of;
 // but a process that has just started has heard of none, and a group that started with it is
-// still forming. A server that asks for rest speaks for itself: taken for a closed group it made
+// still forming. A server that asks to back off speaks for itself: taken for a closed group it made
 // callers wait though other ranks had room.
 void upstream_dispatcher::noteRefusal(const admitted_request& request, const listed_backend& backend, const server_notice& notice)
 {
-    if (notice.rest)
+    if (notice.backoff)
         return;
     const bool justStarted = m_context.now() - m_context.startedAt() < firstNews;
     if (request.costs && (justStarted || m_loads.counted(backend.id)) && m_loads.total(backend.id, m_context.now()).requests <= backend.capacity)
@@ -387,8 +387,8 @@
         line.add("first_ms", *state.relay.firstBytesAt - request.receivedAt).add("longest_pause_ms", state.relay.longestPause);
     if (state.notice.limitPerSecond)
         line.add("limit_per_s", *state.notice.limitPerSecond);
-    if (state.notice.rest)
-        line.add("rest_ms", *state.notice.rest);
+    if (state.notice.backoff)
+        line.add("backoff_ms", *state.notice.backoff);
     if (!state.notice.unreadable.empty())
         line.add("unreadable", state.notice.unreadable);
     if (outcome.failed)
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -14,7 +14,7 @@
 
 class upstream_dispatcher {
 public:
-    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, crash_history&, server_wishes&, retry_bounds);
+    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_board&, group_board&, crash_history&, server_backpressure&, retry_bounds);
 
     // Answers the exchange, whatever happens.
     awaitable<void> dispatch(http_exchange&, const admitted_request&);
@@ -71,7 +71,7 @@
     static bool closesGroup(const admitted_request&);
     // Copies that have not begun are taken back from other servers once one has crashed.
     void takeBackCopies(request_fingerprint);
-    // A server with room that refuses belongs to a group that has closed, unless it asks for rest.
+    // A server with room that refuses belongs to a group that has closed, unless it asks to back off.
     void noteRefusal(const admitted_request&, const listed_backend&, const server_notice&);
     awaitable<void> refuse(http_exchange&, const admitted_request&, const progress&, failure);
     void logTry(const admitted_request&, const progress&, const listed_backend&, const try_outcome&, instant sentAt);
@@ -83,7 +83,7 @@
     load_board& m_loads;
     group_board& m_groups;
     crash_history& m_history;
-    server_wishes& m_wishes;
+    server_backpressure& m_backpressure;
     http_client m_client;
     call_registry m_calls;
     crash_reporter m_crashes;
--- a/Source/gateway/upstream_picker.cpp
+++ b/Source/gateway/upstream_picker.cpp
@@ -12,18 +12,18 @@
     // The arbiter of a server's limit answers within a round trip or two between zones.
     constexpr milliseconds longestGrantWait { 60 };
     constexpr milliseconds grantPoll { 5 };
-    // Over so long those come back whom all servers asked for rest.
+    // Over so long those come back whom all servers asked to back off.
     constexpr milliseconds returnSpread { 300 };
 
 } // namespace
 
-upstream_picker::upstream_picker(process_context& context, decision_log& log, fleet_state& state, load_board& loads, group_board& groups, server_wishes& wishes)
+upstream_picker::upstream_picker(process_context& context, decision_log& log, fleet_state& state, load_board& loads, group_board& groups, server_backpressure& backpressure)
     : m_context(context)
     , m_log(log)
     , m_state(state)
     , m_loads(loads)
     , m_groups(groups)
-    , m_wishes(wishes)
+    , m_backpressure(backpressure)
 {
 }
 
@@ -31,15 +31,15 @@
 {
     const instant now = m_context.now();
     const upstream_question question { request.service, request.costs, request.said.promptTokens, tried.all, tried.silent, m_context.zone(), now, request.priority, request.route.gapTarget };
-    return m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_wishes, m_context.random());
+    return m_choice.choose(question, m_state.backends(), m_loads, m_groups, m_backpressure, m_context.random());
 }
 
 // A grant may be used by another request while this one is held: whoever finds a server takes it
 // in the same step.
 awaitable<std::string> upstream_picker::take(http_exchange& exchange, const admitted_request& request, const tried_servers& tried)
 {
-    if (m_wishes.limits.any())
-        m_wishes.limits.want(request.service, serversOf(request.service), request.priority, m_context.now());
+    if (m_backpressure.limits.any())
+        m_backpressure.limits.want(request.service, serversOf(request.service), request.priority, m_context.now());
     const instant until = m_context.now() + longestGrantWait;
     std::string id = choose(request, tried);
     while (id.empty() && m_context.now() < until && awaitsGrant(request) && !exchange.callerGone()) {
@@ -48,7 +48,7 @@
         id = choose(request, tried);
     }
     if (!id.empty())
-        m_wishes.use(backendHash(id), m_context.now());
+        m_backpressure.use(backendHash(id), m_context.now());
     co_return id;
 }
 
@@ -63,35 +63,35 @@
 bool upstream_picker::awaitsGrant(const admitted_request& request) const
 {
     const auto servers = serversOf(request.service);
-    return std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_wishes.limits.awaitsAnswer(server, m_context.now()); });
+    return std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_backpressure.limits.awaitsAnswer(server, m_context.now()); });
 }
 
 // Nobody is held for servers that are known to take nothing. Callers who come back a little after
-// the first rest, each at a moment of its own, do not meet there.
-std::optional<failure> upstream_picker::allRest(const admitted_request& request)
+// the first backoff, each at a moment of its own, do not meet there.
+std::optional<failure> upstream_picker::allBackOff(const admitted_request& request)
 {
-    if (!m_wishes.rests.any())
+    if (!m_backpressure.backoffs.any())
         return std::nullopt;
     const instant now = m_context.now();
-    const auto pause = m_wishes.rests.untilFirst(serversOf(request.service), now);
+    const auto pause = m_backpressure.backoffs.untilFirst(serversOf(request.service), now);
     if (!pause)
         return std::nullopt;
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
     const auto spread = std::chrono::duration_cast<milliseconds>(returnSpread * draw);
-    return notRun(failure_reason::queue_full, "all servers of the service asked for rest", *pause + spread);
+    return notRun(failure_reason::queue_full, "all servers of the service asked to back off", *pause + spread);
 }
 
 // Callers who come back at moments of their own find what the servers take by then.
 failure upstream_picker::none(const admitted_request& request)
 {
-    if (auto resting = allRest(request))
-        return *resting;
+    if (auto refused = allBackOff(request))
+        return *refused;
     const instant now = m_context.now();
     const auto servers = serversOf(request.service);
-    const bool limited = std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_wishes.limits.limitOf(server, now).has_value(); });
+    const bool limited = std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_backpressure.limits.limitOf(server, now).has_value(); });
     if (!limited)
         return notRun(failure_reason::no_backend, "no backend server is listed for the service", noBackendRetryAfter);
-    m_wishes.limits.noteUnserved(request.priority, now);
+    m_backpressure.limits.noteUnserved(request.priority, now);
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
     return notRun(failure_reason::queue_full, "the service's servers take no more requests now", backlogPause(request.timeLeft(now), draw));
 }
@@ -105,12 +105,12 @@
     const server_hash server = backendHash(backend.id);
     if (notice.leaving && m_state.backends().noteLeaving(backend.id, now))
         m_log.line("backend_leaving").add("backend", backend.id).add("source", "answer");
-    if (notice.rest)
-        m_wishes.rests.noteAsked(server, *notice.rest, now);
+    if (notice.backoff)
+        m_backpressure.backoffs.noteAsked(server, *notice.backoff, now);
     else
-        m_wishes.rests.noteAnswered(server, now);
-    const auto before = m_wishes.limits.limitOf(server, now);
-    m_wishes.limits.noteAnswer(server, notice.limitPerSecond, now);
+        m_backpressure.backoffs.noteAnswered(server, now);
+    const auto before = m_backpressure.limits.limitOf(server, now);
+    m_backpressure.limits.noteAnswer(server, notice.limitPerSecond, now);
     if (before.has_value() != notice.limitPerSecond.has_value())
         m_log.line("server_limit").add("backend", backend.id).add("backend_hash", server).add("limit_per_s", notice.limitPerSecond.value_or(-1)).add("source", "answer");
 }
--- a/Source/gateway/upstream_picker.h
+++ b/Source/gateway/upstream_picker.h
@@ -7,7 +7,7 @@
 #include "gateway/fleet_state.h"
 #include "policy/group_board.h"
 #include "policy/load_board.h"
-#include "policy/server_wishes.h"
+#include "policy/server_backpressure.h"
 #include "policy/upstream_choice.h"
 
 namespace rampgap {
@@ -21,13 +21,13 @@
 
 class upstream_picker {
 public:
-    upstream_picker(process_context&, decision_log&, fleet_state&, load_board&, group_board&, server_wishes&);
+    upstream_picker(process_context&, decision_log&, fleet_state&, load_board&, group_board&, server_backpressure&);
 
     // The id of the server for the next try, with a grant where it has a limit; empty if there is
     // none now. May wait a moment for a grant.
     awaitable<std::string> take(http_exchange&, const admitted_request&, const tried_servers&);
-    // Set if each server of the request's service has asked this process for rest.
-    std::optional<failure> allRest(const admitted_request&);
+    // Set if each server of the request's service has asked this process to back off.
+    std::optional<failure> allBackOff(const admitted_request&);
     // The refusal of a request for which there is no server.
     failure none(const admitted_request&);
     // Keeps what a server said of itself in its answer.
@@ -44,7 +44,7 @@
     fleet_state& m_state;
     load_board& m_loads;
     group_board& m_groups;
-    server_wishes& m_wishes;
+    server_backpressure& m_backpressure;
     upstream_choice m_choice;
 };
 
--- a/Source/model/entry_model.cpp
+++ b/Source/model/entry_model.cpp
@@ -150,7 +150,7 @@
 void entry_model::setSlots()
 {
     const milliseconds gap = timelyPass(m_scenario.gapTarget);
-    const pool_load load = poolLoad({ service, m_scenario.costs, gap, m_run.mean(), m_events.now() }, m_backends, m_loads, m_groups, m_wishes);
+    const pool_load load = poolLoad({ service, m_scenario.costs, gap, m_run.mean(), m_events.now() }, m_backends, m_loads, m_groups, m_backpressure);
     m_busyPart = load.capacity > 0 ? static_cast<double>(load.requests) / load.capacity : 1;
     m_slots = admissionShare({ load.toRun, load.requests, m_queue.running(), m_scenario.entries, m_groups.openFor(service, m_events.now()) });
     m_queue.setLimits({ m_slots, startLimits.maxQueued });
@@ -249,7 +249,7 @@
     question.now = now;
     if (m_ways.groupsByPass)
         question.longestGap = m_scenario.gapTarget;
-    of.backend = m_choice.choose(question, m_backends, m_loads, m_groups, m_wishes, m_random);
+    of.backend = m_choice.choose(question, m_backends, m_loads, m_groups, m_backpressure, m_random);
     if (of.backend.empty())
         return refuse(of, fullRetryAfter);
     of.tried.push_back(of.backend);
--- a/Source/model/entry_model.h
+++ b/Source/model/entry_model.h
@@ -130,7 +130,7 @@
     shared_retry_budget m_budget;
     upstream_choice m_choice;
     // The model's servers ask for nothing.
-    server_wishes m_wishes;
+    server_backpressure m_backpressure;
     std::map<attempt_id, attempt> m_attempts;
     std::map<admission_id, attempt_id> m_waiting;
     int m_secondTries = 0;
--- a/Source/policy/engine_intake.cpp
+++ b/Source/policy/engine_intake.cpp
@@ -11,7 +11,7 @@
     // What the engine takes in this time may come at once.
     constexpr double burstSeconds = 1;
     constexpr milliseconds leavingRetryAfter { 500 };
-    constexpr milliseconds longestRest = std::chrono::hours(24);
+    constexpr milliseconds longestBackoff = std::chrono::hours(24);
     constexpr milliseconds shortestPause { 20 };
     constexpr milliseconds longestPause { 10'000 };
     // An entry VM that was not refused for so long has no use for the engine.
@@ -30,15 +30,15 @@
         m_refused.clear();
 }
 
-void engine_intake::noteRest(milliseconds rest, instant now)
+void engine_intake::noteBackoff(milliseconds backoff, instant now)
 {
-    m_restsUntil = std::max(m_restsUntil, now + std::min(rest, longestRest));
+    m_backoffUntil = std::max(m_backoffUntil, now + std::min(backoff, longestBackoff));
 }
 
 void engine_intake::forget()
 {
     m_leaving = false;
-    m_restsUntil = {};
+    m_backoffUntil = {};
     m_perSecond.reset();
     m_refused.clear();
 }
@@ -47,8 +47,8 @@
 {
     if (m_leaving)
         return notRun(failure_reason::leaving, "the engine is leaving", leavingRetryAfter);
-    if (now < m_restsUntil)
-        return notRun(failure_reason::server_rest, "the engine asked for rest", std::chrono::ceil<milliseconds>(m_restsUntil - now));
+    if (now < m_backoffUntil)
+        return notRun(failure_reason::server_backoff, "the engine asked to back off", std::chrono::ceil<milliseconds>(m_backoffUntil - now));
     if (!m_perSecond)
         return boost::outcome_v2::success();
     const double rate = std::max(*m_perSecond, leastPerSecond);
--- a/Source/policy/engine_intake.h
+++ b/Source/policy/engine_intake.h
@@ -16,7 +16,7 @@
     // An answer of the engine named this limit in requests a second, or none.
     void noteLimit(std::optional<double> perSecond, instant now);
     // It turned a request away and wants none for so long. What it asked for before is not cut short.
-    void noteRest(milliseconds, instant now);
+    void noteBackoff(milliseconds, instant now);
     // It takes no new requests in this life. True if that is new.
     bool noteLeaving() { return !std::exchange(m_leaving, true); }
     // The engine was started again: nothing that it said holds any more.
@@ -28,7 +28,7 @@
     milliseconds pauseFor(const std::string& entry, instant now);
 
     std::optional<double> m_perSecond;
-    instant m_restsUntil {};
+    instant m_backoffUntil {};
     bool m_leaving = false;
     double m_tokens = 0;
     instant m_filledAt {};
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/upstream_choice.cpp
@@ -84,9 +84,9 @@
 namespace {
 
     // The places of a server that requests can fill, within the limit that it has named.
-    int fillablePlaces(const listed_backend& listed, const server_wishes& wishes, const pool_question& question)
+    int fillablePlaces(const listed_backend& listed, const server_backpressure& backpressure, const pool_question& question)
     {
-        const auto perSecond = wishes.limits.limitOf(backendHash(listed.id), question.now);
+        const auto perSecond = backpressure.limits.limitOf(backendHash(listed.id), question.now);
         if (!perSecond)
             return listed.capacity;
         const double filled = *perSecond * std::chrono::duration<double>(question.usualRun).count();
@@ -95,13 +95,13 @@
 
 } // namespace
 
-pool_load poolLoad(const pool_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_wishes& wishes)
+pool_load poolLoad(const pool_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_backpressure& backpressure)
 {
     pool_load sum;
     for (const auto& id : runningPool(question.service, backends, groups, question.now)) {
-        if (!wishes.rests.maySend(backendHash(id), question.now))
+        if (!backpressure.backoffs.maySend(backendHash(id), question.now))
             continue;
-        const int capacity = fillablePlaces(*backends.find(id), wishes, question);
+        const int capacity = fillablePlaces(*backends.find(id), backpressure, question);
         sum.capacity += capacity;
         const bool bounded = question.costs && question.longestGap > milliseconds(0);
         sum.toRun += bounded ? std::min(capacity, sequencesToRun(*question.costs, groups.strainAt(question.service, backendHash(id), question.now), question.longestGap)) : capacity;
@@ -110,7 +110,7 @@
     return sum;
 }
 
-std::vector<upstream_choice::candidate> upstream_choice::candidates(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_wishes& wishes)
+std::vector<upstream_choice::candidate> upstream_choice::candidates(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_backpressure& backpressure)
 {
     std::vector<candidate> found;
     std::map<std::string, group_load> byGroup;
@@ -118,12 +118,12 @@
         if (std::find(question.tried.begin(), question.tried.end(), id) != question.tried.end())
             continue;
         const std::uint32_t hash = backendHash(id);
-        if (!wishes.maySend(hash, question.priority, question.now))
+        if (!backpressure.maySend(hash, question.priority, question.now))
             continue;
         const auto* listed = backends.find(id);
         const backend_load load = loads.total(id, question.now);
         candidate each;
-        each.granted = wishes.limits.limitOf(hash, question.now).has_value();
+        each.granted = backpressure.limits.limitOf(hash, question.now).has_value();
         each.delay = expectedDelay(load, listed->capacity, question.costs, question.promptTokens);
         each.delay += failedTryMs * backends.health(id).failureShare;
         each.inOwnZone = listed->zone == question.ownZone;
@@ -185,9 +185,9 @@
     return *std::min_element(all.begin(), all.end(), byDelay);
 }
 
-std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_wishes& wishes, std::mt19937_64& random) const
+std::string upstream_choice::choose(const upstream_question& question, const backend_directory& backends, const load_board& loads, const group_board& groups, const server_backpressure& backpressure, std::mt19937_64& random) const
 {
-    std::vector<candidate> all = candidates(question, backends, loads, groups, wishes);
+    std::vector<candidate> all = candidates(question, backends, loads, groups, backpressure);
     if (all.empty())
         return {};
     prefer(all, question, groups);
--- a/Source/policy/verdict.cpp
+++ b/Source/policy/verdict.cpp
@@ -37,7 +37,7 @@
         reason_row { failure_reason::backend_error, "backend_error", 502 },
         reason_row { failure_reason::crashes_servers, "crashes_servers", 503 },
         reason_row { failure_reason::server_limit, "server_limit", 503 },
-        reason_row { failure_reason::server_rest, "server_rest", 503 },
+        reason_row { failure_reason::server_backoff, "server_backoff", 503 },
     };
 
     const reason_row& row(failure_reason reason)
--- a/Source/policy/verdict.h
+++ b/Source/policy/verdict.h
@@ -42,7 +42,7 @@
     backend_error,
     crashes_servers,
     server_limit,
-    server_rest,
+    server_backoff,
 };
 
 // A failure of one request. `retryAfter` is set where coming back helps.
--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -167,10 +167,10 @@
         co_await exchange.send(makeResponse(503, "text/plain", "refusing\n"));
         co_return;
     }
-    if (!m_rest.empty()) {
+    if (!m_backoff.empty()) {
         ++m_turnedAway;
-        auto refusal = makeFailure(notRun(failure_reason::queue_full, "asks for rest"));
-        refusal.set(header::retryAfter, m_rest);
+        auto refusal = makeFailure(notRun(failure_reason::queue_full, "asks to back off"));
+        refusal.set(header::retryAfter, m_backoff);
         co_await exchange.send(std::move(refusal));
         co_return;
     }
@@ -263,8 +263,8 @@
         m_refuse = refuse == "1";
     if (const std::string limit = queryValue(target, "limit"); !limit.empty())
         m_limit = limit == "none" ? "" : limit;
-    if (const std::string rest = queryValue(target, "rest"); !rest.empty())
-        m_rest = rest == "none" ? "" : rest;
+    if (const std::string backoff = queryValue(target, "backoff"); !backoff.empty())
+        m_backoff = backoff == "none" ? "" : backoff;
     if (const std::string leaving = queryValue(target, "leaving"); !leaving.empty())
         m_leaving = leaving == "1";
     if (const std::string word = queryValue(target, "crash_on"); !word.empty())
--- a/Source/standin/engine_standin.h
+++ b/Source/standin/engine_standin.h
@@ -59,8 +59,8 @@
     bool m_refuse = false;
     // Requests a second that it names as its limit; empty: it names none.
     std::string m_limit;
-    // Seconds of rest that it asks for as it turns each request away; empty: it takes them.
-    std::string m_rest;
+    // Seconds for which it asks to back off as it turns each request away; empty: it takes them.
+    std::string m_backoff;
     // How often it did.
     std::uint64_t m_turnedAway = 0;
     bool m_leaving = false;
--- a/Tests/platform/cut-group/test.cpp
+++ b/Tests/platform/cut-group/test.cpp
@@ -64,7 +64,7 @@
         question.costs = costs();
         question.promptTokens = 800;
         question.now = now;
-        const std::string id = m_choice.choose(question, m_backends, m_loads, groups, server_wishes(), m_random);
+        const std::string id = m_choice.choose(question, m_backends, m_loads, groups, server_backpressure(), m_random);
         const std::string zone = id.substr(0, 1);
         const bool reached = zone != cut;
         const instant ended = reached ? now : now + connectTimeout;
@@ -83,7 +83,7 @@
         question.now = now;
         question.tried = { id };
         question.silent = { id };
-        return m_choice.choose(question, m_backends, m_loads, groups, server_wishes(), m_random).substr(0, 1);
+        return m_choice.choose(question, m_backends, m_loads, groups, server_backpressure(), m_random).substr(0, 1);
     }
 
     group_board groups { milliseconds(1'500) };
--- a/Tests/platform/decoding/test.cpp
+++ b/Tests/platform/decoding/test.cpp
@@ -206,19 +206,19 @@
     }
 }
 
-TEST_CASE("a rest is read in fractions of seconds, from a server that turns a request away only")
+TEST_CASE("a backoff is read in fractions of seconds, from a server that turns a request away only")
 {
     const http_codec codec;
     http_head head;
     head.set("Retry-After", "2.5");
     head.result(503);
-    CHECK((codec.notice(head).rest == milliseconds(2'500)));
+    CHECK((codec.notice(head).backoff == milliseconds(2'500)));
     head.set("Retry-After", "0.0001");
-    CHECK((codec.notice(head).rest == milliseconds(1)));
+    CHECK((codec.notice(head).backoff == milliseconds(1)));
     head.set("Retry-After", "1e300");
-    CHECK(codec.notice(head).rest.value() > std::chrono::hours(24));
+    CHECK(codec.notice(head).backoff.value() > std::chrono::hours(24));
     head.set("Retry-After", "soon");
-    CHECK_FALSE(codec.notice(head).rest.has_value());
+    CHECK_FALSE(codec.notice(head).backoff.has_value());
     CHECK(codec.notice(head).unreadable == "Retry-After");
     head.set("Retry-After", "2.5");
     head.result(200);
--- /dev/null
+++ b/Tests/platform/server-backoff/test.cpp
@@ -0,0 +1,93 @@
+// A server that asked to back off gets nothing until it is over, then one request before any other.
+#include "policy/upstream_choice.h"
+
+#include <doctest/doctest.h>
+
+using namespace rampgap;
+
+namespace {
+
+constexpr server_hash server = 7;
+constexpr server_hash other = 8;
+const instant zero { std::chrono::hours(1) };
+
+instant at(int ms) { return zero + milliseconds(ms); }
+
+} // namespace
+
+TEST_CASE("a backoff holds to its end, whatever is answered meanwhile")
+{
+    server_backoffs backoffs;
+    CHECK(backoffs.maySend(server, at(0)));
+    backoffs.noteAsked(server, milliseconds(3'000), at(0));
+    CHECK_FALSE(backoffs.maySend(server, at(0)));
+    backoffs.noteAsked(server, milliseconds(500), at(100));
+    backoffs.noteAnswered(server, at(200));
+    CHECK_FALSE(backoffs.maySend(server, at(2'999)));
+    CHECK(backoffs.maySend(server, at(3'000)));
+    CHECK(backoffs.maySend(other, at(0)));
+}
+
+TEST_CASE("after a backoff one request goes first, and others with its answer")
+{
+    server_backoffs backoffs;
+    backoffs.noteAsked(server, milliseconds(1'000), at(0));
+    backoffs.use(server, at(1'000));
+    CHECK_FALSE(backoffs.maySend(server, at(1'100)));
+    SUBCASE("its answer asks for no more of it")
+    {
+        backoffs.noteAnswered(server, at(1'100));
+        CHECK(backoffs.maySend(server, at(1'100)));
+        backoffs.use(server, at(1'100));
+        CHECK(backoffs.maySend(server, at(1'100)));
+    }
+    SUBCASE("it is turned away again")
+    {
+        backoffs.noteAsked(server, milliseconds(1'000), at(1'100));
+        CHECK_FALSE(backoffs.maySend(server, at(2'099)));
+        CHECK(backoffs.maySend(server, at(2'100)));
+    }
+    SUBCASE("it is not answered")
+    {
+        CHECK(backoffs.maySend(server, at(1'500)));
+    }
+}
+
+TEST_CASE("a new life knows nothing of the backoff")
+{
+    server_backoffs backoffs;
+    backoffs.noteAsked(server, milliseconds(1'000), at(0));
+    backoffs.forget(server);
+    CHECK(backoffs.maySend(server, at(1)));
+}
+
+TEST_CASE("where all servers ask to back off, the first that is back is known")
+{
+    server_backoffs backoffs;
+    CHECK_FALSE(backoffs.untilFirst({}, at(0)).has_value());
+    backoffs.noteAsked(server, milliseconds(1'000), at(0));
+    CHECK_FALSE(backoffs.untilFirst({ server, other }, at(0)).has_value());
+    backoffs.noteAsked(other, milliseconds(400), at(0));
+    CHECK((backoffs.untilFirst({ server, other }, at(100)) == milliseconds(300)));
+    CHECK_FALSE(backoffs.untilFirst({ server, other }, at(400)).has_value());
+}
+
+TEST_CASE("a server that asked to back off is not chosen, and its places do not count")
+{
+    backend_directory backends;
+    for (const std::string id : { "a", "b" })
+        backends.list({ id, "model", "10.0.0.1:" + id, "z", 8, false, 1 });
+    load_board loads { milliseconds(400) };
+    group_board groups { milliseconds(1'500) };
+    std::mt19937_64 random(1);
+    server_backpressure backpressure;
+    backpressure.backoffs.noteAsked(backendHash("a"), milliseconds(1'000), at(0));
+    upstream_question question;
+    question.service = "model";
+    question.now = at(100);
+    for (int i = 0; i < 20; ++i)
+        CHECK(upstream_choice().choose(question, backends, loads, groups, backpressure, random) == "b");
+    CHECK(poolLoad({ "model", std::nullopt, milliseconds(0), milliseconds(0), at(100) }, backends, loads, groups, backpressure).capacity == 8);
+    question.tried = { "b" };
+    CHECK(upstream_choice().choose(question, backends, loads, groups, backpressure, random).empty());
+}
--- a/Tests/platform/server-limit/choice.cpp
+++ b/Tests/platform/server-limit/choice.cpp
@@ -21,17 +21,17 @@
         question.now = now;
     }
 
-    std::string choose() { return upstream_choice().choose(question, backends, loads, groups, wishes, random); }
+    std::string choose() { return upstream_choice().choose(question, backends, loads, groups, backpressure, random); }
     void name(const std::string& id, int granted)
     {
-        wishes.limits.noteAnswer(backendHash(id), 2.0, now);
-        wishes.limits.noteGranted({ backendHash(id), granted, milliseconds(500) }, now);
+        backpressure.limits.noteAnswer(backendHash(id), 2.0, now);
+        backpressure.limits.noteGranted({ backendHash(id), granted, milliseconds(500) }, now);
     }
 
     backend_directory backends;
     load_board loads { milliseconds(400) };
     group_board groups { milliseconds(1'500) };
-    server_wishes wishes;
+    server_backpressure backpressure;
     upstream_question question;
     std::mt19937_64 random { 1 };
 };
@@ -51,7 +51,7 @@
     made fleet;
     fleet.name("far0", 1);
     CHECK(fleet.choose() == "far0");
-    fleet.wishes.use(backendHash("far0"), now);
+    fleet.backpressure.use(backendHash("far0"), now);
     CHECK(fleet.choose() != "far0");
 }
 
@@ -59,7 +59,7 @@
 {
     made fleet;
     const pool_question asked { "plain", std::nullopt, milliseconds(0), milliseconds(1'500), now };
-    CHECK(poolLoad(asked, fleet.backends, fleet.loads, fleet.groups, fleet.wishes).capacity == 64);
+    CHECK(poolLoad(asked, fleet.backends, fleet.loads, fleet.groups, fleet.backpressure).capacity == 64);
     fleet.name("own0", 0);
-    CHECK(poolLoad(asked, fleet.backends, fleet.loads, fleet.groups, fleet.wishes).capacity == 56 + 3);
+    CHECK(poolLoad(asked, fleet.backends, fleet.loads, fleet.groups, fleet.backpressure).capacity == 56 + 3);
 }
--- a/Tests/platform/several-groups/test.cpp
+++ b/Tests/platform/several-groups/test.cpp
@@ -46,7 +46,7 @@
     backend_directory backends;
     load_board loads { milliseconds(600) };
     group_board groups { life };
-    server_wishes wishes;
+    server_backpressure backpressure;
     std::mt19937_64 random { 5 };
 };
 
@@ -170,11 +170,11 @@
     CHECK_FALSE(made.groups.closed(service, zero));
     std::map<char, int> chosen;
     for (int i = 0; i < 300; ++i)
-        ++chosen[choice.choose(ask(), made.backends, made.loads, made.groups, made.wishes, made.random).front()];
+        ++chosen[choice.choose(ask(), made.backends, made.loads, made.groups, made.backpressure, made.random).front()];
     CHECK(chosen['b'] == 0);
     CHECK(chosen['a'] > 100);
     CHECK(chosen['c'] > 100);
-    CHECK(poolLoad({ service, std::nullopt, milliseconds(0), milliseconds(0), zero }, made.backends, made.loads, made.groups, made.wishes).capacity == 80);
+    CHECK(poolLoad({ service, std::nullopt, milliseconds(0), milliseconds(0), zero }, made.backends, made.loads, made.groups, made.backpressure).capacity == 80);
 }
 
 TEST_CASE("a refusal by an engine with room closes the group it belongs to and no other")
@@ -206,7 +206,7 @@
     CHECK(made.groups.closed(service, now));
     CHECK(made.groups.closedFor(service, now + milliseconds(50)) == milliseconds(50));
     // Where none can run requests all servers count: the view may be wrong.
-    CHECK_FALSE(upstream_choice().choose(ask(), made.backends, made.loads, made.groups, made.wishes, made.random).empty());
+    CHECK_FALSE(upstream_choice().choose(ask(), made.backends, made.loads, made.groups, made.backpressure, made.random).empty());
     made.groups.note({ { service, "b" }, { 2, true } }, milliseconds(0), now);
     CHECK_FALSE(made.groups.closed(service, now));
 }
--- a/Tests/platform/slow-group/test.cpp
+++ b/Tests/platform/slow-group/test.cpp
@@ -48,7 +48,7 @@
             question.ownZone = std::string(1, static_cast<char>('a' + i % 3));
             question.now = zero;
             question.longestGap = longestGap;
-            ++seen[upstream_choice().choose(question, backends, loads, groups, server_wishes(), random).substr(0, 1)];
+            ++seen[upstream_choice().choose(question, backends, loads, groups, server_backpressure(), random).substr(0, 1)];
         }
         return seen;
     }
--- a/Tests/platform/start-of-all/test.cpp
+++ b/Tests/platform/start-of-all/test.cpp
@@ -63,8 +63,8 @@
     load_board loads { milliseconds(400) };
     group_board groups { milliseconds(1'500) };
     crash_history history;
-    server_wishes wishes;
-    upstream_dispatcher dispatcher { context, log, codec, state, loads, groups, history, wishes, retry_bounds {} };
+    server_backpressure backpressure;
+    upstream_dispatcher dispatcher { context, log, codec, state, loads, groups, history, backpressure, retry_bounds {} };
     gateway_server server { context, log, codec, state, dispatcher, freshness_rule(true, milliseconds(5'000), milliseconds(1'400)) };
 
     void serve(one_exchange& exchange) { asio::co_spawn(context.io(), server.handle(exchange), asio::detached); }
--- a/Tests/platform/upstream-choice/fleet_model.cpp
+++ b/Tests/platform/upstream-choice/fleet_model.cpp
@@ -15,7 +15,7 @@
     struct entry_vm {
         load_board loads { milliseconds(400) };
         group_board groups { milliseconds(1'500) };
-        server_wishes wishes;
+        server_backpressure backpressure;
     };
 
     struct end_of_run {
@@ -125,7 +125,7 @@
             question.ownZone = zoneOf(index);
             question.now = m_now;
             question.longestGap = m_load.longestGap;
-            const std::string id = upstream_choice().choose(question, m_backends, entry.loads, entry.groups, entry.wishes, m_random);
+            const std::string id = upstream_choice().choose(question, m_backends, entry.loads, entry.groups, entry.backpressure, m_random);
             const int chosen = std::stoi(id.substr(1)) - 1'000;
             entry.loads.noteSent(id, 0, m_now);
             const double spread = std::lognormal_distribution<double>(-deviation * deviation / 2, deviation)(m_random);
--- a/Tests/platform/upstream-choice/test.cpp
+++ b/Tests/platform/upstream-choice/test.cpp
@@ -14,7 +14,7 @@
     backend_directory backends;
     load_board loads { milliseconds(600) };
     group_board groups { milliseconds(1'500) };
-    server_wishes wishes;
+    server_backpressure backpressure;
     std::mt19937_64 random { 5 };
 };
 
@@ -54,7 +54,7 @@
     const upstream_choice choice;
     std::map<std::string, int> chosen;
     for (int entry = 0; entry < 40; ++entry)
-        ++chosen[choice.choose(ask(), made.backends, made.loads, made.groups, made.wishes, made.random)];
+        ++chosen[choice.choose(ask(), made.backends, made.loads, made.groups, made.backpressure, made.random)];
     for (const auto& [id, count] : chosen)
         CHECK(count <= 8);
 }
@@ -69,7 +69,7 @@
     made.loads.noteRanks(counts, zero);
     const upstream_choice choice;
     for (int i = 0; i < 30; ++i)
-        CHECK(choice.choose(ask(), made.backends, made.loads, made.groups, made.wishes, made.random) == "s7");
+        CHECK(choice.choose(ask(), made.backends, made.loads, made.groups, made.backpressure, made.random) == "s7");
 }
 
 TEST_CASE("a server that was tried or is avoided is left out, unless nothing else is left")
@@ -77,12 +77,12 @@
     fleet made;
     addServers(made, 2);
     const upstream_choice choice;
-    CHECK(choice.choose(ask({ "s0" }), made.backends, made.loads, made.groups, made.wishes, made.random) == "s1");
+    CHECK(choice.choose(ask({ "s0" }), made.backends, made.loads, made.groups, made.backpressure, made.random) == "s1");
     made.backends.noteResult("s1", try_result::unreachable, zero);
     for (int i = 0; i < 10; ++i)
-        CHECK(choice.choose(ask(), made.backends, made.loads, made.groups, made.wishes, made.random) == "s0");
-    CHECK(choice.choose(ask({ "s0" }), made.backends, made.loads, made.groups, made.wishes, made.random) == "s1");
-    CHECK(choice.choose(ask({ "s0", "s1" }), made.backends, made.loads, made.groups, made.wishes, made.random).empty());
+        CHECK(choice.choose(ask(), made.backends, made.loads, made.groups, made.backpressure, made.random) == "s0");
+    CHECK(choice.choose(ask({ "s0" }), made.backends, made.loads, made.groups, made.backpressure, made.random) == "s1");
+    CHECK(choice.choose(ask({ "s0", "s1" }), made.backends, made.loads, made.groups, made.backpressure, made.random).empty());
 }
 
 TEST_CASE("an avoided server gets nothing, also while the others have more to do")
@@ -96,7 +96,7 @@
     made.loads.noteRanks({ { backendHash("s0"), { 10, 0, 1 } }, { backendHash("s2"), { 10, 0, 1 } }, { backendHash("s1"), { 0, 0, 1 } } }, zero);
     const upstream_choice choice;
     for (int i = 0; i < 20; ++i)
-        CHECK(choice.choose(ask(), made.backends, made.loads, made.groups, made.wishes, made.random) != "s1");
+        CHECK(choice.choose(ask(), made.backends, made.loads, made.groups, made.backpressure, made.random) != "s1");
 }
 
 TEST_CASE("counts of the engines go before reports of peers, and grow by what was sent since")
--- a/Tests/requests/resting-engine/test.cpp
+++ b/Tests/requests/engine-backoff/test.cpp
@@ -1,4 +1,4 @@
-// An engine that asks its agent for rest, or says that it leaves, gets nothing more; callers are served elsewhere.
+// An engine that asks its agent to back off, or says that it leaves, gets nothing more; callers are served elsewhere.
 #include "harness/test_fleet.h"
 
 #include <doctest/doctest.h>
@@ -38,16 +38,16 @@
 
 } // namespace
 
-TEST_CASE("an engine that asked for rest gets nothing until its end")
+TEST_CASE("an engine that asked to back off gets nothing until its end")
 {
     test_fleet fleet;
     startTwo(fleet);
-    post(fleet.engine("a1").address(), "/standin/faults?rest=1.5");
+    post(fleet.engine("a1").address(), "/standin/faults?backoff=1.5");
     serve(fleet);
     CHECK(countAt(fleet, "a1", "turned_away") >= 1);
     // One of each entry VM may be under way as the first is turned away.
     CHECK(countAt(fleet, "a1", "turned_away") <= 2);
-    post(fleet.engine("a1").address(), "/standin/faults?rest=none");
+    post(fleet.engine("a1").address(), "/standin/faults?backoff=none");
     const int before = countAt(fleet, "a1", "total");
     CHECK(eventually([&] {
         serve(fleet);
--- a/Tests/requests/engine-intake/test.cpp
+++ b/Tests/requests/engine-intake/test.cpp
@@ -54,14 +54,14 @@
     CHECK(taken <= 7);
 }
 
-TEST_CASE("an engine's rest is not cut short, and what it said ends with its life")
+TEST_CASE("an engine's backoff is not cut short, and what it said ends with its life")
 {
     engine_intake intake;
-    intake.noteRest(milliseconds(3'000), at(0));
-    intake.noteRest(milliseconds(500), at(100));
+    intake.noteBackoff(milliseconds(3'000), at(0));
+    intake.noteBackoff(milliseconds(500), at(100));
     const auto refused = intake.enter("e1", at(1'000));
     REQUIRE_FALSE(refused.has_value());
-    CHECK((refused.error().reason == failure_reason::server_rest));
+    CHECK((refused.error().reason == failure_reason::server_backoff));
     CHECK((refused.error().retryAfter == milliseconds(2'000)));
     CHECK(intake.enter("e1", at(3'000)).has_value());
     CHECK(intake.noteLeaving());
