policy, gateway: a call that was withdrawn stays in question until its server has answered something newer

Cause: copies at other servers are taken back when the first server has crashed. A copy that had begun ends its server all the same, and its call was not booked to that server: its outcome was "taken back", so noteLost was never called. The end was booked to whoever ran beside it, and such an end, "without" the request, acquits it.

Such a call is now kept as a witness of that life of the server, as is one that the caller left before its first event. It counts when the life ends: by a look, by a later life in the list, or by the news of another entry VM that saw the end (matched by the life's hash). It is dropped when the server has begun to answer what was sent later, after ten seconds, or where more than 64 of one server wait. No delay decides.

A server's end is counted and logged once, also where several calls find it started anew.

--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -36,6 +36,12 @@
     }
 }
 
+void crash_watch::noteWithdrawn(const server_life& life, const lost_call& call)
+{
+    if (m_detector.noteWithdrawn(life, call, m_context.now()))
+        noteCallCrashed(life, call);
+}
+
 awaitable<void> crash_watch::awaitLook(server_life life)
 {
     while (looking(life))
@@ -47,6 +53,11 @@
     noteCrashed(life, address, "it was started anew");
 }
 
+void crash_watch::noteEndTold(const server_life& life, const std::string& address)
+{
+    noteCrashed(life, address, "another process saw it end");
+}
+
 awaitable<void> crash_watch::look(server_life life, std::string address)
 {
     const auto seen = co_await lookAtServer(m_context.io(), address);
@@ -60,9 +71,12 @@
 
 void crash_watch::noteCrashed(const server_life& life, const std::string& address, const std::string& why)
 {
+    const bool isKnown = m_detector.hasCrashed(life, m_context.now());
     const auto calls = m_detector.noteCrashed(life, m_context.now());
-    m_context.counters().add(metric::servers_crashed);
-    m_listener.onServerCrashed(life, address, why, calls.size());
+    if (!isKnown) {
+        m_context.counters().add(metric::servers_crashed);
+        m_listener.onServerCrashed(life, address, why, calls.size());
+    }
     for (const auto& call : calls)
         noteCallCrashed(life, call);
 }
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -25,12 +25,21 @@
 
     // A call ended without its answer; looks at the server if nobody does yet.
     void noteLost(const server_life&, const std::string& address, const lost_call&);
+    // We ended a call whose answer had not come: it stays in question until the server has answered
+    // something newer or has ended.
+    void noteWithdrawn(const server_life&, const lost_call&);
+    // The server answered a call that was sent then.
+    void noteAnswered(const server_life& life, instant sentAt) { m_detector.noteAnswered(life, sentAt); }
     // True while it is being looked at.
     bool looking(const server_life& life) const { return m_detector.looking(life); }
     // Returns when it is known whether the server crashed, or that this cannot be seen now.
     awaitable<void> awaitLook(server_life);
     // A later life of the server was seen.
     void noteStartedAnew(const server_life&, const std::string& address);
+    // Another process saw it end.
+    void noteEndTold(const server_life&, const std::string& address);
+    // The life with this hash, if calls at it are in question.
+    std::optional<server_life> findUndecided(std::uint32_t hash) const { return m_detector.findUndecided(hash); }
     // Lives of which it is not known whether they ended.
     std::vector<server_life> undecided() const { return m_detector.undecided(); }
     // Forgets what nobody found out about.
--- a/Source/gateway/crash_reporter.cpp
+++ b/Source/gateway/crash_reporter.cpp
@@ -11,16 +11,22 @@
     , m_history(history)
     , m_watch(context, history, *this)
 {
+    m_history.onServerCrashed([this](std::uint32_t lifeHash) { noteEndTold(lifeHash); });
 }
 
 // A server that leaves ends what it cannot finish; that is no crash. What is not listed any
 // more is leaving, too.
-void crash_reporter::noteLost(const listed_backend& backend, const lost_call& call)
+bool crash_reporter::mayHaveCrashed(const listed_backend& backend) const
 {
     const auto* listed = m_state.backends().find(backend.id);
-    if (!listed || listed->draining)
+    return listed && !listed->draining;
+}
+
+void crash_reporter::noteLost(const listed_backend& backend, const lost_call& call)
+{
+    if (!mayHaveCrashed(backend))
         return;
-    const server_life life { backend.id, backend.incarnation };
+    const server_life life = lifeOf(backend);
     m_addresses.insert_or_assign(life, backend.address);
     // What listens there now says nothing of the life before.
     if (startedAnew(life, backend.address))
@@ -28,6 +34,20 @@
     m_watch.noteLost(life, backend.address, call);
 }
 
+void crash_reporter::noteWithdrawn(const listed_backend& backend, const lost_call& call)
+{
+    if (!mayHaveCrashed(backend))
+        return;
+    m_addresses.insert_or_assign(lifeOf(backend), backend.address);
+    m_watch.noteWithdrawn(lifeOf(backend), call);
+}
+
+void crash_reporter::noteEndTold(std::uint32_t lifeHash)
+{
+    if (const auto life = m_watch.findUndecided(lifeHash))
+        m_watch.noteEndTold(*life, m_addresses.at(*life));
+}
+
 void crash_reporter::noteServed(request_fingerprint request)
 {
     m_history.noteServed(request, m_context.now());
--- a/Source/gateway/crash_reporter.h
+++ b/Source/gateway/crash_reporter.h
@@ -18,8 +18,12 @@
     // Called when the history has news for the fleet.
     void onNews(std::function<void()> action) { m_onNews = std::move(action); }
     void noteLost(const listed_backend&, const lost_call&);
+    // The call was ended here, before its answer had come.
+    void noteWithdrawn(const listed_backend&, const lost_call&);
+    // The first part of the answer to a call that was sent then has come.
+    void noteAnswered(const listed_backend& backend, instant sentAt) { m_watch.noteAnswered(lifeOf(backend), sentAt); }
     // Returns when it is known whether the server crashed, or that this cannot be seen now.
-    awaitable<void> awaitLook(const listed_backend& backend) { return m_watch.awaitLook({ backend.id, backend.incarnation }); }
+    awaitable<void> awaitLook(const listed_backend& backend) { return m_watch.awaitLook(lifeOf(backend)); }
     // A server ran the request to its end.
     void noteServed(request_fingerprint);
     // Periodic work: says which requests are barred; a server that fell silent is known to have
@@ -27,6 +31,11 @@
     void settle();
 
 private:
+    static server_life lifeOf(const listed_backend& backend) { return { backend.id, backend.incarnation }; }
+    // Its calls may have crashed it; what leaves ends them for another reason.
+    bool mayHaveCrashed(const listed_backend&) const;
+    // Another process saw the end of the life with this hash.
+    void noteEndTold(std::uint32_t lifeHash);
     void onServerCrashed(const server_life&, const std::string& address, const std::string& why, std::size_t calls) override;
     void onCallCrashed(const server_life&, const lost_call&) override;
     // It runs under its id or at its address in a later life.
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -272,6 +272,7 @@
         state.runs += unreachable ? 0 : 1;
     }
     m_loads.noteEnded(backend.id, unread);
+    const bool isSent = !outcome.failed || outcome.failed->ran != verdict::not_run;
     if (underWay.takenBack() && outcome.failed)
         outcome = { mayHaveRun(failure_reason::crashes_servers, "a server crashed under a copy of this request"), try_result::failed };
     if (outcome.result == try_result::answered && !exchange.callerGone())
@@ -283,8 +284,11 @@
         m_groups.noteReach(request.service, backendHash(backend.id), outcome.result != try_result::unreachable, m_context.now());
     }
     const duration silence = m_context.now() - std::max(sentAt, state.relay.newestBytesAt);
+    const lost_call lost { request.said.id, state.fingerprint, state.relay.events - eventsBefore, sentAt, m_context.now() };
     if (exchange.callerGone() ? silence >= longSilence : endedByServer(outcome))
-        noteLost(request, state, backend, state.relay.events - eventsBefore, sentAt);
+        m_crashes.noteLost(backend, lost);
+    else if (isSent && lost.events == 0 && (exchange.callerGone() || underWay.takenBack()))
+        m_crashes.noteWithdrawn(backend, lost);
     if (isTrial)
         m_history.endTrial(state.fingerprint, endedByServer(outcome), m_context.now());
     logTry(request, state, backend, outcome, sentAt);
@@ -319,6 +323,7 @@
         options.silenceLimit = streamSilenceLimit(m_groups.openElsewhere(request.service, backendHash(backend.id), sentAt));
     options.onFirstBytes = [&, sentAt] {
         underWay.noteBegun();
+        m_crashes.noteAnswered(backend, sentAt);
         m_context.counters().observe(latency::first_byte, m_context.now() - request.receivedAt);
         m_places.noteFirstEvent(request.service, std::chrono::duration_cast<milliseconds>(m_context.now() - sentAt));
         m_loads.noteBegun(backend.id, unread);
@@ -371,11 +376,6 @@
     return closesGroup(request) && last.result != try_result::silent && endedByServer(last);
 }
 
-void upstream_dispatcher::noteLost(const admitted_request& request, const progress& state, const listed_backend& backend, std::uint64_t events, instant sentAt)
-{
-    m_crashes.noteLost(backend, { request.said.id, state.fingerprint, events, sentAt, m_context.now() });
-}
-
 void upstream_dispatcher::logTry(const admitted_request& request, const progress& state, const listed_backend& backend, const try_outcome& outcome, instant sentAt)
 {
     auto line = m_log.requestLine("try_ended");
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -64,8 +64,6 @@
     bool takeRetry(const admitted_request&, const try_outcome&);
     // The server broke off the call that it had taken, or said nothing for too long.
     static bool endedByServer(const try_outcome&);
-    // A try ended without its answer: the server may have crashed.
-    void noteLost(const admitted_request&, const progress&, const listed_backend&, std::uint64_t events, instant sentAt);
     // Another try of a call that its server broke off waits for that: its crash puts the request off.
     static bool mustAwaitLook(const admitted_request&, const try_outcome&);
     static bool closesGroup(const admitted_request&);
--- a/Source/policy/crash_detector.h
+++ b/Source/policy/crash_detector.h
@@ -5,7 +5,9 @@
 #include "policy/verdict.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,7 +24,7 @@
 // Names a life to other processes; 32 bits of a hash.
 std::uint32_t hashOf(const server_life&);
 
-// A call that ended without its whole answer though the caller still waited for it.
+// A call that ended without its whole answer: the server broke it off, or we withdrew it.
 struct lost_call {
     std::string requestId;
     request_fingerprint request;
@@ -46,24 +48,36 @@
     };
 
     finding noteLost(const server_life&, const lost_call&, instant now);
-    // The server answered a look that ended now: whatever ended its calls, it was no crash.
+    // We ended the call. The server may have begun to run it and may crash for that reason later
+    // on. Nobody needs to look. True if it is known to have crashed.
+    bool noteWithdrawn(const server_life&, const lost_call&, instant now);
+    // The server answered a call that was sent then: it has outlived what was withdrawn before.
+    void noteAnswered(const server_life&, instant sentAt);
+    // The server answered a look that ended now: whatever broke off its calls, it was no crash.
     void noteAlive(const server_life&, instant now);
     // A look brought no answer: nothing is known.
     void noteNoAnswer(const server_life&);
     // Nothing listens at its address, or it was started anew. Returns the calls that it had.
     std::vector<lost_call> noteCrashed(const server_life&, instant now);
+    bool hasCrashed(const server_life&, instant now) const;
 
     // True until the look that `noteLost` asked for has brought something.
     bool looking(const server_life&) const;
     // Lives of which it is not known whether they ended.
     std::vector<server_life> undecided() const;
+    // The one of these with this hash, if any.
+    std::optional<server_life> findUndecided(std::uint32_t hash) const;
     // Forgets what nobody found out about.
     void settle(instant now);
 
 private:
     struct suspicion {
         std::vector<lost_call> calls;
+        // Oldest first.
+        std::deque<lost_call> withdrawn;
         bool looking = false;
+
+        bool empty() const { return calls.empty() && withdrawn.empty() && !looking; }
     };
 
     std::map<server_life, suspicion> m_suspicions;
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -102,15 +102,30 @@
     auto& held = m_requests.at(record.request);
     held.seenAt = std::max(held.seenAt, now - age);
     bool news = false;
-    for (const auto& crash : record.crashes)
+    std::vector<std::uint32_t> newServers;
+    for (const auto& crash : record.crashes) {
+        if (!m_servers.contains(crash.server))
+            newServers.push_back(crash.server);
         news = add(held, record.request, crash, now - age) || news;
+    }
     if (record.served)
         news = clear(held, record.crashes) || news;
-    if (news)
-        noteChange(record.request);
-    if (news && m_onChange)
-        m_onChange(record.request);
-    return news;
+    if (!news)
+        return false;
+    noteChange(record.request);
+    announce(record.request, newServers);
+    return true;
+}
+
+// Whoever hears of it may have more to note: nothing of the history is held here.
+void crash_history::announce(request_fingerprint request, const std::vector<std::uint32_t>& newServers)
+{
+    for (const auto server : newServers) {
+        if (m_onServerCrashed)
+            m_onServerCrashed(server);
+    }
+    if (m_onChange)
+        m_onChange(request);
 }
 
 std::set<seen_crash>::const_iterator crash_history::findCrash(const entry& held, std::uint32_t server)
--- a/Source/policy/crash_history.h
+++ b/Source/policy/crash_history.h
@@ -65,6 +65,8 @@
     void setTrialChoice(std::function<bool(request_fingerprint)> isChosen) { m_isChosen = std::move(isChosen); }
     // Called when something new is known of a request.
     void onChange(std::function<void(request_fingerprint)> action) { m_onChange = std::move(action); }
+    // Called when the crash of a server's life (its hashOf) is first heard of.
+    void onServerCrashed(std::function<void(std::uint32_t server)> action) { m_onServerCrashed = std::move(action); }
     // It is barred, or suspected of a crash as it began.
     bool isPutOff(request_fingerprint request, instant now) const { return barredFor(request, now) || isSuspected(request, now); }
     // A request begins at a server: until its end no copy of it does here if it is suspected.
@@ -123,6 +125,8 @@
     static bool clear(entry&, const std::vector<seen_crash>&);
     // True if it was not known.
     bool add(entry&, request_fingerprint, const seen_crash&, instant crashedAt);
+    // Tells whoever asked to hear of it.
+    void announce(request_fingerprint, const std::vector<std::uint32_t>& newServers);
     void noteChange(request_fingerprint);
     void updateDigest();
     // False if all that is held says more than a request with so many crashes.
@@ -146,6 +150,7 @@
     std::map<request_fingerprint, instant> m_trials;
     std::function<bool(request_fingerprint)> m_isChosen;
     std::function<void(request_fingerprint)> m_onChange;
+    std::function<void(std::uint32_t)> m_onServerCrashed;
     std::set<request_fingerprint> m_news;
     std::uint32_t m_digest = 0;
 };
--- a/Tests/platform/crash-detection/test.cpp
+++ b/Tests/platform/crash-detection/test.cpp
@@ -71,3 +71,47 @@
     detector.settle(zero + milliseconds(12'001));
     CHECK(detector.undecided().empty());
 }
+
+TEST_CASE("a call that was withdrawn was at the server that crashes a moment later")
+{
+    crash_detector detector;
+    CHECK_FALSE(detector.noteWithdrawn(first, lostAt("a", milliseconds(100)), zero + milliseconds(100)));
+    detector.noteLost(first, lostAt("b", milliseconds(102)), zero + milliseconds(102));
+    // A look tells what a server did to its calls, not what one of them is about to do to it.
+    detector.noteAlive(first, zero + milliseconds(104));
+    CHECK((detector.findUndecided(hashOf(first)) == first));
+    CHECK_FALSE(detector.findUndecided(hashOf(first) + 1));
+    const auto calls = detector.noteCrashed(first, zero + milliseconds(300));
+    REQUIRE(calls.size() == 1);
+    CHECK(calls.front().requestId == "a");
+    CHECK(detector.hasCrashed(first, zero + milliseconds(300)));
+    // The same if it is withdrawn after the end is known.
+    CHECK(detector.noteWithdrawn(first, lostAt("c", milliseconds(301)), zero + milliseconds(301)));
+}
+
+TEST_CASE("a server that answers what was sent later has outlived a withdrawn call")
+{
+    crash_detector detector;
+    detector.noteWithdrawn(first, lostAt("a", milliseconds(100)), zero + milliseconds(100));
+    detector.noteAnswered(first, zero + milliseconds(99));
+    CHECK_FALSE(detector.undecided().empty());
+    detector.noteAnswered(first, zero + milliseconds(100));
+    CHECK(detector.undecided().empty());
+    detector.noteWithdrawn(first, lostAt("b", milliseconds(200)), zero + milliseconds(200));
+    detector.settle(zero + milliseconds(10'199));
+    CHECK_FALSE(detector.undecided().empty());
+    detector.settle(zero + milliseconds(10'200));
+    CHECK(detector.undecided().empty());
+}
+
+TEST_CASE("withdrawn calls take bounded memory and no place of those that the server broke off")
+{
+    crash_detector detector;
+    for (int i = 0; i < 1'000; ++i)
+        detector.noteWithdrawn(first, lostAt("w" + std::to_string(i), milliseconds(i)), zero + milliseconds(i));
+    detector.noteLost(first, lostAt("lost", milliseconds(1'000)), zero + milliseconds(1'000));
+    const auto calls = detector.noteCrashed(first, zero + milliseconds(1'001));
+    REQUIRE(calls.size() == 65);
+    CHECK(calls.front().requestId == "lost");
+    CHECK(calls.back().requestId == "w999");
+}
