policy, gateway: the end of one other server acquits no request

Callers saw: a request that had just ended a server was refused for some milliseconds only, and was sent on by all entry VMs as the group was back.

Cause: any other server's end within a second, without the request among its calls, acquitted it for good: an end for another reason, or one under the request itself of which the news had not come yet.

Evidence: in the history alone, noteCrash(A, server 1, 0 events) and 29 ms later noteCrash(B, server 2, 8 events) let A be sent, at once and 4.3 s later.

Now more servers must have crashed at that moment without it than with it, and each of these half a second ago: by then news of all calls that they had are everywhere. Whoever that may still acquit is held until then, not sent away for a minute.

The check "other servers crashed at the same moment" asked for the fault: one server's end, at once. It is replaced by the same with one server more and the news come, and by checks that one alone does not acquit and that nobody is let through before the news. What is decided for two servers that end for reasons of their own within a second: the two or three requests that had just begun at each are put off for a minute, as they are where one ends.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -88,7 +88,7 @@
         }
         if (last && !mayRepeat(request, state, *last))
             co_return last->failed;
-        if (auto refused = barred(request, state))
+        if (auto refused = co_await refusalOf(exchange, request, state))
             co_return refused;
         if (auto closed = co_await awaitGroup(exchange, request, state))
             co_return closed;
@@ -104,8 +104,10 @@
         if (!place)
             co_return failure { state.worst, place.error().reason, place.error().message, place.error().retryAfter };
         // The news may have come while it waited.
-        if (auto refused = barred(request, state))
+        if (auto refused = co_await refusalOf(exchange, request, state))
             co_return refused;
+        if (exchange.callerGone())
+            co_return std::nullopt;
         if (last && !takeRetry(request, *last))
             co_return last->failed;
         const std::string id = co_await m_picker.take(exchange, request, state.tried);
@@ -136,13 +138,18 @@
 
 // The caller is told at once and truthfully: it has not run here and is not going to. Where nobody
 // keeps such a request from the servers it ends one after the other: 17 times in 11 s, with 3 of 307
-// other streams served (a soak run with one group of three engines).
-std::optional<failure> upstream_dispatcher::barred(const admitted_request& request, const progress& state)
+// other streams served (a soak run with one group of three engines). Whoever ran on one of many
+// servers that crashed together waits for what acquits it: a refusal would send it away for a minute.
+awaitable<std::optional<failure>> upstream_dispatcher::refusalOf(http_exchange& exchange, const admitted_request& request, const progress& state)
 {
+    if (const auto until = m_history.undecidedUntil(state.fingerprint, m_context.now())) {
+        std::function<bool()> undecided = [this, &state] { return m_history.undecidedUntil(state.fingerprint, m_context.now()).has_value(); };
+        co_await holdCaller(m_context, exchange, std::move(undecided), std::min(*until, request.deadline), groupPoll);
+    }
     auto refused = m_history.refuse({ state.fingerprint, closesGroup(request), state.runs > 0 }, m_context.now());
     if (refused)
         refused->ran = state.worst;
-    return refused;
+    co_return refused;
 }
 
 // After a start of all no group is open, and each of a hundred requests that were sent before
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -51,8 +51,9 @@
     bool noGroupFor(const admitted_request&) const;
     // Waits while the service's expert group is closed, as far as that serves the caller.
     awaitable<std::optional<failure>> awaitGroup(http_exchange&, const admitted_request&, const progress&);
-    // Set if no server may run the request now, since some crashed under it.
-    std::optional<failure> barred(const admitted_request&, const progress&);
+    // Set if no server may run the request now, since some crashed under it. Waits where that will
+    // be known in a moment.
+    awaitable<std::optional<failure>> refusalOf(http_exchange&, const admitted_request&, const progress&);
     awaitable<std::optional<failure>> run(http_exchange&, const admitted_request&, progress&);
     awaitable<try_outcome> tryOn(http_exchange&, const admitted_request&, progress&, const listed_backend&);
     awaitable<try_outcome> takeReply(http_exchange&, const admitted_request&, progress&, const listed_backend&, call_registry::registration&, http_head, instant sentAt, std::int64_t& unread);
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -27,9 +27,10 @@
     constexpr milliseconds trialRetryAfter { 1'000 };
     // Whether a server that ended a call has crashed is known by then.
     constexpr milliseconds crashKnown { 500 };
-    // Servers that crash within this of each other crash for a common reason: news reach all
-    // processes within half a second.
+    // Servers that crash within this of each other crash for a common reason.
     constexpr milliseconds sameMoment { 1'000 };
+    // News of a crash, and of all calls that the server had, reach all processes within this.
+    constexpr milliseconds newsTime { 500 };
     // Some 64 requests at each of 32 servers of a group that crash together; about 200 bytes each.
     constexpr std::size_t mostRequests = 2'048;
     // Of the requests with several crashes; with 8 crashes each they fill two packets.
@@ -255,25 +256,53 @@
     return std::chrono::duration_cast<milliseconds>(held->second.seenAt + memory - now);
 }
 
-bool crash_history::hasCrashBeside(const seen_crash& crash, const entry& held) const
+// One crash beside it proves nothing: a server may end by itself beside one that the request ended, and
+// the news that the request ran there, too, may still be on their way.
+std::optional<instant> crash_history::acquittedAt(const seen_crash& crash, const entry& held) const
 {
     const instant at = m_servers.at(crash.server).crashedAt;
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& each) {
-        const bool ranIt = findCrash(held, each.first) != held.crashes.end();
-        const instant otherAt = each.second.crashedAt;
-        return !ranIt && (at < otherAt ? otherAt - at : at - otherAt) < sameMoment;
-    });
+    std::size_t with = 0;
+    std::vector<instant> without;
+    for (const auto& [server, crashed] : m_servers) {
+        const instant otherAt = crashed.crashedAt;
+        if ((at < otherAt ? otherAt - at : at - otherAt) >= sameMoment)
+            continue;
+        if (findCrash(held, server) != held.crashes.end())
+            ++with;
+        else
+            without.push_back(otherAt);
+    }
+    if (without.size() <= with)
+        return std::nullopt;
+    std::sort(without.begin(), without.end());
+    return without[with] + newsTime;
 }
 
-bool crash_history::isSuspected(request_fingerprint request, instant now) const
+std::optional<instant> crash_history::suspectedUntil(request_fingerprint request, instant now) const
 {
     const auto held = m_requests.find(request);
     if (held == m_requests.end() || !held->second.cleared.empty() || now - held->second.seenAt >= memoryOf(held->second))
-        return false;
+        return std::nullopt;
     const weight own = weigh(held->second);
-    return std::any_of(held->second.crashes.begin(), held->second.crashes.end(), [&](const seen_crash& crash) {
-        return crash.early && !explained(crash, request, own) && !hasCrashBeside(crash, held->second);
-    });
+    std::optional<instant> until;
+    for (const auto& crash : held->second.crashes) {
+        if (crash.early && !explained(crash, request, own))
+            until = std::max(until, std::optional(acquittedAt(crash, held->second).value_or(instant::max())));
+    }
+    return until;
+}
+
+bool crash_history::isSuspected(request_fingerprint request, instant now) const
+{
+    const auto until = suspectedUntil(request, now);
+    return until && now < *until;
+}
+
+std::optional<instant> crash_history::undecidedUntil(request_fingerprint request, instant now) const
+{
+    const auto until = suspectedUntil(request, now);
+    const bool isUndecided = until && now < *until && *until != instant::max() && !barredFor(request, now);
+    return isUndecided ? until : std::nullopt;
 }
 
 // One crash convicts nobody, but copies of the request that come to several processes would all
--- a/Source/policy/crash_history.h
+++ b/Source/policy/crash_history.h
@@ -69,6 +69,9 @@
     void onServerCrashed(std::function<void(std::uint32_t server)> action) { m_onServerCrashed = std::move(action); }
     // It is barred, or suspected of a crash as it began.
     bool isPutOff(request_fingerprint request, instant now) const { return barredFor(request, now) || isSuspected(request, now); }
+    // Set while it is suspected only because news of a crash that may acquit it can still be on
+    // their way: until when.
+    std::optional<instant> undecidedUntil(request_fingerprint, instant now) const;
     // A request begins at a server: until its end no copy of it does here if it is suspected.
     // False if it is not.
     bool beginTrial(request_fingerprint, instant now);
@@ -137,8 +140,12 @@
     void addRecords(aged_crashes&, request_fingerprint, instant now) const;
     // Another request explains the crash better: more servers crashed under it.
     bool explained(const seen_crash&, request_fingerprint, const weight&) const;
-    // Servers crashed at the same moment without it: that is not the request's doing.
-    bool hasCrashBeside(const seen_crash&, const entry&) const;
+    // Set if more servers crashed at the same moment without it than with it: that has another
+    // cause. From then on; news of its calls there may come until then.
+    std::optional<instant> acquittedAt(const seen_crash&, const entry&) const;
+    // When it stops to count as the cause of a crash that it had just begun in; empty if it does not
+    // count as the cause of one, instant::max() if it does for good.
+    std::optional<instant> suspectedUntil(request_fingerprint, instant now) const;
     // It had just begun as one server crashed, and nothing else explains that crash.
     bool isSuspected(request_fingerprint, instant now) const;
     // Another request explains all these crashes as well as this one.
--- a/Tests/platform/suspected-request/test.cpp
+++ b/Tests/platform/suspected-request/test.cpp
@@ -136,11 +136,12 @@
         history.noteCrash({ 2 }, 11, 0, zero + minute);
         CHECK(maySend(history, zero + milliseconds(1), true));
     }
-    SUBCASE("other servers crashed at the same moment")
+    SUBCASE("more servers crashed at the same moment without it, and all news of that have come")
     {
         auto history = crashedOnce();
         history.noteCrash({ 2 }, 11, 0, zero + milliseconds(900));
-        CHECK(maySend(history, zero, true));
+        history.noteCrash({ 3 }, 12, 0, zero + milliseconds(300));
+        CHECK(maySend(history, zero + milliseconds(1'400), true));
     }
     SUBCASE("but not if it ran on all of those")
     {
@@ -156,6 +157,41 @@
     }
 }
 
+TEST_CASE("the end of one other server at the same moment acquits no request")
+{
+    auto history = crashedOnce();
+    history.noteCrash({ 2 }, 11, manyEvents, zero + milliseconds(29));
+    for (const milliseconds after : { milliseconds(29), milliseconds(4'300) }) {
+        CAPTURE(after.count());
+        CHECK(history.isPutOff(suspect, zero + after));
+        CHECK_FALSE(maySend(history, zero + after, true));
+    }
+}
+
+TEST_CASE("a request whose server crashed beside many others is put off until news of its other calls would have come")
+{
+    constexpr milliseconds beside { 40 };
+    constexpr milliseconds newsTime { 500 };
+    auto history = crashedOnce();
+    CHECK_FALSE(history.undecidedUntil(suspect, zero));
+    for (std::uint32_t server = 11; server < 15; ++server)
+        history.noteCrash({ server }, server, 0, zero + beside);
+    const instant known = zero + beside + newsTime;
+    CHECK((history.undecidedUntil(suspect, zero + beside) == known));
+    CHECK_FALSE(maySend(history, known - milliseconds(1), true));
+    SUBCASE("none came")
+    {
+        CHECK(maySend(history, known, true));
+        CHECK_FALSE(history.undecidedUntil(suspect, known));
+    }
+    SUBCASE("it had run on half of the servers")
+    {
+        history.noteCrash(suspect, 11, manyEvents, known - milliseconds(1));
+        history.noteCrash(suspect, 12, manyEvents, known - milliseconds(1));
+        CHECK_FALSE(maySend(history, known, true));
+    }
+}
+
 TEST_CASE("copies that seven entry VMs hold through a closure crash no further server")
 {
     constexpr std::size_t entries = 7;
