daemon: a look at an ended server that brings nothing is made again, and a refused connection tells

Callers saw: beside load all of 12 engines ended under copies of one prompt (requests.crashing-copies), since nobody knew of the first end.

Cause: an engine that ends resets a connection which has just been made and that it has not accepted. The look took that for "not to be seen now" and ended the matter: nobody looked again, and calls to the same life that were refused afterwards, the sure sign, were told to nobody.

A look without an answer is made again, three times at the most; callers wait for that as for one look before, 0.8 s at the longest where nothing answers. After that a refused connection to a life whose calls are in question tells its end, on both interfaces; the list and the news of others did already.

The new test "a server that answers no look and then stops listening has crashed" was red before.

--- a/Source/agent/engine_guard.cpp
+++ b/Source/agent/engine_guard.cpp
@@ -44,6 +44,11 @@
     tell();
 }
 
+void engine_guard::onLookUnanswered(const server_life&, const std::string& address, const std::string& reason)
+{
+    logProblem("look_unanswered", "engine=" + address + " reason=\"" + reason + "\"");
+}
+
 void engine_guard::tell()
 {
     if (m_onNews && m_history.hasNews())
--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -12,6 +12,10 @@
 namespace {
 
     constexpr milliseconds lookPoll { 1 };
+    // A look finds nothing out where this process or the server gets no processor for its time-out of
+    // a quarter of a second; callers wait for what it finds.
+    constexpr int mostLooks = 3;
+    constexpr milliseconds betweenLooks { 20 };
 
 } // namespace
 
@@ -42,6 +46,12 @@
         noteCallCrashed(life, call);
 }
 
+void crash_watch::noteRefused(const server_life& life, const std::string& address)
+{
+    if (m_detector.isInQuestion(life))
+        noteCrashed(life, address, "a connection to it was refused");
+}
+
 awaitable<void> crash_watch::awaitLook(server_life life)
 {
     while (looking(life))
@@ -58,15 +68,26 @@
     noteCrashed(life, address, "another process saw it end");
 }
 
+// After the last look a refused connection, a later life or the news of another process still tell.
 awaitable<void> crash_watch::look(server_life life, std::string address)
 {
-    const auto seen = co_await lookAtServer(m_context.io(), address);
-    if (seen == server_sight::gone)
-        noteCrashed(life, address, "nothing listens at its address");
-    else if (seen == server_sight::unknown)
-        m_detector.noteNoAnswer(life);
-    else
-        m_detector.noteAlive(life, m_context.now());
+    for (int looks = 1; m_detector.looking(life); ++looks) {
+        const auto seen = co_await lookAtServer(m_context.io(), address);
+        if (seen.sight == server_sight::gone) {
+            noteCrashed(life, address, "nothing listens at its address");
+            co_return;
+        }
+        if (seen.sight == server_sight::listens) {
+            m_detector.noteAlive(life, m_context.now());
+            co_return;
+        }
+        m_listener.onLookUnanswered(life, address, seen.reason);
+        if (looks == mostLooks) {
+            m_detector.noteNoAnswer(life);
+            co_return;
+        }
+        co_await sleepFor(m_context.io(), betweenLooks);
+    }
 }
 
 void crash_watch::noteCrashed(const server_life& life, const std::string& address, const std::string& why)
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -16,6 +16,8 @@
     // Once for each server; then once for each call that it was running.
     virtual void onServerCrashed(const server_life&, const std::string& address, const std::string& why, std::size_t calls) = 0;
     virtual void onCallCrashed(const server_life&, const lost_call&) = 0;
+    // A look brought nothing; another one follows after a few at the most.
+    virtual void onLookUnanswered(const server_life&, const std::string& address, const std::string& reason) = 0;
 };
 
 class crash_watch {
@@ -28,6 +30,8 @@
     // We ended a call whose answer had not come: it stays in question until the server has answered
     // something newer or has ended.
     void noteWithdrawn(const server_life&, const lost_call&);
+    // Nothing listened when a call to that life was to be sent.
+    void noteRefused(const server_life&, const std::string& address);
     // The server answered a call that was sent then.
     void noteAnswered(const server_life& life, instant sentAt) { m_detector.noteAnswered(life, sentAt); }
     // True while it is being looked at.
@@ -46,7 +50,7 @@
     void settle() { m_detector.settle(m_context.now()); }
 
 private:
-    // Looks whether anything listens at the address.
+    // Looks whether anything listens at the address until that is known, a few times at the most.
     awaitable<void> look(server_life, std::string address);
     void noteCrashed(const server_life&, const std::string& address, const std::string& why);
     void noteCallCrashed(const server_life&, const lost_call&);
--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -105,6 +105,7 @@
     const auto [error] = co_await m_connection->stream.async_connect(endpoint.value(), asTuple);
     if (error) {
         m_connection.reset();
+        m_refused = error == asio::error::connection_refused;
         failure failed = lost(verdict::not_run, "cannot connect to " + address, error);
         failed.reason = failure_reason::connection_lost;
         co_return failed;
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -37,6 +37,8 @@
     void useFreshConnection() { m_freshConnection = true; }
     // True if the answer's end can be told from a connection that was cut.
     bool framed() const { return m_framed; }
+    // True if nothing listened at the address.
+    bool refused() const { return m_refused; }
 
 private:
     struct connection;
@@ -53,6 +55,7 @@
     bool m_cancelled = false;
     bool m_freshConnection = false;
     bool m_framed = true;
+    bool m_refused = false;
 };
 
 class http_client {
--- a/Source/daemon/server_look.cpp
+++ b/Source/daemon/server_look.cpp
@@ -18,39 +18,51 @@
     // A server that has no room for connections closes each at once, and lives.
     constexpr int mostLooks = 3;
 
-    enum class look_result { refused,
-        letIn,
-        closed,
-        noAnswer };
+    struct connection_look {
+        // Empty if the connection was made.
+        boost::system::error_code refused;
+        // It was let in, and its connection was closed at once.
+        bool closed = false;
+    };
 
-    awaitable<look_result> connectAndStay(asio::io_context& io, tcp::endpoint endpoint)
+    awaitable<connection_look> connectAndStay(asio::io_context& io, tcp::endpoint endpoint)
     {
         boost::beast::tcp_stream stream(io);
         stream.expires_after(serverConnectTimeout);
+        connection_look look;
         const auto [refused] = co_await stream.async_connect(endpoint, asTuple);
+        look.refused = refused;
         if (refused)
-            co_return refused == asio::error::connection_refused ? look_result::refused : look_result::noAnswer;
+            co_return look;
         stream.expires_after(staysIn);
         char byte = 0;
         const auto [ended, size] = co_await stream.async_read_some(asio::buffer(&byte, 1), asTuple);
-        co_return !ended || ended == boost::beast::error::timeout ? look_result::letIn : look_result::closed;
+        look.closed = ended && ended != boost::beast::error::timeout;
+        co_return look;
     }
 
 } // namespace
 
 // A refused connection is the one sure sign of an ended process: a server that only broke off
 // its calls, or whose group stands still, goes on listening; one that is cut off does not answer.
-awaitable<server_sight> lookAtServer(asio::io_context& io, std::string address)
+awaitable<look_outcome> lookAtServer(asio::io_context& io, std::string address)
 {
+    look_outcome outcome;
     const auto endpoint = parseEndpoint(address);
-    if (!endpoint)
-        co_return server_sight::unknown;
+    if (!endpoint) {
+        outcome.reason = endpoint.error().message;
+        co_return outcome;
+    }
     auto seen = co_await connectAndStay(io, endpoint.value());
-    for (int looks = 1; seen == look_result::closed && looks < mostLooks; ++looks)
+    for (int looks = 1; seen.closed && looks < mostLooks; ++looks)
         seen = co_await connectAndStay(io, endpoint.value());
-    if (seen == look_result::refused)
-        co_return server_sight::gone;
-    co_return seen == look_result::noAnswer ? server_sight::unknown : server_sight::listens;
+    if (seen.refused == asio::error::connection_refused)
+        outcome.sight = server_sight::gone;
+    else if (seen.refused)
+        outcome.reason = seen.refused.message();
+    else
+        outcome.sight = server_sight::listens;
+    co_return outcome;
 }
 
 } // namespace rampgap
--- a/Source/daemon/server_look.h
+++ b/Source/daemon/server_look.h
@@ -4,6 +4,7 @@
 #include "daemon/http_message.h"
 
 #include <boost/asio/io_context.hpp>
+#include <string>
 
 namespace rampgap {
 
@@ -15,6 +16,14 @@
     unknown,
 };
 
-awaitable<server_sight> lookAtServer(boost::asio::io_context&, std::string address);
+struct look_outcome {
+    server_sight sight = server_sight::unknown;
+    // Why nothing is known; empty if something is.
+    std::string reason;
+
+    bool operator==(const look_outcome&) const = default;
+};
+
+awaitable<look_outcome> lookAtServer(boost::asio::io_context&, std::string address);
 
 } // namespace rampgap
--- a/Source/gateway/crash_reporter.cpp
+++ b/Source/gateway/crash_reporter.cpp
@@ -42,6 +42,12 @@
     m_watch.noteWithdrawn(lifeOf(backend), call);
 }
 
+void crash_reporter::noteRefused(const listed_backend& backend)
+{
+    if (mayHaveCrashed(backend))
+        m_watch.noteRefused(lifeOf(backend), backend.address);
+}
+
 void crash_reporter::noteEndTold(std::uint32_t lifeHash)
 {
     if (const auto life = m_watch.findUndecided(lifeHash))
@@ -65,6 +71,11 @@
     tell();
 }
 
+void crash_reporter::onLookUnanswered(const server_life& life, const std::string& address, const std::string& reason)
+{
+    m_log.line("look_unanswered").add("backend", life.id).add("address", address).add("reason", reason);
+}
+
 void crash_reporter::tell()
 {
     if (m_onNews)
--- a/Source/gateway/crash_reporter.h
+++ b/Source/gateway/crash_reporter.h
@@ -20,6 +20,8 @@
     void noteLost(const listed_backend&, const lost_call&);
     // The call was ended here, before its answer had come.
     void noteWithdrawn(const listed_backend&, const lost_call&);
+    // Nothing listened at its address.
+    void noteRefused(const listed_backend&);
     // The first part of the answer to a call that was sent then has come.
     void noteAnswered(const listed_backend& backend, instant sentAt) { m_watch.noteAnswered(lifeOf(backend), sentAt); }
     // Returns when it is known whether the server crashed, or that this cannot be seen now.
@@ -38,6 +40,7 @@
     void noteEndTold(std::uint32_t lifeHash);
     void onServerCrashed(const server_life&, const std::string& address, const std::string& why, std::size_t calls) override;
     void onCallCrashed(const server_life&, const lost_call&) override;
+    void onLookUnanswered(const server_life&, const std::string& address, const std::string& reason) override;
     // It runs under its id or at its address in a later life.
     bool startedAnew(const server_life&, const std::string& address) const;
     void logBarred();
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -273,6 +273,8 @@
         outcome = co_await takeReply(exchange, request, state, backend, underWay, std::move(head.value()), sentAt, unread);
     } else {
         outcome.failed = head.error();
+        if (call.refused())
+            m_crashes.noteRefused(backend);
         const bool unreachable = head.error().ran == verdict::not_run;
         outcome.result = unreachable ? try_result::unreachable : head.error().reason == failure_reason::deadline ? try_result::silent
                                                                                                                  : try_result::failed;
--- a/Source/policy/crash_detector.h
+++ b/Source/policy/crash_detector.h
@@ -61,6 +61,8 @@
     std::vector<lost_call> noteCrashed(const server_life&, instant now);
     bool hasCrashed(const server_life&, instant now) const;
 
+    // Calls at it ended, and it is not known whether it did.
+    bool isInQuestion(const server_life& life) const { return m_suspicions.contains(life); }
     // True until the look that `noteLost` asked for has brought something.
     bool looking(const server_life&) const;
     // Lives of which it is not known whether they ended.
--- a/Tests/platform/dying-server/test.cpp
+++ b/Tests/platform/dying-server/test.cpp
@@ -26,8 +26,10 @@
 struct findings : crash_listener {
     void onServerCrashed(const server_life&, const std::string&, const std::string&, std::size_t calls) override { crashedCalls = calls; }
     void onCallCrashed(const server_life&, const lost_call&) override { }
+    void onLookUnanswered(const server_life&, const std::string&, const std::string& reason) override { unanswered.push_back(reason); }
 
     std::optional<std::size_t> crashedCalls;
+    std::vector<std::string> unanswered;
 };
 
 class server {
@@ -57,6 +59,35 @@
     std::list<tcp::socket> m_open;
 };
 
+// Its system takes no more connections for it, and tells nobody so.
+class stalled_server {
+public:
+    explicit stalled_server(asio::io_context& io)
+        : m_acceptor(io, tcp::v4())
+    {
+        m_acceptor.bind({ asio::ip::address_v4::loopback(), 0 });
+        m_acceptor.listen(0);
+        for (int i = 0; i < queued; ++i) {
+            auto& waiting = m_waiting.emplace_back(io);
+            waiting.async_connect(m_acceptor.local_endpoint(), [](const boost::system::error_code&) {});
+        }
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()); }
+    void end()
+    {
+        m_waiting.clear();
+        m_acceptor.close();
+    }
+
+private:
+    // More than wait where the backlog is none.
+    static constexpr int queued = 3;
+
+    tcp::acceptor m_acceptor;
+    std::list<tcp::socket> m_waiting;
+};
+
 struct watching_process {
     lost_call call() const { return { "r", fingerprintOf("POST", "/draft", "key", ""), 0, context.now(), context.now() }; }
     void look(const std::string& address)
@@ -104,3 +135,36 @@
         CHECK(process.watch.undecided().empty());
     }
 }
+
+TEST_CASE("a server that answers no look and then stops listening has crashed")
+{
+    // Nobody looked again, no entry VM heard of the crash, and all 12 engines ended under copies of one prompt.
+    constexpr milliseconds stallsFor { 100 };
+    watching_process process;
+    stalled_server dying(process.context.io());
+    const auto address = dying.address();
+    asio::co_spawn(
+        process.context.io(), [&]() -> awaitable<void> {
+            boot_timer timer(process.context.io(), stallsFor);
+            co_await timer.async_wait(asTuple);
+            dying.end();
+        },
+        asio::detached);
+    process.look(address);
+    CHECK(process.found.crashedCalls == 1);
+    CHECK(process.found.unanswered.size() == 1);
+}
+
+TEST_CASE("a refused connection tells that a server which answered no look has crashed")
+{
+    watching_process process;
+    stalled_server dying(process.context.io());
+    const auto address = dying.address();
+    // Nobody asks what has become of it: there is nothing to tell.
+    process.watch.noteRefused(life, address);
+    process.look(address);
+    CHECK_FALSE(process.found.crashedCalls);
+    CHECK(process.found.unanswered.size() == 3);
+    process.watch.noteRefused(life, address);
+    CHECK(process.found.crashedCalls == 1);
+}
