daemon, agent: entry VMs are told of a crash directly, and before the caller of the lost request

Callers saw: beside load five to eight of 12 engines ended under copies of one prompt that came to a second entry VM after the first crash; nine must be left (requests.crashing-copies).

Cause: with more than 12 other processes an agent told four random ones of a crash, and the entry VMs, which pick the servers, heard of it by way of others. The caller had its failure meanwhile and could come again.

Agents and entry VMs now tell up to 12 entry VMs directly, whatever the fleet's size, and an agent passes on the failure of a lost call when the entry VMs in reach have acknowledged the news, or after half a second.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -265,6 +265,7 @@
 {
     lost_call call { order.correlation, order.fingerprint, events, sentAt, m_context.now() };
     co_await m_engine.noteLost(std::move(life), std::move(call));
+    co_await m_configuration.awaitCrashesTold();
 }
 
 void agent_server::takeNotice(const http_head& head)
--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -31,8 +31,12 @@
     constexpr milliseconds confirmGrace { 2'000 };
     constexpr int announceFanout = 4;
     constexpr std::size_t crashesPerMessage = 20;
-    // So few processes are all told of a crash at once: a caller comes again within milliseconds.
+    // So few entry VMs, which pick the servers, are all told of a crash at once, and so few processes
+    // in all: a caller comes again within milliseconds.
     constexpr std::size_t toldDirectly = 12;
+    // A caller waits for its failure no longer than this until entry VMs know of the crash behind it.
+    constexpr milliseconds crashToldTimeout { 500 };
+    constexpr milliseconds crashToldPoll { 1 };
     // A look at an engine takes a round trip on the machine.
     constexpr milliseconds crashAnswerTimeout { 100 };
     constexpr milliseconds secondAnnouncement { 300 };
@@ -189,10 +193,10 @@
     std::vector<peer_place> places;
     for (const auto& vm : m_vms.vms) {
         if (vm.name != m_context.name() && !vm.peerAddress.empty())
-            places.push_back({ vm.name, vm.zone, vm.peerAddress });
+            places.push_back({ vm.name, vm.zone, vm.peerAddress, vm.role });
     }
     for (const auto& address : m_settings.seedPeers)
-        places.push_back({ address, m_context.zone(), address });
+        places.push_back({ address, m_context.zone(), address, std::nullopt });
     return places;
 }
 
@@ -328,19 +332,43 @@
 
 void configuration_node::tellCrashes()
 {
+    const auto all = peers();
+    std::vector<peer_place> entries;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(entries), [](const peer_place& peer) { return peer.role == vm_role::entry; });
     while (m_crashes.hasNews()) {
         auto request = makeRequest();
         addCrashes(*request.mutable_crashes(), m_crashes.takeNews(crashesPerMessage, m_context.now()));
-        const auto all = peers();
+        if (entries.size() <= toldDirectly) {
+            for (const auto& entry : entries)
+                asio::co_spawn(m_context.io(), tellEntry(entry, request), asio::detached);
+        }
         if (all.size() > toldDirectly) {
             announce(request);
             continue;
         }
-        for (const auto& peer : all)
-            asio::co_spawn(m_context.io(), announceTo(peer, request), asio::detached);
+        for (const auto& peer : all) {
+            if (peer.role != vm_role::entry)
+                asio::co_spawn(m_context.io(), announceTo(peer, request), asio::detached);
+        }
     }
 }
 
+awaitable<void> configuration_node::tellEntry(peer_place entry, wire::ExchangeRequest request)
+{
+    const bool isInReach = !m_unreachable.contains(entry.name);
+    m_entriesBeingTold += isInReach ? 1 : 0;
+    co_await exchangeWith(entry.address, entry.name, std::move(request));
+    m_entriesBeingTold -= isInReach ? 1 : 0;
+}
+
+// The caller of a lost request may come again with its answer in hand, at another entry VM.
+awaitable<void> configuration_node::awaitCrashesTold()
+{
+    const instant end = m_context.now() + crashToldTimeout;
+    while (m_entriesBeingTold > 0 && m_context.now() < end)
+        co_await sleepFor(m_context.io(), crashToldPoll);
+}
+
 awaitable<void> configuration_node::askAbout(request_fingerprint lost, std::string backend)
 {
     const auto all = peers();
--- a/Source/daemon/configuration_node.h
+++ b/Source/daemon/configuration_node.h
@@ -38,6 +38,9 @@
     void tellCrashes();
     // Learns what the agent of a backend server knows of a request that was lost there.
     awaitable<void> askAbout(request_fingerprint, std::string backend);
+    // Returns when the entry VMs in reach have what `tellCrashes` told them directly, or after a
+    // moment.
+    awaitable<void> awaitCrashesTold();
     // Fills in what this process says of itself.
     template <class Message>
     void stamp(Message& message) const
@@ -80,8 +83,12 @@
         std::string name;
         std::string zone;
         std::string address;
+        // Empty for a seed, of which only the address is known.
+        std::optional<vm_role> role;
     };
     awaitable<void> announceTo(peer_place, wire::ExchangeRequest);
+    // Tells an entry VM of crashes; counts while it has not acknowledged them.
+    awaitable<void> tellEntry(peer_place, wire::ExchangeRequest);
     std::vector<peer_place> peers() const;
     std::vector<std::string> ownReaderOrder() const;
     bool mayLook(instant& nextOwnLook);
@@ -102,6 +109,8 @@
     instant m_lastPeer;
     // Names of processes whose last exchange with us failed.
     std::set<std::string> m_unreachable;
+    // Entry VMs that are being told of crashes.
+    int m_entriesBeingTold = 0;
     bool m_peerSeen = false;
     bool m_pulling = false;
 };
--- a/Tests/requests/crashing-copies/test.cpp
+++ b/Tests/requests/crashing-copies/test.cpp
@@ -85,3 +85,38 @@
         CHECK(eventually([&] { return first.send(harmless).status == 200; }));
     }
 }
+
+// Whoever is told that its request was lost may come again at once, at another entry VM, which must know of the crash.
+TEST_CASE("a caller is told of its loss once the other entry VMs know of the crash")
+{
+    test_fleet fleet;
+    fleet.setRules("[rules]\nretry_percent = 0\n");
+    for (int i = 0; i < engines; ++i)
+        fleet.addBackend({ "a" + std::to_string(i), i % 2 == 0 ? "lac" : "charguia", "assistant", 8, {} });
+    fleet.addEntry("e1", "lac");
+    fleet.addEntry("e2", "charguia");
+    fleet.startServing();
+    useUpRetries(fleet);
+    setFaults(fleet, "crash_on=poison");
+    // Nobody passes news on: the other entry VM hears of the crash from the agent that saw it.
+    std::string cut = fleet.entry("e1").peerAddress();
+    for (const auto& name : fleet.agentNames())
+        cut += "," + fleet.agent(name).peerAddress();
+    for (const auto& name : fleet.agentNames())
+        post(fleet.agent(name).address(), "/operator/cut", cut, operatorKey);
+    post(fleet.entry("e1").address(), "/operator/cut", cut + "," + fleet.entry("e2").peerAddress(), operatorKey);
+
+    const auto poison = completion(smallKey, "assistant", "poison", 20, false);
+    test_client first(fleet.entry("e1").address());
+    REQUIRE(first.send(poison).status >= 500);
+    std::vector<std::thread> callers;
+    for (int i = 0; i < copies; ++i) {
+        callers.emplace_back([&] {
+            test_client client(fleet.entry("e2").address());
+            client.send(poison);
+        });
+    }
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(enginesAlive(fleet) >= engines - mostCrashes);
+}
