daemon: an ended server that still listens when a look ends is looked at once more

Callers saw: beside load two to five servers ended under copies of one request, one may (platform.crashing-second-try), and new copies went on to further groups half a second after the first end.

Cause: a look at a server that broke off its calls takes a connection that stays open for 50 ms as a sign of life. A server may take longer to end. Its calls were forgotten then: the second try was sent, and nothing spoke against the request when copies of it came.

Whoever waits still waits for one look. The calls stay in question until a second look a quarter of a second later, past the end of any process that was about to end; if nothing listens then, they count.

--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -16,6 +16,8 @@
     // a quarter of a second; callers wait for what it finds.
     constexpr int mostLooks = 3;
     constexpr milliseconds betweenLooks { 20 };
+    // A process that ends closes its last socket within this of its first.
+    constexpr milliseconds longestEnd { 250 };
 
 } // namespace
 
@@ -78,7 +80,8 @@
             co_return;
         }
         if (seen.sight == server_sight::listens) {
-            m_detector.noteAlive(life, m_context.now());
+            m_detector.noteListens(life);
+            co_await confirm(life, address, m_context.now());
             co_return;
         }
         m_listener.onLookUnanswered(life, address, seen.reason);
@@ -90,6 +93,19 @@
     }
 }
 
+// Nobody waits for this: it decides whether the calls had to do with an end of the server.
+awaitable<void> crash_watch::confirm(server_life life, std::string address, instant listenedAt)
+{
+    co_await sleepFor(m_context.io(), longestEnd);
+    if (!m_detector.isInQuestion(life))
+        co_return;
+    const auto seen = co_await lookAtServer(m_context.io(), address);
+    if (seen.sight == server_sight::gone && m_detector.isInQuestion(life))
+        noteCrashed(life, address, "nothing listens at its address any more");
+    else if (seen.sight == server_sight::listens)
+        m_detector.noteAlive(life, listenedAt);
+}
+
 void crash_watch::noteCrashed(const server_life& life, const std::string& address, const std::string& why)
 {
     const bool isKnown = m_detector.hasCrashed(life, m_context.now());
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -52,6 +52,8 @@
 private:
     // Looks whether anything listens at the address until that is known, a few times at the most.
     awaitable<void> look(server_life, std::string address);
+    // Looks once more, when it would have ended if it was about to as it still listened.
+    awaitable<void> confirm(server_life, std::string address, instant listenedAt);
     void noteCrashed(const server_life&, const std::string& address, const std::string& why);
     void noteCallCrashed(const server_life&, const lost_call&);
 
--- a/Source/policy/crash_detector.cpp
+++ b/Source/policy/crash_detector.cpp
@@ -63,14 +63,19 @@
         m_suspicions.erase(held);
 }
 
-// What was lost after the look had been sent is older than its answer, too.
-void crash_detector::noteAlive(const server_life& life, instant now)
+void crash_detector::noteListens(const server_life& life)
+{
+    noteNoAnswer(life);
+}
+
+void crash_detector::noteAlive(const server_life& life, instant then)
 {
     const auto held = m_suspicions.find(life);
     if (held == m_suspicions.end())
         return;
-    held->second.looking = false;
-    std::erase_if(held->second.calls, [now](const lost_call& call) { return call.lostAt <= now; });
+    std::erase_if(held->second.calls, [then](const lost_call& call) { return call.lostAt <= then; });
+    if (held->second.calls.empty())
+        held->second.looking = false;
     if (held->second.empty())
         m_suspicions.erase(held);
 }
--- a/Source/policy/crash_detector.h
+++ b/Source/policy/crash_detector.h
@@ -53,8 +53,10 @@
     bool noteWithdrawn(const server_life&, const lost_call&, instant now);
     // The server answered a call that was sent then: it has outlived what was withdrawn before.
     void noteAnswered(const server_life&, instant sentAt);
-    // The server answered a look that ended now: whatever broke off its calls, it was no crash.
-    void noteAlive(const server_life&, instant now);
+    // The server still listened when a look ended: it lives, or its end takes longer than the look.
+    void noteListens(const server_life&);
+    // It has gone on listening for long: whatever broke off its calls until then, it was no crash.
+    void noteAlive(const server_life&, instant then);
     // A look brought no answer: nothing is known.
     void noteNoAnswer(const server_life&);
     // Nothing listens at its address, or it was started anew. Returns the calls that it had.
--- a/Tests/platform/dying-server/test.cpp
+++ b/Tests/platform/dying-server/test.cpp
@@ -94,11 +94,20 @@
     {
         watch.noteLost(life, address, call());
         const instant end = context.now() + longest;
-        while (watch.looking(life) && context.now() < end) {
+        while (!watch.undecided().empty() && context.now() < end) {
             context.io().restart();
             context.io().run_for(milliseconds(1));
         }
     }
+    // As callers do that want to know whether it crashed.
+    void waitForLook()
+    {
+        const instant end = context.now() + longest;
+        while (watch.looking(life) && context.now() < end) {
+            context.io().restart();
+            context.io().run_one_for(milliseconds(1));
+        }
+    }
 
     process_context context { "agent", "a", "test" };
     findings found;
@@ -168,3 +177,33 @@
     process.watch.noteRefused(life, address);
     CHECK(process.found.crashedCalls == 1);
 }
+
+TEST_CASE("a server that goes on listening for longer than a look takes, and then ends, has crashed")
+{
+    // Beside load, ends took longer than the 50 ms for which a look stays connected. The look passed for a sign of life, the
+    // calls were forgotten, and copies of the request that had ended the server went on to four others.
+    constexpr milliseconds listensFor { 150 };
+    watching_process process;
+    server dying(process.context.io());
+    asio::co_spawn(
+        process.context.io(), [&]() -> awaitable<void> {
+            boot_timer timer(process.context.io(), listensFor);
+            co_await timer.async_wait(asTuple);
+            dying.end();
+        },
+        asio::detached);
+    process.look(dying.address());
+    CHECK(process.found.crashedCalls == 1);
+}
+
+TEST_CASE("whoever waits for a look at a server that lives waits for one look only")
+{
+    watching_process process;
+    server living(process.context.io());
+    asio::co_spawn(process.context.io(), living.serve(false), asio::detached);
+    process.watch.noteLost(life, living.address(), process.call());
+    process.waitForLook();
+    CHECK_FALSE(process.watch.undecided().empty());
+    process.look(living.address());
+    CHECK(process.watch.undecided().empty());
+}
