--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -147,8 +147,11 @@
         co_await holdCaller(m_context, exchange, std::move(undecided), std::min(*until, request.deadline), groupPoll);
     }
     auto refused = m_history.refuse({ state.fingerprint, closesGroup(request), state.runs > 0 }, m_context.now());
+    const auto whyNot = refused ? std::string_view() : m_history.whyLetThrough(state.fingerprint, m_context.now());
     if (refused)
         refused->ran = state.worst;
+    else if (!whyNot.empty())
+        m_log.requestLine("suspicion_lifted").add("request", request.said.id).add("fingerprint", toString(state.fingerprint)).add("reason", std::string(whyNot));
     co_return refused;
 }
 
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -305,6 +305,25 @@
     return isUndecided ? until : std::nullopt;
 }
 
+std::string_view crash_history::whyLetThrough(request_fingerprint request, instant now) const
+{
+    const auto held = m_requests.find(request);
+    if (held == m_requests.end() || memoryOf(held->second) <= now - held->second.seenAt)
+        return {};
+    const auto isEarly = [](const seen_crash& crash) { return crash.early; };
+    const auto early = std::find_if(held->second.crashes.begin(), held->second.crashes.end(), isEarly);
+    if (early == held->second.crashes.end())
+        return {};
+    if (!held->second.cleared.empty())
+        return "a server ran it to its end";
+    const auto acquitted = acquittedAt(*early, held->second);
+    if (acquitted && *acquitted <= now)
+        return "more servers crashed at the same moment without it";
+    if (explained(*early, request, weigh(held->second)))
+        return "another request explains the crash";
+    return "it is tried after a while, or in place of its caller's lost try";
+}
+
 // One crash convicts nobody, but copies of the request that come to several processes would all
 // begin before the second crash is known anywhere: one request can end all engines of a service so.
 // What the crash of a lock-step group takes from all callers for seconds outweighs the two or
--- a/Source/policy/crash_history.h
+++ b/Source/policy/crash_history.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -72,6 +73,8 @@
     // Set while it is suspected only because news of a crash that may acquit it can still be on
     // their way: until when.
     std::optional<instant> undecidedUntil(request_fingerprint, instant now) const;
+    // Why a request may be sent though a server crashed as it began; empty if none did.
+    std::string_view whyLetThrough(request_fingerprint, instant now) const;
     // A request begins at a server: until its end no copy of it does here if it is suspected.
     // False if it is not.
     bool beginTrial(request_fingerprint, instant now);
--- a/Tests/platform/suspected-request/test.cpp
+++ b/Tests/platform/suspected-request/test.cpp
@@ -128,6 +128,8 @@
         auto history = crashedOnce();
         history.noteServed(suspect, zero);
         CHECK(maySend(history, zero, true));
+        CHECK(history.whyLetThrough(suspect, zero) == "a server ran it to its end");
+        CHECK(history.whyLetThrough({ 2 }, zero).empty());
     }
     SUBCASE("another request crashed more")
     {
@@ -182,6 +184,7 @@
     SUBCASE("none came")
     {
         CHECK(maySend(history, known, true));
+        CHECK(history.whyLetThrough(suspect, known) == "more servers crashed at the same moment without it");
         CHECK_FALSE(history.undecidedUntil(suspect, known));
     }
     SUBCASE("it had run on half of the servers")
