daemon, agent: a request that came after the stop signal is refused

Callers saw: nothing that the promise of two seconds forbids; an agent that had been told to stop ran one request more (requests.drain-declared, beside load 4 of 144 runs, twelve at a time beside eight busy loops).

Cause: the signal's handler runs when the process gets the processor, and its loop takes the requests that came meanwhile before it hears of the signal.

Evidence: a second series of 144 with a trial line where an agent lets a request run and one where the test has sent the signal: 4 red, in each the first request after the signal runs at the leaving agent 0 to 2 ms after it was sent, before or beside "event=leaving". So it was not the request that came first, as suspected.

Daemons block the stop signals and read them from a descriptor, so that one is pending from the moment in which it is sent, and an agent looks whether one is before it takes a request.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -5,6 +5,7 @@
 #include "daemon/header_names.h"
 #include "daemon/log.h"
 #include "daemon/sleep.h"
+#include "daemon/stop_signal.h"
 #include "discovery/platform_source.h"
 #include "peer.pb.h"
 #include <boost/asio/as_tuple.hpp>
@@ -202,6 +203,9 @@
         co_return;
     }
     const std::string& correlation = order.value().correlation;
+    // The entry VM may have sent it after the signal.
+    if (isStopSignalPending())
+        leave();
     if (m_leaving || !m_declared) {
         const auto reason = m_leaving ? failure_reason::leaving : failure_reason::not_ready;
         co_await refuse(exchange, notRun(reason, m_leaving ? "this backend server is leaving" : "this backend server is not declared", leavingRetryAfter), correlation);
--- a/Source/daemon/daemon_main.cpp
+++ b/Source/daemon/daemon_main.cpp
@@ -1,6 +1,5 @@
 #include "daemon/daemon_main.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
@@ -92,15 +91,6 @@
     std::cout << "ready http=" << httpPort << " peer=" << peerPort << std::endl;
 }
 
-void onStopSignal(process_context& context, std::function<void()> action)
-{
-    auto signals = std::make_shared<boost::asio::signal_set>(context.io(), SIGTERM, SIGINT);
-    signals->async_wait([signals, action = std::move(action)](boost::system::error_code error, int) {
-        if (!error)
-            action();
-    });
-}
-
 void runToEnd(process_context& context)
 {
     context.io().run();
--- a/Source/daemon/daemon_main.h
+++ b/Source/daemon/daemon_main.h
@@ -3,6 +3,7 @@
 
 #include "daemon/log.h"
 #include "daemon/settings.h"
+#include "daemon/stop_signal.h"
 
 #include <functional>
 #include <iostream>
@@ -45,15 +46,13 @@
 // Prints the line that tells a starter the ports: "ready http=PORT peer=PORT".
 void printReady(int httpPort, int peerPort);
 
-// Calls `action` on the process's thread at the first SIGTERM or SIGINT.
-void onStopSignal(process_context&, std::function<void()> action);
-
 // Runs the process until its io context ends, then leaves without unwinding gRPC.
 [[noreturn]] void runToEnd(process_context&);
 
 template <class Server, class Settings>
 int runDaemon(int argc, char** argv, const daemon_identity& identity, settings_result<Settings> (*parse)(const std::string& text, const std::string& file))
 {
+    blockStopSignals();
     daemon_flags flags;
     if (const auto code = parseDaemonFlags(argc, argv, identity.program, identity.purpose, flags))
         return *code;
@@ -75,7 +74,7 @@
         std::cerr << identity.program << ": " << server.error().message << "\n";
         return exit_failed;
     }
-    onStopSignal(context, [&] { server.value()->leave(); });
+    onStopSignal(context.io(), [&] { server.value()->leave(); });
     printReady(server.value()->httpPort(), server.value()->peerPort());
     runToEnd(context);
 }
--- a/Source/standin/group_standin.cpp
+++ b/Source/standin/group_standin.cpp
@@ -145,7 +145,7 @@
         std::cout << "rank http=" << m_servers.back()->port() << std::endl;
     }
     asio::co_spawn(m_context.io(), stepLoop(), asio::detached);
-    onStopSignal(m_context, [&] { m_context.io().stop(); });
+    onStopSignal(m_context.io(), [&] { m_context.io().stop(); });
     printReady(m_servers.front()->port(), 0);
     runToEnd(m_context);
 }
--- a/Source/standin/main.cpp
+++ b/Source/standin/main.cpp
@@ -22,7 +22,7 @@
         std::cerr << "rampgap-standin: " << server.error().message << "\n";
         return exit_failed;
     }
-    onStopSignal(context, [&] { context.io().stop(); });
+    onStopSignal(context.io(), [&] { context.io().stop(); });
     printReady(server.value()->port(), 0);
     runToEnd(context);
 }
@@ -31,6 +31,7 @@
 
 int main(int argc, char** argv)
 {
+    blockStopSignals();
     standin_flags flags;
     if (const auto code = parseStandinFlags(argc, argv, flags))
         return *code;
