agent: a call whose caller has left counts as evidence, too

Callers saw: nothing yet; found by looking for the fault of the withdrawn copies elsewhere. A caller that leaves before its request ends the engine hid what had ended it: no agent noted such a call, and the next sending went to the next engine.

Evidence: eight sendings of one prompt, whose callers leave when it runs, end four of eight engines in the new test; three may end.

An agent now looks at its engine also when the caller of a call without an event has left; the look that follows a quarter of a second later finds the end.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -319,7 +319,8 @@
     auto head = co_await call.start(m_settings.engine, std::move(request), order.admission.deadline);
     if (!head) {
         failure failed = head.error();
-        if (failed.ran != verdict::not_run && failed.reason == failure_reason::connection_lost && !exchange.callerGone())
+        // Also where the caller has left: what had begun ends its engine all the same.
+        if (failed.ran != verdict::not_run && failed.reason == failure_reason::connection_lost)
             co_await noteLost(life, order, 0, sentAt);
         if (failed.ran == verdict::not_run) {
             // Nothing listens there: what comes next is another life of the engine.
@@ -360,6 +361,8 @@
         m_context.counters().add(metric::requests_answered);
         m_engine.noteServed(order.fingerprint);
     }
+    if (outcome.end == relay_end::caller_gone && progress.events == 0)
+        co_await noteLost(life, order, 0, sentAt);
     if (outcome.end != relay_end::cut)
         co_return std::nullopt;
     failure cut = outcome.failed.value_or(failure {});
--- a/Source/agent/engine_guard.h
+++ b/Source/agent/engine_guard.h
@@ -22,10 +22,6 @@
     // The engine ended the call without a whole answer; returns when it is known whether it
     // crashed: the entry VM then asks.
     awaitable<void> noteLost(server_life, lost_call);
-    // We ended the call, whose caller has left, before the engine answered.
-    void noteWithdrawn(const server_life& life, const lost_call& call) { m_watch.noteWithdrawn(life, call); }
-    // The engine began to answer a call that was sent then.
-    void noteAnswered(const server_life& life, instant sentAt) { m_watch.noteAnswered(life, sentAt); }
     // Nothing listened at its address.
     void noteRefused(const server_life& life) { m_watch.noteRefused(life, m_engine); }
     // The engine ran the request to its end.
--- a/Tests/requests/crashing-request/test.cpp
+++ b/Tests/requests/crashing-request/test.cpp
@@ -22,6 +22,19 @@
     return static_cast<int>(std::count_if(names.begin(), names.end(), [&](const std::string& name) { return get(fleet.engine(name).address(), "/standin/runs").status == 200; }));
 }
 
+// Engines whose end their agents know of.
+int crashesKnown(test_fleet& fleet)
+{
+    const auto names = fleet.agentNames();
+    return static_cast<int>(std::count_if(names.begin(), names.end(), [&](const std::string& name) { return get(fleet.agent(name).address(), "/metrics").body.find("rampgap_servers_crashed_total 1") != std::string::npos; }));
+}
+
+bool runsSomewhere(test_fleet& fleet)
+{
+    const auto names = fleet.agentNames();
+    return std::any_of(names.begin(), names.end(), [&](const std::string& name) { return get(fleet.engine(name).address(), "/standin/runs").body.find("\"in_batch\":1") != std::string::npos; });
+}
+
 } // namespace
 
 TEST_CASE("a request that crashes engines is refused everywhere, and nothing that ran beside it")
@@ -61,3 +74,25 @@
         CHECK(eventually([&] { return clients[static_cast<std::size_t>(i) % clients.size()]->send(harmless).status == 200; }));
     }
 }
+
+// Callers that had left as their engine ended hid what had ended it: all engines ended one after the other.
+TEST_CASE("a request that crashes engines after its caller has left is refused, too")
+{
+    constexpr std::chrono::milliseconds longest { 2'000 };
+    test_fleet fleet;
+    for (int i = 0; i < engines; ++i)
+        fleet.addBackend({ "a" + std::to_string(i), i % 2 == 0 ? "lac" : "charguia", "assistant", 8, {} });
+    fleet.addEntry("e1", "lac");
+    fleet.addEntry("e2", "charguia");
+    fleet.startServing();
+    for (const auto& name : fleet.agentNames())
+        post(fleet.engine(name).address(), "/standin/faults?crash_on=poison&slow=50");
+    const std::string body = completion(smallKey, "assistant", "poison", 20, false).body;
+    const std::string request = "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + smallKey + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (int sending = 0; sending < engines; ++sending) {
+        const auto untilItRuns = [&] { eventually([&] { return runsSomewhere(fleet); }, longest); };
+        test_client::raw(fleet.entry(sending % 2 == 0 ? "e1" : "e2").address(), request, untilItRuns);
+        eventually([&] { return !runsSomewhere(fleet) && crashesKnown(fleet) == engines - enginesAlive(fleet); }, longest);
+    }
+    CHECK(enginesAlive(fleet) >= engines - mostCrashes);
+}
