--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -12,8 +12,8 @@
 namespace {
 
     constexpr milliseconds lookPoll { 1 };
-    // A look finds nothing out where this process or the server gets no processor for its time-out of
-    // a quarter of a second; callers wait for what it finds.
+    // A look finds nothing out where the server resets it as it ends, or does not answer in time;
+    // callers wait for what it finds.
     constexpr int mostLooks = 3;
     constexpr milliseconds betweenLooks { 20 };
     // A process that ends closes its last socket within this of its first.
@@ -80,13 +80,13 @@
             co_return;
         }
         if (seen.sight == server_sight::listens) {
-            m_detector.noteListens(life);
+            m_detector.noteUndecided(life);
             co_await confirm(life, address, m_context.now());
             co_return;
         }
         m_listener.onLookUnanswered(life, address, seen.reason);
         if (looks == mostLooks) {
-            m_detector.noteNoAnswer(life);
+            m_detector.noteUndecided(life);
             co_return;
         }
         co_await sleepFor(m_context.io(), betweenLooks);
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -14,11 +14,10 @@
     // A repeatable plain request that has not been answered for so many times its target is
     // tried elsewhere.
     constexpr int silentTargets = 3;
-    // Within this after its start a process hears of the groups that have agents: machines
-    // return within 1.5 s of each other (measured), and a group forms in 0.6 s.
+    // Within this after its start a process hears of the groups that have agents, also where all
+    // machines start together.
     constexpr milliseconds firstNews { 3'000 };
-    // Where agents tell of groups a process hears of them so soon after its start: 0.4 s was
-    // seen after a start of all.
+    // Where agents tell of groups a process hears of them so soon after its start.
     constexpr milliseconds firstGroupNews { 800 };
     // Below this no server can do anything for the caller.
     constexpr milliseconds leastTimeLeft { 20 };
@@ -137,9 +136,9 @@
 }
 
 // The caller is told at once and truthfully: it has not run here and is not going to. Where nobody
-// keeps such a request from the servers it ends one after the other: 17 times in 11 s, with 3 of 307
-// other streams served (a soak run with one group of three engines). Whoever ran on one of many
-// servers that crashed together waits for what acquits it: a refusal would send it away for a minute.
+// keeps such a request from the servers it ends one after the other, and hardly anything else is
+// served. Whoever ran on one of many servers that crashed together waits for what acquits it: a
+// refusal would send it away for a minute.
 awaitable<std::optional<failure>> upstream_dispatcher::refusalOf(http_exchange& exchange, const admitted_request& request, const progress& state)
 {
     if (const auto until = m_history.undecidedUntil(state.fingerprint, m_context.now())) {
@@ -155,8 +154,8 @@
     co_return refused;
 }
 
-// After a start of all no group is open, and each of a hundred requests that were sent before
-// the first news of that was refused, with its first try gone.
+// After a start of all no group is open: requests that are sent before the first news of that are
+// refused, and their first try is gone.
 bool upstream_dispatcher::noGroupFor(const admitted_request& request) const
 {
     if (!request.costs)
@@ -370,8 +369,8 @@
     return request.costs && request.costs->layerSets > 0;
 }
 
-// A run until the crash takes a tenth of a second and more, news of the first one a few
-// milliseconds: a copy at another group is there in time to be saved, and that group with it.
+// News of the first crash mostly come before the copy at another group has ended its server: the
+// copy can be saved, and that group with it.
 void upstream_dispatcher::takeBackCopies(request_fingerprint request)
 {
     if (!m_history.isPutOff(request, m_context.now()))
--- a/Source/policy/crash_detector.cpp
+++ b/Source/policy/crash_detector.cpp
@@ -63,11 +63,6 @@
         m_suspicions.erase(held);
 }
 
-void crash_detector::noteListens(const server_life& life)
-{
-    noteNoAnswer(life);
-}
-
 void crash_detector::noteAlive(const server_life& life, instant then)
 {
     const auto held = m_suspicions.find(life);
@@ -80,7 +75,7 @@
         m_suspicions.erase(held);
 }
 
-void crash_detector::noteNoAnswer(const server_life& life)
+void crash_detector::noteUndecided(const server_life& life)
 {
     const auto held = m_suspicions.find(life);
     if (held != m_suspicions.end())
--- a/Source/policy/crash_detector.h
+++ b/Source/policy/crash_detector.h
@@ -53,12 +53,11 @@
     bool noteWithdrawn(const server_life&, const lost_call&, instant now);
     // The server answered a call that was sent then: it has outlived what was withdrawn before.
     void noteAnswered(const server_life&, instant sentAt);
-    // The server still listened when a look ended: it lives, or its end takes longer than the look.
-    void noteListens(const server_life&);
-    // It has gone on listening for long: whatever broke off its calls until then, it was no crash.
+    // The server has gone on listening for long: whatever broke off its calls until then, it was no crash.
     void noteAlive(const server_life&, instant then);
-    // A look brought no answer: nothing is known.
-    void noteNoAnswer(const server_life&);
+    // A look ended and nothing is sure: it brought no answer, or the server still listened, which
+    // lives or takes longer to end than the look. Nobody looks until the next call is lost.
+    void noteUndecided(const server_life&);
     // Nothing listens at its address, or it was started anew. Returns the calls that it had.
     std::vector<lost_call> noteCrashed(const server_life&, instant now);
     bool hasCrashed(const server_life&, instant now) const;
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    // Events after which a request no longer counts as just begun. Of the 16 calls that two crashes
-    // ended (logs of such a day) one in each had had no event, the others 1 to 16.
+    // Events after which a request no longer counts as just begun: what ends a server as a rule does
+    // so with its first step.
     constexpr std::uint64_t earlyEvents = 2;
     // Crashes that bar a request which had just begun each time and has no rival: one crash may
     // be the server's own, and each further one closes its whole group for seconds.
@@ -31,9 +31,9 @@
     constexpr milliseconds sameMoment { 1'000 };
     // News of a crash, and of all calls that the server had, reach all processes within this.
     constexpr milliseconds newsTime { 500 };
-    // Some 64 requests at each of 32 servers of a group that crash together; about 200 bytes each.
+    // Bounds the memory where a group of many servers crashes under full load.
     constexpr std::size_t mostRequests = 2'048;
-    // Of the requests with several crashes; with 8 crashes each they fill two packets.
+    // Of the requests with several crashes: what one answer to a peer holds.
     constexpr std::size_t mostRepeated = 32;
     constexpr std::size_t crashesKept = 8;
 
--- a/Tests/platform/crash-detection/test.cpp
+++ b/Tests/platform/crash-detection/test.cpp
@@ -60,14 +60,14 @@
 {
     crash_detector detector;
     detector.noteLost(first, lostAt("a", milliseconds(2'000)), zero + milliseconds(2'000));
-    detector.noteNoAnswer(first);
+    detector.noteUndecided(first);
     detector.settle(zero + milliseconds(6'000));
     CHECK(detector.undecided() == std::vector<server_life> { first });
     CHECK((detector.noteLost(first, lostAt("b", milliseconds(2'500)), zero + milliseconds(2'500)) == finding::look));
     CHECK(detector.noteCrashed(first, zero + milliseconds(6'000)).size() == 2);
     const server_life other { "i-2", 1'000 };
     detector.noteLost(other, lostAt("c", milliseconds(2'000)), zero + milliseconds(2'000));
-    detector.noteNoAnswer(other);
+    detector.noteUndecided(other);
     detector.settle(zero + milliseconds(12'001));
     CHECK(detector.undecided().empty());
 }
