--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/crash_history.cpp
@@ -278,50 +278,47 @@
     return without[with] + newsTime;
 }
 
-std::optional<instant> crash_history::suspectedUntil(request_fingerprint request, instant now) const
+crash_history::judgement crash_history::judge(request_fingerprint request, instant now) const
 {
     const auto held = m_requests.find(request);
-    if (held == m_requests.end() || !held->second.cleared.empty() || now - held->second.seenAt >= memoryOf(held->second))
-        return std::nullopt;
+    if (held == m_requests.end() || now - held->second.seenAt >= memoryOf(held->second))
+        return {};
     const weight own = weigh(held->second);
-    std::optional<instant> until;
+    judgement found;
     for (const auto& crash : held->second.crashes) {
-        if (crash.early && !explained(crash, request, own))
-            until = std::max(until, std::optional(acquittedAt(crash, held->second).value_or(instant::max())));
+        if (!crash.early)
+            continue;
+        if (!held->second.cleared.empty())
+            found.liftedBy = "a server ran it to its end";
+        else if (explained(crash, request, own))
+            found.liftedBy = "another request explains the crash";
+        else
+            found.until = std::max(found.until, std::optional(acquittedAt(crash, held->second).value_or(instant::max())));
     }
-    return until;
+    if (found.until && *found.until <= now)
+        found.liftedBy = "more servers crashed at the same moment without it";
+    return found;
 }
 
 bool crash_history::isSuspected(request_fingerprint request, instant now) const
 {
-    const auto until = suspectedUntil(request, now);
+    const auto until = judge(request, now).until;
     return until && now < *until;
 }
 
 std::optional<instant> crash_history::undecidedUntil(request_fingerprint request, instant now) const
 {
-    const auto until = suspectedUntil(request, now);
+    const auto until = judge(request, now).until;
     const bool isUndecided = until && now < *until && *until != instant::max() && !barredFor(request, now);
     return isUndecided ? until : std::nullopt;
 }
 
 std::string_view crash_history::whyLetThrough(request_fingerprint request, instant now) const
 {
-    const auto held = m_requests.find(request);
-    if (held == m_requests.end() || memoryOf(held->second) <= now - held->second.seenAt)
-        return {};
-    const auto isEarly = [](const seen_crash& crash) { return crash.early; };
-    const auto early = std::find_if(held->second.crashes.begin(), held->second.crashes.end(), isEarly);
-    if (early == held->second.crashes.end())
-        return {};
-    if (!held->second.cleared.empty())
-        return "a server ran it to its end";
-    const auto acquitted = acquittedAt(*early, held->second);
-    if (acquitted && *acquitted <= now)
-        return "more servers crashed at the same moment without it";
-    if (explained(*early, request, weigh(held->second)))
-        return "another request explains the crash";
-    return "it is tried after a while, or in place of its caller's lost try";
+    const judgement found = judge(request, now);
+    if (found.until && now < *found.until)
+        return "it is tried after a while, or in place of its caller's lost try";
+    return found.liftedBy;
 }
 
 // One crash convicts nobody, but copies of the request that come to several processes would all
--- a/Source/policy/crash_history.h
+++ b/Source/policy/crash_history.h
@@ -115,6 +115,14 @@
         auto operator<=>(const weight&) const = default;
     };
 
+    struct judgement {
+        // When it stops to count as the cause of a crash; empty if it does not count as the cause of
+        // one, instant::max() if it does for good.
+        std::optional<instant> until;
+        // What cleared it of a crash, if anything did.
+        std::string_view liftedBy;
+    };
+
     // The requests that ran on a server as it crashed, and when that was heard first.
     struct crashed_server {
         std::set<request_fingerprint> suspects;
@@ -146,9 +154,8 @@
     // Set if more servers crashed at the same moment without it than with it: that has another
     // cause. From then on; news of its calls there may come until then.
     std::optional<instant> acquittedAt(const seen_crash&, const entry&) const;
-    // When it stops to count as the cause of a crash that it had just begun in; empty if it does not
-    // count as the cause of one, instant::max() if it does for good.
-    std::optional<instant> suspectedUntil(request_fingerprint, instant now) const;
+    // What its crashes, if it had just begun in any, make of it.
+    judgement judge(request_fingerprint, instant now) const;
     // It had just begun as one server crashed, and nothing else explains that crash.
     bool isSuspected(request_fingerprint, instant now) const;
     // Another request explains all these crashes as well as this one.
