daemon, gateway: a server's end is noted in one way, with its reason

crash_watch had two public functions that named a reason and called a private third; the crash reporter asked twice, alike, whether a life had been started anew. One function each now. No behaviour changes.

--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -60,16 +60,6 @@
         co_await sleepFor(m_context.io(), lookPoll);
 }
 
-void crash_watch::noteStartedAnew(const server_life& life, const std::string& address)
-{
-    noteCrashed(life, address, "it was started anew");
-}
-
-void crash_watch::noteEndTold(const server_life& life, const std::string& address)
-{
-    noteCrashed(life, address, "another process saw it end");
-}
-
 // After the last look a refused connection, a later life or the news of another process still tell.
 awaitable<void> crash_watch::look(server_life life, std::string address)
 {
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -38,10 +38,8 @@
     bool looking(const server_life& life) const { return m_detector.looking(life); }
     // Returns when it is known whether the server crashed, or that this cannot be seen now.
     awaitable<void> awaitLook(server_life);
-    // A later life of the server was seen.
-    void noteStartedAnew(const server_life&, const std::string& address);
-    // Another process saw it end.
-    void noteEndTold(const server_life&, const std::string& address);
+    // It is known to have ended, for a reason that goes into the log.
+    void noteCrashed(const server_life&, const std::string& address, const std::string& why);
     // The life with this hash, if calls at it are in question.
     std::optional<server_life> findUndecided(std::uint32_t hash) const { return m_detector.findUndecided(hash); }
     // Lives of which it is not known whether they ended.
@@ -54,7 +52,6 @@
     awaitable<void> look(server_life, std::string address);
     // Looks once more, when it would have ended if it was about to as it still listened.
     awaitable<void> confirm(server_life, std::string address, instant listenedAt);
-    void noteCrashed(const server_life&, const std::string& address, const std::string& why);
     void noteCallCrashed(const server_life&, const lost_call&);
 
     process_context& m_context;
--- a/Source/gateway/crash_reporter.cpp
+++ b/Source/gateway/crash_reporter.cpp
@@ -29,8 +29,7 @@
     const server_life life = lifeOf(backend);
     m_addresses.insert_or_assign(life, backend.address);
     // What listens there now says nothing of the life before.
-    if (startedAnew(life, backend.address))
-        m_watch.noteStartedAnew(life, backend.address);
+    noteIfStartedAnew(life, backend.address);
     m_watch.noteLost(life, backend.address, call);
 }
 
@@ -51,7 +50,7 @@
 void crash_reporter::noteEndTold(std::uint32_t lifeHash)
 {
     if (const auto life = m_watch.findUndecided(lifeHash))
-        m_watch.noteEndTold(*life, m_addresses.at(*life));
+        m_watch.noteCrashed(*life, m_addresses.at(*life), "another process saw it end");
 }
 
 void crash_reporter::noteServed(request_fingerprint request)
@@ -91,6 +90,12 @@
     return successor && successor->id != life.id;
 }
 
+void crash_reporter::noteIfStartedAnew(const server_life& life, const std::string& address)
+{
+    if (startedAnew(life, address))
+        m_watch.noteCrashed(life, address, "it was started anew");
+}
+
 void crash_reporter::logBarred()
 {
     const auto barred = m_history.barred(m_context.now());
@@ -110,10 +115,8 @@
 
 void crash_reporter::settle()
 {
-    for (const auto& life : m_watch.undecided()) {
-        if (startedAnew(life, m_addresses.at(life)))
-            m_watch.noteStartedAnew(life, m_addresses.at(life));
-    }
+    for (const auto& life : m_watch.undecided())
+        noteIfStartedAnew(life, m_addresses.at(life));
     m_watch.settle();
     m_history.settle(m_context.now());
     logBarred();
--- a/Source/gateway/crash_reporter.h
+++ b/Source/gateway/crash_reporter.h
@@ -43,6 +43,7 @@
     void onLookUnanswered(const server_life&, const std::string& address, const std::string& reason) override;
     // It runs under its id or at its address in a later life.
     bool startedAnew(const server_life&, const std::string& address) const;
+    void noteIfStartedAnew(const server_life&, const std::string& address);
     void logBarred();
     void tell();
 
