daemon: news of a crash are handed out in one pass over the peers

The list of entry VMs was copied out of the list of all peers and both were gone through, with a special case for small fleets in between. Who is told what is as it was.

--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -333,23 +333,20 @@
 void configuration_node::tellCrashes()
 {
     const auto all = peers();
-    std::vector<peer_place> entries;
-    std::copy_if(all.begin(), all.end(), std::back_inserter(entries), [](const peer_place& peer) { return peer.role == vm_role::entry; });
+    const auto isEntry = [](const peer_place& peer) { return peer.role == vm_role::entry; };
+    const bool fewEntries = static_cast<std::size_t>(std::count_if(all.begin(), all.end(), isEntry)) <= toldDirectly;
+    const bool few = all.size() <= toldDirectly;
     while (m_crashes.hasNews()) {
         auto request = makeRequest();
         addCrashes(*request.mutable_crashes(), m_crashes.takeNews(crashesPerMessage, m_context.now()));
-        if (entries.size() <= toldDirectly) {
-            for (const auto& entry : entries)
-                asio::co_spawn(m_context.io(), tellEntry(entry, request), asio::detached);
-        }
-        if (all.size() > toldDirectly) {
-            announce(request);
-            continue;
-        }
         for (const auto& peer : all) {
-            if (peer.role != vm_role::entry)
+            if (fewEntries && isEntry(peer))
+                asio::co_spawn(m_context.io(), tellEntry(peer, request), asio::detached);
+            else if (few)
                 asio::co_spawn(m_context.io(), announceTo(peer, request), asio::detached);
         }
+        if (!few)
+            announce(request);
     }
 }
 
