policy: one token bucket in place of three

A bucket that fills at a rate up to a bound stood in rate_limiter, engine_intake and grant_office, each with its own two fields and its own reckoning of the time since; the least limit and the longest backoff stood twice. token_bucket serves all three, the constants stand beside what they belong to, and engine_intake works out its rate in one place. The sums are the same.

--- a/Source/policy/engine_intake.cpp
+++ b/Source/policy/engine_intake.cpp
@@ -6,12 +6,9 @@
 
 namespace {
 
-    // Somebody has to find out that a limit has ended, also one of next to nothing.
-    constexpr double leastPerSecond = 0.1;
     // What the engine takes in this time may come at once.
     constexpr double burstSeconds = 1;
     constexpr milliseconds leavingRetryAfter { 500 };
-    constexpr milliseconds longestBackoff = std::chrono::hours(24);
     constexpr milliseconds shortestPause { 20 };
     constexpr milliseconds longestPause { 10'000 };
     // An entry VM that was not refused for so long has no use for the engine.
@@ -21,10 +18,8 @@
 
 void engine_intake::noteLimit(std::optional<double> perSecond, instant now)
 {
-    if (perSecond && !m_perSecond) {
-        m_tokens = 0;
-        m_filledAt = now;
-    }
+    if (perSecond && !m_perSecond)
+        m_tokens = token_bucket(0, now);
     m_perSecond = perSecond;
     if (!perSecond)
         m_refused.clear();
@@ -51,13 +46,10 @@
         return notRun(failure_reason::server_backoff, "the engine asked to back off", std::chrono::ceil<milliseconds>(m_backoffUntil - now));
     if (!m_perSecond)
         return boost::outcome_v2::success();
-    const double rate = std::max(*m_perSecond, leastPerSecond);
-    const double elapsed = std::chrono::duration<double>(now - m_filledAt).count();
-    m_tokens = std::min(m_tokens + rate * elapsed, std::max(1.0, rate * burstSeconds));
-    m_filledAt = now;
-    if (m_tokens < 1)
+    m_tokens.fill(rate(), std::max(1.0, rate() * burstSeconds), now);
+    if (m_tokens.tokens() < 1)
         return notRun(failure_reason::server_limit, "the engine takes no more requests now", pauseFor(entry, now));
-    m_tokens -= 1;
+    m_tokens.take(1);
     m_refused.erase(entry);
     return boost::outcome_v2::success();
 }
@@ -67,8 +59,7 @@
 {
     std::erase_if(m_refused, [now](const auto& held) { return now - held.second >= refusedLife; });
     m_refused[entry] = now;
-    const double rate = std::max(*m_perSecond, leastPerSecond);
-    const auto turn = milliseconds(static_cast<std::int64_t>(1'000 * static_cast<double>(m_refused.size()) / rate));
+    const auto turn = milliseconds(static_cast<std::int64_t>(1'000 * static_cast<double>(m_refused.size()) / rate()));
     return std::clamp(turn, shortestPause, longestPause);
 }
 
--- a/Source/policy/engine_intake.h
+++ b/Source/policy/engine_intake.h
@@ -1,8 +1,11 @@
 // How many requests an agent passes on to its engine: no more than the engine takes.
 #pragma once
 
+#include "policy/server_backoffs.h"
+#include "policy/token_bucket.h"
 #include "policy/verdict.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
@@ -25,13 +28,14 @@
     result<void> enter(const std::string& entry, instant now);
 
 private:
+    // Requests a second that it takes, where it has named a limit.
+    double rate() const { return std::max(*m_perSecond, leastPerSecond); }
     milliseconds pauseFor(const std::string& entry, instant now);
 
     std::optional<double> m_perSecond;
     instant m_backoffUntil {};
     bool m_leaving = false;
-    double m_tokens = 0;
-    instant m_filledAt {};
+    token_bucket m_tokens;
     // When each entry VM was last refused.
     std::map<std::string, instant> m_refused;
 };
--- a/Source/policy/grant_office.cpp
+++ b/Source/policy/grant_office.cpp
@@ -8,8 +8,6 @@
 
     // Grants are used at any moment of their life, so a window sees those of a longer one.
     constexpr double caution = 0.9;
-    // Somebody has to find out that a limit has ended, also one of next to nothing.
-    constexpr double leastPerSecond = 0.1;
     // What a server takes in this time can be granted at once.
     constexpr double burstSeconds = 1;
     // One for whoever comes, and one that is kept for the more urgent.
@@ -25,11 +23,6 @@
     constexpr milliseconds fleetMemory { 30'000 };
     constexpr milliseconds deniedLife { 2'000 };
 
-    double seconds(duration time)
-    {
-        return std::chrono::duration<double>(time).count();
-    }
-
 } // namespace
 
 void grant_office::noteFleet(std::size_t entries, instant now)
@@ -69,13 +62,12 @@
 grant_answer grant_office::answer(const std::string& asker, const grant_question& question, double perSecond, instant now)
 {
     const double rate = std::max(caution * perSecond, leastPerSecond) * part();
-    auto& held = m_buckets.try_emplace(question.server, bucket { 0, now, {}, {} }).first->second;
-    held.tokens = std::min(held.tokens + rate * seconds(now - held.at), std::max(leastBurst, rate * burstSeconds));
-    held.at = now;
+    auto& held = m_buckets.try_emplace(question.server, bucket { token_bucket(0, now), {}, {} }).first->second;
+    held.tokens.fill(rate, std::max(leastBurst, rate * burstSeconds), now);
     held.askers[asker] = now;
     const double reserve = moreUrgentDenied(held, question.priority, now) ? urgentReserve : 0;
-    const int granted = std::clamp(static_cast<int>(held.tokens - reserve), 0, std::max(0, question.wanted));
-    held.tokens -= granted;
+    const int granted = std::clamp(static_cast<int>(held.tokens.tokens() - reserve), 0, std::max(0, question.wanted));
+    held.tokens.take(granted);
     if (granted == 0)
         held.denied[question.priority] = now;
     return { question.server, granted, pause(now) };
--- a/Source/policy/grant_office.h
+++ b/Source/policy/grant_office.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/server_limits.h"
+#include "policy/token_bucket.h"
 
 namespace rampgap {
 
@@ -15,8 +16,7 @@
 private:
     // What one server takes.
     struct bucket {
-        double tokens = 0;
-        instant at;
+        token_bucket tokens;
         std::map<std::string, instant> askers;
         // When a question of this priority was last left without a grant.
         std::map<int, instant> denied;
--- a/Source/policy/rate_limiter.cpp
+++ b/Source/policy/rate_limiter.cpp
@@ -29,15 +29,14 @@
     }
     if (rate > 0) {
         const double capacity = std::max(1.0, rate * burstSeconds);
-        const double elapsed = std::chrono::duration<double>(now - own.filledAt).count();
-        own.tokens = own.fresh ? capacity : std::min(capacity, own.tokens + elapsed * rate);
-        own.filledAt = now;
-        own.fresh = false;
-        if (own.tokens < 1) {
-            const auto wait = milliseconds(static_cast<std::int64_t>(std::ceil((1 - own.tokens) / rate * 1000)));
+        if (!own.tokens)
+            own.tokens = token_bucket(capacity, now);
+        own.tokens->fill(rate, capacity, now);
+        if (own.tokens->tokens() < 1) {
+            const auto wait = milliseconds(static_cast<std::int64_t>(std::ceil((1 - own.tokens->tokens()) / rate * 1000)));
             return notRun(failure_reason::rate_limited, "the workspace exceeds its rate", wait);
         }
-        own.tokens -= 1;
+        own.tokens->take(1);
     }
     ++own.running;
     return boost::outcome_v2::success();
--- a/Source/policy/rate_limiter.h
+++ b/Source/policy/rate_limiter.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "policy/declaration.h"
+#include "policy/token_bucket.h"
 #include "policy/verdict.h"
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -21,10 +23,9 @@
 
 private:
     struct bucket {
-        double tokens = 0;
-        instant filledAt;
+        // Empty until the first request of a limited workspace.
+        std::optional<token_bucket> tokens;
         int running = 0;
-        bool fresh = true;
     };
 
     double m_share = 1;
--- a/Source/policy/server_backoffs.cpp
+++ b/Source/policy/server_backoffs.cpp
@@ -8,7 +8,6 @@
 
     // A first request that is not answered for so long says nothing of the backoff.
     constexpr milliseconds trialLife { 500 };
-    constexpr milliseconds longestBackoff = std::chrono::hours(24);
 
 } // namespace
 
--- a/Source/policy/server_backoffs.h
+++ b/Source/policy/server_backoffs.h
@@ -5,6 +5,9 @@
 
 namespace rampgap {
 
+// A server that asks for more is asked again after this.
+inline constexpr milliseconds longestBackoff = std::chrono::hours(24);
+
 // While a backoff lasts this process sends it nothing. After that one request goes there first, and
 // others once its answer asks for no more of it.
 class server_backoffs {
--- a/Source/policy/server_limits.h
+++ b/Source/policy/server_limits.h
@@ -49,6 +49,8 @@
     bool operator==(const grant_answer&) const = default;
 };
 
+// A lower limit is kept as this one: somebody has to find out that it has ended.
+inline constexpr double leastPerSecond = 0.1;
 // A grant that is not used by then is void, so that no process keeps what it has no use for.
 inline constexpr milliseconds grantLife { 1'000 };
 
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -77,8 +77,8 @@
     ("withdrawn_for_ever", "crash_detector.cpp", "std::erase_if(held->second.withdrawn, [sentAt](const lost_call& call) { return call.lostAt <= sentAt; });", "", "platform/crash-detection"),
     ("alive_taken_for_crashed", "crash_detector.cpp", "std::erase_if(held->second.calls, [then](const lost_call& call) { return call.lostAt <= then; });", "", "platform/crash-detection"),
     ("limit_for_each_vm", "server_limits.cpp", "if (!limitOf(server, now))\n        return true;\n    const auto own", "if (limitOf(server, now))\n        return true;\n    const auto own", "platform/server-limit"),
-    ("grants_beyond_the_limit", "grant_office.cpp", "static_cast<int>(held.tokens - reserve)", "question.wanted", "platform/server-limit"),
-    ("arbiter_begins_full", "grant_office.cpp", "held.tokens -= granted;", "", "platform/server-limit"),
+    ("grants_beyond_the_limit", "grant_office.cpp", "static_cast<int>(held.tokens.tokens() - reserve)", "question.wanted", "platform/server-limit"),
+    ("arbiter_begins_full", "grant_office.cpp", "held.tokens.take(granted);", "", "platform/server-limit"),
     ("part_of_the_fleet_grants_all", "grant_office.cpp", "leastPerSecond) * part()", "leastPerSecond)", "platform/server-limit"),
     ("limit_outlives_the_life", "server_limits.cpp", "m_forgotten[server] = now;", "", "platform/server-limit"),
     ("grants_never_void", "server_limits.cpp", "return end > now && end <= voidFrom;", "return end <= voidFrom;", "platform/server-limit"),
@@ -87,7 +87,7 @@
     ("all_at_once_after_a_backoff", "server_backoffs.cpp", "held->second.triedAt = now;", "held->second.triedAt.reset();", "platform/server-backoff"),
     ("answer_ends_backoff", "server_backoffs.cpp", " && now >= held->second.until", "", "platform/server-backoff"),
     ("list_outweighs_leaving", "backend_directory.cpp", " || m_leaving.contains(id)", "", "platform/backend-list"),
-    ("engine_limit_for_each_vm", "engine_intake.cpp", "if (m_tokens < 1)", "if (false)", "requests/engine-intake"),
+    ("engine_limit_for_each_vm", "engine_intake.cpp", "if (m_tokens.tokens() < 1)", "if (false)", "requests/engine-intake"),
     ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
 ]
 
