--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -272,15 +272,17 @@
     co_await m_configuration.awaitCrashesTold();
 }
 
-void agent_server::takeNotice(const http_head& head)
+std::optional<milliseconds> agent_server::takeNotice(const http_head& head)
 {
     m_intake.noteLimit(headerAmount(head, header::limitPerSecond), m_context.now());
-    if (const auto backoff = backoffOf(head))
+    const auto backoff = backoffOf(head);
+    if (backoff)
         m_intake.noteBackoff(*backoff, m_context.now());
     if (headerText(head, header::leaving) == "1" && m_intake.noteLeaving()) {
         logState("engine_leaving", "engine=" + m_settings.engine);
         asio::co_spawn(m_context.io(), awaitEngineEnd(), asio::detached);
     }
+    return backoff;
 }
 
 awaitable<void> agent_server::awaitEngineEnd()
@@ -335,8 +337,7 @@
             m_guard.ledger().finishWithoutAnswer(*order.onceId, m_context.now());
         co_return failed;
     }
-    takeNotice(head.value());
-    if (const auto backoff = backoffOf(head.value())) {
+    if (const auto backoff = takeNotice(head.value())) {
         co_await call.readAll(longestRefusal);
         if (once)
             m_guard.ledger().release(*order.onceId);
--- a/Source/gateway/upstream_picker.cpp
+++ b/Source/gateway/upstream_picker.cpp
@@ -38,12 +38,14 @@
 // in the same step.
 awaitable<std::string> upstream_picker::take(http_exchange& exchange, const admitted_request& request, const tried_servers& tried)
 {
+    std::vector<server_hash> servers;
     if (m_backpressure.limits.any())
-        m_backpressure.limits.want(request.service, serversOf(request.service), request.priority, m_context.now());
+        servers = serversOf(request.service);
+    m_backpressure.limits.want(request.service, servers, request.priority, m_context.now());
     const instant until = m_context.now() + longestGrantWait;
     std::string id = choose(request, tried);
-    while (id.empty() && m_context.now() < until && awaitsGrant(request) && !exchange.callerGone()) {
-        std::function<bool()> missing = [this, &request] { return awaitsGrant(request); };
+    while (id.empty() && m_context.now() < until && awaitsGrant(servers) && !exchange.callerGone()) {
+        std::function<bool()> missing = [this, &servers] { return awaitsGrant(servers); };
         co_await holdCaller(m_context, exchange, std::move(missing), until, grantPoll);
         id = choose(request, tried);
     }
@@ -60,9 +62,8 @@
     return servers;
 }
 
-bool upstream_picker::awaitsGrant(const admitted_request& request) const
+bool upstream_picker::awaitsGrant(const std::vector<server_hash>& servers) const
 {
-    const auto servers = serversOf(request.service);
     return std::any_of(servers.begin(), servers.end(), [&](server_hash server) { return m_backpressure.limits.awaitsAnswer(server, m_context.now()); });
 }
 
--- a/Source/gateway/upstream_picker.h
+++ b/Source/gateway/upstream_picker.h
@@ -36,7 +36,7 @@
 private:
     std::string choose(const admitted_request&, const tried_servers&) const;
     // True while the answer to a question for a grant may bring a server.
-    bool awaitsGrant(const admitted_request&) const;
+    bool awaitsGrant(const std::vector<server_hash>&) const;
     std::vector<server_hash> serversOf(const std::string& service) const;
 
     process_context& m_context;
