tests: one set-up of two zones, and one way to send copies, for the tests of crashing requests

The fleet of two zones, the count of engines that are left and the switch of their faults stood in both tests and again in their second cases; they are the fleet's now.

--- a/Source/harness/test_fleet.cpp
+++ b/Source/harness/test_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "discovery/vm_list.h"
 #include "policy/digest.h"
+#include <algorithm>
 #include <boost/json.hpp>
 #include <csignal>
 #include <stdexcept>
@@ -112,6 +113,14 @@
     startEntry(name, 0, 0);
 }
 
+void test_fleet::addTwoZones(int backends)
+{
+    for (int i = 0; i < backends; ++i)
+        addBackend({ "a" + std::to_string(i), i % 2 == 0 ? "lac" : "charguia", "assistant", 8, {} });
+    addEntry("e1", "lac");
+    addEntry("e2", "charguia");
+}
+
 void test_fleet::restartAgent(const std::string& name)
 {
     const int httpPort = agent(name).httpPort();
@@ -256,6 +265,17 @@
         post(process->address(), "/operator/cut", "", operatorKey);
 }
 
+int test_fleet::enginesAlive()
+{
+    return static_cast<int>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& engine) { return get(engine.second->address(), "/standin/runs").status == 200; }));
+}
+
+void test_fleet::setEngineFaults(const std::string& query)
+{
+    for (const auto& [name, engine] : m_engines)
+        post(engine->address(), "/standin/faults?" + query);
+}
+
 int test_fleet::runsOf(const std::string& workspace, const std::string& key)
 {
     int runs = 0;
--- a/Source/harness/test_fleet.h
+++ b/Source/harness/test_fleet.h
@@ -34,6 +34,8 @@
 
     void addBackend(const backend_plan&);
     void addEntry(const std::string& name, const std::string& zone);
+    // Backend servers a0, a1, … of the model in two zones in turn, and an entry VM in each: e1, e2.
+    void addTwoZones(int backends);
     // Starts a backend's agent anew, on the same ports, with empty memory.
     void restartAgent(const std::string& name);
     void restartEntry(const std::string& name);
@@ -63,6 +65,10 @@
     void cut(const std::vector<std::string>& oneSide, const std::vector<std::string>& otherSide, bool alsoPlatform = false);
     void heal();
 
+    // Engines that still answer.
+    int enginesAlive();
+    // Switches faults of all engines: the query of their page of faults.
+    void setEngineFaults(const std::string& query);
     // Times that the engine or service of a backend ran the id; and over all backends.
     int runsOf(const std::string& workspace, const std::string& key);
     std::int64_t totalRuns();
--- a/Tests/requests/crashing-copies/test.cpp
+++ b/Tests/requests/crashing-copies/test.cpp
@@ -6,7 +6,6 @@
 
 #include "harness/test_fleet.h"
 
-#include <algorithm>
 #include <doctest/doctest.h>
 #include <thread>
 
@@ -19,35 +18,23 @@
 constexpr int mostCrashes = 3;
 constexpr int copies = 24;
 
-int enginesAlive(test_fleet& fleet)
-{
-    const auto names = fleet.agentNames();
-    return static_cast<int>(std::count_if(names.begin(), names.end(), [&](const std::string& name) { return get(fleet.engine(name).address(), "/standin/runs").status == 200; }));
-}
-
-void setFaults(test_fleet& fleet, const std::string& faults)
-{
-    for (const auto& name : fleet.agentNames())
-        post(fleet.engine(name).address(), "/standin/faults?" + faults);
-}
-
 // What an entry VM may try again after its start is used up by answers that break off.
 void useUpRetries(test_fleet& fleet)
 {
     constexpr int retriesAfterStart = 3;
-    setFaults(fleet, "break_after=0");
+    fleet.setEngineFaults("break_after=0");
     for (const auto& name : fleet.entryNames()) {
         test_client client(fleet.entry(name).address());
         for (int i = 0; i <= retriesAfterStart; ++i)
             client.send(completion(smallKey, "assistant", "broken off " + name + std::to_string(i), 20, false));
     }
-    setFaults(fleet, "break_after=-1");
+    fleet.setEngineFaults("break_after=-1");
 }
 
-void sendTogether(test_fleet& fleet, const test_request& request)
+// At these entry VMs in turn.
+void sendTogether(test_fleet& fleet, const std::vector<std::string>& entries, const test_request& request)
 {
     std::vector<std::thread> callers;
-    const auto entries = fleet.entryNames();
     for (std::size_t i = 0; i < copies; ++i) {
         callers.emplace_back([&fleet, &request, name = entries[i % entries.size()]] {
             test_client client(fleet.entry(name).address());
@@ -65,21 +52,18 @@
     test_fleet fleet;
     // Nothing is tried again: the second copy is that of another caller.
     fleet.setRules("[rules]\nretry_percent = 0\n");
-    for (int i = 0; i < engines; ++i)
-        fleet.addBackend({ "a" + std::to_string(i), i % 2 == 0 ? "lac" : "charguia", "assistant", 8, {} });
-    fleet.addEntry("e1", "lac");
-    fleet.addEntry("e2", "charguia");
+    fleet.addTwoZones(engines);
     fleet.startServing();
     useUpRetries(fleet);
-    setFaults(fleet, "crash_on=poison");
+    fleet.setEngineFaults("crash_on=poison");
 
     const auto poison = completion(smallKey, "assistant", "poison", 20, false);
     test_client first(fleet.entry("e1").address());
     first.send(poison);
-    REQUIRE(enginesAlive(fleet) == engines - 1);
+    REQUIRE(fleet.enginesAlive() == engines - 1);
     for (int round = 0; round < 3; ++round)
-        sendTogether(fleet, poison);
-    CHECK(enginesAlive(fleet) >= engines - mostCrashes);
+        sendTogether(fleet, fleet.entryNames(), poison);
+    CHECK(fleet.enginesAlive() >= engines - mostCrashes);
     for (int i = 0; i < 20; ++i) {
         const auto harmless = completion(smallKey, "assistant", "harmless " + std::to_string(i), 20, false);
         CHECK(eventually([&] { return first.send(harmless).status == 200; }));
@@ -91,13 +75,10 @@
 {
     test_fleet fleet;
     fleet.setRules("[rules]\nretry_percent = 0\n");
-    for (int i = 0; i < engines; ++i)
-        fleet.addBackend({ "a" + std::to_string(i), i % 2 == 0 ? "lac" : "charguia", "assistant", 8, {} });
-    fleet.addEntry("e1", "lac");
-    fleet.addEntry("e2", "charguia");
+    fleet.addTwoZones(engines);
     fleet.startServing();
     useUpRetries(fleet);
-    setFaults(fleet, "crash_on=poison");
+    fleet.setEngineFaults("crash_on=poison");
     // Nobody passes news on: the other entry VM hears of the crash from the agent that saw it.
     std::string cut = fleet.entry("e1").peerAddress();
     for (const auto& name : fleet.agentNames())
@@ -109,14 +90,6 @@
     const auto poison = completion(smallKey, "assistant", "poison", 20, false);
     test_client first(fleet.entry("e1").address());
     REQUIRE(first.send(poison).status >= 500);
-    std::vector<std::thread> callers;
-    for (int i = 0; i < copies; ++i) {
-        callers.emplace_back([&] {
-            test_client client(fleet.entry("e2").address());
-            client.send(poison);
-        });
-    }
-    for (auto& caller : callers)
-        caller.join();
-    CHECK(enginesAlive(fleet) >= engines - mostCrashes);
+    sendTogether(fleet, { "e2" }, poison);
+    CHECK(fleet.enginesAlive() >= engines - mostCrashes);
 }
--- a/Tests/requests/crashing-request/test.cpp
+++ b/Tests/requests/crashing-request/test.cpp
@@ -16,12 +16,6 @@
 // What a request may end, as promised.
 constexpr int mostCrashes = 3;
 
-int enginesAlive(test_fleet& fleet)
-{
-    const auto names = fleet.agentNames();
-    return static_cast<int>(std::count_if(names.begin(), names.end(), [&](const std::string& name) { return get(fleet.engine(name).address(), "/standin/runs").status == 200; }));
-}
-
 // Engines whose end their agents know of.
 int crashesKnown(test_fleet& fleet)
 {
@@ -50,13 +44,9 @@
     test_fleet fleet;
     // Each try may be followed by another.
     fleet.setRules("[rules]\nretry_percent = 100\n");
-    for (int i = 0; i < engines; ++i)
-        fleet.addBackend({ "a" + std::to_string(i), i % 2 == 0 ? "lac" : "charguia", "assistant", 8, {} });
-    fleet.addEntry("e1", "lac");
-    fleet.addEntry("e2", "charguia");
+    fleet.addTwoZones(engines);
     fleet.startServing();
-    for (const auto& name : fleet.agentNames())
-        post(fleet.engine(name).address(), "/standin/faults?crash_on=poison");
+    fleet.setEngineFaults("crash_on=poison");
 
     std::vector<std::unique_ptr<test_client>> clients;
     for (const auto& name : fleet.entryNames())
@@ -64,7 +54,7 @@
     test_answer last;
     for (int sending = 0; sending < 6; ++sending)
         last = clients[static_cast<std::size_t>(sending) % clients.size()]->send(completion(smallKey, "assistant", "poison", 20, streams));
-    CHECK(enginesAlive(fleet) >= engines - mostCrashes);
+    CHECK(fleet.enginesAlive() >= engines - mostCrashes);
     CHECK(last.status == 503);
     CHECK(last.header("Rampgap-Reason") == "crashes_servers");
     CHECK(last.header("Rampgap-Verdict") == "not_run");
@@ -80,19 +70,15 @@
 {
     constexpr std::chrono::milliseconds longest { 2'000 };
     test_fleet fleet;
-    for (int i = 0; i < engines; ++i)
-        fleet.addBackend({ "a" + std::to_string(i), i % 2 == 0 ? "lac" : "charguia", "assistant", 8, {} });
-    fleet.addEntry("e1", "lac");
-    fleet.addEntry("e2", "charguia");
+    fleet.addTwoZones(engines);
     fleet.startServing();
-    for (const auto& name : fleet.agentNames())
-        post(fleet.engine(name).address(), "/standin/faults?crash_on=poison&slow=50");
+    fleet.setEngineFaults("crash_on=poison&slow=50");
     const std::string body = completion(smallKey, "assistant", "poison", 20, false).body;
     const std::string request = "POST /v1/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer " + smallKey + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     for (int sending = 0; sending < engines; ++sending) {
         const auto untilItRuns = [&] { eventually([&] { return runsSomewhere(fleet); }, longest); };
         test_client::raw(fleet.entry(sending % 2 == 0 ? "e1" : "e2").address(), request, untilItRuns);
-        eventually([&] { return !runsSomewhere(fleet) && crashesKnown(fleet) == engines - enginesAlive(fleet); }, longest);
+        eventually([&] { return !runsSomewhere(fleet) && crashesKnown(fleet) == engines - fleet.enginesAlive(); }, longest);
     }
-    CHECK(enginesAlive(fleet) >= engines - mostCrashes);
+    CHECK(fleet.enginesAlive() >= engines - mostCrashes);
 }
