--- a/Tests/platform/dying-server/test.cpp
+++ b/Tests/platform/dying-server/test.cpp
@@ -88,6 +88,14 @@
     std::list<tcp::socket> m_waiting;
 };
 
+template <class Server>
+awaitable<void> endAfter(asio::io_context& io, Server& server, milliseconds time)
+{
+    boot_timer timer(io, time);
+    co_await timer.async_wait(asTuple);
+    server.end();
+}
+
 struct watching_process {
     lost_call call() const { return { "r", fingerprintOf("POST", "/draft", "key", ""), 0, context.now(), context.now() }; }
     void look(const std::string& address)
@@ -121,13 +129,7 @@
 {
     watching_process process;
     server dying(process.context.io());
-    boost::asio::co_spawn(
-        process.context.io(), [&]() -> awaitable<void> {
-            boot_timer timer(process.context.io(), betweenItsEnds);
-            co_await timer.async_wait(asTuple);
-            dying.end();
-        },
-        asio::detached);
+    asio::co_spawn(process.context.io(), endAfter(process.context.io(), dying, betweenItsEnds), asio::detached);
     process.look(dying.address());
     CHECK(process.found.crashedCalls == 1);
 }
@@ -152,13 +154,7 @@
     watching_process process;
     stalled_server dying(process.context.io());
     const auto address = dying.address();
-    asio::co_spawn(
-        process.context.io(), [&]() -> awaitable<void> {
-            boot_timer timer(process.context.io(), stallsFor);
-            co_await timer.async_wait(asTuple);
-            dying.end();
-        },
-        asio::detached);
+    asio::co_spawn(process.context.io(), endAfter(process.context.io(), dying, stallsFor), asio::detached);
     process.look(address);
     CHECK(process.found.crashedCalls == 1);
     CHECK(process.found.unanswered.size() == 1);
@@ -185,13 +181,7 @@
     constexpr milliseconds listensFor { 150 };
     watching_process process;
     server dying(process.context.io());
-    asio::co_spawn(
-        process.context.io(), [&]() -> awaitable<void> {
-            boot_timer timer(process.context.io(), listensFor);
-            co_await timer.async_wait(asTuple);
-            dying.end();
-        },
-        asio::detached);
+    asio::co_spawn(process.context.io(), endAfter(process.context.io(), dying, listensFor), asio::detached);
     process.look(dying.address());
     CHECK(process.found.crashedCalls == 1);
 }
