tests: the readers of the configuration are counted before one of them is killed

config.replaced-processes was red once in a whole run of the tests: three readers killed, two expected.

Cause: the test asked each entry VM whether it reads and killed it before it asked the next. Where the standby exchanged with the killed one in between, it had taken its place already, which is what the test wants of it, and was counted and killed as a third.

All are asked first now, and exactly two must read: as strict, and it no longer counts one that was made a reader by the test itself.

--- a/Tests/config/replaced-processes/test.cpp
+++ b/Tests/config/replaced-processes/test.cpp
@@ -4,6 +4,8 @@
 
 #include <csignal>
 #include <doctest/doctest.h>
+#include <string>
+#include <vector>
 
 using namespace rampgap::test;
 
@@ -14,15 +16,15 @@
     for (const std::string name : { "e1", "e2", "e3", "e4" })
         fleet.addEntry(name, "lac");
     fleet.startServing();
-    int killed = 0;
+    // All are asked before one is killed: another takes a killed reader's place within milliseconds.
+    std::vector<std::string> readers;
     for (const std::string name : { "e1", "e2", "e3", "e4" }) {
-        const bool reader = get(fleet.entry(name).address(), "/operator/status", operatorKey).body.find("\"reader\":true") != std::string::npos;
-        if (!reader)
-            continue;
-        fleet.entry(name).kill();
-        ++killed;
+        if (get(fleet.entry(name).address(), "/operator/status", operatorKey).body.find("\"reader\":true") != std::string::npos)
+            readers.push_back(name);
     }
-    CHECK(killed == 2);
+    CHECK(readers.size() == 2);
+    for (const auto& name : readers)
+        fleet.entry(name).kill();
     const auto second = fleet.publish(fleet.declarationBody({ { "a1", "checks_fencing = yes" } }));
     // Those left hear from nobody that the service has news, so they read it themselves.
     CHECK(fleet.waitRevision(second));
