daemon, gateway, agent: only an answer shows that a server which broke off a call works

Cause: whoever waits for the look at the server went on when the look's connection had been let in for 50 ms. The system lets connections in for a process that is ending, for as long as that takes: the class of fault in which missing evidence is taken for evidence of the opposite.

A look asks now: the platform's servers for their report, which takes none of their slots, engines of the own interface with OPTIONS *, the field's no-op. An answer lets the other try go at once, 50 ms sooner than before where the server lives; silence lets it go after a quarter of a second, and a refused connection keeps it. Calls stay in question until the second look in any case. Ruled out: a longer wait for all, which costs the callers of each server that resets calls; a step of the server's group, which needs an open group with work.

--- a/Source/agent/engine_guard.cpp
+++ b/Source/agent/engine_guard.cpp
@@ -7,7 +7,7 @@
 engine_guard::engine_guard(process_context& context, crash_history& history, std::string name, std::string engine)
     : m_context(context)
     , m_history(history)
-    , m_watch(context, history, *this)
+    , m_watch(context, history, *this, http_request { http::verb::options, "*", 11 })
     , m_engine(std::move(engine))
     , m_life { std::move(name), context.incarnation() }
 {
--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -21,10 +21,11 @@
 
 } // namespace
 
-crash_watch::crash_watch(process_context& context, crash_history& history, crash_listener& listener)
+crash_watch::crash_watch(process_context& context, crash_history& history, crash_listener& listener, http_request ping)
     : m_context(context)
     , m_history(history)
     , m_listener(listener)
+    , m_ping(std::move(ping))
 {
 }
 
@@ -64,12 +65,12 @@
 awaitable<void> crash_watch::look(server_life life, std::string address)
 {
     for (int looks = 1; m_detector.looking(life); ++looks) {
-        const auto seen = co_await lookAtServer(m_context.io(), address);
+        const auto seen = co_await lookAtServer(m_context.io(), address, m_ping);
         if (seen.sight == server_sight::gone) {
             noteCrashed(life, address, "nothing listens at its address");
             co_return;
         }
-        if (seen.sight == server_sight::listens) {
+        if (seen.sight != server_sight::unknown) {
             m_detector.noteUndecided(life);
             co_await confirm(life, address, m_context.now());
             co_return;
@@ -89,10 +90,10 @@
     co_await sleepFor(m_context.io(), longestEnd);
     if (!m_detector.isInQuestion(life))
         co_return;
-    const auto seen = co_await lookAtServer(m_context.io(), address);
+    const auto seen = co_await lookAtServer(m_context.io(), address, m_ping);
     if (seen.sight == server_sight::gone && m_detector.isInQuestion(life))
         noteCrashed(life, address, "nothing listens at its address any more");
-    else if (seen.sight == server_sight::listens)
+    else if (seen.sight == server_sight::answers || seen.sight == server_sight::listens)
         m_detector.noteAlive(life, listenedAt);
 }
 
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -22,8 +22,9 @@
 
 class crash_watch {
 public:
-    // What it finds goes into the history before the listener is told.
-    crash_watch(process_context&, crash_history&, crash_listener&);
+    // `ping`: what any server answers at once while its process works. What the watch finds goes
+    // into the history before the listener is told.
+    crash_watch(process_context&, crash_history&, crash_listener&, http_request ping);
 
     // A call ended without its answer; looks at the server if nobody does yet.
     void noteLost(const server_life&, const std::string& address, const lost_call&);
@@ -36,7 +37,7 @@
     void noteAnswered(const server_life& life, instant sentAt) { m_detector.noteAnswered(life, sentAt); }
     // True while it is being looked at.
     bool looking(const server_life& life) const { return m_detector.looking(life); }
-    // Returns when it is known whether the server crashed, or that this cannot be seen now.
+    // Returns when the server has crashed or has answered, or when this cannot be seen now.
     awaitable<void> awaitLook(server_life);
     // It is known to have ended, for a reason that goes into the log.
     void noteCrashed(const server_life&, const std::string& address, const std::string& why);
@@ -48,15 +49,16 @@
     void settle() { m_detector.settle(m_context.now()); }
 
 private:
-    // Looks whether anything listens at the address until that is known, a few times at the most.
+    // Looks whether it has ended or works until that is known, a few times at the most.
     awaitable<void> look(server_life, std::string address);
-    // Looks once more, when it would have ended if it was about to as it still listened.
+    // Looks once more: whoever answered may have been about to end.
     awaitable<void> confirm(server_life, std::string address, instant listenedAt);
     void noteCallCrashed(const server_life&, const lost_call&);
 
     process_context& m_context;
     crash_history& m_history;
     crash_listener& m_listener;
+    http_request m_ping;
     crash_detector m_detector;
 };
 
--- a/Source/daemon/server_look.h
+++ b/Source/daemon/server_look.h
@@ -1,4 +1,4 @@
-// Looks whether anything listens at a server's address.
+// Looks whether the process at a server's address works.
 #pragma once
 
 #include "daemon/http_message.h"
@@ -11,6 +11,9 @@
 enum class server_sight {
     // Nothing listens: its process has ended.
     gone,
+    // Its process works: it answered, or closed each new connection itself.
+    answers,
+    // Connections are let in, and it says nothing: it is slow, or about to end.
     listens,
     // It may be cut off, or the address is none.
     unknown,
@@ -24,6 +27,7 @@
     bool operator==(const look_outcome&) const = default;
 };
 
-awaitable<look_outcome> lookAtServer(boost::asio::io_context&, std::string address);
+// Sends `ping`, which any server that works answers at once.
+awaitable<look_outcome> lookAtServer(boost::asio::io_context&, std::string address, http_request ping);
 
 } // namespace rampgap
--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -177,7 +177,7 @@
 {
     if (m_group.empty())
         co_return;
-    const auto seen = co_await lookAtServer(m_context.io(), m_settings.engineAddress);
+    const auto seen = co_await lookAtServer(m_context.io(), m_settings.engineAddress, m_port.makePing());
     if (seen.sight == server_sight::gone)
         m_peers->tellGroup({ { m_settings.engineService, m_group }, { m_epoch, false } });
 }
--- a/Source/gateway/crash_reporter.h
+++ b/Source/gateway/crash_reporter.h
@@ -13,7 +13,7 @@
 
 class crash_reporter : private crash_listener {
 public:
-    crash_reporter(process_context&, decision_log&, fleet_state&, crash_history&);
+    crash_reporter(process_context&, decision_log&, fleet_state&, crash_history&, http_request ping);
 
     // Called when the history has news for the fleet.
     void onNews(std::function<void()> action) { m_onNews = std::move(action); }
@@ -24,7 +24,7 @@
     void noteRefused(const listed_backend&);
     // The first part of the answer to a call that was sent then has come.
     void noteAnswered(const listed_backend& backend, instant sentAt) { m_watch.noteAnswered(lifeOf(backend), sentAt); }
-    // Returns when it is known whether the server crashed, or that this cannot be seen now.
+    // Returns when the server has crashed or has answered, or when this cannot be seen now.
     awaitable<void> awaitLook(const listed_backend& backend) { return m_watch.awaitLook(lifeOf(backend)); }
     // A server ran the request to its end.
     void noteServed(request_fingerprint);
--- a/Source/gateway/rank_port.h
+++ b/Source/gateway/rank_port.h
@@ -18,6 +18,8 @@
     // The experts that the rank holds of the placement in use.
     virtual awaitable<result<rank_experts>> experts(std::string address) = 0;
     virtual awaitable<order_reply> order(std::string address, std::string backendId, map_order) = 0;
+    // What an engine answers at once, whatever its load, while its process works.
+    virtual http_request makePing() const = 0;
 };
 
 } // namespace rampgap
--- a/Source/gateway/request_codec.h
+++ b/Source/gateway/request_codec.h
@@ -92,6 +92,8 @@
     virtual http_request makeUpstream(const http_request&, const gateway_request&, const upstream_facts&) const = 0;
     virtual reply_verdict judge(const http_head&, const gateway_request&) const = 0;
     virtual server_notice notice(const http_head&) const = 0;
+    // What a server answers at once, whatever its load, while its process works.
+    virtual http_request makePing() const = 0;
     // The final answer to a request that failed here.
     virtual http_response refuse(const failure&, const std::string& requestId) const = 0;
 };
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -50,7 +50,7 @@
     , m_history(history)
     , m_backpressure(backpressure)
     , m_client(context, serverConnectTimeout)
-    , m_crashes(context, log, state, history)
+    , m_crashes(context, log, state, history, codec.makePing())
     , m_places(context, state, loads, groups, backpressure)
     , m_picker(context, log, state, loads, groups, backpressure)
     , m_budget(bounds, context.startedAt())
--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -159,6 +159,10 @@
         co_await exchange.send(setFaults(target));
         co_return;
     }
+    if (exchange.request().method() == http::verb::options) {
+        co_await exchange.send(makeResponse(204, "text/plain", ""));
+        co_return;
+    }
     if (path == "/standin/runs") {
         co_await exchange.send(runs());
         co_return;
--- a/Tests/platform/dying-server/test.cpp
+++ b/Tests/platform/dying-server/test.cpp
@@ -5,10 +5,12 @@
 #include "daemon/boot_timer.h"
 #include "daemon/crash_watch.h"
 
+#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <list>
 
@@ -53,6 +55,25 @@
                 m_open.push_back(std::move(socket));
         }
     }
+    // Answers the first request of each connection.
+    awaitable<void> answer()
+    {
+        for (;;) {
+            auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
+            if (error)
+                co_return;
+            std::array<char, 1'024> asked {};
+            const auto [unread, size] = co_await socket.async_read_some(asio::buffer(asked), asTuple);
+            if (unread)
+                co_return;
+            ++answered;
+            const std::string words = "HTTP/1.1 204 No Content\r\n\r\n";
+            co_await asio::async_write(socket, asio::buffer(words), asTuple);
+            m_open.push_back(std::move(socket));
+        }
+    }
+
+    int answered = 0;
 
 private:
     tcp::acceptor m_acceptor;
@@ -120,7 +141,7 @@
     process_context context { "agent", "a", "test" };
     findings found;
     crash_history history;
-    crash_watch watch { context, history, found };
+    crash_watch watch { context, history, found, http_request { http::verb::get, "/", 11 } };
 };
 
 } // namespace
@@ -186,6 +207,33 @@
     CHECK(process.found.crashedCalls == 1);
 }
 
+TEST_CASE("whoever waits for a look knows of a slow end when the wait is over")
+{
+    // The second try of a request that had ended the server went to the next one after 50 ms, into a slow end beside load:
+    // that a connection was let in passed for a sign of life, and up to five servers ended where one may.
+    constexpr milliseconds listensFor { 150 };
+    watching_process process;
+    server dying(process.context.io());
+    asio::co_spawn(process.context.io(), endAfter(process.context.io(), dying, listensFor), asio::detached);
+    process.watch.noteLost(life, dying.address(), process.call());
+    process.waitForLook();
+    CHECK(process.found.crashedCalls == 1);
+}
+
+TEST_CASE("whoever waits for a look goes on once the server has answered, and its calls stay in question")
+{
+    watching_process process;
+    server living(process.context.io());
+    asio::co_spawn(process.context.io(), living.answer(), asio::detached);
+    process.watch.noteLost(life, living.address(), process.call());
+    process.waitForLook();
+    CHECK(living.answered == 1);
+    CHECK_FALSE(process.watch.undecided().empty());
+    process.look(living.address());
+    CHECK_FALSE(process.found.crashedCalls);
+    CHECK(process.watch.undecided().empty());
+}
+
 TEST_CASE("whoever waits for a look at a server that lives waits for one look only")
 {
     watching_process process;
