--- a/Tests/model/input/test.cpp
+++ b/Tests/model/input/test.cpp
@@ -73,3 +73,17 @@
     const temporary_file wrong("[ways]\nfirst_event = often\n");
     CHECK_FALSE(ways::read(wrong.path()));
 }
+
+TEST_CASE("each scenario that comes with the project is read")
+{
+    int seen = 0;
+    for (const char* folder : { "scenarios", "deployments" }) {
+        for (const auto& file : std::filesystem::directory_iterator(std::string(RAMPGAP_SOURCE) + "/Examples/model/" + folder)) {
+            CAPTURE(file.path().string());
+            const auto read = scenario::read(file.path().string());
+            CHECK((read ? "" : toString(read.error())) == "");
+            ++seen;
+        }
+    }
+    CHECK(seen >= 12);
+}
