policy: a slot that becomes free goes to nobody who cannot end in time any more

Cause: those who are not expected to end in time are refused each 10 ms; the slot that becomes free is given at once, also to one that is late by then.

Whoever is late is refused as the slot becomes free. The new case of requests.admission-property is red without.

Entry VMs of the platform do not refuse by expectation and decide as before.

--- a/Source/policy/admission_queue.cpp
+++ b/Source/policy/admission_queue.cpp
@@ -151,6 +151,9 @@
         return;
     const double ranMs = std::chrono::duration<double, std::milli>(ran).count();
     m_averageRunMs = m_averageRunMs == 0 ? ranMs : m_averageRunMs + averageWeight * (ranMs - m_averageRunMs);
+    // Whoever is not expected to end in time any more does not take the slot.
+    if (m_shedding)
+        shed(now, outcome);
     startWaiting(now, outcome);
 }
 
--- a/Tests/requests/admission-property/test.cpp
+++ b/Tests/requests/admission-property/test.cpp
@@ -115,6 +115,23 @@
     CHECK(outcome.started == std::vector<admission_id> { low });
 }
 
+// Beside load, requests that could no longer end in time took the slot that became free, ran in vain and ended as "may have run".
+TEST_CASE("a slot that becomes free goes to nobody who cannot end in time any more")
+{
+    constexpr milliseconds run { 100 };
+    admission_queue queue({ 1, 10 });
+    admission_outcome outcome;
+    const auto first = queue.offer({ "w", 5, start + std::chrono::seconds(60) }, start, outcome);
+    const auto late = queue.offer({ "w", 5, start + run + run - milliseconds(4) }, start, outcome);
+    const auto inTime = queue.offer({ "w", 5, start + run + run }, start, outcome);
+    outcome = {};
+    queue.finish(first, run, start + run, outcome);
+    CHECK(outcome.started == std::vector<admission_id> { inTime });
+    REQUIRE(outcome.refused.size() == 1);
+    CHECK(outcome.refused.front().first == late);
+    CHECK((outcome.refused.front().second.ran == verdict::not_run));
+}
+
 TEST_CASE("the shares of several entry VMs keep a workspace at its declared rate")
 {
     workspace_declaration workspace;
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -34,6 +34,7 @@
     ("retry_unsafe", "retry_policy.cpp", "question.last.ran == verdict::not_run || question.repeatable", "true", "requests/retry-property"),
     ("retry_without_budget", "retry_policy.cpp", "return budget.take();", "return true;", "requests/retry-property"),
     ("admission_unfair", "admission_queue.cpp", "served < least", "false", "requests/admission-property"),
+    ("late_one_takes_the_slot", "admission_queue.cpp", "    if (m_shedding)\n        shed(now, outcome);\n    startWaiting", "    startWaiting", "requests/admission-property"),
     ("stale_permit_taken", "permit_office.cpp", "age > permitLife", "false", "requests/permit-property"),
     ("base_not_checked", "revision_chain.cpp", "if (source == document_source::service && !linked)", "if (false)", "config/chain-property"),
     ("revision_may_fall", "revision_chain.cpp", "if (link.revision < revision())", "if (false)", "config/chain-property"),
