--- a/Utilities/day-figures.py
+++ b/Utilities/day-figures.py
@@ -3,7 +3,7 @@
 
     Utilities/day-figures.py LOG... [--service NAME] [--from SECOND] [--to SECOND] [--target MS] [--gap MS]
 
-Reads the lines of all entry VMs (docs/reference/metrics.md names the events), also where other text stands before them. Of the
+Reads the lines of all entry VMs (docs/OPERATIONS.md names the events), also where other text stands before them. Of the
 streams whose callers came in the span, counted from the first answered stream, it prints one JSON object: how many were in
 time, late, refused and failed, first events and longest gaps in milliseconds, and the same counts by second. First events
 are counted at the entry VM: the way to the caller is not in them.
