--- a/Tests/requests/crashing-copies/test.cpp
+++ b/Tests/requests/crashing-copies/test.cpp
@@ -31,6 +31,16 @@
     fleet.setEngineFaults("break_after=-1");
 }
 
+// Engines that end under one prompt. Nothing is tried again: the second copy is that of another caller.
+void startWithoutRetries(test_fleet& fleet)
+{
+    fleet.setRules("[rules]\nretry_percent = 0\n");
+    fleet.addTwoZones(engines);
+    fleet.startServing();
+    useUpRetries(fleet);
+    fleet.setEngineFaults("crash_on=poison");
+}
+
 // At these entry VMs in turn.
 void sendTogether(test_fleet& fleet, const std::vector<std::string>& entries, const test_request& request)
 {
@@ -50,12 +60,7 @@
 TEST_CASE("copies of a request that crashed an engine do not crash one each")
 {
     test_fleet fleet;
-    // Nothing is tried again: the second copy is that of another caller.
-    fleet.setRules("[rules]\nretry_percent = 0\n");
-    fleet.addTwoZones(engines);
-    fleet.startServing();
-    useUpRetries(fleet);
-    fleet.setEngineFaults("crash_on=poison");
+    startWithoutRetries(fleet);
 
     const auto poison = completion(smallKey, "assistant", "poison", 20, false);
     test_client first(fleet.entry("e1").address());
@@ -74,11 +79,7 @@
 TEST_CASE("a caller is told of its loss once the other entry VMs know of the crash")
 {
     test_fleet fleet;
-    fleet.setRules("[rules]\nretry_percent = 0\n");
-    fleet.addTwoZones(engines);
-    fleet.startServing();
-    useUpRetries(fleet);
-    fleet.setEngineFaults("crash_on=poison");
+    startWithoutRetries(fleet);
     // Nobody passes news on: the other entry VM hears of the crash from the agent that saw it.
     std::string cut = fleet.entry("e1").peerAddress();
     for (const auto& name : fleet.agentNames())
