routing: servers of a zone that operators evacuate get no new requests

Cause: op/evacuate/ZONE is an item of the store that nothing read. It is part of the published state now, so it is read, passed on between VMs and compared by position like the configuration. While the item exists no server of the zone is in any pool: not for first tries, retries, resumed streams or requests that wait, since all of them choose from the pool when they are sent. What already runs goes on. Its ranks stay members of their groups: a group without them could do nothing, and agents take no callers. Over a restored store an evacuation is kept until it is written again, and one that was withdrawn does not come back, also not from a VM that missed the withdrawal. Weighed: to end the group that loses a zone's ranks (a third of the places for no gain), to end a lost evacuation after 5 s as for servers (the operators believe the zone to be empty).

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -43,6 +43,7 @@
         { metric::store_epoch, "rampgap_store_epoch", "Epoch of the users' store in the newest answer: it rises when the store comes back from an older copy", true },
         { metric::store_revision, "rampgap_store_revision", "Revision of the users' store that this process holds", true },
         { metric::store_readings_refused, "rampgap_store_readings_refused_total", "Listings of the users' store that were refused as older than what is held", false },
+        { metric::zones_evacuated, "rampgap_zones_evacuated", "Zones that the operators have evacuated: their servers get no new requests", true },
     } };
 
     struct latency_row {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -48,9 +48,10 @@
     store_epoch,
     store_revision,
     store_readings_refused,
+    zones_evacuated,
 };
 
-inline constexpr std::size_t metricCount = 29;
+inline constexpr std::size_t metricCount = 30;
 
 struct metric_row {
     metric id;
--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -136,7 +136,7 @@
 
 std::vector<std::string> agent_process::pool()
 {
-    return m_state.backends().pool(m_settings.engineService);
+    return m_state.backends().activeServers(m_settings.engineService);
 }
 
 std::vector<std::string> agent_process::members()
--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -178,6 +178,8 @@
                 applyConfiguration(change.item, source);
         } else if (m_decoder.isBackend(change.item.key)) {
             applyBackend(change, source);
+        } else if (m_decoder.isEvacuation(change.item.key)) {
+            applyEvacuation(change, source);
         }
     }
 }
@@ -204,6 +206,20 @@
         m_onConfiguration();
 }
 
+void fleet_state::applyEvacuation(const published_change& change, const std::string& source)
+{
+    const std::string zone = m_decoder.evacuatedZone(change.item.key);
+    if (zone.empty()) {
+        m_log.line("evacuation_refused").add("key", change.item.key).add("reason", "the key names no zone").add("outcome", "ignored");
+        return;
+    }
+    if (!m_backends.setEvacuated(zone, !change.removed))
+        return;
+    // Without any servers the name of the zone is probably misspelled.
+    m_log.line(change.removed ? "evacuation_ended" : "zone_evacuated").add("evacuated", zone).add("servers", m_backends.countInZone(zone)).add("revision", change.item.revision).add("source", source).add("retained", static_cast<int>(change.retained));
+    m_context.counters().set(metric::zones_evacuated, static_cast<double>(m_backends.evacuatedZones().size()));
+}
+
 void fleet_state::applyBackend(const published_change& change, const std::string& source)
 {
     const std::string id = m_decoder.backendId(change.item.key);
--- a/Source/gateway/fleet_state.h
+++ b/Source/gateway/fleet_state.h
@@ -77,6 +77,7 @@
     void apply(const std::vector<published_change>&, const std::string& source);
     void applyConfiguration(const published_item&, const std::string& source);
     void applyBackend(const published_change&, const std::string& source);
+    void applyEvacuation(const published_change&, const std::string& source);
 
     process_context& m_context;
     decision_log& m_log;
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -167,7 +167,17 @@
     }
 }
 
+bool backend_directory::setEvacuated(const std::string& zone, bool evacuated)
+{
+    return evacuated ? m_evacuatedZones.insert(zone).second : m_evacuatedZones.erase(zone) > 0;
+}
+
 bool backend_directory::acceptsWork(const std::string& id) const
+{
+    return isActive(id) && !m_evacuatedZones.contains(m_entries.at(id).listed.zone);
+}
+
+bool backend_directory::isActive(const std::string& id) const
 {
     const auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.listed.draining || known->second.replaced || m_leaving.contains(id))
@@ -198,7 +208,7 @@
 const listed_backend* backend_directory::findByAddress(const std::string& address) const
 {
     for (const auto& [id, known] : m_entries) {
-        if (known.listed.address == address && acceptsWork(id))
+        if (known.listed.address == address && isActive(id))
             return &known.listed;
     }
     return nullptr;
@@ -208,17 +218,29 @@
 {
     for (const auto& [id, known] : m_entries) {
         const auto& address = known.listed.address;
-        if (known.listed.service == service && address.substr(0, address.rfind(':')) == host && acceptsWork(id))
+        if (known.listed.service == service && address.substr(0, address.rfind(':')) == host && isActive(id))
             return &known.listed;
     }
     return nullptr;
 }
 
 std::vector<std::string> backend_directory::pool(const std::string& service) const
+{
+    std::vector<std::string> ids = activeServers(service);
+    std::erase_if(ids, [this](const std::string& id) { return !acceptsWork(id); });
+    return ids;
+}
+
+std::size_t backend_directory::countInZone(const std::string& zone) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&zone](const auto& known) { return known.second.listed.zone == zone; }));
+}
+
+std::vector<std::string> backend_directory::activeServers(const std::string& service) const
 {
     std::vector<std::string> ids;
     for (const auto& [id, known] : m_entries) {
-        if (known.listed.service == service && acceptsWork(id))
+        if (known.listed.service == service && isActive(id))
             ids.push_back(id);
     }
     return ids;
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -83,7 +83,14 @@
     bool recordLeaving(const std::string& id, instant now);
     void recordResult(const std::string& id, attempt_result, instant now);
 
-    // True if it may get new requests: listed, not leaving, and not replaced by a newer entry at its address.
+    // Sets whether the operators have evacuated a zone: its servers run on, but get no new requests.
+    // True if that changed.
+    bool setEvacuated(const std::string& zone, bool evacuated);
+    const std::set<std::string>& evacuatedZones() const { return m_evacuatedZones; }
+
+    // True if it is listed, not leaving, and not replaced by a newer entry at its address.
+    bool isActive(const std::string& id) const;
+    // True if it may get new requests: active, and not in an evacuated zone.
     bool acceptsWork(const std::string& id) const;
     bool avoided(const std::string& id, instant now) const;
     const backend_health& health(const std::string& id) const;
@@ -93,6 +100,10 @@
     const listed_backend* findByHost(const std::string& host, const std::string& service) const;
     // Ids of the servers of a service that accept work, in a fixed order.
     std::vector<std::string> pool(const std::string& service) const;
+    // The same for the active servers: the members of expert groups are among them, evacuated or not.
+    std::vector<std::string> activeServers(const std::string& service) const;
+    // Number of the servers that are listed in a zone.
+    std::size_t countInZone(const std::string& zone) const;
 
 private:
     struct entry {
@@ -111,6 +122,7 @@
     // Servers that announced that they are leaving, and when each was last listed or announced it.
     std::map<std::string, instant> m_leaving;
     std::optional<std::set<std::string>> m_services;
+    std::set<std::string> m_evacuatedZones;
     // For each address the highest creation revision of its listed entries.
     std::map<std::string, std::uint64_t> m_newestAt;
 };
--- a/Source/policy/item_order.h
+++ b/Source/policy/item_order.h
@@ -29,6 +29,8 @@
     virtual std::optional<item_rank> rank(const published_item&) const = 0;
     // True if the item stays in force while the store lists nothing under its key.
     virtual bool staysInForceUnlisted(const published_item&) const = 0;
+    // True if the removal of the item revokes what it says.
+    virtual bool endsByRemoval(const published_item&) const = 0;
 };
 
 } // namespace rampgap
--- a/Source/policy/published_state.cpp
+++ b/Source/policy/published_state.cpp
@@ -10,6 +10,7 @@
     public:
         std::optional<item_rank> rank(const published_item&) const override { return std::nullopt; }
         bool staysInForceUnlisted(const published_item&) const override { return false; }
+        bool endsByRemoval(const published_item&) const override { return true; }
     };
 
     const no_order unordered;
--- a/Source/policy/retained_items.cpp
+++ b/Source/policy/retained_items.cpp
@@ -1,5 +1,6 @@
 #include "policy/retained_items.h"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace rampgap {
@@ -20,7 +21,7 @@
 
 void retained_items::recordRemoval(const published_item& item)
 {
-    if (m_order.staysInForceUnlisted(item))
+    if (!m_order.endsByRemoval(item))
         return;
     m_removed.push_back(item);
     if (m_removed.size() > maxRemovals)
@@ -72,9 +73,15 @@
     updateDigest();
 }
 
+// A peer that was cut off may retain an item whose removal it has missed.
+bool retained_items::wasRemoved(const retained_item& retained) const
+{
+    return !retained.removed && std::any_of(m_removed.begin(), m_removed.end(), [&retained](const published_item& item) { return item.key == retained.item.key && item.created == retained.item.created; });
+}
+
 bool retained_items::merge(const retained_item& fromPeer, const published_item* listed)
 {
-    if (!prevails(fromPeer, listed))
+    if (!prevails(fromPeer, listed) || wasRemoved(fromPeer))
         return false;
     const auto current = m_items.find(fromPeer.item.key);
     if (current != m_items.end() && rankOf(current->second) >= rankOf(fromPeer))
--- a/Source/policy/retained_items.h
+++ b/Source/policy/retained_items.h
@@ -49,6 +49,7 @@
 private:
     std::optional<item_rank> rankOf(const retained_item&) const;
     bool prevails(const retained_item&, const published_item* listed) const;
+    bool wasRemoved(const retained_item&) const;
     void updateDigest();
 
     const item_order& m_order;
