limits: a cold server gets requests by grants only

Cause: cold_remaining_ms of a server was checked for its type and not used. A cold server crashes at clearly more than cold_per_s requests a second from all entry VMs together (rule FAILBACK), and each VM sees only its own. The limits of servers and their arbiters serve that too: a server whose entry says that it is cold has a limit until then, half of cold_per_s, since the grants of two seconds may be used in one. It may turn cold at any moment, also without a restart. A VM that is cut off from the arbiter sends it nothing; one that sees a part of the fleet grants that part. Engines take 23 to 26 a second there and get 3 to 10, so this binds after the return of a zone or in a small pool only. Found beside: an arbiter told 43 VMs to ask for 26 grants a second once in 5 s; it is asked as often as it can grant now, and a VM asks for 8 servers a request (a zone of 100 cold servers and 531 VMs: 53,000 questions at once before). Weighed: a fixed share for each VM (0.6 a second at 43 VMs, and 43 requests at one moment stay possible: over the bound). Not read: X-Cold-Ms of health answers, since no health check is sent. After: platform.cold-server green for 4, 43 and 531 VMs, 1 to 100 servers, 1 and 23 a second; platform.server-limit green.

--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet_state.cpp
@@ -241,14 +241,15 @@
         decoded.value().createdAt = 0;
     const auto* current = m_backends.find(id);
     if (!current || !(*current == decoded.value())) {
-        m_log.line("backend_listed").add("backend", id).add("address", decoded.value().address).add("state", decoded.value().draining ? "draining" : "ready").add("source", source);
+        m_log.line("backend_listed").add("backend", id).add("address", decoded.value().address).add("state", decoded.value().draining ? "draining" : "ready").add("cold_ms", decoded.value().coldFor).add("source", source);
     }
-    const bool restarted = m_backends.list(decoded.value());
-    if (!restarted)
-        return;
-    m_log.line("backend_restarted").add("backend", id).add("incarnation", decoded.value().incarnation).add("source", source);
-    if (m_onRestart)
-        m_onRestart(decoded.value());
+    if (m_backends.list(decoded.value())) {
+        m_log.line("backend_restarted").add("backend", id).add("incarnation", decoded.value().incarnation).add("source", source);
+        if (m_onRestart)
+            m_onRestart(decoded.value());
+    }
+    if (m_onListed)
+        m_onListed(decoded.value());
 }
 
 } // namespace rampgap
--- a/Source/gateway/fleet_state.h
+++ b/Source/gateway/fleet_state.h
@@ -62,6 +62,8 @@
     void onConfiguration(std::function<void()> action) { m_onConfiguration = std::move(action); }
     // Called with a server that was restarted under its id and has lost its earlier work.
     void onRestart(std::function<void(const listed_backend&)> action) { m_onRestart = std::move(action); }
+    // Called with each server whose entry was added or changed, after `onRestart`.
+    void onListed(std::function<void(const listed_backend&)> action) { m_onListed = std::move(action); }
 
 private:
     struct store_freshness {
@@ -94,6 +96,7 @@
     std::optional<store_freshness> m_pendingFreshness;
     std::function<void()> m_onConfiguration;
     std::function<void(const listed_backend&)> m_onRestart;
+    std::function<void(const listed_backend&)> m_onListed;
 };
 
 } // namespace rampgap
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -95,6 +95,7 @@
         return opened.error();
     process->m_state.onConfiguration([raw = process.get()] { raw->applyLimits(); });
     process->m_state.onRestart([raw = process.get()](const listed_backend& backend) { raw->m_dispatcher.handleRestart(backend); });
+    process->m_state.onListed([raw = process.get()](const listed_backend& backend) { raw->m_dispatcher.handleListed(backend); });
     process->m_backpressure.limits.onGrantQuestions([raw = process.get()] { raw->m_peers->requestGrants(); });
     process->m_dispatcher.onCrash([raw = process.get()] { raw->m_peers->publishCrashes(); });
     process->m_history.setIsolatedAttemptFilter([raw = process.get()](request_fingerprint request) { return raw->m_peers->peers().isResponsibleEntry(toString(request)); });
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -202,6 +202,18 @@
         m_log.line("calls_ended").add("backend", backend.id).add("calls", ended).add("reason", "the server was restarted");
 }
 
+// The entry may have been written a moment ago, so the server counts as cold for a little too long.
+void upstream_dispatcher::handleListed(const listed_backend& backend)
+{
+    const auto configuration = m_state.configuration();
+    const auto* service = configuration ? configuration->findService(backend.service) : nullptr;
+    const double perSecond = service ? service->coldRequestsPerSecond : 0;
+    if (perSecond <= 0 || backend.coldFor <= milliseconds(0))
+        return;
+    m_backpressure.limits.recordCold(backendHash(backend.id), perSecond, m_context.now() + backend.coldFor);
+    m_log.line("backend_cold").add("backend", backend.id).add("cold_ms", backend.coldFor).add("limit_per_s", perSecond);
+}
+
 bool upstream_dispatcher::mayRetry(const admitted_request& request, const progress& state, const attempt_outcome& last)
 {
     const bool resumable = request.route.repeat == repeat_rule::streaming && request.route.resumable;
--- a/Source/gateway/upstream_picker.cpp
+++ b/Source/gateway/upstream_picker.cpp
@@ -39,8 +39,11 @@
 awaitable<std::string> upstream_picker::pick(http_exchange& exchange, const admitted_request& request, const attempted_servers& attempted)
 {
     std::vector<server_hash> servers;
-    if (m_backpressure.limits.any())
+    if (m_backpressure.limits.any()) {
         servers = serversOf(request.service);
+        // Grants are asked for a few servers only: the VMs ask for different ones.
+        std::shuffle(servers.begin(), servers.end(), m_context.random());
+    }
     m_backpressure.limits.requestGrants(request.service, servers, request.priority, m_context.now());
     const instant until = m_context.now() + maxGrantWait;
     std::string id = choose(request, attempted);
@@ -110,9 +113,10 @@
         m_backpressure.backoffs.recordBackoff(server, *notice.backoff, now);
     else
         m_backpressure.backoffs.recordAnswered(server, now);
-    const auto before = m_backpressure.limits.limitOf(server, now);
+    const auto before = m_backpressure.limits.reportOf(server, now);
+    const bool wasLimited = before && before->perSecond;
     m_backpressure.limits.recordAnswer(server, notice.limitPerSecond, now);
-    if (before.has_value() != notice.limitPerSecond.has_value())
+    if (wasLimited != notice.limitPerSecond.has_value())
         m_log.line("server_limit").add("backend", backend.id).add("backend_hash", server).add("limit_per_s", notice.limitPerSecond.value_or(-1)).add("source", "answer");
 }
 
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -25,6 +25,8 @@
     // Start of the server's process in Unix milliseconds; 0 if the list does not say. A server
     // may be restarted under its id and has no state of its previous run then.
     std::uint64_t incarnation = 0;
+    // How much longer it is cold, from the time at which the entry was written; 0: it is not cold.
+    milliseconds coldFor { 0 };
 
     bool operator==(const listed_backend&) const = default;
 };
--- a/Source/policy/fleet_configuration.h
+++ b/Source/policy/fleet_configuration.h
@@ -84,6 +84,8 @@
     std::string name;
     std::string healthPath;
     int maxConnections = 0;
+    // Requests per second that a cold server of the service accepts from all entry VMs together; 0: any number.
+    double coldRequestsPerSecond = 0;
     // Set for model engines only.
     bool isModel = false;
     engine_costs costs;
--- a/Source/policy/limit_arbiter.cpp
+++ b/Source/policy/limit_arbiter.cpp
@@ -13,8 +13,9 @@
     // One token for any requester and one that is reserved for the more urgent.
     constexpr double minBurst = 2;
     constexpr double urgentReserve = 1;
-    // Questions per second that an arbiter is to get from all requesters for all its servers.
-    constexpr double questionsPerSecond = 8;
+    // Questions per second that an arbiter is to get from all requesters for all its servers, or as many as it can grant
+    // requests if those are more.
+    constexpr double minQuestionsPerSecond = 8;
     constexpr milliseconds minAskAgainDelay { 100 };
     constexpr milliseconds maxAskAgainDelay { 20'000 };
     // A requester that has not asked for this long is taken to have no requests for the server.
@@ -43,12 +44,14 @@
 milliseconds limit_arbiter::askAgainDelay(instant now)
 {
     std::size_t pairs = 0;
+    double grantsPerSecond = 0;
     for (auto& [server, entry] : m_buckets) {
         std::erase_if(entry.requesters, [now](const auto& requester) { return now - requester.second >= requesterLifetime; });
         pairs += entry.requesters.size();
+        grantsPerSecond += entry.requesters.empty() ? 0 : entry.perSecond;
     }
     std::erase_if(m_buckets, [](const auto& entry) { return entry.second.requesters.empty(); });
-    const auto delay = milliseconds(static_cast<std::int64_t>(1'000 * static_cast<double>(pairs) / questionsPerSecond));
+    const auto delay = milliseconds(static_cast<std::int64_t>(1'000 * static_cast<double>(pairs) / std::max(minQuestionsPerSecond, grantsPerSecond)));
     return std::clamp(delay, minAskAgainDelay, maxAskAgainDelay);
 }
 
@@ -64,6 +67,7 @@
     const double rate = std::max(safetyFactor * perSecond, minPerSecond) * visibleFraction();
     auto& entry = m_buckets.try_emplace(query.server, bucket { token_bucket(0, now), {}, {} }).first->second;
     entry.tokens.fill(rate, std::max(minBurst, rate * burstSeconds), now);
+    entry.perSecond = rate;
     entry.requesters[requester] = now;
     const double reserve = moreUrgentDenied(entry, query.priority, now) ? urgentReserve : 0;
     const int granted = std::clamp(static_cast<int>(entry.tokens.tokens() - reserve), 0, std::max(0, query.wanted));
--- a/Source/policy/limit_arbiter.h
+++ b/Source/policy/limit_arbiter.h
@@ -17,6 +17,8 @@
     // Tokens and requesters of one server.
     struct bucket {
         token_bucket tokens;
+        // The rate of the tokens.
+        double perSecond = 0;
         std::map<std::string, instant> requesters;
         // When a question of each priority was last answered without a grant.
         std::map<int, instant> deniedAt;
--- a/Source/policy/server_limits.cpp
+++ b/Source/policy/server_limits.cpp
@@ -20,6 +20,11 @@
     // Grants are not kept any longer for more urgent requests that found none: those do not come back for them.
     constexpr milliseconds unservedMemory { 1'000 };
     constexpr int maxWanted = 50;
+    // A grant is used up to its lifetime of a second later, so in one second a cold server may get the requests of two.
+    constexpr double coldShare = 0.5;
+    // Load pattern: a zone of 100 servers returns cold. If each of 500 entry VMs asked for grants for all of them, that
+    // would be 50,000 queries for the few seconds that they are cold.
+    constexpr int maxServersAsked = 8;
 
     bool differs(const std::optional<double>& a, const std::optional<double>& b)
     {
@@ -58,13 +63,19 @@
     stored.report = report;
     if (isChange)
         stored.changedAt = now;
-    if (!report.perSecond)
+    if (!limitOf(server, now))
         m_accounts.erase(server);
 }
 
+void server_limits::recordCold(server_hash server, double perSecond, instant until)
+{
+    m_cold[server] = { perSecond, until };
+}
+
 void server_limits::forget(server_hash server, instant now)
 {
     m_reports.erase(server);
+    m_cold.erase(server);
     m_accounts.erase(server);
     m_forgottenAt[server] = now;
 }
@@ -80,7 +91,12 @@
 std::optional<double> server_limits::limitOf(server_hash server, instant now) const
 {
     const auto report = reportOf(server, now);
-    return report ? report->perSecond : std::nullopt;
+    const std::optional<double> reported = report ? report->perSecond : std::nullopt;
+    const auto cold = m_cold.find(server);
+    if (cold == m_cold.end() || now >= cold->second.until)
+        return reported;
+    const double whileCold = coldShare * cold->second.perSecond;
+    return reported ? std::min(*reported, whileCold) : whileCold;
 }
 
 reported_limits server_limits::recentChanges(instant now) const
@@ -97,7 +113,7 @@
 {
     reported_limits found;
     for (const auto& [server, entry] : m_reports) {
-        if (found.size() < count && limitOf(server, now))
+        if (found.size() < count && reportOf(server, now) && entry.report.perSecond)
             found.emplace_back(server, entry.report);
     }
     return found;
@@ -107,7 +123,8 @@
 {
     std::erase_if(m_reports, [now](const auto& entry) { return now - entry.second.report.reportedAt >= reportLifetime; });
     std::erase_if(m_forgottenAt, [now](const auto& entry) { return now - entry.second >= reportLifetime; });
-    std::erase_if(m_accounts, [this](const auto& entry) { return !m_reports.contains(entry.first); });
+    std::erase_if(m_cold, [now](const auto& entry) { return now >= entry.second.until; });
+    std::erase_if(m_accounts, [this](const auto& entry) { return !m_reports.contains(entry.first) && !m_cold.contains(entry.first); });
 }
 
 int server_limits::countRequest(const std::string& service, instant now)
@@ -126,15 +143,16 @@
     expire(now);
     const double perServer = static_cast<double>(countRequest(service, now)) / static_cast<double>(servers.size());
     const int wanted = std::clamp(static_cast<int>(std::ceil(perServer)), 1, maxWanted);
+    int asked = 0;
     for (const server_hash server : servers) {
-        if (limitOf(server, now) && !maySend(server, priority, now))
-            askForGrants(server, wanted, priority, now);
+        if (asked < maxServersAsked && limitOf(server, now) && !maySend(server, priority, now))
+            asked += askForGrants(server, wanted, priority, now) ? 1 : 0;
     }
     if (!m_questions.empty() && m_onQuestions)
         m_onQuestions();
 }
 
-void server_limits::askForGrants(server_hash server, int wanted, int priority, instant now)
+bool server_limits::askForGrants(server_hash server, int wanted, int priority, instant now)
 {
     auto& account = m_accounts[server];
     if (now < account.askAgainAt || awaitsAnswer(server, now))
--- a/Source/policy/server_limits.h
+++ b/Source/policy/server_limits.h
@@ -1,4 +1,5 @@
-// Which servers limit the rate of their requests, and the grants of this process to send to them.
+// Which servers limit the rate of their requests, by what they report or since they are cold, and the grants of this
+// process to send to them.
 #pragma once
 
 #include "policy/verdict.h"
@@ -62,14 +63,16 @@
     void recordAnswer(server_hash, std::optional<double> perSecond, instant now);
     // Merges a report from a peer. Ignored if a newer one is known.
     void mergeReport(server_hash, reported_limit, instant now);
+    // Until then the server is cold: it crashes if all entry VMs together send it clearly more than `perSecond`.
+    void recordCold(server_hash, double perSecond, instant until);
     // The server was restarted: what it reported before does not apply any more.
     void forget(server_hash, instant now);
     // Requests per second; empty if the server has no limit, as far as is known.
     std::optional<double> limitOf(server_hash, instant now) const;
     // The server's latest report; empty if there is none or it is too old.
     std::optional<reported_limit> reportOf(server_hash, instant now) const;
-    // True if a report of any server is stored.
-    bool any() const { return !m_reports.empty(); }
+    // True if a limit of any server is stored.
+    bool any() const { return !m_reports.empty() || !m_cold.empty(); }
     // Reports that changed a short time ago, for the peers.
     reported_limits recentChanges(instant now) const;
     // At most `count` of the limits that apply now, for a process that has just started.
@@ -102,7 +105,8 @@
     void store(server_hash, const reported_limit&, instant now);
     // Counts a request. The number of requests for the service in the last second, this one included.
     int countRequest(const std::string& service, instant now);
-    void askForGrants(server_hash, int wanted, int priority, instant now);
+    // True if a question was made: none is pending, and the arbiter may be asked again.
+    bool askForGrants(server_hash, int wanted, int priority, instant now);
     void expire(instant now);
     bool moreUrgentUnserved(int priority, instant now) const;
 
@@ -112,7 +116,14 @@
         std::optional<instant> changedAt;
     };
 
+    // What a cold server accepts.
+    struct cold_limit {
+        double perSecond = 0;
+        instant until;
+    };
+
     std::map<server_hash, stored_report> m_reports;
+    std::map<server_hash, cold_limit> m_cold;
     // When servers were restarted; reports from before that are of an earlier incarnation.
     std::map<server_hash, instant> m_forgottenAt;
     std::map<server_hash, grant_account> m_accounts;
