agent: lists of servers and members are kept until they change

Cause: an agent at rest asked 50 times a second who the members of its group are. Each time all 536 servers were looked up three times and all 516 group names once, and ten times a second each known server was searched in a list of all (516 x 516 / 2 string comparisons). Both grow with the square of the fleet, or with the fleet times its rate. The directory keeps the lists of a service until an entry changes; group_member_list keeps the members until these lists or the roster change; unlisted servers are found by binary search. Queries for groups that are known are repeated in a time that grows with the fleet: 8 a second at any size (52 at 516 servers before, 200 at 2,000); a rank that moves announces itself, and asks its group's members until its leader calls it.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -20,6 +20,8 @@
     // Short enough for entry VMs to learn that a group has closed before its ranks refuse callers.
     constexpr milliseconds enginePollInterval { 100 };
     constexpr milliseconds placementCheckInterval { 25 };
+    // Between two checks whose group must be asked for.
+    constexpr milliseconds queryCheckInterval { 250 };
     // Agents that are asked at a time whether a leader has called them.
     constexpr std::size_t agentsAskedForLeader = 3;
     // Minimum time between two reports of the ranks' loads to the entry VMs.
@@ -134,14 +136,14 @@
     co_await exchange.send(std::move(response));
 }
 
-std::vector<std::string> agent_process::pool()
+const std::vector<std::string>& agent_process::pool()
 {
     return m_state.backends().activeServers(m_settings.engineService);
 }
 
-std::vector<std::string> agent_process::members()
+const std::vector<std::string>& agent_process::members()
 {
-    return m_roster.members(pool(), m_group, m_groupSize);
+    return m_members.members(m_state.backends(), m_settings.engineService, m_roster, { m_group, m_groupSize });
 }
 
 const listed_backend* agent_process::ownBackend()
@@ -199,10 +201,11 @@
 
 void agent_process::requestUnknownGroups(const std::string& ownId)
 {
-    const auto all = pool();
+    const auto& all = pool();
     // If all servers fit in one group there is nothing to ask.
-    if (all.size() <= m_groupSize)
+    if (all.size() <= m_groupSize || m_context.now() < m_nextQueriesAt)
         return;
+    m_nextQueriesAt = m_context.now() + queryCheckInterval;
     for (const auto& id : m_roster.selectDueQueries(all, ownId, m_context.now()))
         sendMembership(ownId, *m_state.backends().find(id), true);
 }
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -4,7 +4,7 @@
 
 #include "gateway/gateway_process.h"
 #include "gateway/group_leader.h"
-#include "policy/group_roster.h"
+#include "policy/group_member_list.h"
 #include "policy/leadership.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -52,9 +52,9 @@
     void configure();
     void receive(const std::string& bytes, const boost::asio::ip::udp::endpoint& from);
     void sendDatagram(const std::string& bytes, const boost::asio::ip::udp::endpoint&);
-    std::vector<std::string> pool();
+    const std::vector<std::string>& pool();
     // Ids of the servers in the own group, in a fixed order.
-    std::vector<std::string> members();
+    const std::vector<std::string>& members();
     const listed_backend* ownBackend();
 
     process_context& m_context;
@@ -70,6 +70,9 @@
     group_leader m_leader;
     leadership m_leadership;
     group_roster m_roster;
+    group_member_list m_members;
+    // When servers of unknown group are queried next.
+    instant m_nextQueriesAt {};
     std::unique_ptr<peer_exchange> m_peers;
     std::unique_ptr<http_server> m_callPort;
     std::unique_ptr<http_server> m_metricsPort;
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/backend_directory.cpp
@@ -36,6 +36,7 @@
 
 bool backend_directory::list(const listed_backend& listed)
 {
+    ++m_revision;
     auto& known = m_entries[listed.id];
     const std::string addressBefore = known.listed.address;
     // Any other incarnation counts, not only a higher one: the clock may have been set back
@@ -55,6 +56,7 @@
 
 void backend_directory::setServices(std::set<std::string> services)
 {
+    ++m_revision;
     m_services = std::move(services);
     std::set<std::string> addresses;
     for (const auto& [id, known] : m_entries)
@@ -93,6 +95,7 @@
         remove(id);
         return;
     }
+    ++m_revision;
     known->second.keptUntil = until;
     updateNewestAt(known->second.listed.address);
 }
@@ -112,6 +115,7 @@
     const auto known = m_entries.find(id);
     if (known == m_entries.end())
         return;
+    ++m_revision;
     const std::string address = known->second.listed.address;
     m_entries.erase(known);
     updateNewestAt(address);
@@ -128,12 +132,14 @@
         remove(id);
     for (auto& [id, seenAt] : m_leaving)
         seenAt = m_entries.contains(id) ? now : seenAt;
-    std::erase_if(m_leaving, [now](const auto& known) { return now - known.second >= leavingRetention; });
+    m_revision += std::erase_if(m_leaving, [now](const auto& known) { return now - known.second >= leavingRetention; });
 }
 
 bool backend_directory::recordLeaving(const std::string& id, instant now)
 {
-    return m_leaving.insert_or_assign(id, now).second;
+    const bool isNew = m_leaving.insert_or_assign(id, now).second;
+    m_revision += isNew ? 1 : 0;
+    return isNew;
 }
 
 void backend_directory::recordResult(const std::string& id, attempt_result result, instant now)
@@ -163,13 +169,16 @@
         break;
     case attempt_result::replaced:
         known->second.replaced = true;
+        ++m_revision;
         break;
     }
 }
 
 bool backend_directory::setEvacuated(const std::string& zone, bool evacuated)
 {
-    return evacuated ? m_evacuatedZones.insert(zone).second : m_evacuatedZones.erase(zone) > 0;
+    const bool changed = evacuated ? m_evacuatedZones.insert(zone).second : m_evacuatedZones.erase(zone) > 0;
+    m_revision += changed ? 1 : 0;
+    return changed;
 }
 
 bool backend_directory::acceptsWork(const std::string& id) const
@@ -224,26 +233,36 @@
     return nullptr;
 }
 
-std::vector<std::string> backend_directory::pool(const std::string& service) const
+// Agents ask for the list 50 times a second, entry VMs for each request. The lists change when an entry does, which is rare.
+const backend_directory::service_lists& backend_directory::listsOf(const std::string& service) const
 {
-    std::vector<std::string> ids = activeServers(service);
-    std::erase_if(ids, [this](const std::string& id) { return !acceptsWork(id); });
-    return ids;
+    auto& lists = m_lists[service];
+    if (lists.revision == m_revision)
+        return lists;
+    lists = { m_revision, {}, {} };
+    for (const auto& [id, known] : m_entries) {
+        if (known.listed.service != service || !isActive(id))
+            continue;
+        lists.active.push_back(id);
+        if (!m_evacuatedZones.contains(known.listed.zone))
+            lists.pool.push_back(id);
+    }
+    return lists;
 }
 
-std::size_t backend_directory::countInZone(const std::string& zone) const
+const std::vector<std::string>& backend_directory::activeServers(const std::string& service) const
 {
-    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&zone](const auto& known) { return known.second.listed.zone == zone; }));
+    return listsOf(service).active;
 }
 
-std::vector<std::string> backend_directory::activeServers(const std::string& service) const
+const std::vector<std::string>& backend_directory::pool(const std::string& service) const
 {
-    std::vector<std::string> ids;
-    for (const auto& [id, known] : m_entries) {
-        if (known.listed.service == service && isActive(id))
-            ids.push_back(id);
-    }
-    return ids;
+    return listsOf(service).pool;
+}
+
+std::size_t backend_directory::countInZone(const std::string& zone) const
+{
+    return static_cast<std::size_t>(std::count_if(m_entries.begin(), m_entries.end(), [&zone](const auto& known) { return known.second.listed.zone == zone; }));
 }
 
 } // namespace rampgap
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/backend_directory.h
@@ -97,13 +97,16 @@
     bool avoided(const std::string& id, instant now) const;
     const backend_health& health(const std::string& id) const;
     const listed_backend* find(const std::string& id) const;
+    // The active server at an address.
     const listed_backend* findByAddress(const std::string& address) const;
-    // The server of a service on a machine, if it accepts work.
+    // The active server of a service on a machine.
     const listed_backend* findByHost(const std::string& host, const std::string& service) const;
     // Ids of the servers of a service that accept work, in a fixed order.
-    std::vector<std::string> pool(const std::string& service) const;
+    const std::vector<std::string>& pool(const std::string& service) const;
     // The same for the active servers: the members of expert groups are among them, evacuated or not.
-    std::vector<std::string> activeServers(const std::string& service) const;
+    const std::vector<std::string>& activeServers(const std::string& service) const;
+    // Increases with each change of any of these lists.
+    std::uint64_t revision() const { return m_revision; }
     // Number of the servers that are listed in a zone.
     std::size_t countInZone(const std::string& zone) const;
 
@@ -116,6 +119,14 @@
         bool replaced = false;
     };
 
+    // The servers of one service, from the last time that they were asked for.
+    struct service_lists {
+        std::uint64_t revision = 0;
+        std::vector<std::string> active;
+        std::vector<std::string> pool;
+    };
+
+    const service_lists& listsOf(const std::string& service) const;
     bool serves(const listed_backend&) const;
     void updateNewestAt(const std::string& address);
 
@@ -127,6 +138,8 @@
     std::set<std::string> m_evacuatedZones;
     // For each address the highest creation revision of its listed entries.
     std::map<std::string, std::uint64_t> m_newestAt;
+    std::uint64_t m_revision = 1;
+    mutable std::map<std::string, service_lists> m_lists;
 };
 
 } // namespace rampgap
--- a/Source/policy/group_roster.cpp
+++ b/Source/policy/group_roster.cpp
@@ -11,21 +11,26 @@
     constexpr milliseconds queryInterval { 500 };
     // A rank that moves to another group announces it to all; this repeats the query for agents
     // that did not receive the announcement.
-    constexpr milliseconds groupLifetime { 10'000 };
+    constexpr milliseconds minGroupLifetime { 10'000 };
+    // In a larger fleet the queries are repeated less often, so that an agent sends no more of them than this.
+    constexpr std::int64_t queriesPerSecond = 8;
 
     const std::string unknownGroup;
 
-    bool contains(const std::vector<std::string>& ids, const std::string& id)
+    milliseconds groupLifetime(std::size_t servers)
     {
-        return std::find(ids.begin(), ids.end(), id) != ids.end();
+        return std::max(minGroupLifetime, milliseconds(1'000 * static_cast<std::int64_t>(servers) / queriesPerSecond));
     }
 
 } // namespace
 
 void group_roster::recordGroup(const std::string& backendId, const std::string& group, instant now)
 {
-    if (!group.empty())
-        m_known[backendId] = { group, now };
+    if (group.empty())
+        return;
+    auto& known = m_known[backendId];
+    m_revision += known.group == group ? 0 : 1;
+    known = { group, now };
 }
 
 const std::string& group_roster::groupOf(const std::string& backendId) const
@@ -55,13 +60,14 @@
 
 std::vector<std::string> group_roster::selectDueQueries(const std::vector<std::string>& pool, const std::string& ownId, instant now)
 {
-    const auto unlisted = [&pool](const auto& entry) { return !contains(pool, entry.first); };
-    std::erase_if(m_known, unlisted);
+    const auto unlisted = [&pool](const auto& entry) { return !std::binary_search(pool.begin(), pool.end(), entry.first); };
+    m_revision += std::erase_if(m_known, unlisted);
     std::erase_if(m_queriedAt, unlisted);
+    const milliseconds lifetime = groupLifetime(pool.size());
     std::vector<std::string> due;
     for (const auto& id : pool) {
         const auto known = m_known.find(id);
-        const bool fresh = known != m_known.end() && now - known->second.recordedAt < groupLifetime;
+        const bool fresh = known != m_known.end() && now - known->second.recordedAt < lifetime;
         const auto queried = m_queriedAt.find(id);
         const bool queriedRecently = queried != m_queriedAt.end() && now - queried->second < queryInterval;
         if (id == ownId || fresh || queriedRecently)
--- a/Source/policy/group_roster.h
+++ b/Source/policy/group_roster.h
@@ -4,6 +4,7 @@
 #include "policy/verdict.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -21,9 +22,11 @@
     // The servers of `pool` that are in `group`, in the order of the pool. Where the whole pool fits
     // in one group of `size` ranks, servers of an unknown group are included.
     std::vector<std::string> members(const std::vector<std::string>& pool, const std::string& group, std::size_t size) const;
+    // Increases when the group of any server changes.
+    std::uint64_t revision() const { return m_revision; }
     // The servers of `pool` whose group is not known.
     std::vector<std::string> unknown(const std::vector<std::string>& pool) const;
-    // The servers to query now, which are marked as queried. Servers that are not in `pool` are forgotten.
+    // The servers to query now, which are marked as queried. Servers that are not in `pool`, which is sorted, are forgotten.
     std::vector<std::string> selectDueQueries(const std::vector<std::string>& pool, const std::string& ownId, instant now);
 
 private:
@@ -33,6 +36,7 @@
     };
 
     std::map<std::string, entry> m_known;
+    std::uint64_t m_revision = 0;
     std::map<std::string, instant> m_queriedAt;
 };
 
