membership: proofs of freshness by relays, reading in stages, and no copies of the whole table

Causes, each of which grows with the fleet: - An entry VM copied and sorted all peers 20 times a second to see whether it reads the store, counted all of them at each message and each of 288 reports a second, and copied all of them for each round of gossip. - Proofs of a reader are 0.8 to 1.6 s old, since a watch takes 0.8 s. Each process asked for one as soon as its own was 0.5 s old, so always, 6.7 times a second, the reader of its zone and one of another zone: 2,800 questions a second at a reader. - A third of 531 VMs that the store turns away, or all of them where it is slow, read by themselves at once and each 0.6 s. Now a process asks when a newer proof can be there, in its own zone, and in a zone with more than 12 VMs one relay for 12 of them; other zones only while its proof is outdated. Three standbys of a zone begin to read at 1.9 s as before, three at 2.15, all others at 2.4 s, and the pause of these grows with their number (to 5 s): they learn of the store's return from the first.

--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -101,6 +101,7 @@
     process->m_history.setIsolatedAttemptFilter([raw = process.get()](request_fingerprint request) { return raw->m_peers->peers().isResponsibleEntry(toString(request)); });
     process->m_follower.setShouldRead([raw = process.get()] { return raw->shouldReadStore(); });
     process->m_follower.setOtherReaders([raw = process.get()] { return !isReader(raw->m_peers->peers(), {}); });
+    process->m_follower.setLongestPause([raw = process.get()] { return longestReadingPause(raw->m_peers->peers(), {}); });
     process->m_follower.onUpdate([raw = process.get()] { raw->m_peers->announceState(); });
     process->m_follower.start();
     process->m_peers->start();
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -34,10 +34,9 @@
     constexpr std::size_t maxDirectRecipients = 8;
     // Between two queries of a process that holds no state yet.
     constexpr milliseconds joinInterval { 100 };
-    constexpr milliseconds freshnessCheckInterval { 150 };
-    constexpr std::size_t freshnessFanout = 2;
-    // With an older state the chosen readers may be gone or cut off.
-    constexpr milliseconds distrustReadersAfter { 1'750 };
+    // Between two rounds of the periodic work, unless a query for freshness is due sooner.
+    constexpr milliseconds checkInterval { 150 };
+    constexpr milliseconds minCheckPause { 10 };
     // An answer later than this is worth no more than a new query.
     constexpr milliseconds queryLifetime { 1'000 };
 
@@ -68,6 +67,7 @@
     , m_peers(std::move(peers))
     , m_settings(settings)
     , m_socket(std::move(socket))
+    , m_freshness(settings.proofInterval)
     , m_snapshots(context, log, state, settings.controlPort)
     , m_crashes(context, history, m_peers, *this)
     , m_limits(context, log, limits, m_peers, *this)
@@ -344,32 +344,46 @@
 awaitable<void> peer_exchange::freshnessLoop()
 {
     for (;;) {
-        co_await sleepFor(m_context.io(), freshnessCheckInterval);
+        const instant wokenAt = m_context.now();
+        co_await sleepUntil(m_context.io(), std::min(wokenAt + checkInterval, std::max(m_freshness.dueAt(), wokenAt + minCheckPause)));
         m_state.runPeriodicWork();
         m_snapshots.fetchOverdue();
         const instant now = m_context.now();
         std::erase_if(m_freshnessQueries, [now](const auto& asked) { return now - asked.second > queryLifetime; });
-        const auto age = m_state.freshnessAge();
-        if (!age || *age > m_settings.maxFreshnessAge || m_state.storeUnavailable())
+        if (const auto freshAsOf = m_state.published().freshAsOf())
+            m_freshness.recordProof(*freshAsOf, now);
+        if (now >= m_freshness.dueAt())
             requestFreshness();
     }
 }
 
-void peer_exchange::requestFreshness()
+// Readers of other zones help if the one of the own zone is gone, cut off or turned away by the
+// store; a random peer as well if no reader helps.
+std::vector<std::string> peer_exchange::freshnessSources() const
 {
-    // A reader in the own zone and one in another; a random peer as well if the readers do not help.
-    auto asked = chosenReaders(m_peers, reading_settings {});
-    std::erase(asked, m_peers.self().host);
-    if (asked.size() > 1)
-        std::shuffle(asked.begin() + 1, asked.end(), m_context.random());
-    if (asked.size() > freshnessFanout)
-        asked.resize(freshnessFanout);
+    std::vector<std::string> sources;
+    const std::string usual = freshnessSource(m_peers, {});
+    if (!usual.empty())
+        sources.push_back(usual);
     const auto age = m_state.freshnessAge();
-    if (!age || *age > distrustReadersAfter) {
+    const bool outdated = !age || *age > m_settings.distrustSourceAfter;
+    if (!outdated && !m_state.storeUnavailable())
+        return sources;
+    auto readers = chosenReaders(m_peers, {});
+    std::erase(readers, m_peers.self().host);
+    std::erase(readers, usual);
+    std::sample(readers.begin(), readers.end(), std::back_inserter(sources), 1, m_context.random());
+    if (outdated) {
         for (const auto& peer : m_peers.sample(peer_role::entry, 1, m_context.random()))
-            asked.push_back(peer.host);
+            sources.push_back(peer.host);
     }
-    for (const auto& host : asked) {
+    return sources;
+}
+
+void peer_exchange::requestFreshness()
+{
+    m_freshness.recordAsked(m_context.now());
+    for (const auto& host : freshnessSources()) {
         auto datagram = makeDatagram();
         datagram.mutable_question()->set_nonce(++m_nonce);
         m_freshnessQueries[m_nonce] = m_context.now();
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -5,6 +5,7 @@
 #include "gateway/crash_gossip.h"
 #include "gateway/limit_exchange.h"
 #include "gateway/snapshot_exchange.h"
+#include "policy/freshness_schedule.h"
 #include "policy/group_directory.h"
 #include "policy/load_table.h"
 #include "policy/peer_table.h"
@@ -20,8 +21,10 @@
     unsigned short controlPort = 0;
     // Between two reports of the own work.
     milliseconds reportInterval { 250 };
-    // Peers are asked for a fresher state when the own one is older than this.
-    milliseconds maxFreshnessAge { 500 };
+    // Peers are asked for a newer proof of freshness this long after the last one.
+    milliseconds proofInterval { 750 };
+    // With a state last confirmed longer ago than this, other peers than the usual one are asked, too.
+    milliseconds distrustSourceAfter { 1'750 };
 };
 
 class peer_exchange : private datagram_sender {
@@ -74,6 +77,8 @@
     void addKnownProcesses(gateway::peer_datagram&) const;
     void send(const std::string& host, const gateway::peer_datagram&) override;
     void requestFreshness();
+    // The peers to ask for a proof of freshness now.
+    std::vector<std::string> freshnessSources() const;
 
     process_context& m_context;
     decision_log& m_log;
@@ -89,6 +94,7 @@
     limit_exchange m_limits;
     std::uint64_t m_nonce = 0;
     std::map<std::uint64_t, instant> m_freshnessQueries;
+    freshness_schedule m_freshness;
     bool m_leaving = false;
     state_summary m_announced;
 };
--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/store_follower.cpp
@@ -15,7 +15,7 @@
     // Backoff after a failure, doubled up to the longest pause. Each call has its price, but only
     // the first one after the store's return ends the outage for this process.
     constexpr milliseconds firstPause { 100 };
-    constexpr milliseconds longestPause { 600 };
+    constexpr milliseconds defaultLongestPause { 600 };
 
     // How often a process that relies on its peers' readings checks whether it must read itself.
     constexpr milliseconds idlePause { 50 };
@@ -68,7 +68,7 @@
         }
         // The time that a failed reading took counts towards the pause.
         co_await sleepUntil(m_context.io(), std::max(startedAt + pause, m_context.now() + firstPause));
-        pause = std::min(pause * 2, longestPause);
+        pause = std::min(pause * 2, m_longestPause ? m_longestPause() : defaultLongestPause);
     }
 }
 
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -15,6 +15,8 @@
     void onUpdate(std::function<void()> action) { m_onUpdate = std::move(action); }
     // Sets whether this process should read now; checked before each reading.
     void setShouldRead(std::function<bool()> shouldRead) { m_shouldRead = std::move(shouldRead); }
+    // Sets the longest pause between two readings that fail.
+    void setLongestPause(std::function<milliseconds()> longestPause) { m_longestPause = std::move(longestPause); }
     // Sets whether other processes read the store for this one, which then leaves the listing of a
     // restored store to them.
     void setOtherReaders(std::function<bool()> hasOtherReaders) { m_hasOtherReaders = std::move(hasOtherReaders); }
@@ -35,6 +37,7 @@
     milliseconds m_wait;
     std::function<bool()> m_shouldRead;
     std::function<bool()> m_hasOtherReaders;
+    std::function<milliseconds()> m_longestPause;
     std::function<void()> m_onUpdate;
     bool m_reading = false;
     bool m_needFullListing = true;
--- a/Source/policy/peer_table.cpp
+++ b/Source/policy/peer_table.cpp
@@ -19,6 +19,24 @@
 {
 }
 
+void peer_table::store(const peer_info& peer, instant heardAt)
+{
+    erase(peer.host);
+    m_peers.emplace(peer.host, entry { peer, heardAt });
+    m_entryCount += peer.role == peer_role::entry ? 1 : 0;
+    const std::size_t own = m_self.role == peer_role::entry ? 1 : 0;
+    m_maxLiveEntries = std::max(m_maxLiveEntries, m_entryCount + own);
+}
+
+void peer_table::erase(const std::string& host)
+{
+    const auto known = m_peers.find(host);
+    if (known == m_peers.end())
+        return;
+    m_entryCount -= known->second.info.role == peer_role::entry ? 1 : 0;
+    m_peers.erase(known);
+}
+
 bool peer_table::recordContact(const peer_info& peer, instant now)
 {
     if (peer.host == m_self.host)
@@ -27,8 +45,10 @@
     const bool isNew = known == m_peers.end() || known->second.info.incarnation < peer.incarnation;
     if (!isNew && known->second.info.incarnation > peer.incarnation)
         return false;
-    m_peers[peer.host] = { peer, now };
-    updateMaxLiveEntries();
+    if (!isNew && known->second.info == peer)
+        known->second.heardAt = now;
+    else
+        store(peer, now);
     return isNew;
 }
 
@@ -38,18 +58,17 @@
         return;
     const auto known = m_peers.find(peer.host);
     const instant heardAt = now - age;
-    if (known == m_peers.end()) {
-        m_peers[peer.host] = { peer, heardAt };
-    } else if (known->second.info.incarnation <= peer.incarnation) {
-        known->second.info = peer;
+    if (known == m_peers.end())
+        store(peer, heardAt);
+    else if (known->second.info == peer)
         known->second.heardAt = std::max(known->second.heardAt, heardAt);
-    }
-    updateMaxLiveEntries();
+    else if (known->second.info.incarnation <= peer.incarnation)
+        store(peer, std::max(known->second.heardAt, heardAt));
 }
 
 void peer_table::recordLeaving(const std::string& host)
 {
-    m_peers.erase(host);
+    erase(host);
 }
 
 // The rounds in which gossip reaches all processes grow in number with the logarithm of the fleet's
@@ -70,7 +89,7 @@
             dropped.push_back(host);
     }
     for (const auto& host : dropped)
-        m_peers.erase(host);
+        erase(host);
     return dropped;
 }
 
@@ -79,25 +98,19 @@
     m_seeds = std::move(seedHosts);
 }
 
-std::vector<peer_info> peer_table::live(peer_role role) const
+void peer_table::visitLive(peer_role role, const std::function<void(const peer_info&)>& visit) const
 {
-    std::vector<peer_info> found;
     for (const auto& [host, known] : m_peers) {
         if (known.info.role == role)
-            found.push_back(known.info);
+            visit(known.info);
     }
-    return found;
-}
-
-std::size_t peer_table::count(peer_role role) const
-{
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [role](const auto& known) { return known.second.info.role == role; }));
 }
 
-void peer_table::updateMaxLiveEntries()
+std::vector<peer_info> peer_table::live(peer_role role) const
 {
-    const std::size_t own = m_self.role == peer_role::entry ? 1 : 0;
-    m_maxLiveEntries = std::max(m_maxLiveEntries, count(peer_role::entry) + own);
+    std::vector<peer_info> found;
+    visitLive(role, [&found](const peer_info& peer) { found.push_back(peer); });
+    return found;
 }
 
 std::vector<std::string> peer_table::otherSeeds() const
@@ -116,10 +129,10 @@
 
 std::string peer_table::responsibleEntry(std::string_view key) const
 {
-    std::vector<std::string> hosts { m_self.host };
-    for (const auto& peer : live(peer_role::entry))
-        hosts.push_back(peer.host);
-    return std::string(rendezvousPick(key, hosts));
+    const rendezvous_order order(key);
+    rendezvous_place first = order.placeOf(m_self.host);
+    visitLive(peer_role::entry, [&](const peer_info& peer) { first = std::min(first, order.placeOf(peer.host)); });
+    return std::string(first.member);
 }
 
 milliseconds peer_table::age(const std::string& host, instant now) const
@@ -128,36 +141,54 @@
     return known == m_peers.end() ? m_silence : std::chrono::duration_cast<milliseconds>(now - known->second.heardAt);
 }
 
-std::vector<peer_info> peer_table::sample(peer_role role, std::size_t count, std::mt19937_64& random) const
+// Shuffles pointers: at 2,000 processes, copying all of them for each round of gossip took longer than sending it.
+peer_table::peer_list peer_table::shuffled(peer_role role, std::mt19937_64& random) const
 {
-    std::vector<peer_info> all = live(role);
+    peer_list all;
+    all.reserve(m_peers.size());
+    visitLive(role, [&all](const peer_info& peer) { all.push_back(&peer); });
     std::shuffle(all.begin(), all.end(), random);
+    return all;
+}
+
+std::vector<peer_info> peer_table::copyOf(const peer_list& peers)
+{
+    std::vector<peer_info> copies;
+    copies.reserve(peers.size());
+    for (const auto* peer : peers)
+        copies.push_back(*peer);
+    return copies;
+}
+
+std::vector<peer_info> peer_table::sample(peer_role role, std::size_t count, std::mt19937_64& random) const
+{
+    peer_list all = shuffled(role, random);
     if (all.size() > count)
         all.resize(count);
-    return all;
+    return copyOf(all);
 }
 
 std::vector<peer_info> peer_table::samplePreferringOwnZone(peer_role role, std::size_t count, std::mt19937_64& random) const
 {
-    std::vector<peer_info> all = sample(role, m_peers.size(), random);
-    const auto near = std::stable_partition(all.begin(), all.end(), [this](const peer_info& peer) { return peer.zone == m_self.zone; });
+    peer_list all = shuffled(role, random);
+    const auto near = std::stable_partition(all.begin(), all.end(), [this](const peer_info* peer) { return peer->zone == m_self.zone; });
     const std::size_t farWanted = std::min(count - count * ownZoneTenths / 10, static_cast<std::size_t>(all.end() - near));
     const std::size_t nearWanted = std::min(count - farWanted, static_cast<std::size_t>(near - all.begin()));
-    std::vector<peer_info> chosen(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(nearWanted));
+    peer_list chosen(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(nearWanted));
     const std::size_t rest = std::min(count - nearWanted, static_cast<std::size_t>(all.end() - near));
     chosen.insert(chosen.end(), near, near + static_cast<std::ptrdiff_t>(rest));
-    return chosen;
+    return copyOf(chosen);
 }
 
 std::vector<peer_info> peer_table::onePerZone(peer_role role, std::mt19937_64& random) const
 {
-    std::vector<peer_info> chosen;
-    for (auto& peer : sample(role, m_peers.size(), random)) {
-        const bool zoneKnown = std::any_of(chosen.begin(), chosen.end(), [&peer](const peer_info& other) { return other.zone == peer.zone; });
+    peer_list chosen;
+    for (const auto* peer : shuffled(role, random)) {
+        const bool zoneKnown = std::any_of(chosen.begin(), chosen.end(), [peer](const peer_info* other) { return other->zone == peer->zone; });
         if (!zoneKnown)
-            chosen.push_back(std::move(peer));
+            chosen.push_back(peer);
     }
-    return chosen;
+    return copyOf(chosen);
 }
 
 } // namespace rampgap
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -4,6 +4,7 @@
 #include "policy/verdict.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -45,9 +46,11 @@
     void setSeeds(std::vector<std::string> seedHosts);
 
     const peer_info& self() const { return m_self; }
-    // Live peers of a role, in a fixed order, without this process.
+    // Live peers of a role, in a fixed order, without this process. Copies them all: for rare use only.
     std::vector<peer_info> live(peer_role) const;
-    std::size_t count(peer_role) const;
+    std::size_t count(peer_role role) const { return role == peer_role::entry ? m_entryCount : m_peers.size() - m_entryCount; }
+    // Calls `visit` with each live peer of a role, in the order of their hosts.
+    void visitLive(peer_role, const std::function<void(const peer_info&)>& visit) const;
     // Highest number of entry VMs that were live at the same time, this one included.
     std::size_t maxLiveEntries() const { return m_maxLiveEntries; }
     // All seeds except this process.
@@ -74,13 +77,20 @@
         instant heardAt;
     };
 
-    void updateMaxLiveEntries();
+    using peer_list = std::vector<const peer_info*>;
+
+    // Adds or replaces a peer.
+    void store(const peer_info&, instant heardAt);
+    void erase(const std::string& host);
     milliseconds silenceLimit() const;
+    peer_list shuffled(peer_role, std::mt19937_64&) const;
+    static std::vector<peer_info> copyOf(const peer_list&);
 
     peer_info m_self;
     std::vector<std::string> m_seeds;
     milliseconds m_silence;
     std::map<std::string, entry> m_peers;
+    std::size_t m_entryCount = 0;
     std::size_t m_maxLiveEntries = 1;
 };
 
--- a/Source/policy/reader_choice.cpp
+++ b/Source/policy/reader_choice.cpp
@@ -7,7 +7,7 @@
 
 std::vector<std::string> readerOrder(const std::vector<std::string>& entries)
 {
-    return rendezvousRank("configuration-reader", entries, readersAndStandbys);
+    return rendezvousRank(readerOrderKey, entries, readersAndStandbys);
 }
 
 bool isChosenReader(const std::string& self, const std::vector<std::string>& order, const std::set<std::string>& unreachable)
--- a/Source/policy/reader_choice.h
+++ b/Source/policy/reader_choice.h
@@ -11,6 +11,9 @@
 // Number of readers and standby readers; each of them monitors those before it in the order.
 inline constexpr std::size_t readersAndStandbys = 6;
 
+// Key of the order in which processes become readers.
+inline constexpr const char* readerOrderKey = "configuration-reader";
+
 // The entry VMs of the zone in the order in which they become readers; all processes that
 // see the same list agree on it.
 std::vector<std::string> readerOrder(const std::vector<std::string>& entries);
--- a/Source/policy/rendezvous.cpp
+++ b/Source/policy/rendezvous.cpp
@@ -2,42 +2,45 @@
 
 #include "policy/digest.h"
 #include <algorithm>
+#include <optional>
 
 namespace rampgap {
 
+rendezvous_order::rendezvous_order(std::string_view key)
+    : m_seed(hash64(key))
+{
+}
+
+// The highest hash comes first. Ties fall to the smaller name, so that the order of members does not matter.
+rendezvous_place rendezvous_order::placeOf(std::string_view member) const
+{
+    return { ~hash64(member, m_seed), member };
+}
+
 std::string_view rendezvousPick(std::string_view key, const std::vector<std::string>& members)
 {
-    const std::uint64_t seed = hash64(key);
-    std::string_view best;
-    std::uint64_t bestHash = 0;
+    const rendezvous_order order(key);
+    std::optional<rendezvous_place> first;
     for (const auto& member : members) {
-        const std::uint64_t hash = hash64(member, seed);
-        // Ties fall to the smaller name, so that the order of members does not matter.
-        const bool wins = best.empty() || hash > bestHash || (hash == bestHash && member < best);
-        if (wins) {
-            best = member;
-            bestHash = hash;
-        }
+        const rendezvous_place place = order.placeOf(member);
+        if (!first || place < *first)
+            first = place;
     }
-    return best;
+    return first ? first->member : std::string_view();
 }
 
 std::vector<std::string> rendezvousRank(std::string_view key, const std::vector<std::string>& members, std::size_t count)
 {
-    const std::uint64_t seed = hash64(key);
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    const rendezvous_order order(key);
+    std::vector<rendezvous_place> ranked;
     ranked.reserve(members.size());
     for (const auto& member : members)
-        ranked.emplace_back(hash64(member, seed), member);
-    std::sort(ranked.begin(), ranked.end(), [](const auto& a, const auto& b) {
-        return a.first != b.first ? a.first > b.first : a.second < b.second;
-    });
-    if (ranked.size() > count)
-        ranked.resize(count);
+        ranked.push_back(order.placeOf(member));
+    const auto wanted = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(count, ranked.size()));
+    std::partial_sort(ranked.begin(), wanted, ranked.end());
     std::vector<std::string> names;
-    names.reserve(ranked.size());
-    for (auto& entry : ranked)
-        names.push_back(std::move(entry.second));
+    for (auto place = ranked.begin(); place != wanted; ++place)
+        names.emplace_back(place->member);
     return names;
 }
 
--- a/Source/policy/store_reading.cpp
+++ b/Source/policy/store_reading.cpp
@@ -1,32 +1,91 @@
 #include "policy/store_reading.h"
 
 #include "policy/reader_choice.h"
+#include "policy/rendezvous.h"
 #include <algorithm>
 #include <map>
 
 namespace rampgap {
 
+namespace {
+
+    // Longest pause between two failing readings of a reader or one of the first standbys. Each call has
+    // its price, but only the first one after the store's return ends the outage.
+    constexpr milliseconds readerPause { 600 };
+    // The same for all others: they learn of the store's return from the readers.
+    constexpr milliseconds longestPause { 5'000 };
+
+    using places = std::vector<rendezvous_place>;
+
+    // The entry VMs of this process's zone, itself included, in the order in which they become readers.
+    places zoneOrder(const peer_table& peers)
+    {
+        const rendezvous_order order(readerOrderKey);
+        const peer_info& self = peers.self();
+        places found;
+        if (self.role == peer_role::entry)
+            found.push_back(order.placeOf(self.host));
+        peers.visitLive(peer_role::entry, [&](const peer_info& peer) {
+            if (peer.zone == self.zone)
+                found.push_back(order.placeOf(peer.host));
+        });
+        std::sort(found.begin(), found.end());
+        return found;
+    }
+
+    // Position of this process in the order of its zone.
+    std::size_t readingPosition(const peer_table& peers)
+    {
+        const rendezvous_order order(readerOrderKey);
+        const peer_info& self = peers.self();
+        const rendezvous_place own = order.placeOf(self.host);
+        std::size_t before = 0;
+        peers.visitLive(peer_role::entry, [&](const peer_info& peer) {
+            before += peer.zone == self.zone && order.placeOf(peer.host) < own ? 1 : 0;
+        });
+        return before;
+    }
+
+    // How many stages of standbys begin to read before this process does.
+    int stagesBefore(std::size_t position, const reading_settings& settings)
+    {
+        const std::size_t first = settings.readersPerZone + settings.standbysPerStage;
+        if (position < first)
+            return 0;
+        return position < first + settings.standbysPerStage ? 1 : 2;
+    }
+
+} // namespace
+
 std::vector<std::string> chosenReaders(const peer_table& peers, const reading_settings& settings)
 {
-    std::map<std::string, std::vector<std::string>> zones;
+    const rendezvous_order order(readerOrderKey);
+    std::map<std::string_view, places> zones;
+    const auto consider = [&](const peer_info& peer) {
+        auto& chosen = zones[peer.zone];
+        const rendezvous_place place = order.placeOf(peer.host);
+        chosen.insert(std::upper_bound(chosen.begin(), chosen.end(), place), place);
+        if (chosen.size() > settings.readersPerZone)
+            chosen.pop_back();
+    };
     const peer_info& self = peers.self();
     if (self.role == peer_role::entry)
-        zones[self.zone].push_back(self.host);
-    for (const auto& peer : peers.live(peer_role::entry))
-        zones[peer.zone].push_back(peer.host);
+        consider(self);
+    peers.visitLive(peer_role::entry, consider);
     std::vector<std::string> chosen;
-    for (const auto& [zone, hosts] : zones) {
-        const auto order = readerOrder(hosts);
-        const auto count = static_cast<std::ptrdiff_t>(std::min(settings.readersPerZone, order.size()));
-        chosen.insert(zone == self.zone ? chosen.begin() : chosen.end(), order.begin(), order.begin() + count);
+    for (const auto& [zone, readers] : zones) {
+        const auto at = zone == self.zone ? chosen.begin() : chosen.end();
+        std::vector<std::string> hosts;
+        for (const auto& place : readers)
+            hosts.emplace_back(place.member);
+        chosen.insert(at, hosts.begin(), hosts.end());
     }
     return chosen;
 }
 
 bool isReader(const peer_table& peers, const reading_settings& settings)
 {
-    const auto chosen = chosenReaders(peers, settings);
-    return std::find(chosen.begin(), chosen.end(), peers.self().host) != chosen.end();
+    return peers.self().role == peer_role::entry && readingPosition(peers) < settings.readersPerZone;
 }
 
 bool shouldReadToJoin(const joining_process& process, const reading_settings& settings)
@@ -37,9 +96,46 @@
     return process.sinceStart >= settings.joinDelay + milliseconds(spread);
 }
 
+// Load pattern: the store is slow, or turns away a third of the VMs. If all processes whose copy is
+// no longer fresh read at once, a fleet of 531 entry VMs makes some hundred calls where the standbys' few
+// are enough.
 bool shouldRead(const peer_table& peers, std::optional<milliseconds> freshnessAge, const reading_settings& settings)
 {
-    return !freshnessAge || *freshnessAge > settings.maxFreshnessAge || isReader(peers, settings);
+    if (!freshnessAge)
+        return true;
+    const std::size_t position = readingPosition(peers);
+    if (position < settings.readersPerZone)
+        return true;
+    return *freshnessAge > settings.maxFreshnessAge + stagesBefore(position, settings) * settings.stage;
+}
+
+// Load pattern: the store is down for 8 s. Each process at a pause of 0.6 s would make 7,000 calls in
+// a fleet of 531 entry VMs. The pause of those after the standbys grows with their number.
+milliseconds longestReadingPause(const peer_table& peers, const reading_settings& settings)
+{
+    const std::size_t position = readingPosition(peers);
+    if (stagesBefore(position, settings) < 2)
+        return readerPause;
+    const auto standbys = static_cast<std::int64_t>(settings.readersPerZone + 2 * settings.standbysPerStage);
+    return std::clamp(readerPause * static_cast<std::int64_t>(position) / standbys, readerPause, longestPause);
+}
+
+// The first of a zone is its reader, the next ones are the relays. Without relays a reader of a zone
+// with 100 entry VMs and 100 agents answers some hundred questions a second.
+std::string freshnessSource(const peer_table& peers, const reading_settings& settings)
+{
+    const places order = zoneOrder(peers);
+    if (order.empty() || order.front().member == peers.self().host)
+        return {};
+    const std::size_t relays = order.size() > settings.processesPerRelay ? order.size() / settings.processesPerRelay : 0;
+    const auto firstOther = order.begin() + static_cast<std::ptrdiff_t>(1 + relays);
+    const bool isRelay = std::any_of(order.begin(), firstOther, [&](const rendezvous_place& place) { return place.member == peers.self().host; });
+    if (relays == 0 || isRelay)
+        return std::string(order.front().member);
+    std::vector<std::string> hosts;
+    for (std::size_t i = 1; i <= relays; ++i)
+        hosts.emplace_back(order[i].member);
+    return std::string(rendezvousPick(peers.self().host, hosts));
 }
 
 } // namespace rampgap
--- a/Source/policy/store_reading.h
+++ b/Source/policy/store_reading.h
@@ -1,4 +1,4 @@
-// Which entry VMs read the users' store; the others get its content from these.
+// Which entry VMs read the users' store, and from whom the others get its content and proofs of its freshness.
 #pragma once
 
 #include "policy/peer_table.h"
@@ -10,15 +10,21 @@
 struct reading_settings {
     // Number of entry VMs of a zone that read.
     std::size_t readersPerZone = 1;
-    // A process whose copy was last confirmed longer ago than this reads by itself, chosen or not.
-    // A reader's own confirmation may be two waits of its watch old (1.6 s).
+    // A standby whose copy was last confirmed longer ago than this reads by itself. A reader's own
+    // confirmation may be two waits of its watch old (1.6 s).
     milliseconds maxFreshnessAge { 1'900 };
+    // The readers of a zone are followed by this many standbys, and by as many again that begin to
+    // read one `stage` later; all others begin two stages later.
+    std::size_t standbysPerStage = 3;
+    milliseconds stage { 250 };
     // A process that has just started leaves the reading to the seeds for `joinDelay` plus a random
     // part of `joinJitter`; if all seeds are gone, the first one that reads serves the others. A seed
     // reads as soon as it knows that its peers hold nothing, at the latest after `joinDelay`: it asks
     // them first because a restored store may have lost what they know.
     milliseconds joinDelay { 400 };
     milliseconds joinJitter { 800 };
+    // Processes that one relay supplies with proofs of freshness.
+    std::size_t processesPerRelay = 12;
 
     bool operator==(const reading_settings&) const = default;
 };
@@ -47,4 +53,11 @@
 // True if this process should read the store now.
 bool shouldRead(const peer_table&, std::optional<milliseconds> freshnessAge, const reading_settings&);
 
+// How long this process should wait at most between two readings that fail.
+milliseconds longestReadingPause(const peer_table&, const reading_settings&);
+
+// The peer that this process asks for proofs of freshness: the reader of its zone, or a relay in a
+// larger zone. Empty for a reader, and if the zone has none.
+std::string freshnessSource(const peer_table&, const reading_settings&);
+
 } // namespace rampgap
