state: a peer that is a little behind gets what was removed, not the keys of all items

Cause: each change of any item went to each process with the keys of all items (536 servers: 10 KB before compression), and each of 1,047 processes rebuilt its whole list for it. The work for one change grew with the square of the fleet. Now the last 1,024 removals are kept by revision, and a peer in the same epoch gets the changed items and the removals since its position. Processes of earlier versions do not ask for that and get what they got. Property tests with both ways.

--- a/Source/gateway/snapshot_exchange.cpp
+++ b/Source/gateway/snapshot_exchange.cpp
@@ -17,10 +17,12 @@
     constexpr std::size_t largestSnapshot = 16'777'216;
     constexpr std::string_view epochName = "epoch";
     constexpr std::string_view revisionName = "revision";
+    // Processes of earlier versions do not send this, and expect the keys of all items.
+    constexpr std::string_view omitKeysName = "omit_keys";
 
     std::string snapshotTarget(store_position known)
     {
-        return std::string(snapshotPath) + "?" + std::string(epochName) + "=" + std::to_string(known.epoch) + "&" + std::string(revisionName) + "=" + std::to_string(known.revision);
+        return std::string(snapshotPath) + "?" + std::string(epochName) + "=" + std::to_string(known.epoch) + "&" + std::string(revisionName) + "=" + std::to_string(known.revision) + "&" + std::string(omitKeysName) + "=1";
     }
 
     void setItem(gateway::published_item& wire, const published_item& item)
@@ -43,6 +45,10 @@
         state.summary = summaryOf(wire);
         state.delta.position = state.summary.position;
         state.delta.keys.assign(wire.keys().begin(), wire.keys().end());
+        for (const auto& removed : wire.removed())
+            state.delta.removed.push_back({ removed.key(), removed.revision() });
+        if (wire.has_changes_from())
+            state.delta.changesFrom = wire.changes_from();
         for (const auto& item : wire.items())
             state.delta.items.push_back(itemOf(item));
         for (const auto& retained : wire.retained())
@@ -117,9 +123,16 @@
     wire.set_list_settled(m_state.listSettled());
     if (const auto restoredAt = m_state.restoredAt())
         wire.set_restored_ms_ago(wholeMilliseconds(m_context.now() - *restoredAt));
-    const published_delta delta = published.since(known);
+    const published_delta delta = published.since(known, queryNumber(target, omitKeysName, 0) != 0);
     for (const auto& key : delta.keys)
         wire.add_keys(key);
+    for (const auto& removed : delta.removed) {
+        auto* added = wire.add_removed();
+        added->set_key(removed.key);
+        added->set_revision(removed.revision);
+    }
+    if (delta.changesFrom)
+        wire.set_changes_from(*delta.changesFrom);
     for (const auto& item : delta.items)
         setItem(*wire.add_items(), item);
     for (const auto& [key, retained] : published.retained().all()) {
--- a/Source/policy/published_state.cpp
+++ b/Source/policy/published_state.cpp
@@ -15,6 +15,9 @@
 
     const no_order unordered;
 
+    // Peers are at most a few seconds behind. A zone of 400 servers may go at once.
+    constexpr std::size_t maxRemovedKeys = 1'024;
+
 } // namespace
 
 published_state::published_state()
@@ -47,6 +50,15 @@
         if (!restored && meaning == removal::gone)
             m_retained.recordRemoval(item);
     }
+    if (snapshot.epoch != m_position.epoch || empty()) {
+        m_removed.clear();
+        m_removedAfter = snapshot.revision;
+    } else {
+        for (const auto& [key, item] : m_listed) {
+            if (!next.contains(key))
+                recordRemoved(key, snapshot.revision);
+        }
+    }
     m_listed = std::move(next);
     m_position = snapshot.position();
     for (const auto& key : unlisted)
@@ -67,16 +79,27 @@
             continue;
         if (change.removed && current && meaning == removal::gone)
             m_retained.recordRemoval(*current);
-        if (change.removed)
+        if (change.removed) {
             m_listed.erase(change.item.key);
-        else
+            recordRemoved(change.item.key, change.item.revision);
+        } else {
             m_listed[change.item.key] = change.item;
+        }
         updateInForce(change.item.key, fresh);
     }
     m_position.revision = std::max(m_position.revision, upTo);
     return fresh;
 }
 
+void published_state::recordRemoved(const std::string& key, store_revision revision)
+{
+    m_removed.push_back({ key, revision });
+    if (m_removed.size() <= maxRemovedKeys)
+        return;
+    m_removedAfter = std::max(m_removedAfter, m_removed.front().revision);
+    m_removed.pop_front();
+}
+
 const published_item* published_state::listed(const std::string& key) const
 {
     const auto found = m_listed.find(key);
@@ -140,6 +163,14 @@
 {
     if (delta.position <= m_position)
         return {};
+    if (delta.changesFrom) {
+        std::vector<published_change> changes;
+        for (const auto& item : delta.items)
+            changes.push_back({ item, false });
+        for (const auto& removed : delta.removed)
+            changes.push_back({ { removed.key, {}, removed.revision }, true });
+        return apply(changes, { delta.position.epoch, *delta.changesFrom }, delta.position.revision, meaning);
+    }
     published_snapshot complete;
     complete.revision = delta.position.revision;
     complete.epoch = delta.position.epoch;
@@ -155,15 +186,26 @@
     return apply(complete, meaning);
 }
 
-published_delta published_state::since(store_position position) const
+// Load pattern: each change reaches a thousand processes. With 500 servers the keys of all items took
+// 10 KB and the whole list was compared anew at each of them.
+published_delta published_state::since(store_position position, bool mayOmitKeys) const
 {
     published_delta delta;
     delta.position = m_position;
     if (position == m_position)
         return delta;
     const bool sameHistory = position.epoch == m_position.epoch;
+    const bool omitKeys = mayOmitKeys && sameHistory && position.revision >= m_removedAfter;
+    if (omitKeys) {
+        delta.changesFrom = position.revision;
+        for (const auto& removed : m_removed) {
+            if (removed.revision > position.revision && !m_listed.contains(removed.key))
+                delta.removed.push_back(removed);
+        }
+    }
     for (const auto& [key, item] : m_listed) {
-        delta.keys.push_back(key);
+        if (!omitKeys)
+            delta.keys.push_back(key);
         if (!sameHistory || item.revision > position.revision)
             delta.items.push_back(item);
     }
--- a/Source/policy/published_state.h
+++ b/Source/policy/published_state.h
@@ -4,6 +4,8 @@
 #include "policy/retained_items.h"
 #include "policy/verdict.h"
 
+#include <deque>
+#include <optional>
 #include <set>
 
 namespace rampgap {
@@ -27,11 +29,23 @@
     bool operator==(const published_snapshot&) const = default;
 };
 
-// Difference to an older copy: the changed items, and the keys of all existing ones.
+// A key that was removed, and the latest revision at which that may have happened.
+struct removed_key {
+    std::string key;
+    store_revision revision = 0;
+
+    bool operator==(const removed_key&) const = default;
+};
+
+// Difference to an older copy: the changed items, and either the keys of all existing ones or what
+// was removed.
 struct published_delta {
     std::vector<published_item> items;
     std::vector<std::string> keys;
     store_position position;
+    // The older copy's revision, in the same epoch, if `removed` is given and not `keys`.
+    std::optional<store_revision> changesFrom;
+    std::vector<removed_key> removed;
 
     bool operator==(const published_delta&) const = default;
 };
@@ -70,8 +84,9 @@
     std::vector<published_change> mergeRetained(const std::vector<retained_item>&, bool indefiniteOnly);
     // Drops the items that are retained temporarily; returns what changed.
     std::vector<published_change> expireRetained();
-    // What a copy at an earlier position lacks of the store's items.
-    published_delta since(store_position) const;
+    // What a copy at an earlier position lacks of the store's items. With `mayOmitKeys`, the keys of
+    // the unchanged items are left out if all removals since then are known.
+    published_delta since(store_position, bool mayOmitKeys = false) const;
     // A reading that was requested at `askedAt` showed nothing newer than `upTo`. Counts only if
     // this copy is at `upTo`: the freshness of other items says nothing about these.
     void recordFreshness(store_position upTo, instant askedAt);
@@ -85,6 +100,7 @@
     const retained_items& retained() const { return m_retained; }
 
 private:
+    void recordRemoved(const std::string& key, store_revision);
     const published_item* listed(const std::string& key) const;
     void updateInForce(const std::string& key, std::vector<published_change>&);
 
@@ -95,6 +111,9 @@
     std::set<std::string> m_retainedKeys;
     retained_items m_retained;
     store_position m_position;
+    // The latest removals of this epoch, the oldest first, and the revision after which none is missing.
+    std::deque<removed_key> m_removed;
+    store_revision m_removedAfter = 0;
     std::optional<instant> m_freshAsOf;
 };
 
--- a/Tests/platform/published-state/test.cpp
+++ b/Tests/platform/published-state/test.cpp
@@ -106,13 +106,50 @@
             if (step % 3 != 0)
                 continue;
             const store_position held = follower.position();
-            follower.apply(source.since(held));
+            follower.apply(source.since(held, step % 2 == 0));
             RC_ASSERT(follower.items() == source.items());
             RC_ASSERT(follower.position() == source.position());
         }
     }));
 }
 
+TEST_CASE("a change costs the same to pass on, however many items there are")
+{
+    published_state source;
+    published_snapshot first { {}, 1'000 };
+    for (int i = 0; i < 1'000; ++i)
+        first.items.push_back(item("servers/" + std::to_string(i), "x", i + 1));
+    source.apply(first);
+    published_state follower;
+    follower.apply(source.since(follower.position(), true));
+    source.apply({ published_change { item("servers/5", "y", 1'001), false }, published_change { item("servers/7", {}, 1'002), true } }, source.position(), 1'002);
+    const published_delta delta = source.since(follower.position(), true);
+    CHECK(delta.items.size() == 1);
+    CHECK(delta.removed == std::vector<removed_key> { { "servers/7", 1'002 } });
+    CHECK(delta.keys.empty());
+    CHECK(follower.apply(delta).size() == 2);
+    CHECK(follower.items() == source.items());
+    // A process that cannot use this gets the keys of all items.
+    CHECK(source.since({ 0, 1'000 }).keys.size() == 999);
+}
+
+TEST_CASE("removals that are not known any more are told by the keys of all items")
+{
+    published_state source;
+    published_snapshot all { {}, 3'000 };
+    for (int i = 0; i < 3'000; ++i)
+        all.items.push_back(item("servers/" + std::to_string(i), "x", i + 1));
+    source.apply(all);
+    published_state follower;
+    follower.apply(source.since(follower.position(), true));
+    for (int i = 0; i < 2'000; ++i)
+        source.apply({ published_change { item("servers/" + std::to_string(i), {}, 3'001 + i), true } }, source.position(), 3'001 + i);
+    CHECK_FALSE(source.since(follower.position(), true).changesFrom);
+    CHECK(source.since({ 0, 4'500 }, true).changesFrom);
+    follower.apply(source.since(follower.position(), true));
+    CHECK(follower.items() == source.items());
+}
+
 TEST_CASE("a copy updated by deltas holds the same items as a source whose store is restored at times")
 {
     CHECK(rc::check([] {
@@ -137,7 +174,7 @@
             if (step % 2 == 0)
                 source.apply(store);
             if (step % 3 == 0) {
-                follower.apply(source.since(follower.position()));
+                follower.apply(source.since(follower.position(), step % 2 == 0));
                 RC_ASSERT(follower.items() == source.items());
                 RC_ASSERT(follower.position() == source.position());
             }
