--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -23,6 +23,8 @@
 
     // The server was restarted under its id and has lost the calls it was running.
     void handleRestart(const listed_backend&);
+    // The server's entry was added or changed.
+    void handleListed(const listed_backend&);
     // Called when there are new crash records for the fleet.
     void onCrash(std::function<void()> action) { m_crashes.onUpdate(std::move(action)); }
     // Periodic work: updates what is known of crashes.
--- a/Source/policy/limit_arbiter.cpp
+++ b/Source/policy/limit_arbiter.cpp
@@ -65,7 +65,7 @@
 grant_answer limit_arbiter::answer(const std::string& requester, const grant_question& query, double perSecond, instant now)
 {
     const double rate = std::max(safetyFactor * perSecond, minPerSecond) * visibleFraction();
-    auto& entry = m_buckets.try_emplace(query.server, bucket { token_bucket(0, now), {}, {} }).first->second;
+    auto& entry = m_buckets.try_emplace(query.server, bucket { token_bucket(0, now), rate, {}, {} }).first->second;
     entry.tokens.fill(rate, std::max(minBurst, rate * burstSeconds), now);
     entry.perSecond = rate;
     entry.requesters[requester] = now;
--- a/Source/policy/server_limits.cpp
+++ b/Source/policy/server_limits.cpp
@@ -138,7 +138,7 @@
 
 void server_limits::requestGrants(const std::string& service, const std::vector<server_hash>& servers, int priority, instant now)
 {
-    if (m_reports.empty() || servers.empty())
+    if (!any() || servers.empty())
         return;
     expire(now);
     const double perServer = static_cast<double>(countRequest(service, now)) / static_cast<double>(servers.size());
@@ -156,9 +156,10 @@
 {
     auto& account = m_accounts[server];
     if (now < account.askAgainAt || awaitsAnswer(server, now))
-        return;
+        return false;
     account.askedAt = now;
     m_questions.push_back({ server, wanted, priority });
+    return true;
 }
 
 bool server_limits::awaitsAnswer(server_hash server, instant now) const
--- a/Source/policy/server_limits.h
+++ b/Source/policy/server_limits.h
@@ -67,7 +67,7 @@
     void recordCold(server_hash, double perSecond, instant until);
     // The server was restarted: what it reported before does not apply any more.
     void forget(server_hash, instant now);
-    // Requests per second; empty if the server has no limit, as far as is known.
+    // Requests per second that grants are given for; empty if the server has no limit, as far as is known.
     std::optional<double> limitOf(server_hash, instant now) const;
     // The server's latest report; empty if there is none or it is too old.
     std::optional<reported_limit> reportOf(server_hash, instant now) const;
@@ -79,7 +79,7 @@
     reported_limits currentLimits(std::size_t count, instant now) const;
 
     // A request of this priority is to be sent to one of these servers of a service: asks for grants for
-    // servers with a limit for which there are none.
+    // a few servers with a limit for which there are none, the first ones first.
     void requestGrants(const std::string& service, const std::vector<server_hash>&, int priority, instant now);
     // A request was sent to no server since there was no grant for one.
     void recordUnserved(int priority, instant now);
