membership: a process asks for a proof when the reader has a newer one

Cause of the calls to the store that rose (557 to 1,108): a process asked 0.75 s after it had noticed its last proof, up to 0.15 s late, so its questions fell behind the reader's rhythm of 0.8 s. A proof that was taken just before it was replaced grew 2.4 s old, and the standbys of each zone read by themselves (logs of one zone: reading_begun with 1.9, 2.16 and 2.41 s, again and again). Now the time of the next question follows from the age of the proof itself, 1.61 s, whenever it was learned.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -32,7 +32,7 @@
     constexpr milliseconds peerTimeout { 15'000 };
     constexpr milliseconds peerReportInterval { 400 };
     // An agent admits no requests: it needs to know when the list of servers changes, not how fresh it is.
-    constexpr milliseconds proofInterval { 2'000 };
+    constexpr milliseconds proofReplacedAt { 3'000 };
     constexpr milliseconds distrustSourceAfter { 5'000 };
     // A group whose ranks were cut off opens 0.6 s after the cut, but their entries lapsed during
     // the cut and return up to 2 s later. Agents send no requests, so they can keep the ranks that
@@ -112,7 +112,7 @@
     exchange.datagramPort = m_settings.firstPeerPort;
     exchange.controlPort = m_settings.seedControlPort;
     exchange.reportInterval = peerReportInterval;
-    exchange.proofInterval = proofInterval;
+    exchange.proofReplacedAt = proofReplacedAt;
     exchange.distrustSourceAfter = distrustSourceAfter;
     peer_table table({ m_settings.host, m_settings.zone, peer_role::agent, m_context.incarnation() }, m_settings.seedHosts, peerTimeout);
     auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, m_groups, m_history, m_limits, std::move(table), exchange);
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -70,7 +70,7 @@
     , m_peers(std::move(peers))
     , m_settings(settings)
     , m_socket(std::move(socket))
-    , m_freshness(settings.proofInterval)
+    , m_freshness(settings.proofReplacedAt)
     , m_snapshots(context, log, state, settings.controlPort)
     , m_crashes(context, history, m_peers, *this)
     , m_limits(context, log, limits, m_peers, *this)
@@ -359,7 +359,7 @@
         const instant now = m_context.now();
         std::erase_if(m_freshnessQueries, [now](const auto& asked) { return now - asked.second > queryLifetime; });
         if (const auto freshAsOf = m_state.published().freshAsOf())
-            m_freshness.recordProof(*freshAsOf, now);
+            m_freshness.recordProof(*freshAsOf);
         if (now >= m_freshness.dueAt())
             requestFreshness();
     }
--- a/Source/policy/freshness_schedule.cpp
+++ b/Source/policy/freshness_schedule.cpp
@@ -8,21 +8,13 @@
 
     // A source that has no newer proof, or whose answer was lost, is asked again after this. Proofs
     // pass two hops in a large zone, and their age must stay below what makes a process read by itself.
-    constexpr milliseconds askAgainAfter { 80 };
+    constexpr milliseconds askAgainAfter { 50 };
 
 } // namespace
 
-void freshness_schedule::recordProof(instant freshAsOf, instant now)
-{
-    if (freshAsOf <= m_freshAsOf)
-        return;
-    m_freshAsOf = freshAsOf;
-    m_renewedAt = now;
-}
-
 instant freshness_schedule::dueAt() const
 {
-    return std::max(m_renewedAt + m_renewalInterval, m_askedAt + askAgainAfter);
+    return std::max(m_freshAsOf + m_replacedAt, m_askedAt + askAgainAfter);
 }
 
 } // namespace rampgap
--- a/Source/policy/freshness_schedule.h
+++ b/Source/policy/freshness_schedule.h
@@ -5,26 +5,25 @@
 
 namespace rampgap {
 
-// The proofs of a reader are renewed in a fixed rhythm. So this process asks about when the next
-// renewal is due, and again after a short time while it gets no newer proof.
+// A reader replaces each proof by a newer one when the older one has a certain age. So this process
+// asks when its own proof has that age, whenever it has learned of it, and again after a short time
+// while it gets no newer one.
 class freshness_schedule {
 public:
-    // `renewalInterval`: time between two proofs that this process wants.
-    explicit freshness_schedule(milliseconds renewalInterval)
-        : m_renewalInterval(renewalInterval)
+    // `replacedAt`: age of a proof at which a newer one is expected.
+    explicit freshness_schedule(milliseconds replacedAt)
+        : m_replacedAt(replacedAt)
     {
     }
 
-    // This process knows since now that its copy was current at `freshAsOf`.
-    void recordProof(instant freshAsOf, instant now);
+    void recordProof(instant freshAsOf) { m_freshAsOf = freshAsOf; }
     void recordAsked(instant now) { m_askedAt = now; }
     // When to ask next.
     instant dueAt() const;
 
 private:
-    milliseconds m_renewalInterval;
+    milliseconds m_replacedAt;
     instant m_freshAsOf {};
-    instant m_renewedAt {};
     instant m_askedAt {};
 };
 
