relay: an answer is read on while its caller reads slowly

Cause: each write to a caller waited until the kernel took it, and the server's answer was not read meanwhile; a server cuts off an answer that is unread for some seconds, which looked like a fault of the server and cost a second try. A long plain answer was held whole for each caller: 200 of 1 MB are more than the memory of the smallest VM. chunk_writer queues up to 64 KB an answer and 16 MB a server and reads on; beyond that writes wait as before, and a caller that takes nothing for 2 s meanwhile counts as gone, so the server's answer is cancelled, not left unread. Plain answers of known length over 64 KB are streamed; those of unknown length are still held whole, up to 4 MB each, so that a broken one is noticed before its first byte goes out.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -139,7 +139,8 @@
     const bool events = options.wholeEvents && isStream;
     dropHopHeaders(head);
     const bool small = length >= 0 && length <= wholeAnswerBytes;
-    const bool buffered = options.bufferUnframed && !isStream;
+    // A long answer of known length is passed on as it comes: held whole, 200 of 1 MB for slow callers would exceed the VM's memory.
+    const bool buffered = options.bufferUnframed && !isStream && length < 0;
     if ((small || buffered) && !progress.begun)
         co_return co_await relayWhole(call, std::move(head), exchange, progress, options);
 
--- /dev/null
+++ b/Source/daemon/chunk_writer.cpp
@@ -0,0 +1,121 @@
+#include "daemon/chunk_writer.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+namespace rampgap {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
+    constexpr std::string_view lineEnd = "\r\n";
+    constexpr std::string_view lastChunk = "0\r\n\r\n";
+    constexpr int hexadecimal = 16;
+
+    std::string chunkHead(std::size_t size)
+    {
+        std::array<char, 2 * sizeof(size)> digits {};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), size, hexadecimal).ptr;
+        return std::string(digits.data(), end).append(lineEnd);
+    }
+
+} // namespace
+
+chunk_writer::chunk_writer(boost::beast::tcp_stream& stream, std::shared_ptr<unsent_bytes> unsent, limits limits, std::function<void()> onLost)
+    : m_stream(stream)
+    , m_unsent(std::move(unsent))
+    , m_limits(limits)
+    , m_onLost(std::move(onLost))
+    , m_progress(stream.get_executor())
+{
+}
+
+chunk_writer::~chunk_writer()
+{
+    m_unsent->total -= unsent();
+}
+
+void chunk_writer::queue(std::string_view bytes)
+{
+    m_queued.append(bytes);
+    m_unsent->total += bytes.size();
+}
+
+awaitable<bool> chunk_writer::write(std::string_view bytes, std::shared_ptr<void> owner)
+{
+    if (m_lost)
+        co_return false;
+    // An empty chunk would end the answer.
+    if (bytes.empty())
+        co_return true;
+    queue(chunkHead(bytes.size()));
+    queue(bytes);
+    queue(lineEnd);
+    send(owner);
+    std::function<bool()> done = [this] { return mayQueueMore(); };
+    co_return co_await waitUntil(std::move(done));
+}
+
+awaitable<bool> chunk_writer::finish(std::shared_ptr<void> owner)
+{
+    if (m_lost)
+        co_return false;
+    queue(lastChunk);
+    send(owner);
+    co_return co_await flush();
+}
+
+awaitable<bool> chunk_writer::flush()
+{
+    std::function<bool()> done = [this] { return unsent() == 0; };
+    co_return co_await waitUntil(std::move(done));
+}
+
+bool chunk_writer::mayQueueMore() const
+{
+    return unsent() == 0 || (unsent() <= m_limits.perAnswer && m_unsent->total <= m_limits.perServer);
+}
+
+void chunk_writer::send(const std::shared_ptr<void>& owner)
+{
+    if (!m_sending.empty() || m_queued.empty())
+        return;
+    m_sending.swap(m_queued);
+    m_stream.expires_after(m_limits.writeTimeout);
+    asio::async_write(m_stream, asio::buffer(m_sending), [this, owner](const boost::system::error_code& error, std::size_t) {
+        m_unsent->total -= m_sending.size();
+        m_sending.clear();
+        if (error)
+            lose();
+        else
+            send(owner);
+        m_progress.cancel();
+    });
+}
+
+void chunk_writer::lose()
+{
+    if (std::exchange(m_lost, true))
+        return;
+    m_unsent->total -= m_queued.size();
+    m_queued.clear();
+    m_onLost();
+}
+
+awaitable<bool> chunk_writer::waitUntil(std::function<bool()> done)
+{
+    while (!m_lost && !done()) {
+        m_progress.expires_after(m_limits.slowCaller);
+        const auto [error] = co_await m_progress.async_wait(asTuple);
+        if (!error)
+            lose();
+    }
+    co_return !m_lost;
+}
+
+} // namespace rampgap
--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -1,6 +1,7 @@
 #include "daemon/http_server.h"
 
 #include "daemon/boot_timer.h"
+#include "daemon/chunk_writer.h"
 #include "daemon/log.h"
 #include "daemon/sleep.h"
 #include <boost/asio/as_tuple.hpp>
@@ -49,9 +50,10 @@
 
 class http_server::connection : public http_exchange, public std::enable_shared_from_this<connection> {
 public:
-    connection(tcp::socket socket, const http_limits& limits)
+    connection(tcp::socket socket, const http_limits& limits, std::shared_ptr<unsent_bytes> unsent)
         : m_stream(std::move(socket))
         , m_limits(limits)
+        , m_unsent(std::move(unsent))
     {
         beast::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -101,6 +103,7 @@
         m_busy = true;
         m_begun = false;
         m_finished = false;
+        m_body.reset();
         m_callerGone = false;
         m_onGone = nullptr;
         co_return true;
@@ -177,38 +180,37 @@
     awaitable<bool> begin(http_head head) override
     {
         m_begun = true;
-        m_answer.emplace(std::move(head));
-        m_answer->chunked(true);
-        m_answer->keep_alive(m_request.keep_alive() && !m_closeAfterAnswer);
-        m_answer->body().data = nullptr;
-        m_answer->body().more = true;
-        m_serializer.emplace(*m_answer);
+        http::response<http::empty_body> answer(std::move(head));
+        answer.chunked(true);
+        answer.keep_alive(m_request.keep_alive() && !m_closeAfterAnswer);
+        http::response_serializer<http::empty_body> serializer(answer);
         m_stream.expires_after(m_limits.writeTimeout);
-        const auto [error, bytes] = co_await http::async_write_header(m_stream, *m_serializer, asTuple);
-        co_return checkWrite(error);
+        const auto [error, bytes] = co_await http::async_write_header(m_stream, serializer, asTuple);
+        if (error)
+            handleCallerGone();
+        m_body.emplace(m_stream, m_unsent, chunk_writer::limits {}, [this] { handleCallerGone(); });
+        co_return !error;
     }
 
     awaitable<bool> write(std::string_view bytes) override
     {
-        m_answer->body().data = const_cast<char*>(bytes.data());
-        m_answer->body().size = bytes.size();
-        m_answer->body().more = true;
-        m_stream.expires_after(m_limits.writeTimeout);
-        const auto [error, written] = co_await http::async_write(m_stream, *m_serializer, asTuple);
-        co_return checkWrite(error);
+        const bool connected = co_await m_body->write(bytes, shared_from_this());
+        co_return connected && !m_callerGone;
     }
 
     awaitable<bool> finish() override
     {
-        m_answer->body().data = nullptr;
-        m_answer->body().size = 0;
-        m_answer->body().more = false;
-        m_stream.expires_after(m_limits.writeTimeout);
-        const auto [error, written] = co_await http::async_write(m_stream, *m_serializer, asTuple);
-        m_finished = checkWrite(error);
+        m_finished = co_await m_body->finish(shared_from_this());
         co_return m_finished;
     }
 
+    // Sends what the caller has not taken yet of an answer that was ended early.
+    awaitable<void> flushBody()
+    {
+        if (m_body && !m_callerGone)
+            co_await m_body->flush();
+    }
+
     void abort() override
     {
         m_closeAfterAnswer = true;
@@ -223,14 +225,6 @@
         co_return error;
     }
 
-    bool checkWrite(const beast::error_code& error)
-    {
-        if (!error || error == http::error::need_buffer)
-            return true;
-        handleCallerGone();
-        return false;
-    }
-
     void handleCallerGone()
     {
         m_callerGone = true;
@@ -240,12 +234,12 @@
 
     beast::tcp_stream m_stream;
     const http_limits& m_limits;
+    std::shared_ptr<unsent_bytes> m_unsent;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http_request m_request;
     instant m_receivedAt;
-    std::optional<http::response<http::buffer_body>> m_answer;
-    std::optional<http::response_serializer<http::buffer_body>> m_serializer;
+    std::optional<chunk_writer> m_body;
     std::function<void()> m_onGone;
     bool m_idle = false;
     bool m_busy = false;
@@ -308,7 +302,7 @@
             continue;
         }
         const connection_id id = m_nextId++;
-        auto accepted = std::make_shared<connection>(std::move(socket), m_limits);
+        auto accepted = std::make_shared<connection>(std::move(socket), m_limits, m_unsent);
         m_connections.emplace(id, accepted);
         m_context.counters().set(metric::connections, openConnections());
         asio::co_spawn(m_context.io(), serve(id, std::move(accepted)), asio::detached);
@@ -323,6 +317,7 @@
             client->closeAfterAnswer();
         client->watchCaller();
         co_await m_handler.handle(*client);
+        co_await client->flushBody();
         client->endRequest();
         if (!client->keepAlive())
             break;
--- a/Source/daemon/http_server.h
+++ b/Source/daemon/http_server.h
@@ -1,6 +1,7 @@
 // Accepts HTTP/1.1 connections and hands each request to a handler.
 #pragma once
 
+#include "daemon/chunk_writer.h"
 #include "daemon/http_message.h"
 #include "daemon/process_context.h"
 
@@ -35,6 +36,7 @@
     virtual awaitable<bool> send(http_response) = 0;
     // Begins a streamed (chunked) answer.
     virtual awaitable<bool> begin(http_head) = 0;
+    // Returns once the bytes are queued; waits only while the caller has left too many unread.
     virtual awaitable<bool> write(std::string_view bytes) = 0;
     virtual awaitable<bool> finish() = 0;
     // Makes the connection close after this answer.
@@ -85,6 +87,7 @@
     process_context& m_context;
     tcp::acceptor m_acceptor;
     http_limits m_limits;
+    std::shared_ptr<unsent_bytes> m_unsent = std::make_shared<unsent_bytes>();
     http_handler& m_handler;
     bool m_draining = false;
     bool m_announceClose = false;
