--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -7,8 +7,8 @@
 #include "daemon/admission_gate.h"
 #include "daemon/answer_relay.h"
 #include "daemon/operator_pages.h"
-#include "policy/engine_throttle.h"
-#include "policy/permit_issuer.h"
+#include "policy/limits/engine_throttle.h"
+#include "policy/requests/permit_issuer.h"
 
 namespace rampgap {
 
--- a/Source/agent/engine_guard.h
+++ b/Source/agent/engine_guard.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daemon/crash_watch.h"
-#include "policy/crash_history.h"
+#include "policy/requests/crash_history.h"
 
 #include <functional>
 
--- a/Source/agent/group_member.h
+++ b/Source/agent/group_member.h
@@ -4,11 +4,11 @@
 
 #include "daemon/configuration_node.h"
 #include "discovery/rank_engine.h"
-#include "policy/map_coordinator.h"
-#include "policy/map_participant.h"
-#include "policy/popularity_estimate.h"
-#include "policy/rebalancer.h"
-#include "policy/straggler_detector.h"
+#include "policy/groups/map_coordinator.h"
+#include "policy/groups/map_participant.h"
+#include "policy/groups/popularity_estimate.h"
+#include "policy/groups/rebalancer.h"
+#include "policy/groups/straggler_detector.h"
 
 #include <memory>
 #include <optional>
--- a/Source/agent/home_keeper.h
+++ b/Source/agent/home_keeper.h
@@ -3,7 +3,7 @@
 
 #include "daemon/boot_timer.h"
 #include "daemon/configuration_node.h"
-#include "policy/execution_guard.h"
+#include "policy/requests/execution_guard.h"
 
 namespace rampgap {
 
--- a/Source/bench/bench_control.cpp
+++ b/Source/bench/bench_control.cpp
@@ -6,10 +6,10 @@
 #include "bench/process_figures.h"
 #include "discovery/vm_list.h"
 #include "entry/fleet_snapshot.h"
-#include "policy/change_plan.h"
-#include "policy/execution_guard.h"
-#include "policy/revision_chain.h"
-#include "policy/routing_policy.h"
+#include "policy/configuration/change_plan.h"
+#include "policy/configuration/revision_chain.h"
+#include "policy/requests/execution_guard.h"
+#include "policy/routing/routing_policy.h"
 
 #include <chrono>
 #include <iostream>
--- a/Source/bench/bench_skew.cpp
+++ b/Source/bench/bench_skew.cpp
@@ -3,9 +3,9 @@
 #include "bench/bench_flags.h"
 #include "bench/benchmarks.h"
 #include "bench/percentiles.h"
-#include "policy/popularity_estimate.h"
-#include "policy/rebalancer.h"
-#include "policy/straggler_detector.h"
+#include "policy/groups/popularity_estimate.h"
+#include "policy/groups/rebalancer.h"
+#include "policy/groups/straggler_detector.h"
 
 #include <chrono>
 #include <cmath>
--- a/Source/bench/routing_lab.h
+++ b/Source/bench/routing_lab.h
@@ -1,7 +1,7 @@
 // Routing policies before small fake engines, in virtual time.
 #pragma once
 
-#include "policy/routing_policy.h"
+#include "policy/routing/routing_policy.h"
 
 #include <cstdint>
 #include <string>
--- a/Source/ctl/commands.cpp
+++ b/Source/ctl/commands.cpp
@@ -3,8 +3,8 @@
 #include "ctl/fleet_reader.h"
 #include "daemon/daemon_main.h"
 #include "daemon/sleep.h"
-#include "policy/change_plan.h"
-#include "policy/digest.h"
+#include "policy/common/digest.h"
+#include "policy/configuration/change_plan.h"
 #include <fstream>
 #include <iomanip>
 #include <iostream>
--- a/Source/ctl/fleet_reader.h
+++ b/Source/ctl/fleet_reader.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "daemon/http_client.h"
-#include "policy/declaration.h"
-#include "policy/timeline.h"
+#include "policy/common/timeline.h"
+#include "policy/configuration/declaration.h"
 
 #include <boost/json.hpp>
 #include <string>
--- a/Source/daemon/admission_gate.h
+++ b/Source/daemon/admission_gate.h
@@ -3,7 +3,7 @@
 
 #include "daemon/boot_timer.h"
 #include "daemon/http_server.h"
-#include "policy/admission_queue.h"
+#include "policy/requests/admission_queue.h"
 
 #include <memory>
 #include <unordered_map>
--- a/Source/daemon/boot_timer.h
+++ b/Source/daemon/boot_timer.h
@@ -1,7 +1,7 @@
 // Timers and timeouts on the clock that keeps running while the VM is suspended.
 #pragma once
 
-#include "policy/instant.h"
+#include "policy/common/instant.h"
 
 #include <algorithm>
 #include <boost/asio/basic_waitable_timer.hpp>
--- a/Source/daemon/configuration_node.cpp
+++ b/Source/daemon/configuration_node.cpp
@@ -4,8 +4,8 @@
 #include "daemon/sleep.h"
 #include "discovery/platform_source.h"
 #include "peer.pb.h"
-#include "policy/reader_choice.h"
-#include "policy/rendezvous.h"
+#include "policy/configuration/reader_choice.h"
+#include "policy/membership/rendezvous.h"
 #include "wire/crash_codec.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/Source/daemon/configuration_node.h
+++ b/Source/daemon/configuration_node.h
@@ -4,8 +4,8 @@
 #include "daemon/peer_link.h"
 #include "daemon/settings.h"
 #include "discovery/vm_list.h"
-#include "policy/crash_history.h"
-#include "policy/revision_chain.h"
+#include "policy/configuration/revision_chain.h"
+#include "policy/requests/crash_history.h"
 
 namespace rampgap {
 
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -3,8 +3,8 @@
 
 #include "daemon/http_message.h"
 #include "daemon/process_context.h"
-#include "policy/crash_detector.h"
-#include "policy/crash_history.h"
+#include "policy/requests/crash_detector.h"
+#include "policy/requests/crash_history.h"
 
 namespace rampgap {
 
--- a/Source/daemon/decision_log.h
+++ b/Source/daemon/decision_log.h
@@ -1,7 +1,7 @@
 // Structured log lines, one per decision: bounded in rate and memory, written without blocking.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <sstream>
--- a/Source/daemon/http_message.h
+++ b/Source/daemon/http_message.h
@@ -1,7 +1,7 @@
 // HTTP types and helpers shared by servers and clients.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -1,7 +1,7 @@
 // Counters, gauges and histograms of one process, exported in the Prometheus text format.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <array>
 #include <map>
--- a/Source/daemon/operator_pages.cpp
+++ b/Source/daemon/operator_pages.cpp
@@ -2,8 +2,8 @@
 
 #include "daemon/configuration_node.h"
 #include "daemon/log.h"
-#include "policy/digest.h"
-#include "policy/section_reader.h"
+#include "policy/common/digest.h"
+#include "policy/configuration/section_reader.h"
 #include <boost/json.hpp>
 
 namespace rampgap {
--- a/Source/daemon/process_context.h
+++ b/Source/daemon/process_context.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "daemon/metrics.h"
-#include "policy/timeline.h"
-#include "policy/verdict.h"
+#include "policy/common/timeline.h"
+#include "policy/common/verdict.h"
 
 #include <boost/asio/io_context.hpp>
 #include <random>
--- a/Source/daemon/server_probe.cpp
+++ b/Source/daemon/server_probe.cpp
@@ -1,6 +1,6 @@
 #include "daemon/server_probe.h"
 
-#include "policy/attempt_rules.h"
+#include "policy/requests/attempt_rules.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
--- a/Source/daemon/settings.cpp
+++ b/Source/daemon/settings.cpp
@@ -1,6 +1,6 @@
 #include "daemon/settings.h"
 
-#include "policy/section_reader.h"
+#include "policy/configuration/section_reader.h"
 #include <algorithm>
 #include <sstream>
 
--- a/Source/daemon/settings.h
+++ b/Source/daemon/settings.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daemon/http_server.h"
-#include "policy/ini_document.h"
+#include "policy/configuration/ini_document.h"
 
 #include <string>
 #include <vector>
--- a/Source/discovery/platform_source.h
+++ b/Source/discovery/platform_source.h
@@ -3,7 +3,7 @@
 
 #include "daemon/http_message.h"
 #include "discovery/vm_list.h"
-#include "policy/revision_chain.h"
+#include "policy/configuration/revision_chain.h"
 
 #include <memory>
 #include <string>
--- a/Source/discovery/rank_engine.h
+++ b/Source/discovery/rank_engine.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daemon/http_message.h"
-#include "policy/map_message.h"
+#include "policy/groups/map_message.h"
 
 #include <memory>
 #include <vector>
--- a/Source/discovery/vm_list.h
+++ b/Source/discovery/vm_list.h
@@ -1,7 +1,7 @@
 // The platform's list of VMs. It may be out of date and is only a hint.
 #pragma once
 
-#include "policy/store_position.h"
+#include "policy/configuration/store_position.h"
 
 #include <boost/outcome.hpp>
 #include <cstdint>
--- a/Source/entry/caller_request.cpp
+++ b/Source/entry/caller_request.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/header_names.h"
 #include "daemon/operator_pages.h"
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 #include <algorithm>
 #include <boost/json.hpp>
 
--- a/Source/entry/caller_request.h
+++ b/Source/entry/caller_request.h
@@ -3,8 +3,8 @@
 
 #include "daemon/http_message.h"
 #include "entry/fleet_snapshot.h"
-#include "policy/request_fingerprint.h"
-#include "policy/request_id.h"
+#include "policy/requests/request_fingerprint.h"
+#include "policy/requests/request_id.h"
 
 #include <memory>
 #include <optional>
--- a/Source/entry/entry_server.h
+++ b/Source/entry/entry_server.h
@@ -6,7 +6,7 @@
 #include "daemon/http_client.h"
 #include "daemon/operator_pages.h"
 #include "entry/request_dispatcher.h"
-#include "policy/rate_limiter.h"
+#include "policy/limits/rate_limiter.h"
 
 #include <deque>
 #include <map>
--- a/Source/entry/fleet_snapshot.cpp
+++ b/Source/entry/fleet_snapshot.cpp
@@ -1,6 +1,6 @@
 #include "entry/fleet_snapshot.h"
 
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 
 namespace rampgap {
 
--- a/Source/entry/fleet_snapshot.h
+++ b/Source/entry/fleet_snapshot.h
@@ -1,7 +1,7 @@
 // What an entry VM looks up per request, made once per declaration and never changed.
 #pragma once
 
-#include "policy/declaration.h"
+#include "policy/configuration/declaration.h"
 
 #include <memory>
 #include <string>
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -3,10 +3,10 @@
 #include "daemon/caller_watch.h"
 #include "daemon/header_names.h"
 #include "daemon/sleep.h"
-#include "policy/ownership_guard.h"
-#include "policy/permit_issuer.h"
-#include "policy/rendezvous.h"
-#include "policy/retry_policy.h"
+#include "policy/membership/rendezvous.h"
+#include "policy/requests/ownership_guard.h"
+#include "policy/requests/permit_issuer.h"
+#include "policy/requests/retry_policy.h"
 #include <boost/json.hpp>
 #include <charconv>
 
--- a/Source/entry/request_dispatcher.h
+++ b/Source/entry/request_dispatcher.h
@@ -4,10 +4,10 @@
 #include "daemon/answer_relay.h"
 #include "daemon/configuration_node.h"
 #include "entry/caller_request.h"
-#include "policy/backend_table.h"
-#include "policy/pause_detector.h"
-#include "policy/retry_budget.h"
-#include "policy/routing_policy.h"
+#include "policy/membership/pause_detector.h"
+#include "policy/requests/retry_budget.h"
+#include "policy/routing/backend_table.h"
+#include "policy/routing/routing_policy.h"
 
 #include <memory>
 #include <vector>
--- a/Source/gateway/admitted_request.cpp
+++ b/Source/gateway/admitted_request.cpp
@@ -1,6 +1,6 @@
 #include "gateway/admitted_request.h"
 
-#include "policy/admission_wait.h"
+#include "policy/requests/admission_wait.h"
 
 namespace rampgap {
 
--- a/Source/gateway/admitted_request.h
+++ b/Source/gateway/admitted_request.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "gateway/request_codec.h"
-#include "policy/fleet_configuration.h"
+#include "policy/configuration/fleet_configuration.h"
 
 #include <optional>
 #include <string>
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/agent_process.h
@@ -4,8 +4,8 @@
 
 #include "gateway/gateway_process.h"
 #include "gateway/group_leader.h"
-#include "policy/group_member_list.h"
-#include "policy/leadership.h"
+#include "policy/groups/group_member_list.h"
+#include "policy/groups/leadership.h"
 
 #include <boost/asio/ip/udp.hpp>
 
--- a/Source/gateway/call_registry.h
+++ b/Source/gateway/call_registry.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daemon/http_client.h"
-#include "policy/request_fingerprint.h"
+#include "policy/requests/request_fingerprint.h"
 
 #include <map>
 #include <optional>
--- a/Source/gateway/crash_gossip.h
+++ b/Source/gateway/crash_gossip.h
@@ -4,8 +4,8 @@
 #include "daemon/http_message.h"
 #include "daemon/process_context.h"
 #include "gateway/datagram_sender.h"
-#include "policy/crash_history.h"
-#include "policy/peer_table.h"
+#include "policy/membership/peer_table.h"
+#include "policy/requests/crash_history.h"
 
 namespace rampgap {
 
--- a/Source/gateway/crash_reporter.h
+++ b/Source/gateway/crash_reporter.h
@@ -5,7 +5,7 @@
 #include "daemon/crash_watch.h"
 #include "daemon/decision_log.h"
 #include "gateway/fleet_state.h"
-#include "policy/crash_history.h"
+#include "policy/requests/crash_history.h"
 
 #include <functional>
 #include <set>
--- a/Source/gateway/fleet_decoder.h
+++ b/Source/gateway/fleet_decoder.h
@@ -1,9 +1,9 @@
 // Interprets the items of the users' metadata store; a platform's adapter decodes their values.
 #pragma once
 
-#include "policy/backend_directory.h"
-#include "policy/fleet_configuration.h"
-#include "policy/item_order.h"
+#include "policy/configuration/fleet_configuration.h"
+#include "policy/configuration/item_order.h"
+#include "policy/routing/backend_directory.h"
 
 #include <memory>
 
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -1,7 +1,7 @@
 #include "gateway/gateway_process.h"
 
 #include "daemon/sleep.h"
-#include "policy/store_reading.h"
+#include "policy/configuration/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/Source/gateway/gateway_server.cpp
+++ b/Source/gateway/gateway_server.cpp
@@ -1,7 +1,7 @@
 #include "gateway/gateway_server.h"
 
 #include "gateway/request_wait.h"
-#include "policy/group_wait.h"
+#include "policy/groups/group_wait.h"
 
 namespace rampgap {
 
--- a/Source/gateway/gateway_settings.h
+++ b/Source/gateway/gateway_settings.h
@@ -1,8 +1,8 @@
 // Settings of a gateway process, independent of the platform.
 #pragma once
 
-#include "policy/shared_retry_budget.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/requests/shared_retry_budget.h"
 
 #include <string>
 #include <vector>
--- a/Source/gateway/group_caller.h
+++ b/Source/gateway/group_caller.h
@@ -3,7 +3,7 @@
 
 #include "gateway/fleet_state.h"
 #include "gateway/rank_link.h"
-#include "policy/reachability_tracker.h"
+#include "policy/membership/reachability_tracker.h"
 
 namespace rampgap {
 
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/group_leader.h
@@ -3,11 +3,11 @@
 
 #include "gateway/fleet_state.h"
 #include "gateway/group_caller.h"
-#include "policy/group_monitor.h"
-#include "policy/group_roster.h"
-#include "policy/load_table.h"
-#include "policy/map_switch.h"
-#include "policy/pass_model.h"
+#include "policy/groups/group_monitor.h"
+#include "policy/groups/group_roster.h"
+#include "policy/groups/map_switch.h"
+#include "policy/groups/pass_model.h"
+#include "policy/routing/load_table.h"
 
 #include <set>
 
--- a/Source/gateway/limit_exchange.h
+++ b/Source/gateway/limit_exchange.h
@@ -4,8 +4,8 @@
 #include "daemon/decision_log.h"
 #include "daemon/process_context.h"
 #include "gateway/datagram_sender.h"
-#include "policy/limit_arbiter.h"
-#include "policy/peer_table.h"
+#include "policy/limits/limit_arbiter.h"
+#include "policy/membership/peer_table.h"
 
 namespace rampgap {
 
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/sleep.h"
 #include "gateway/peer_wire.h"
-#include "policy/store_reading.h"
+#include "policy/configuration/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -5,10 +5,10 @@
 #include "gateway/crash_gossip.h"
 #include "gateway/limit_exchange.h"
 #include "gateway/snapshot_exchange.h"
-#include "policy/freshness_schedule.h"
-#include "policy/group_directory.h"
-#include "policy/load_table.h"
-#include "policy/peer_table.h"
+#include "policy/configuration/freshness_schedule.h"
+#include "policy/groups/group_directory.h"
+#include "policy/membership/peer_table.h"
+#include "policy/routing/load_table.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <memory>
--- a/Source/gateway/peer_wire.h
+++ b/Source/gateway/peer_wire.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "gateway.pb.h"
-#include "policy/group_directory.h"
-#include "policy/load_table.h"
-#include "policy/peer_table.h"
-#include "policy/published_state.h"
+#include "policy/configuration/published_state.h"
+#include "policy/groups/group_directory.h"
+#include "policy/membership/peer_table.h"
+#include "policy/routing/load_table.h"
 
 #include <vector>
 
--- a/Source/gateway/placement_codec.h
+++ b/Source/gateway/placement_codec.h
@@ -2,7 +2,7 @@
 // the change.
 #pragma once
 
-#include "policy/rank_types.h"
+#include "policy/groups/rank_types.h"
 
 #include <optional>
 #include <string>
--- a/Source/gateway/published_source.h
+++ b/Source/gateway/published_source.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daemon/http_message.h"
-#include "policy/published_state.h"
+#include "policy/configuration/published_state.h"
 
 namespace rampgap {
 
--- a/Source/gateway/rank_link.h
+++ b/Source/gateway/rank_link.h
@@ -5,9 +5,9 @@
 #include "daemon/decision_log.h"
 #include "daemon/http_client.h"
 #include "gateway/rank_port.h"
-#include "policy/backend_directory.h"
-#include "policy/call_tree.h"
-#include "policy/expert_choice_counter.h"
+#include "policy/groups/call_tree.h"
+#include "policy/groups/expert_choice_counter.h"
+#include "policy/routing/backend_directory.h"
 
 #include <functional>
 #include <map>
--- a/Source/gateway/rank_port.h
+++ b/Source/gateway/rank_port.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "daemon/http_message.h"
-#include "policy/rank_types.h"
+#include "policy/groups/rank_types.h"
 
 namespace rampgap {
 
--- a/Source/gateway/rank_wire.h
+++ b/Source/gateway/rank_wire.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "gateway.pb.h"
-#include "policy/call_tree.h"
-#include "policy/rank_types.h"
+#include "policy/groups/call_tree.h"
+#include "policy/groups/rank_types.h"
 
 namespace rampgap {
 
--- a/Source/gateway/request_codec.h
+++ b/Source/gateway/request_codec.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "daemon/http_message.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <optional>
 #include <string>
--- a/Source/gateway/slot_allocator.cpp
+++ b/Source/gateway/slot_allocator.cpp
@@ -1,9 +1,9 @@
 #include "gateway/slot_allocator.h"
 
-#include "policy/admission_share.h"
-#include "policy/admission_wait.h"
-#include "policy/group_wait.h"
-#include "policy/upstream_choice.h"
+#include "policy/groups/group_wait.h"
+#include "policy/requests/admission_share.h"
+#include "policy/requests/admission_wait.h"
+#include "policy/routing/upstream_choice.h"
 #include <algorithm>
 
 namespace rampgap {
--- a/Source/gateway/slot_allocator.h
+++ b/Source/gateway/slot_allocator.h
@@ -4,10 +4,10 @@
 #include "daemon/admission_slot.h"
 #include "gateway/admitted_request.h"
 #include "gateway/fleet_state.h"
-#include "policy/delay_estimate.h"
-#include "policy/group_directory.h"
-#include "policy/load_table.h"
-#include "policy/server_backpressure.h"
+#include "policy/groups/group_directory.h"
+#include "policy/limits/server_backpressure.h"
+#include "policy/requests/delay_estimate.h"
+#include "policy/routing/load_table.h"
 
 #include <map>
 
--- a/Source/gateway/snapshot_exchange.h
+++ b/Source/gateway/snapshot_exchange.h
@@ -4,7 +4,7 @@
 
 #include "daemon/http_client.h"
 #include "gateway/fleet_state.h"
-#include "policy/snapshot_choice.h"
+#include "policy/configuration/snapshot_choice.h"
 
 namespace rampgap {
 
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -2,9 +2,9 @@
 
 #include "daemon/caller_watch.h"
 #include "gateway/request_wait.h"
-#include "policy/attempt_rules.h"
-#include "policy/group_wait.h"
-#include "policy/silence_limit.h"
+#include "policy/groups/group_wait.h"
+#include "policy/requests/attempt_rules.h"
+#include "policy/requests/silence_limit.h"
 #include <algorithm>
 
 namespace rampgap {
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -7,8 +7,8 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/slot_allocator.h"
 #include "gateway/upstream_picker.h"
-#include "policy/group_directory.h"
-#include "policy/load_table.h"
+#include "policy/groups/group_directory.h"
+#include "policy/routing/load_table.h"
 
 namespace rampgap {
 
--- a/Source/gateway/upstream_picker.cpp
+++ b/Source/gateway/upstream_picker.cpp
@@ -1,7 +1,7 @@
 #include "gateway/upstream_picker.h"
 
 #include "gateway/request_wait.h"
-#include "policy/admission_wait.h"
+#include "policy/requests/admission_wait.h"
 #include <algorithm>
 
 namespace rampgap {
--- a/Source/gateway/upstream_picker.h
+++ b/Source/gateway/upstream_picker.h
@@ -5,10 +5,10 @@
 #include "daemon/http_server.h"
 #include "gateway/admitted_request.h"
 #include "gateway/fleet_state.h"
-#include "policy/group_directory.h"
-#include "policy/load_table.h"
-#include "policy/server_backpressure.h"
-#include "policy/upstream_choice.h"
+#include "policy/groups/group_directory.h"
+#include "policy/limits/server_backpressure.h"
+#include "policy/routing/load_table.h"
+#include "policy/routing/upstream_choice.h"
 
 namespace rampgap {
 
--- a/Source/harness/test_fleet.cpp
+++ b/Source/harness/test_fleet.cpp
@@ -1,7 +1,7 @@
 #include "harness/test_fleet.h"
 
 #include "discovery/vm_list.h"
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 #include <algorithm>
 #include <boost/json.hpp>
 #include <csignal>
--- a/Source/harness/test_fleet.h
+++ b/Source/harness/test_fleet.h
@@ -3,7 +3,7 @@
 
 #include "harness/child_process.h"
 #include "harness/test_client.h"
-#include "policy/declaration.h"
+#include "policy/configuration/declaration.h"
 
 #include <functional>
 #include <map>
--- a/Source/model/caller_crowd.cpp
+++ b/Source/model/caller_crowd.cpp
@@ -1,6 +1,6 @@
 #include "model/caller_crowd.h"
 
-#include "policy/group_wait.h"
+#include "policy/groups/group_wait.h"
 #include <algorithm>
 #include <cmath>
 #include <numbers>
--- a/Source/model/entry_model.cpp
+++ b/Source/model/entry_model.cpp
@@ -1,9 +1,9 @@
 #include "model/entry_model.h"
 
-#include "policy/admission_share.h"
-#include "policy/attempt_rules.h"
-#include "policy/group_wait.h"
-#include "policy/silence_limit.h"
+#include "policy/groups/group_wait.h"
+#include "policy/requests/admission_share.h"
+#include "policy/requests/attempt_rules.h"
+#include "policy/requests/silence_limit.h"
 #include <algorithm>
 
 namespace rampgap::model {
--- a/Source/model/entry_model.h
+++ b/Source/model/entry_model.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "model/lockstep_group.h"
-#include "policy/admission_queue.h"
-#include "policy/admission_wait.h"
-#include "policy/backend_directory.h"
-#include "policy/delay_estimate.h"
-#include "policy/shared_retry_budget.h"
-#include "policy/upstream_choice.h"
+#include "policy/requests/admission_queue.h"
+#include "policy/requests/admission_wait.h"
+#include "policy/requests/delay_estimate.h"
+#include "policy/requests/shared_retry_budget.h"
+#include "policy/routing/backend_directory.h"
+#include "policy/routing/upstream_choice.h"
 
 #include <map>
 #include <optional>
--- a/Source/model/event_queue.h
+++ b/Source/model/event_queue.h
@@ -1,7 +1,7 @@
 // Virtual time: actions in the order of their instants.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <functional>
--- a/Source/model/expert_demand.h
+++ b/Source/model/expert_demand.h
@@ -1,7 +1,7 @@
 // Which experts are in demand: a power law over an order that shifts.
 #pragma once
 
-#include "policy/placement_planner.h"
+#include "policy/groups/placement_planner.h"
 
 #include <random>
 #include <vector>
--- a/Source/model/lockstep_group.h
+++ b/Source/model/lockstep_group.h
@@ -4,9 +4,9 @@
 #include "model/event_queue.h"
 #include "model/expert_demand.h"
 #include "model/scenario.h"
-#include "policy/group_directory.h"
-#include "policy/group_monitor.h"
-#include "policy/load_table.h"
+#include "policy/groups/group_directory.h"
+#include "policy/groups/group_monitor.h"
+#include "policy/routing/load_table.h"
 
 #include <deque>
 #include <functional>
--- a/Source/model/outcome.h
+++ b/Source/model/outcome.h
@@ -1,7 +1,7 @@
 // What callers of a modelled fleet met.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <string>
 #include <vector>
--- a/Source/model/scenario.cpp
+++ b/Source/model/scenario.cpp
@@ -1,6 +1,6 @@
 #include "model/scenario.h"
 
-#include "policy/section_reader.h"
+#include "policy/configuration/section_reader.h"
 #include <filesystem>
 #include <fstream>
 #include <map>
--- a/Source/model/scenario.h
+++ b/Source/model/scenario.h
@@ -2,8 +2,8 @@
 // compared. Both are read from files of the project's INI format.
 #pragma once
 
-#include "policy/fleet_configuration.h"
-#include "policy/ini_document.h"
+#include "policy/configuration/fleet_configuration.h"
+#include "policy/configuration/ini_document.h"
 
 #include <cstdint>
 #include <string>
--- a/Source/policy/digest.cpp
+++ b/Source/policy/common/digest.cpp
@@ -1,4 +1,4 @@
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 
 #include <array>
 #include <openssl/evp.h>
--- a/Source/policy/instant.cpp
+++ b/Source/policy/common/instant.cpp
@@ -1,4 +1,4 @@
-#include "policy/instant.h"
+#include "policy/common/instant.h"
 
 #include <ctime>
 
--- a/Source/policy/timeline.cpp
+++ b/Source/policy/common/timeline.cpp
@@ -1,4 +1,4 @@
-#include "policy/timeline.h"
+#include "policy/common/timeline.h"
 
 #include <algorithm>
 #include <array>
--- a/Source/policy/verdict.cpp
+++ b/Source/policy/common/verdict.cpp
@@ -1,4 +1,4 @@
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <array>
 
--- a/Source/policy/verdict.h
+++ b/Source/policy/common/verdict.h
@@ -1,7 +1,7 @@
 // Whether a request may have run, and the description of its failure.
 #pragma once
 
-#include "policy/instant.h"
+#include "policy/common/instant.h"
 
 #include <boost/outcome.hpp>
 #include <compare>
--- a/Source/policy/change_plan.cpp
+++ b/Source/policy/configuration/change_plan.cpp
@@ -1,6 +1,6 @@
-#include "policy/change_plan.h"
+#include "policy/configuration/change_plan.h"
 
-#include "policy/rendezvous.h"
+#include "policy/membership/rendezvous.h"
 #include <algorithm>
 #include <set>
 #include <sstream>
--- a/Source/policy/change_plan.h
+++ b/Source/policy/configuration/change_plan.h
@@ -1,7 +1,7 @@
 // The plan that an operator confirms: what an intent would change.
 #pragma once
 
-#include "policy/declaration.h"
+#include "policy/configuration/declaration.h"
 
 #include <string>
 #include <vector>
--- a/Source/policy/declaration.cpp
+++ b/Source/policy/configuration/declaration.cpp
@@ -1,7 +1,7 @@
-#include "policy/declaration.h"
+#include "policy/configuration/declaration.h"
 
-#include "policy/digest.h"
-#include "policy/section_reader.h"
+#include "policy/common/digest.h"
+#include "policy/configuration/section_reader.h"
 #include <algorithm>
 #include <limits>
 #include <set>
--- a/Source/policy/declaration.h
+++ b/Source/policy/configuration/declaration.h
@@ -1,8 +1,8 @@
 // The operators' declaration: what runs where, under which rules.
 #pragma once
 
-#include "policy/ini_document.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/configuration/ini_document.h"
 
 #include <cstdint>
 #include <optional>
--- a/Source/policy/fleet_configuration.cpp
+++ b/Source/policy/configuration/fleet_configuration.cpp
@@ -1,4 +1,4 @@
-#include "policy/fleet_configuration.h"
+#include "policy/configuration/fleet_configuration.h"
 
 #include <algorithm>
 
--- a/Source/policy/fleet_configuration.h
+++ b/Source/policy/configuration/fleet_configuration.h
@@ -1,7 +1,7 @@
 // One published configuration: routes, services, workspaces and limits, as values.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <memory>
--- a/Source/policy/freshness_schedule.cpp
+++ b/Source/policy/configuration/freshness_schedule.cpp
@@ -1,4 +1,4 @@
-#include "policy/freshness_schedule.h"
+#include "policy/configuration/freshness_schedule.h"
 
 #include <algorithm>
 
--- a/Source/policy/freshness_schedule.h
+++ b/Source/policy/configuration/freshness_schedule.h
@@ -1,7 +1,7 @@
 // When a process asks its peers how fresh their copies of the store are.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 namespace rampgap {
 
--- a/Source/policy/ini_document.cpp
+++ b/Source/policy/configuration/ini_document.cpp
@@ -1,4 +1,4 @@
-#include "policy/ini_document.h"
+#include "policy/configuration/ini_document.h"
 
 #include <boost/algorithm/string/trim.hpp>
 #include <sstream>
--- a/Source/policy/item_order.h
+++ b/Source/policy/configuration/item_order.h
@@ -2,7 +2,7 @@
 // once the store was restored from an older copy.
 #pragma once
 
-#include "policy/published_item.h"
+#include "policy/configuration/published_item.h"
 
 #include <optional>
 
--- a/Source/policy/published_item.h
+++ b/Source/policy/configuration/published_item.h
@@ -1,7 +1,7 @@
 // One item of the users' metadata store.
 #pragma once
 
-#include "policy/store_position.h"
+#include "policy/configuration/store_position.h"
 
 #include <map>
 #include <string>
--- a/Source/policy/published_state.cpp
+++ b/Source/policy/configuration/published_state.cpp
@@ -1,4 +1,4 @@
-#include "policy/published_state.h"
+#include "policy/configuration/published_state.h"
 
 #include <algorithm>
 
--- a/Source/policy/published_state.h
+++ b/Source/policy/configuration/published_state.h
@@ -1,8 +1,8 @@
 // The items that the users' metadata store publishes, and up to when this copy is known to be current.
 #pragma once
 
-#include "policy/retained_items.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/configuration/retained_items.h"
 
 #include <deque>
 #include <optional>
--- a/Source/policy/reader_choice.cpp
+++ b/Source/policy/configuration/reader_choice.cpp
@@ -1,6 +1,6 @@
-#include "policy/reader_choice.h"
+#include "policy/configuration/reader_choice.h"
 
-#include "policy/rendezvous.h"
+#include "policy/membership/rendezvous.h"
 #include <algorithm>
 
 namespace rampgap {
--- a/Source/policy/retained_items.cpp
+++ b/Source/policy/configuration/retained_items.cpp
@@ -1,4 +1,4 @@
-#include "policy/retained_items.h"
+#include "policy/configuration/retained_items.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/Source/policy/retained_items.h
+++ b/Source/policy/configuration/retained_items.h
@@ -1,7 +1,7 @@
 // Items that were confirmed but that a restored store has lost.
 #pragma once
 
-#include "policy/item_order.h"
+#include "policy/configuration/item_order.h"
 
 #include <deque>
 #include <vector>
--- a/Source/policy/revision_chain.cpp
+++ b/Source/policy/configuration/revision_chain.cpp
@@ -1,4 +1,4 @@
-#include "policy/revision_chain.h"
+#include "policy/configuration/revision_chain.h"
 
 #include <algorithm>
 #include <set>
--- a/Source/policy/revision_chain.h
+++ b/Source/policy/configuration/revision_chain.h
@@ -1,7 +1,7 @@
 // The chain of accepted declarations: decides which one comes into force and never goes back.
 #pragma once
 
-#include "policy/declaration.h"
+#include "policy/configuration/declaration.h"
 
 #include <deque>
 #include <memory>
--- a/Source/policy/section_reader.cpp
+++ b/Source/policy/configuration/section_reader.cpp
@@ -1,4 +1,4 @@
-#include "policy/section_reader.h"
+#include "policy/configuration/section_reader.h"
 
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
--- a/Source/policy/section_reader.h
+++ b/Source/policy/configuration/section_reader.h
@@ -1,7 +1,7 @@
 // Reads and checks the options of one INI section; collects every error found.
 #pragma once
 
-#include "policy/ini_document.h"
+#include "policy/configuration/ini_document.h"
 
 #include <cstdint>
 #include <set>
--- a/Source/policy/snapshot_choice.cpp
+++ b/Source/policy/configuration/snapshot_choice.cpp
@@ -1,4 +1,4 @@
-#include "policy/snapshot_choice.h"
+#include "policy/configuration/snapshot_choice.h"
 
 #include <algorithm>
 
--- a/Source/policy/snapshot_choice.h
+++ b/Source/policy/configuration/snapshot_choice.h
@@ -1,8 +1,8 @@
 // Chooses the peer to fetch the fleet's state from when others have a newer one.
 #pragma once
 
-#include "policy/published_state.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/configuration/published_state.h"
 
 #include <optional>
 #include <string>
--- a/Source/policy/store_reading.cpp
+++ b/Source/policy/configuration/store_reading.cpp
@@ -1,7 +1,7 @@
-#include "policy/store_reading.h"
+#include "policy/configuration/store_reading.h"
 
-#include "policy/reader_choice.h"
-#include "policy/rendezvous.h"
+#include "policy/configuration/reader_choice.h"
+#include "policy/membership/rendezvous.h"
 #include <algorithm>
 #include <map>
 
--- a/Source/policy/store_reading.h
+++ b/Source/policy/configuration/store_reading.h
@@ -1,7 +1,7 @@
 // Which entry VMs read the users' store, and from whom the others get its content and proofs of its freshness.
 #pragma once
 
-#include "policy/peer_table.h"
+#include "policy/membership/peer_table.h"
 
 #include <optional>
 
--- a/Source/policy/call_tree.cpp
+++ b/Source/policy/groups/call_tree.cpp
@@ -1,4 +1,4 @@
-#include "policy/call_tree.h"
+#include "policy/groups/call_tree.h"
 
 #include <algorithm>
 
--- a/Source/policy/call_tree.h
+++ b/Source/policy/groups/call_tree.h
@@ -2,7 +2,7 @@
 // tree, so that no machine's link carries more than a few messages.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <string>
--- a/Source/policy/demand_estimate.cpp
+++ b/Source/policy/groups/demand_estimate.cpp
@@ -1,4 +1,4 @@
-#include "policy/demand_estimate.h"
+#include "policy/groups/demand_estimate.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/policy/demand_estimate.h
+++ b/Source/policy/groups/demand_estimate.h
@@ -1,8 +1,8 @@
 // Estimates the demand for each expert from the router choices that the ranks of a group report.
 #pragma once
 
-#include "policy/placement_planner.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/groups/placement_planner.h"
 
 #include <cstdint>
 #include <optional>
--- a/Source/policy/expert_choice_counter.cpp
+++ b/Source/policy/groups/expert_choice_counter.cpp
@@ -1,4 +1,4 @@
-#include "policy/expert_choice_counter.h"
+#include "policy/groups/expert_choice_counter.h"
 
 #include <algorithm>
 
--- a/Source/policy/expert_placement.cpp
+++ b/Source/policy/groups/expert_placement.cpp
@@ -1,4 +1,4 @@
-#include "policy/expert_placement.h"
+#include "policy/groups/expert_placement.h"
 
 #include <algorithm>
 #include <numeric>
--- a/Source/policy/group_directory.cpp
+++ b/Source/policy/groups/group_directory.cpp
@@ -1,4 +1,4 @@
-#include "policy/group_directory.h"
+#include "policy/groups/group_directory.h"
 
 #include <algorithm>
 
--- a/Source/policy/group_directory.h
+++ b/Source/policy/groups/group_directory.h
@@ -2,8 +2,8 @@
 // agents of the ranks.
 #pragma once
 
-#include "policy/pass_model.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/groups/pass_model.h"
 
 #include <compare>
 #include <cstdint>
--- a/Source/policy/group_member_list.cpp
+++ b/Source/policy/groups/group_member_list.cpp
@@ -1,4 +1,4 @@
-#include "policy/group_member_list.h"
+#include "policy/groups/group_member_list.h"
 
 namespace rampgap {
 
--- a/Source/policy/group_member_list.h
+++ b/Source/policy/groups/group_member_list.h
@@ -1,8 +1,8 @@
 // The servers of one expert group, in the order of their ids.
 #pragma once
 
-#include "policy/backend_directory.h"
-#include "policy/group_roster.h"
+#include "policy/groups/group_roster.h"
+#include "policy/routing/backend_directory.h"
 
 namespace rampgap {
 
--- a/Source/policy/group_monitor.cpp
+++ b/Source/policy/groups/group_monitor.cpp
@@ -1,6 +1,6 @@
-#include "policy/group_monitor.h"
+#include "policy/groups/group_monitor.h"
 
-#include "policy/placement_number.h"
+#include "policy/groups/placement_number.h"
 
 #include <algorithm>
 
--- a/Source/policy/group_monitor.h
+++ b/Source/policy/groups/group_monitor.h
@@ -1,9 +1,9 @@
 // Collects what the leader of an expert group knows of its ranks, and decides its next task.
 #pragma once
 
-#include "policy/demand_estimate.h"
-#include "policy/pass_model.h"
-#include "policy/rank_types.h"
+#include "policy/groups/demand_estimate.h"
+#include "policy/groups/pass_model.h"
+#include "policy/groups/rank_types.h"
 
 #include <map>
 #include <optional>
--- a/Source/policy/group_roster.cpp
+++ b/Source/policy/groups/group_roster.cpp
@@ -1,4 +1,4 @@
-#include "policy/group_roster.h"
+#include "policy/groups/group_roster.h"
 
 #include <algorithm>
 
--- a/Source/policy/group_roster.h
+++ b/Source/policy/groups/group_roster.h
@@ -1,7 +1,7 @@
 // Records which expert group each model engine belongs to, as reported by its agent or by the engine.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/Source/policy/group_wait.cpp
+++ b/Source/policy/groups/group_wait.cpp
@@ -1,4 +1,4 @@
-#include "policy/group_wait.h"
+#include "policy/groups/group_wait.h"
 
 #include <algorithm>
 
--- a/Source/policy/group_wait.h
+++ b/Source/policy/groups/group_wait.h
@@ -2,7 +2,7 @@
 // a retry delay.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 namespace rampgap {
 
--- a/Source/policy/leadership.cpp
+++ b/Source/policy/groups/leadership.cpp
@@ -1,4 +1,4 @@
-#include "policy/leadership.h"
+#include "policy/groups/leadership.h"
 
 #include <algorithm>
 
--- a/Source/policy/leadership.h
+++ b/Source/policy/groups/leadership.h
@@ -1,7 +1,7 @@
 // Decides whether this agent is the leader of its group, the one agent that calls the others.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <optional>
 #include <string>
--- a/Source/policy/map_coordinator.cpp
+++ b/Source/policy/groups/map_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "policy/map_coordinator.h"
+#include "policy/groups/map_coordinator.h"
 
 #include <algorithm>
 
--- a/Source/policy/map_coordinator.h
+++ b/Source/policy/groups/map_coordinator.h
@@ -1,7 +1,7 @@
 // Coordinates the map switches of one group in two phases: all ranks prepare, then all commit.
 #pragma once
 
-#include "policy/map_message.h"
+#include "policy/groups/map_message.h"
 
 #include <optional>
 #include <set>
--- a/Source/policy/map_participant.cpp
+++ b/Source/policy/groups/map_participant.cpp
@@ -1,4 +1,4 @@
-#include "policy/map_participant.h"
+#include "policy/groups/map_participant.h"
 
 #include <algorithm>
 
--- a/Source/policy/map_participant.h
+++ b/Source/policy/groups/map_participant.h
@@ -1,7 +1,7 @@
 // The participant of a map switch at one rank: checks each order before it goes to the engine.
 #pragma once
 
-#include "policy/map_message.h"
+#include "policy/groups/map_message.h"
 
 namespace rampgap {
 
--- a/Source/policy/map_switch.cpp
+++ b/Source/policy/groups/map_switch.cpp
@@ -1,6 +1,6 @@
-#include "policy/map_switch.h"
+#include "policy/groups/map_switch.h"
 
-#include "policy/placement_number.h"
+#include "policy/groups/placement_number.h"
 
 #include <algorithm>
 
--- a/Source/policy/map_switch.h
+++ b/Source/policy/groups/map_switch.h
@@ -9,7 +9,7 @@
 // longer change anything there, and the replies show what that leader has left.
 #pragma once
 
-#include "policy/rank_types.h"
+#include "policy/groups/rank_types.h"
 
 #include <vector>
 
--- a/Source/policy/pass_model.cpp
+++ b/Source/policy/groups/pass_model.cpp
@@ -1,4 +1,4 @@
-#include "policy/pass_model.h"
+#include "policy/groups/pass_model.h"
 
 #include <algorithm>
 
--- a/Source/policy/pass_model.h
+++ b/Source/policy/groups/pass_model.h
@@ -1,7 +1,7 @@
 // Predicts how long the passes of an expert group take, from the published figures of its engines.
 #pragma once
 
-#include "policy/fleet_configuration.h"
+#include "policy/configuration/fleet_configuration.h"
 
 namespace rampgap {
 
--- a/Source/policy/placement_planner.cpp
+++ b/Source/policy/groups/placement_planner.cpp
@@ -1,4 +1,4 @@
-#include "policy/placement_planner.h"
+#include "policy/groups/placement_planner.h"
 
 #include <algorithm>
 #include <numeric>
--- a/Source/policy/placement_planner.h
+++ b/Source/policy/groups/placement_planner.h
@@ -2,7 +2,7 @@
 // layer set is close to the mean.
 #pragma once
 
-#include "policy/rank_types.h"
+#include "policy/groups/rank_types.h"
 
 #include <vector>
 
--- a/Source/policy/popularity_estimate.cpp
+++ b/Source/policy/groups/popularity_estimate.cpp
@@ -1,4 +1,4 @@
-#include "policy/popularity_estimate.h"
+#include "policy/groups/popularity_estimate.h"
 
 #include <cmath>
 
--- a/Source/policy/rank_types.cpp
+++ b/Source/policy/groups/rank_types.cpp
@@ -1,4 +1,4 @@
-#include "policy/rank_types.h"
+#include "policy/groups/rank_types.h"
 
 #include <array>
 
--- a/Source/policy/rank_types.h
+++ b/Source/policy/groups/rank_types.h
@@ -2,7 +2,7 @@
 // ranks run in lock-step and must all use the same placement of experts in each step.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <memory>
--- a/Source/policy/rebalancer.cpp
+++ b/Source/policy/groups/rebalancer.cpp
@@ -1,4 +1,4 @@
-#include "policy/rebalancer.h"
+#include "policy/groups/rebalancer.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/policy/rebalancer.h
+++ b/Source/policy/groups/rebalancer.h
@@ -1,8 +1,8 @@
 // Decides which experts to move between ranks: few moves, each worth the weights that it loads.
 #pragma once
 
-#include "policy/expert_placement.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/groups/expert_placement.h"
 
 #include <memory>
 #include <string_view>
--- a/Source/policy/straggler_detector.cpp
+++ b/Source/policy/groups/straggler_detector.cpp
@@ -1,4 +1,4 @@
-#include "policy/straggler_detector.h"
+#include "policy/groups/straggler_detector.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/policy/engine_throttle.cpp
+++ b/Source/policy/limits/engine_throttle.cpp
@@ -1,4 +1,4 @@
-#include "policy/engine_throttle.h"
+#include "policy/limits/engine_throttle.h"
 
 #include <algorithm>
 
--- a/Source/policy/engine_throttle.h
+++ b/Source/policy/limits/engine_throttle.h
@@ -1,9 +1,9 @@
 // Limits the requests that an agent passes on to its engine to what the engine accepts.
 #pragma once
 
-#include "policy/server_backoffs.h"
-#include "policy/token_bucket.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/limits/server_backoffs.h"
+#include "policy/limits/token_bucket.h"
 
 #include <algorithm>
 #include <map>
--- a/Source/policy/limit_arbiter.cpp
+++ b/Source/policy/limits/limit_arbiter.cpp
@@ -1,4 +1,4 @@
-#include "policy/limit_arbiter.h"
+#include "policy/limits/limit_arbiter.h"
 
 #include <algorithm>
 
--- a/Source/policy/limit_arbiter.h
+++ b/Source/policy/limits/limit_arbiter.h
@@ -1,8 +1,8 @@
 // Grants requests to servers with a limit. One entry VM is the arbiter of a server, and all others ask it for grants.
 #pragma once
 
-#include "policy/server_limits.h"
-#include "policy/token_bucket.h"
+#include "policy/limits/server_limits.h"
+#include "policy/limits/token_bucket.h"
 
 namespace rampgap {
 
--- a/Source/policy/rate_limiter.cpp
+++ b/Source/policy/limits/rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include "policy/rate_limiter.h"
+#include "policy/limits/rate_limiter.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/policy/rate_limiter.h
+++ b/Source/policy/limits/rate_limiter.h
@@ -1,9 +1,9 @@
 // Enforces the rate and concurrency limits of workspaces at one entry VM, without a shared store.
 #pragma once
 
-#include "policy/declaration.h"
-#include "policy/token_bucket.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/configuration/declaration.h"
+#include "policy/limits/token_bucket.h"
 
 #include <optional>
 #include <string>
--- a/Source/policy/server_backoffs.cpp
+++ b/Source/policy/limits/server_backoffs.cpp
@@ -1,4 +1,4 @@
-#include "policy/server_backoffs.h"
+#include "policy/limits/server_backoffs.h"
 
 #include <algorithm>
 
--- a/Source/policy/server_backoffs.h
+++ b/Source/policy/limits/server_backoffs.h
@@ -1,7 +1,7 @@
 // Servers that refused a request of this process and asked it to back off.
 #pragma once
 
-#include "policy/server_limits.h"
+#include "policy/limits/server_limits.h"
 
 namespace rampgap {
 
--- a/Source/policy/server_backpressure.h
+++ b/Source/policy/limits/server_backpressure.h
@@ -1,8 +1,8 @@
 // What servers themselves ask of the processes that send to them: limits and backoffs.
 #pragma once
 
-#include "policy/server_backoffs.h"
-#include "policy/server_limits.h"
+#include "policy/limits/server_backoffs.h"
+#include "policy/limits/server_limits.h"
 
 namespace rampgap {
 
--- a/Source/policy/server_limits.cpp
+++ b/Source/policy/limits/server_limits.cpp
@@ -1,4 +1,4 @@
-#include "policy/server_limits.h"
+#include "policy/limits/server_limits.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/policy/server_limits.h
+++ b/Source/policy/limits/server_limits.h
@@ -2,7 +2,7 @@
 // process to send to them.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/Source/policy/token_bucket.h
+++ b/Source/policy/limits/token_bucket.h
@@ -1,7 +1,7 @@
 // A token bucket: tokens are added at a steady rate, up to a maximum.
 #pragma once
 
-#include "policy/instant.h"
+#include "policy/common/instant.h"
 
 #include <algorithm>
 
--- a/Source/policy/pause_detector.cpp
+++ b/Source/policy/membership/pause_detector.cpp
@@ -1,4 +1,4 @@
-#include "policy/pause_detector.h"
+#include "policy/membership/pause_detector.h"
 
 namespace rampgap {
 
--- a/Source/policy/pause_detector.h
+++ b/Source/policy/membership/pause_detector.h
@@ -1,7 +1,7 @@
 // Detects that the process did not run for a while, since it was stopped or its VM was paused.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 namespace rampgap {
 
--- a/Source/policy/peer_table.cpp
+++ b/Source/policy/membership/peer_table.cpp
@@ -1,6 +1,6 @@
-#include "policy/peer_table.h"
+#include "policy/membership/peer_table.h"
 
-#include "policy/rendezvous.h"
+#include "policy/membership/rendezvous.h"
 #include <algorithm>
 #include <cmath>
 #include <set>
--- a/Source/policy/peer_table.h
+++ b/Source/policy/membership/peer_table.h
@@ -1,7 +1,7 @@
 // The other processes of the fleet, found by gossip from a few seed addresses.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <functional>
--- a/Source/policy/reachability_tracker.cpp
+++ b/Source/policy/membership/reachability_tracker.cpp
@@ -1,4 +1,4 @@
-#include "policy/reachability_tracker.h"
+#include "policy/membership/reachability_tracker.h"
 
 namespace rampgap {
 
--- a/Source/policy/reachability_tracker.h
+++ b/Source/policy/membership/reachability_tracker.h
@@ -1,7 +1,7 @@
 // Tracks which agents of a group answer the calls of their leader.
 #pragma once
 
-#include "policy/call_tree.h"
+#include "policy/groups/call_tree.h"
 
 #include <map>
 #include <string>
--- a/Source/policy/rendezvous.cpp
+++ b/Source/policy/membership/rendezvous.cpp
@@ -1,6 +1,6 @@
-#include "policy/rendezvous.h"
+#include "policy/membership/rendezvous.h"
 
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 #include <algorithm>
 #include <optional>
 
--- a/Source/policy/admission_queue.cpp
+++ b/Source/policy/requests/admission_queue.cpp
@@ -1,4 +1,4 @@
-#include "policy/admission_queue.h"
+#include "policy/requests/admission_queue.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/policy/admission_queue.h
+++ b/Source/policy/requests/admission_queue.h
@@ -1,7 +1,7 @@
 // Admission queue of a backend server: bounded, ordered by priority, fair between workspaces.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <deque>
--- a/Source/policy/admission_share.cpp
+++ b/Source/policy/requests/admission_share.cpp
@@ -1,4 +1,4 @@
-#include "policy/admission_share.h"
+#include "policy/requests/admission_share.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/policy/admission_share.h
+++ b/Source/policy/requests/admission_share.h
@@ -1,7 +1,7 @@
 // How many requests one entry VM may have running at the engines of an expert group.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstddef>
 
--- a/Source/policy/admission_wait.cpp
+++ b/Source/policy/requests/admission_wait.cpp
@@ -1,6 +1,6 @@
-#include "policy/admission_wait.h"
+#include "policy/requests/admission_wait.h"
 
-#include "policy/group_wait.h"
+#include "policy/groups/group_wait.h"
 #include <algorithm>
 
 namespace rampgap {
--- a/Source/policy/admission_wait.h
+++ b/Source/policy/requests/admission_wait.h
@@ -1,7 +1,7 @@
 // How long a request waits for a request slot at the engines, and with which priority.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <vector>
 
--- a/Source/policy/attempt_rules.cpp
+++ b/Source/policy/requests/attempt_rules.cpp
@@ -1,4 +1,4 @@
-#include "policy/attempt_rules.h"
+#include "policy/requests/attempt_rules.h"
 
 namespace rampgap {
 
--- a/Source/policy/attempt_rules.h
+++ b/Source/policy/requests/attempt_rules.h
@@ -1,7 +1,7 @@
 // Limits on how often a request is sent to servers, and how long an attempt may stay silent.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstddef>
 
--- a/Source/policy/crash_detector.cpp
+++ b/Source/policy/requests/crash_detector.cpp
@@ -1,4 +1,4 @@
-#include "policy/crash_detector.h"
+#include "policy/requests/crash_detector.h"
 
 #include <algorithm>
 #include <utility>
--- a/Source/policy/crash_detector.h
+++ b/Source/policy/requests/crash_detector.h
@@ -1,8 +1,8 @@
 // Detects which backend servers crashed, and which requests they were running at that time.
 #pragma once
 
-#include "policy/request_fingerprint.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/requests/request_fingerprint.h"
 
 #include <cstddef>
 #include <deque>
--- a/Source/policy/crash_history.cpp
+++ b/Source/policy/requests/crash_history.cpp
@@ -1,4 +1,4 @@
-#include "policy/crash_history.h"
+#include "policy/requests/crash_history.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/Source/policy/crash_history.h
+++ b/Source/policy/requests/crash_history.h
@@ -2,8 +2,8 @@
 // and which of them are therefore blocked.
 #pragma once
 
-#include "policy/request_fingerprint.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/requests/request_fingerprint.h"
 
 #include <cstddef>
 #include <functional>
--- a/Source/policy/delay_estimate.cpp
+++ b/Source/policy/requests/delay_estimate.cpp
@@ -1,4 +1,4 @@
-#include "policy/delay_estimate.h"
+#include "policy/requests/delay_estimate.h"
 
 #include <cmath>
 
--- a/Source/policy/delay_estimate.h
+++ b/Source/policy/requests/delay_estimate.h
@@ -1,7 +1,7 @@
 // Estimates how long an operation takes, with a margin for its variation.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 namespace rampgap {
 
--- a/Source/policy/execution_guard.cpp
+++ b/Source/policy/requests/execution_guard.cpp
@@ -1,4 +1,4 @@
-#include "policy/execution_guard.h"
+#include "policy/requests/execution_guard.h"
 
 namespace rampgap {
 
--- a/Source/policy/execution_guard.h
+++ b/Source/policy/requests/execution_guard.h
@@ -2,8 +2,8 @@
 // ledger of ids that have run, and exchanges both with other agents.
 #pragma once
 
-#include "policy/ownership_guard.h"
-#include "policy/request_ledger.h"
+#include "policy/requests/ownership_guard.h"
+#include "policy/requests/request_ledger.h"
 
 namespace rampgap {
 
--- a/Source/policy/ownership_guard.cpp
+++ b/Source/policy/requests/ownership_guard.cpp
@@ -1,6 +1,6 @@
-#include "policy/ownership_guard.h"
+#include "policy/requests/ownership_guard.h"
 
-#include "policy/rendezvous.h"
+#include "policy/membership/rendezvous.h"
 #include <algorithm>
 
 namespace rampgap {
--- a/Source/policy/ownership_guard.h
+++ b/Source/policy/requests/ownership_guard.h
@@ -2,9 +2,9 @@
 // the id has not run.
 #pragma once
 
-#include "policy/declaration.h"
-#include "policy/request_id.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/configuration/declaration.h"
+#include "policy/requests/request_id.h"
 
 #include <map>
 #include <optional>
--- a/Source/policy/permit_issuer.cpp
+++ b/Source/policy/requests/permit_issuer.cpp
@@ -1,4 +1,4 @@
-#include "policy/permit_issuer.h"
+#include "policy/requests/permit_issuer.h"
 
 #include <charconv>
 
--- a/Source/policy/permit_issuer.h
+++ b/Source/policy/requests/permit_issuer.h
@@ -1,7 +1,7 @@
 // Permits: they show an agent, by its own clock, that the entry VM that sends a request was running a moment ago.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <string>
 #include <string_view>
--- a/Source/policy/request_fingerprint.cpp
+++ b/Source/policy/requests/request_fingerprint.cpp
@@ -1,4 +1,4 @@
-#include "policy/request_fingerprint.h"
+#include "policy/requests/request_fingerprint.h"
 
 #include <array>
 #include <charconv>
--- a/Source/policy/request_id.h
+++ b/Source/policy/requests/request_id.h
@@ -1,7 +1,7 @@
 // The identity of a request that may run at most once.
 #pragma once
 
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 
 #include <string>
 
--- a/Source/policy/request_ledger.cpp
+++ b/Source/policy/requests/request_ledger.cpp
@@ -1,4 +1,4 @@
-#include "policy/request_ledger.h"
+#include "policy/requests/request_ledger.h"
 
 namespace rampgap {
 
--- a/Source/policy/request_ledger.h
+++ b/Source/policy/requests/request_ledger.h
@@ -1,8 +1,8 @@
 // Remembers the ids that an agent has run, so that each runs at most once.
 #pragma once
 
-#include "policy/request_id.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/requests/request_id.h"
 
 #include <deque>
 #include <unordered_map>
--- a/Source/policy/retry_budget.cpp
+++ b/Source/policy/requests/retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "policy/retry_budget.h"
+#include "policy/requests/retry_budget.h"
 
 #include <algorithm>
 
--- a/Source/policy/retry_policy.cpp
+++ b/Source/policy/requests/retry_policy.cpp
@@ -1,4 +1,4 @@
-#include "policy/retry_policy.h"
+#include "policy/requests/retry_policy.h"
 
 namespace rampgap {
 
--- a/Source/policy/retry_policy.h
+++ b/Source/policy/requests/retry_policy.h
@@ -1,8 +1,8 @@
 // Decides whether a failed attempt may be retried.
 #pragma once
 
-#include "policy/retry_budget.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/requests/retry_budget.h"
 
 namespace rampgap {
 
--- a/Source/policy/shared_retry_budget.cpp
+++ b/Source/policy/requests/shared_retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "policy/shared_retry_budget.h"
+#include "policy/requests/shared_retry_budget.h"
 
 #include <algorithm>
 
--- a/Source/policy/shared_retry_budget.h
+++ b/Source/policy/requests/shared_retry_budget.h
@@ -1,7 +1,7 @@
 // Bounds the retries of all entry VMs together, without messages between them.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <deque>
 #include <map>
--- a/Source/policy/silence_limit.cpp
+++ b/Source/policy/requests/silence_limit.cpp
@@ -1,4 +1,4 @@
-#include "policy/silence_limit.h"
+#include "policy/requests/silence_limit.h"
 
 #include <algorithm>
 
--- a/Source/policy/silence_limit.h
+++ b/Source/policy/requests/silence_limit.h
@@ -1,7 +1,7 @@
 // How long an attempt may stay silent before the request is sent to another server.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <optional>
 
--- a/Source/policy/backend_directory.cpp
+++ b/Source/policy/routing/backend_directory.cpp
@@ -1,4 +1,4 @@
-#include "policy/backend_directory.h"
+#include "policy/routing/backend_directory.h"
 
 #include <algorithm>
 
--- a/Source/policy/backend_directory.h
+++ b/Source/policy/routing/backend_directory.h
@@ -1,7 +1,7 @@
 // The listed backend servers and this process's observations of each.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <map>
--- a/Source/policy/backend_table.cpp
+++ b/Source/policy/routing/backend_table.cpp
@@ -1,4 +1,4 @@
-#include "policy/backend_table.h"
+#include "policy/routing/backend_table.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Source/policy/backend_table.h
+++ b/Source/policy/routing/backend_table.h
@@ -1,8 +1,8 @@
 // What one entry VM knows of each backend server: state, load, own requests.
 #pragma once
 
-#include "policy/declaration.h"
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
+#include "policy/configuration/declaration.h"
 
 #include <cstdint>
 #include <string>
--- a/Source/policy/load_table.cpp
+++ b/Source/policy/routing/load_table.cpp
@@ -1,4 +1,4 @@
-#include "policy/load_table.h"
+#include "policy/routing/load_table.h"
 
 #include <algorithm>
 #include <xxhash.h>
--- a/Source/policy/load_table.h
+++ b/Source/policy/routing/load_table.h
@@ -1,7 +1,7 @@
 // Work in progress at each backend server: an exact count of our own, that of peers as reported.
 #pragma once
 
-#include "policy/verdict.h"
+#include "policy/common/verdict.h"
 
 #include <cstdint>
 #include <deque>
--- a/Source/policy/prefix_table.cpp
+++ b/Source/policy/routing/prefix_table.cpp
@@ -1,4 +1,4 @@
-#include "policy/prefix_table.h"
+#include "policy/routing/prefix_table.h"
 
 #include <cmath>
 
--- a/Source/policy/prefix_table.h
+++ b/Source/policy/routing/prefix_table.h
@@ -1,7 +1,7 @@
 // An entry VM's estimate of which engine still caches which prompt prefix.
 #pragma once
 
-#include "policy/backend_table.h"
+#include "policy/routing/backend_table.h"
 
 #include <array>
 #include <vector>
--- a/Source/policy/routing_policy.cpp
+++ b/Source/policy/routing/routing_policy.cpp
@@ -1,6 +1,6 @@
-#include "policy/routing_policy.h"
+#include "policy/routing/routing_policy.h"
 
-#include "policy/prefix_table.h"
+#include "policy/routing/prefix_table.h"
 #include <algorithm>
 #include <limits>
 
--- a/Source/policy/routing_policy.h
+++ b/Source/policy/routing/routing_policy.h
@@ -1,7 +1,7 @@
 // Chooses the backend server for a request that may run on any server of its pool.
 #pragma once
 
-#include "policy/backend_table.h"
+#include "policy/routing/backend_table.h"
 
 #include <array>
 #include <memory>
--- a/Source/policy/upstream_choice.cpp
+++ b/Source/policy/routing/upstream_choice.cpp
@@ -1,6 +1,6 @@
-#include "policy/upstream_choice.h"
+#include "policy/routing/upstream_choice.h"
 
-#include "policy/pass_model.h"
+#include "policy/groups/pass_model.h"
 #include <algorithm>
 #include <cmath>
 #include <map>
--- a/Source/policy/upstream_choice.h
+++ b/Source/policy/routing/upstream_choice.h
@@ -1,11 +1,11 @@
 // Chooses the backend server for one attempt of a request.
 #pragma once
 
-#include "policy/backend_directory.h"
-#include "policy/fleet_configuration.h"
-#include "policy/group_directory.h"
-#include "policy/load_table.h"
-#include "policy/server_backpressure.h"
+#include "policy/configuration/fleet_configuration.h"
+#include "policy/groups/group_directory.h"
+#include "policy/limits/server_backpressure.h"
+#include "policy/routing/backend_directory.h"
+#include "policy/routing/load_table.h"
 
 #include <optional>
 #include <random>
--- a/Source/standin/engine_standin.cpp
+++ b/Source/standin/engine_standin.cpp
@@ -4,7 +4,7 @@
 #include "daemon/header_names.h"
 #include "daemon/operator_pages.h"
 #include "discovery/json_reading.h"
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/Source/standin/group_standin.cpp
+++ b/Source/standin/group_standin.cpp
@@ -3,7 +3,7 @@
 #include "daemon/boot_timer.h"
 #include "daemon/daemon_main.h"
 #include "discovery/json_reading.h"
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/Source/standin/group_standin.h
+++ b/Source/standin/group_standin.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "daemon/http_server.h"
-#include "policy/map_participant.h"
+#include "policy/groups/map_participant.h"
 #include "standin/standin_flags.h"
 
 #include <memory>
--- a/Source/wire/crash_codec.h
+++ b/Source/wire/crash_codec.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "crash.pb.h"
-#include "policy/crash_history.h"
+#include "policy/requests/crash_history.h"
 
 namespace rampgap {
 
--- a/Tests/config/chain-property/test.cpp
+++ b/Tests/config/chain-property/test.cpp
@@ -1,7 +1,7 @@
 // All processes have the same chain of revisions, under a stale service, lost messages, restarts and cuts.
 
-#include "policy/digest.h"
-#include "policy/revision_chain.h"
+#include "policy/common/digest.h"
+#include "policy/configuration/revision_chain.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/Tests/config/declaration-input/test.cpp
+++ b/Tests/config/declaration-input/test.cpp
@@ -1,6 +1,6 @@
 // Declarations: each error is reported with file, line, key and fix; nothing is partly applied.
 
-#include "policy/declaration.h"
+#include "policy/configuration/declaration.h"
 
 #include <doctest/doctest.h>
 #include <fstream>
--- a/Tests/config/plan/test.cpp
+++ b/Tests/config/plan/test.cpp
@@ -1,7 +1,7 @@
 // Plans list the exact changes, costs and warnings, and are bound to base and body.
 
-#include "policy/change_plan.h"
-#include "policy/revision_chain.h"
+#include "policy/configuration/change_plan.h"
+#include "policy/configuration/revision_chain.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/config/racing-operators/test.cpp
+++ b/Tests/config/racing-operators/test.cpp
@@ -1,7 +1,7 @@
 // Fault: two operators publish on one base at the same time.
 
 #include "harness/test_fleet.h"
-#include "policy/digest.h"
+#include "policy/common/digest.h"
 
 #include <boost/json.hpp>
 #include <doctest/doctest.h>
--- a/Tests/groups/placement-property/test.cpp
+++ b/Tests/groups/placement-property/test.cpp
@@ -1,8 +1,8 @@
 // Guards against placements that lose an expert, that are worse than before by prediction, or that take
 // more moves than allowed, for any popularity and policy.
 
-#include "policy/popularity_estimate.h"
-#include "policy/rebalancer.h"
+#include "policy/groups/popularity_estimate.h"
+#include "policy/groups/rebalancer.h"
 
 #include <cmath>
 #include <doctest/doctest.h>
--- a/Tests/groups/straggler/test.cpp
+++ b/Tests/groups/straggler/test.cpp
@@ -1,7 +1,7 @@
 // Guards against a persistently slow rank that is not found, and against ranks with a short stall that
 // count as stragglers.
 
-#include "policy/straggler_detector.h"
+#include "policy/groups/straggler_detector.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/groups/switch-property/group_model.h
+++ b/Tests/groups/switch-property/group_model.h
@@ -1,8 +1,8 @@
 // Simulates a group of ranks in lock-step, its coordinators and the messages between them.
 #pragma once
 
-#include "policy/map_coordinator.h"
-#include "policy/map_participant.h"
+#include "policy/groups/map_coordinator.h"
+#include "policy/groups/map_participant.h"
 
 #include <functional>
 #include <memory>
--- a/Tests/platform/admission-share/test.cpp
+++ b/Tests/platform/admission-share/test.cpp
@@ -1,6 +1,6 @@
 // Shares of a group's capacity: together they are about the capacity, and an entry VM with more callers
 // can use free slots.
-#include "policy/admission_share.h"
+#include "policy/requests/admission_share.h"
 
 #include <doctest/doctest.h>
 #include <numeric>
--- a/Tests/platform/admission-wait/test.cpp
+++ b/Tests/platform/admission-wait/test.cpp
@@ -1,9 +1,9 @@
 // How long a request waits for a slot and with which priority, and how many slots keep the gaps of streams
 // within their target.
-#include "policy/admission_queue.h"
-#include "policy/admission_wait.h"
-#include "policy/delay_estimate.h"
-#include "policy/pass_model.h"
+#include "policy/groups/pass_model.h"
+#include "policy/requests/admission_queue.h"
+#include "policy/requests/admission_wait.h"
+#include "policy/requests/delay_estimate.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/Tests/platform/backend-list/test.cpp
+++ b/Tests/platform/backend-list/test.cpp
@@ -1,5 +1,5 @@
 // Which listed servers get requests: entries that lapse in an outage, reused addresses, failed attempts.
-#include "policy/backend_directory.h"
+#include "policy/routing/backend_directory.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/platform/cold-server/test.cpp
+++ b/Tests/platform/cold-server/test.cpp
@@ -2,7 +2,7 @@
 // more requests in a second than it accepts, and each VM sees only its own.
 #include "gateway/fleet_state.h"
 #include "platform/item_decoder.h"
-#include "policy/limit_arbiter.h"
+#include "policy/limits/limit_arbiter.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/Tests/platform/crash-detection/test.cpp
+++ b/Tests/platform/crash-detection/test.cpp
@@ -1,5 +1,5 @@
 // Detecting which servers crashed, and under which requests, in one entry VM.
-#include "policy/crash_detector.h"
+#include "policy/requests/crash_detector.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/platform/crash-history/test.cpp
+++ b/Tests/platform/crash-history/test.cpp
@@ -1,5 +1,5 @@
 // Which requests are blocked when servers crash.
-#include "policy/crash_history.h"
+#include "policy/requests/crash_history.h"
 
 #include <algorithm>
 #include <array>
--- a/Tests/platform/cut-group/test.cpp
+++ b/Tests/platform/cut-group/test.cpp
@@ -1,6 +1,6 @@
 // Load pattern: a zone with a whole expert group is cut off. Its servers stay listed, and an attempt
 // at one of them takes until the connection times out, which is half of a caller's target.
-#include "policy/upstream_choice.h"
+#include "policy/routing/upstream_choice.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/platform/demand-estimate/test.cpp
+++ b/Tests/platform/demand-estimate/test.cpp
@@ -1,6 +1,6 @@
 // Demand for experts that shifts every few seconds: a shift is detected at once, and random variation of the
 // counts is not taken for one.
-#include "policy/demand_estimate.h"
+#include "policy/groups/demand_estimate.h"
 
 #include <doctest/doctest.h>
 #include <random>
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -1,8 +1,8 @@
 // Guards against wrong states of expert groups: updates arrive in any order, confirmations stop, and
 // reports may be from an earlier incarnation or epoch.
-#include "policy/expert_choice_counter.h"
-#include "policy/group_directory.h"
-#include "policy/group_monitor.h"
+#include "policy/groups/expert_choice_counter.h"
+#include "policy/groups/group_directory.h"
+#include "policy/groups/group_monitor.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/group-state/wait.cpp
+++ b/Tests/platform/group-state/wait.cpp
@@ -1,7 +1,7 @@
 // Guards against callers that lose their answer while an expert group is closed: refused too early,
 // kept beyond their patience, or told to retry when they cannot be served any more.
-#include "policy/delay_estimate.h"
-#include "policy/group_wait.h"
+#include "policy/groups/group_wait.h"
+#include "policy/requests/delay_estimate.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/leadership/test.cpp
+++ b/Tests/platform/leadership/test.cpp
@@ -1,6 +1,6 @@
 // Guards against none or several leaders in a group of 129 agents: calls are lost and late, agents are
 // killed, and the network is partitioned.
-#include "policy/leadership.h"
+#include "policy/groups/leadership.h"
 
 #include <doctest/doctest.h>
 #include <map>
--- a/Tests/platform/link-budget/test.cpp
+++ b/Tests/platform/link-budget/test.cpp
@@ -4,7 +4,7 @@
 #include "gateway/peer_wire.h"
 #include "gateway/placement_codec.h"
 #include "gateway/rank_wire.h"
-#include "policy/placement_planner.h"
+#include "policy/groups/placement_planner.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/platform/map-switch/engine_model.h
+++ b/Tests/platform/map-switch/engine_model.h
@@ -1,7 +1,7 @@
 // Simulates the engines of a group in lock-step and how they carry out the orders of a placement change.
 #pragma once
 
-#include "policy/map_switch.h"
+#include "policy/groups/map_switch.h"
 
 #include <map>
 #include <random>
--- a/Tests/platform/map-switch/test.cpp
+++ b/Tests/platform/map-switch/test.cpp
@@ -1,7 +1,7 @@
 // Guards against ranks that use different placements in one step, and against a hold that is never
 // released: orders are lost or late, and two leaders are killed or frozen at any point.
 #include "engine_model.h"
-#include "policy/placement_number.h"
+#include "policy/groups/placement_number.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/opening/test.cpp
+++ b/Tests/platform/opening/test.cpp
@@ -1,8 +1,8 @@
 // Load pattern: all groups open at one moment, while the callers of the last 0.7 s and of the outage before
 // are waiting. For 1.7 s passes take twice as long, and there are too few slots for the callers who arrive
 // in that time.
-#include "policy/admission_queue.h"
-#include "policy/admission_wait.h"
+#include "policy/requests/admission_queue.h"
+#include "policy/requests/admission_wait.h"
 
 #include <doctest/doctest.h>
 #include <map>
--- a/Tests/platform/peers/test.cpp
+++ b/Tests/platform/peers/test.cpp
@@ -1,6 +1,6 @@
 // Membership by gossip, and the choice of the processes that read the store.
-#include "policy/peer_table.h"
-#include "policy/store_reading.h"
+#include "policy/configuration/store_reading.h"
+#include "policy/membership/peer_table.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -88,37 +88,37 @@
 
 namespace {
 
-    // Processes wrongly dropped while all of a fleet are alive and gossip: every 250 ms each sends its state to 12 others,
-    // every second also when it last heard from a part of the fleet.
-    int wronglyDropped(int size, int rounds)
-    {
-        std::mt19937_64 random(4);
-        std::vector<peer_table> fleet;
-        for (int i = 0; i < size; ++i)
-            fleet.emplace_back(entry("10.0.0." + std::to_string(i), std::string(1, static_cast<char>('a' + i % 5))), std::vector<std::string>(), milliseconds(3'000));
+// Processes wrongly dropped while all of a fleet are alive and gossip: every 250 ms each sends its state to 12 others,
+// every second also when it last heard from a part of the fleet.
+int wronglyDropped(int size, int rounds)
+{
+    std::mt19937_64 random(4);
+    std::vector<peer_table> fleet;
+    for (int i = 0; i < size; ++i)
+        fleet.emplace_back(entry("10.0.0." + std::to_string(i), std::string(1, static_cast<char>('a' + i % 5))), std::vector<std::string>(), milliseconds(3'000));
+    for (auto& table : fleet) {
+        for (const auto& other : fleet)
+            table.recordContact(other.self(), zero);
+    }
+    std::map<std::string, std::size_t> indexOf;
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        indexOf[fleet[i].self().host] = i;
+    int lost = 0;
+    for (int round = 1; round <= rounds; ++round) {
+        const instant now = zero + round * milliseconds(250);
         for (auto& table : fleet) {
-            for (const auto& other : fleet)
-                table.recordContact(other.self(), zero);
-        }
-        std::map<std::string, std::size_t> indexOf;
-        for (std::size_t i = 0; i < fleet.size(); ++i)
-            indexOf[fleet[i].self().host] = i;
-        int lost = 0;
-        for (int round = 1; round <= rounds; ++round) {
-            const instant now = zero + round * milliseconds(250);
-            for (auto& table : fleet) {
-                lost += static_cast<int>(table.dropSilent(now).size());
-                const auto known = round % 4 == 0 ? table.sampleHeartbeats(now, random) : std::vector<heartbeat>();
-                for (const auto& target : table.samplePreferringOwnZone(peer_role::entry, gossipFanout, random)) {
-                    auto& receiver = fleet[indexOf[target.host]];
-                    receiver.recordContact(table.self(), now);
-                    for (const auto& other : known)
-                        receiver.mergeHeartbeat(other.host, other.age, now);
-                }
+            lost += static_cast<int>(table.dropSilent(now).size());
+            const auto known = round % 4 == 0 ? table.sampleHeartbeats(now, random) : std::vector<heartbeat>();
+            for (const auto& target : table.samplePreferringOwnZone(peer_role::entry, gossipFanout, random)) {
+                auto& receiver = fleet[indexOf[target.host]];
+                receiver.recordContact(table.self(), now);
+                for (const auto& other : known)
+                    receiver.mergeHeartbeat(other.host, other.age, now);
             }
         }
-        return lost;
     }
+    return lost;
+}
 
 } // namespace
 
--- a/Tests/platform/placement-codec/test.cpp
+++ b/Tests/platform/placement-codec/test.cpp
@@ -1,6 +1,6 @@
 // The encoding of placements is lossless and compact, and truncated or extended bytes are rejected.
 #include "gateway/placement_codec.h"
-#include "policy/placement_planner.h"
+#include "policy/groups/placement_planner.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/placement-ease/test.cpp
+++ b/Tests/platform/placement-ease/test.cpp
@@ -1,7 +1,7 @@
 // Guards against a group that copies experts for gains that callers do not notice. Load pattern: other
 // experts are in demand each three seconds, at half of the load that the group can carry or near all of it.
 #include "model/expert_demand.h"
-#include "policy/group_monitor.h"
+#include "policy/groups/group_monitor.h"
 #include "support/engine_costs.h"
 
 #include <doctest/doctest.h>
--- a/Tests/platform/placement-number/test.cpp
+++ b/Tests/platform/placement-number/test.cpp
@@ -1,6 +1,6 @@
 // Guards against two placements of one epoch with the same number, also when leaders do not know of
 // each other, restart, or have a clock that went back.
-#include "policy/group_monitor.h"
+#include "policy/groups/group_monitor.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/placement-plan/test.cpp
+++ b/Tests/platform/placement-plan/test.cpp
@@ -1,6 +1,6 @@
 // Guards against plans for the placement of experts that break a limit, are worse than the present
 // placement, or leave a group far from an even load.
-#include "policy/placement_planner.h"
+#include "policy/groups/placement_planner.h"
 
 #include <cmath>
 #include <doctest/doctest.h>
--- a/Tests/platform/published-state/test.cpp
+++ b/Tests/platform/published-state/test.cpp
@@ -1,5 +1,5 @@
 // Copies of the store: the position only increases, and freshness counts only for the items that a copy holds.
-#include "policy/published_state.h"
+#include "policy/configuration/published_state.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/retained-items/test.cpp
+++ b/Tests/platform/retained-items/test.cpp
@@ -3,7 +3,7 @@
 // earlier incarnation, and a restarted entry VM read an older configuration than its peers knew at the same revision.
 #include "gateway/fleet_state.h"
 #include "platform/item_decoder.h"
-#include "policy/snapshot_choice.h"
+#include "policy/configuration/snapshot_choice.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/retry-budget/test.cpp
+++ b/Tests/platform/retry-budget/test.cpp
@@ -1,5 +1,5 @@
 // The processes of a fleet together stay within its retry budget without messages, also after restarts.
-#include "policy/shared_retry_budget.h"
+#include "policy/requests/shared_retry_budget.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/server-backoff/test.cpp
+++ b/Tests/platform/server-backoff/test.cpp
@@ -1,6 +1,6 @@
 // A server that asked to back off gets no request until the backoff is over, then a single one until that is
 // answered.
-#include "policy/upstream_choice.h"
+#include "policy/routing/upstream_choice.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/platform/server-limit/choice.cpp
+++ b/Tests/platform/server-limit/choice.cpp
@@ -1,5 +1,5 @@
 // A server with a limit gets requests only from processes that have a grant for it.
-#include "policy/upstream_choice.h"
+#include "policy/routing/upstream_choice.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/platform/server-limit/fleet.cpp
+++ b/Tests/platform/server-limit/fleet.cpp
@@ -1,6 +1,6 @@
 // A whole fleet of entry VMs that send to one server with a limit: they stay within the limit and use it, and
 // the arbiter is not asked too often.
-#include "policy/limit_arbiter.h"
+#include "policy/limits/limit_arbiter.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/Tests/platform/server-limit/office.cpp
+++ b/Tests/platform/server-limit/office.cpp
@@ -1,6 +1,6 @@
 // The arbiter of a limit grants no more than the limit allows, however many processes ask and how often, and
 // grants to more urgent requests first.
-#include "policy/limit_arbiter.h"
+#include "policy/limits/limit_arbiter.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/Tests/platform/server-limit/words.cpp
+++ b/Tests/platform/server-limit/words.cpp
@@ -1,5 +1,5 @@
 // Reports of a server about its limit: the newest one of the current incarnation applies until it is too old.
-#include "policy/server_limits.h"
+#include "policy/limits/server_limits.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/platform/several-groups/test.cpp
+++ b/Tests/platform/several-groups/test.cpp
@@ -1,9 +1,9 @@
 // Guards against mixing up the expert groups of one service: each has its own leader, opens and closes
 // on its own, and is chosen on its own.
-#include "policy/group_directory.h"
-#include "policy/group_monitor.h"
-#include "policy/group_roster.h"
-#include "policy/upstream_choice.h"
+#include "policy/groups/group_directory.h"
+#include "policy/groups/group_monitor.h"
+#include "policy/groups/group_roster.h"
+#include "policy/routing/upstream_choice.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/Tests/platform/silent-engine/test.cpp
+++ b/Tests/platform/silent-engine/test.cpp
@@ -1,7 +1,7 @@
 // Load patterns: some answers are lost without a connection reset, or all engines become slow at once.
-#include "policy/delay_estimate.h"
-#include "policy/shared_retry_budget.h"
-#include "policy/silence_limit.h"
+#include "policy/requests/delay_estimate.h"
+#include "policy/requests/shared_retry_budget.h"
+#include "policy/requests/silence_limit.h"
 
 #include <doctest/doctest.h>
 #include <random>
--- a/Tests/platform/slow-group/test.cpp
+++ b/Tests/platform/slow-group/test.cpp
@@ -1,6 +1,6 @@
 // Load pattern: one rank of one group becomes slow, or demand shifts there. All ranks run in
 // lock-step, so every stream of the group is late, whichever rank it is at.
-#include "policy/upstream_choice.h"
+#include "policy/routing/upstream_choice.h"
 #include "support/engine_costs.h"
 
 #include <doctest/doctest.h>
--- a/Tests/platform/snapshots/test.cpp
+++ b/Tests/platform/snapshots/test.cpp
@@ -3,7 +3,7 @@
 #include "gateway/snapshot_codec.h"
 
 #include "gateway.pb.h"
-#include "policy/snapshot_choice.h"
+#include "policy/configuration/snapshot_choice.h"
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
--- a/Tests/platform/suspected-request/test.cpp
+++ b/Tests/platform/suspected-request/test.cpp
@@ -1,8 +1,8 @@
 // A request that has crashed one server as it began must not crash others through its copies: these wait at
 // several entry VMs until the group is open again, and without this rule each VM sends its copy before the
 // second crash is known to any. Seven VMs crashed four servers within 39 ms in this way.
-#include "policy/crash_history.h"
-#include "policy/peer_table.h"
+#include "policy/membership/peer_table.h"
+#include "policy/requests/crash_history.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/Tests/platform/suspended-vm/test.cpp
+++ b/Tests/platform/suspended-vm/test.cpp
@@ -2,7 +2,7 @@
 // the store read 6.5 s ago would look 0.5 s old after a suspension of 6 s: a key revoked meanwhile
 // would be admitted, and deadlines that have passed would be forwarded as time left.
 #include "daemon/process_context.h"
-#include "policy/published_state.h"
+#include "policy/configuration/published_state.h"
 #include "support/suspended_time.h"
 
 #include <doctest/doctest.h>
--- a/Tests/platform/try-rules/test.cpp
+++ b/Tests/platform/try-rules/test.cpp
@@ -1,5 +1,5 @@
 // When a request may be sent to another server.
-#include "policy/attempt_rules.h"
+#include "policy/requests/attempt_rules.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/platform/upstream-choice/fleet_model.h
+++ b/Tests/platform/upstream-choice/fleet_model.h
@@ -2,7 +2,7 @@
 // milliseconds old.
 #pragma once
 
-#include "policy/upstream_choice.h"
+#include "policy/routing/upstream_choice.h"
 
 #include <deque>
 #include <memory>
--- a/Tests/platform/upstream-choice/test.cpp
+++ b/Tests/platform/upstream-choice/test.cpp
@@ -1,5 +1,5 @@
 // Choice of a server by load, health and zone.
-#include "policy/upstream_choice.h"
+#include "policy/routing/upstream_choice.h"
 
 #include <doctest/doctest.h>
 #include <map>
--- a/Tests/platform/work-at-rest/test.cpp
+++ b/Tests/platform/work-at-rest/test.cpp
@@ -1,10 +1,10 @@
 // Guards against work at rest that grows with the fleet. In a fleet of 531 entry VMs and 516 agents most processor time went into
 // looking through all servers and all peers again and again though nothing had changed, and the reader of a zone answered
 // more than a thousand questions about freshness a second.
-#include "policy/freshness_schedule.h"
-#include "policy/group_member_list.h"
-#include "policy/leadership.h"
-#include "policy/store_reading.h"
+#include "policy/configuration/freshness_schedule.h"
+#include "policy/configuration/store_reading.h"
+#include "policy/groups/group_member_list.h"
+#include "policy/groups/leadership.h"
 
 #include <algorithm>
 #include <cmath>
--- a/Tests/requests/admission-property/test.cpp
+++ b/Tests/requests/admission-property/test.cpp
@@ -1,7 +1,7 @@
 // The admission queue: bounded, in order, by priority, fair between workspaces.
 
-#include "policy/admission_queue.h"
-#include "policy/rate_limiter.h"
+#include "policy/limits/rate_limiter.h"
+#include "policy/requests/admission_queue.h"
 
 #include <doctest/doctest.h>
 #include <map>
--- a/Tests/requests/at-most-once-property/once_model.h
+++ b/Tests/requests/at-most-once-property/once_model.h
@@ -1,7 +1,7 @@
 // Simulates agents under random faults and counts the runs of each id.
 #pragma once
 
-#include "policy/execution_guard.h"
+#include "policy/requests/execution_guard.h"
 
 #include <map>
 #include <memory>
--- a/Tests/requests/at-most-once-property/stale_restart.cpp
+++ b/Tests/requests/at-most-once-property/stale_restart.cpp
@@ -1,7 +1,7 @@
 // A directed test: most agents of a pool restart while the configuration service returns an old revision.
 
-#include "policy/execution_guard.h"
-#include "policy/rendezvous.h"
+#include "policy/membership/rendezvous.h"
+#include "policy/requests/execution_guard.h"
 
 #include <doctest/doctest.h>
 #include <memory>
--- a/Tests/requests/engine-intake/test.cpp
+++ b/Tests/requests/engine-intake/test.cpp
@@ -1,5 +1,5 @@
 // An agent passes on to its engine no more than the engine's current incarnation asks for.
-#include "policy/engine_throttle.h"
+#include "policy/limits/engine_throttle.h"
 
 #include <doctest/doctest.h>
 
--- a/Tests/requests/ledger-property/test.cpp
+++ b/Tests/requests/ledger-property/test.cpp
@@ -1,6 +1,6 @@
 // The ledger of ids: one run within an id's lifetime, bounded memory, the right answer for each id.
 
-#include "policy/request_ledger.h"
+#include "policy/requests/request_ledger.h"
 
 #include <doctest/doctest.h>
 #include <map>
--- a/Tests/requests/permit-property/test.cpp
+++ b/Tests/requests/permit-property/test.cpp
@@ -1,7 +1,7 @@
 // Permits and pauses: requests that an entry VM sends after it was paused, with an old permit, are refused.
 
-#include "policy/pause_detector.h"
-#include "policy/permit_issuer.h"
+#include "policy/membership/pause_detector.h"
+#include "policy/requests/permit_issuer.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/requests/retry-property/test.cpp
+++ b/Tests/requests/retry-property/test.cpp
@@ -1,6 +1,6 @@
 // Retries: only where they are safe, and always bounded.
 
-#include "policy/retry_policy.h"
+#include "policy/requests/retry_policy.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/Tests/support/engine_costs.h
+++ b/Tests/support/engine_costs.h
@@ -1,7 +1,7 @@
 // Costs of a model engine, as users publish them, for tests of what is decided by them.
 #pragma once
 
-#include "policy/fleet_configuration.h"
+#include "policy/configuration/fleet_configuration.h"
 
 namespace rampgap::test {
 
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -4,6 +4,7 @@
 Usage: Utilities/mutation-check.py [NAME]...   (all rules without a name; needs g++ only)
 Exit code 0 if every rule is caught, 1 if one is not.
 """
+import glob
 import os
 import subprocess
 import sys
@@ -95,8 +96,9 @@
 
 def caught(folder, rule):
     name, source, old, new, tests = rule
-    path = os.path.join(ROOT, "Source/policy", source)
-    if not os.path.exists(path) or not os.path.isdir(os.path.join(ROOT, "Tests", tests)):
+    policy = glob.glob(os.path.join(ROOT, "Source/policy/*/*.cpp"))
+    path = next((path for path in policy if os.path.basename(path) == source), None)
+    if path is None or not os.path.isdir(os.path.join(ROOT, "Tests", tests)):
         return None
     text = open(path).read()
     if old not in text:
@@ -105,8 +107,7 @@
     os.makedirs(work)
     mutated = os.path.join(work, "mutated.cpp")
     open(mutated, "w").write(text.replace(old, new, 1))
-    policy = os.path.join(ROOT, "Source/policy")
-    sources = [os.path.join(policy, f) for f in os.listdir(policy) if f.endswith(".cpp") and f != source]
+    sources = [other for other in policy if other != path]
     cases = os.path.join(ROOT, "Tests", tests)
     sources += [os.path.join(cases, f) for f in os.listdir(cases) if f.endswith(".cpp")]
     sources += [mutated, os.path.join(ROOT, "Tests/support/main.cpp")]
