store: changes that follow each other quickly are read together

Cause: a watch ends with the first change, and the next one began at once. A watch begins 0.2 s after the one before at the earliest: the first change is read at once as before, those within 0.2 s after it together. Bounds for changes are 2 s and more.

--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/store_follower.cpp
@@ -17,6 +17,10 @@
     constexpr milliseconds firstPause { 100 };
     constexpr milliseconds defaultLongestPause { 600 };
 
+    // Load pattern: all servers of a fleet register within seconds, or configurations come in quick succession. A watch ends
+    // with the first change, so each change would take a call. A change is read at once, those after it together.
+    constexpr milliseconds changeBatchInterval { 200 };
+
     // How often a process that relies on its peers' readings checks whether it must read itself.
     constexpr milliseconds idlePause { 50 };
 
@@ -64,6 +68,7 @@
             done = co_await watchOnce();
         if (done) {
             pause = firstPause;
+            co_await sleepUntil(m_context.io(), startedAt + changeBatchInterval);
             continue;
         }
         // The time that a failed reading took counts towards the pause.
