--- a/Source/policy/configuration/published_state.cpp
+++ b/Source/policy/configuration/published_state.cpp
@@ -186,8 +186,8 @@
     return apply(complete, meaning);
 }
 
-// Load pattern: each change reaches a thousand processes. With 500 servers the keys of all items took
-// 10 KB and the whole list was compared anew at each of them.
+// Load pattern: each change reaches a thousand processes. With 500 servers the keys of all items take
+// 10 KB, and each process would compare the whole list.
 published_delta published_state::since(store_position position, bool mayOmitKeys) const
 {
     published_delta delta;
--- a/Source/policy/membership/peer_table.cpp
+++ b/Source/policy/membership/peer_table.cpp
@@ -169,7 +169,7 @@
     return known == m_peers.end() ? m_silence : std::chrono::duration_cast<milliseconds>(now - known->second.heardAt);
 }
 
-// Lists of pointers: at 2,000 processes, copying all of them for each round of gossip took longer than sending it.
+// Lists of pointers: at 2,000 processes, copying all of them for each round of gossip takes longer than sending it.
 peer_table::peer_list peer_table::all(peer_role role) const
 {
     peer_list found;
--- a/Source/policy/requests/crash_history.cpp
+++ b/Source/policy/requests/crash_history.cpp
@@ -10,15 +10,6 @@
     // Events after which a request no longer counts as just begun: a request that crashes servers usually
     // does so with its first step.
     constexpr std::uint64_t earlyEvents = 2;
-    // Crashes that block a request which had just begun each time and is the only suspect: the server
-    // alone may have caused a first crash, and each further one closes its whole group for seconds.
-    constexpr std::size_t blockingEarlyCrashes = 2;
-    // Crashes that block a request in any case.
-    constexpr std::size_t blockingCrashes = 3;
-    // A request that has not come again for this long is dropped together with its crashes.
-    constexpr std::chrono::minutes retention { 10 };
-    // The same after a single crash in the middle of its answer.
-    constexpr std::chrono::minutes retentionOfOne { 1 };
     // For this time after one crash as it began, a request is refused where another crash would close a
     // group for all callers; elsewhere it begins only in one process. Several times the deadline of its
     // callers, so that a refused caller does not come back with the same call after this time.
@@ -35,7 +26,6 @@
     constexpr std::size_t maxRequests = 2'048;
     // Requests with several crashes that one answer to a peer holds.
     constexpr std::size_t maxRepeated = 32;
-    constexpr std::size_t maxCrashesKept = 8;
 
     milliseconds since(instant then, instant now)
     {
@@ -44,35 +34,6 @@
 
 } // namespace
 
-std::vector<observed_crash> crash_history::unclearedCrashes(const entry& known)
-{
-    std::vector<observed_crash> uncleared;
-    std::copy_if(known.crashes.begin(), known.crashes.end(), std::back_inserter(uncleared), [&known](const observed_crash& crash) { return !known.cleared.contains(crash.server); });
-    return uncleared;
-}
-
-// A request that a server has run to its end is not suspected again until it has as many uncleared
-// crashes as block any request: servers of another version may crash under it, one after the other.
-crash_history::weight crash_history::weightOf(const entry& known)
-{
-    weight uncleared;
-    for (const auto& crash : known.crashes) {
-        if (known.cleared.contains(crash.server))
-            continue;
-        ++uncleared.crashes;
-        uncleared.early += crash.early ? 1 : 0;
-    }
-    if (!known.cleared.empty() && uncleared.crashes < blockingCrashes)
-        return {};
-    return uncleared;
-}
-
-milliseconds crash_history::retentionOf(const entry& known)
-{
-    const bool isKept = known.crashes.size() >= blockingEarlyCrashes || weightOf(known).early > 0;
-    return isKept ? retention : retentionOfOne;
-}
-
 void crash_history::recordCrash(request_fingerprint request, std::uint32_t server, std::uint64_t events, instant now)
 {
     apply({ request, { { server, events < earlyEvents } }, false }, milliseconds(0), now, true);
@@ -83,7 +44,7 @@
 {
     const auto known = m_requests.find(request);
     if (known != m_requests.end())
-        apply({ request, unclearedCrashes(known->second), true }, milliseconds(0), now, true);
+        apply({ request, known->second.evidence.uncleared(), true }, milliseconds(0), now, true);
 }
 
 bool crash_history::merge(const crash_record& record, milliseconds age, instant now)
@@ -93,7 +54,7 @@
 
 bool crash_history::apply(const crash_record& record, milliseconds age, instant now, bool own)
 {
-    if (age >= retention)
+    if (age >= crashRetention)
         return false;
     if (!m_requests.contains(record.request)) {
         if (!makeRoom(record.crashes.size(), own))
@@ -110,7 +71,7 @@
         changed = add(known, record.request, crash, now - age) || changed;
     }
     if (record.served)
-        changed = clear(known, record.crashes) || changed;
+        changed = known.evidence.clear(record.crashes) || changed;
     if (!changed)
         return false;
     recordChange(record.request);
@@ -129,47 +90,23 @@
         m_onChange(request);
 }
 
-std::set<observed_crash>::const_iterator crash_history::findCrash(const entry& known, std::uint32_t server)
-{
-    return std::find_if(known.crashes.begin(), known.crashes.end(), [server](const observed_crash& crash) { return crash.server == server; });
-}
-
-bool crash_history::clear(entry& known, const std::vector<observed_crash>& crashes)
-{
-    bool changed = false;
-    for (const auto& crash : crashes) {
-        const bool isKept = findCrash(known, crash.server) != known.crashes.end();
-        changed = (isKept && known.cleared.insert(crash.server).second) || changed;
-    }
-    return changed;
-}
-
-// Two VMs may have seen the same crash, one of them a moment later in the answer: early takes
-// precedence. If there are more crashes than are kept, every process keeps the same ones.
 bool crash_history::add(entry& known, request_fingerprint request, const observed_crash& crash, instant crashedAt)
 {
-    const auto existing = findCrash(known, crash.server);
-    if (existing != known.crashes.end()) {
-        if (existing->early || !crash.early)
-            return false;
-        known.crashes.erase(existing);
-    }
-    known.crashes.insert(crash);
+    const auto added = known.evidence.add(crash);
+    if (!added)
+        return false;
     auto& server = m_servers.try_emplace(crash.server, crashed_server { {}, crashedAt }).first->second;
     server.suspects.insert(request);
-    if (known.crashes.size() <= maxCrashesKept)
+    if (!added->droppedServer)
         return true;
-    const observed_crash last = *known.crashes.rbegin();
-    known.crashes.erase(last);
-    known.cleared.erase(last.server);
-    forgetSuspect(last.server, request);
-    return last.server != crash.server;
+    forgetSuspect(*added->droppedServer, request);
+    return *added->droppedServer != crash.server;
 }
 
 void crash_history::recordChange(request_fingerprint request)
 {
     m_changed.insert(request);
-    if (m_requests.at(request).crashes.size() >= blockingEarlyCrashes)
+    if (m_requests.at(request).evidence.crashes().size() >= blockingEarlyCrashes)
         updateDigest();
 }
 
@@ -179,8 +116,8 @@
     for (const auto request : repeatedRequests()) {
         const auto& known = m_requests.at(request);
         std::uint32_t hash = XXH32(&request.value, sizeof(request.value), 0);
-        for (const auto& crash : known.crashes) {
-            const std::uint32_t flags = (crash.early ? 1 : 0) + (known.cleared.contains(crash.server) ? 2 : 0);
+        for (const auto& crash : known.evidence.crashes()) {
+            const std::uint32_t flags = (crash.early ? 1 : 0) + (known.evidence.isCleared(crash.server) ? 2 : 0);
             hash = XXH32(&crash.server, sizeof(crash.server), hash + flags);
         }
         m_digest ^= hash;
@@ -194,9 +131,9 @@
     if (m_requests.size() < maxRequests)
         return true;
     const auto weakest = std::min_element(m_requests.begin(), m_requests.end(), [](const auto& a, const auto& b) {
-        return std::pair(weightOf(a.second), a.second.seenAt) < std::pair(weightOf(b.second), b.second.seenAt);
+        return std::pair(a.second.evidence.strength(), a.second.seenAt) < std::pair(b.second.evidence.strength(), b.second.seenAt);
     });
-    if (!own && weakest->second.crashes.size() >= crashes)
+    if (!own && weakest->second.evidence.crashes().size() >= crashes)
         return false;
     erase(weakest->first);
     return true;
@@ -213,7 +150,7 @@
 void crash_history::erase(request_fingerprint request)
 {
     const auto known = m_requests.find(request);
-    for (const auto& crash : known->second.crashes)
+    for (const auto& crash : known->second.evidence.crashes())
         forgetSuspect(crash.server, request);
     m_requests.erase(known);
     m_changed.erase(request);
@@ -224,7 +161,7 @@
     const auto& suspects = m_servers.at(crash.server).suspects;
     return std::any_of(suspects.begin(), suspects.end(), [&](request_fingerprint other) {
         const auto& known = m_requests.at(other);
-        return other != request && !known.cleared.contains(crash.server) && weightOf(known) > own;
+        return other != request && !known.evidence.isCleared(crash.server) && known.evidence.strength() > own;
     });
 }
 
@@ -233,7 +170,7 @@
     const auto& suspects = m_servers.at(crashes.front().server).suspects;
     return std::any_of(suspects.begin(), suspects.end(), [&](request_fingerprint other) {
         const auto& known = m_requests.at(other);
-        return other != request && weightOf(known) == own && std::all_of(crashes.begin(), crashes.end(), [&known](const observed_crash& crash) { return known.crashes.contains(crash); });
+        return other != request && known.evidence.strength() == own && std::all_of(crashes.begin(), crashes.end(), [&known](const observed_crash& crash) { return known.evidence.crashes().contains(crash); });
     });
 }
 
@@ -242,18 +179,18 @@
 std::optional<milliseconds> crash_history::blockedFor(request_fingerprint request, instant now) const
 {
     const auto known = m_requests.find(request);
-    if (known == m_requests.end() || now - known->second.seenAt >= retentionOf(known->second))
+    if (known == m_requests.end() || now - known->second.seenAt >= known->second.evidence.retention())
         return std::nullopt;
-    const weight own = weightOf(known->second);
+    const weight own = known->second.evidence.strength();
     if (own.crashes < blockingEarlyCrashes)
         return std::nullopt;
-    auto unexplained = unclearedCrashes(known->second);
+    auto unexplained = known->second.evidence.uncleared();
     std::erase_if(unexplained, [&](const observed_crash& crash) { return isExplainedByOther(crash, request, own); });
     const auto early = static_cast<std::size_t>(std::count_if(unexplained.begin(), unexplained.end(), [](const observed_crash& crash) { return crash.early; }));
     const bool isBlocked = unexplained.size() >= blockingCrashes || (early >= blockingEarlyCrashes && !hasEqualSuspect(unexplained, request, own));
     if (!isBlocked)
         return std::nullopt;
-    return std::chrono::duration_cast<milliseconds>(known->second.seenAt + retention - now);
+    return std::chrono::duration_cast<milliseconds>(known->second.seenAt + crashRetention - now);
 }
 
 // One other crash at the same moment proves nothing: a server may fail by itself while the request
@@ -267,7 +204,7 @@
         const instant otherAt = crashed.crashedAt;
         if ((at < otherAt ? otherAt - at : at - otherAt) >= sameMoment)
             continue;
-        if (findCrash(known, server) != known.crashes.end())
+        if (known.evidence.concerns(server))
             ++with;
         else
             without.push_back(otherAt);
@@ -281,14 +218,14 @@
 crash_history::assessment crash_history::assess(request_fingerprint request, instant now) const
 {
     const auto known = m_requests.find(request);
-    if (known == m_requests.end() || now - known->second.seenAt >= retentionOf(known->second))
+    if (known == m_requests.end() || now - known->second.seenAt >= known->second.evidence.retention())
         return {};
-    const weight own = weightOf(known->second);
+    const weight own = known->second.evidence.strength();
     assessment assessed;
-    for (const auto& crash : known->second.crashes) {
+    for (const auto& crash : known->second.evidence.crashes()) {
         if (!crash.early)
             continue;
-        if (!known->second.cleared.empty())
+        if (known->second.evidence.anyCleared())
             assessed.clearedBy = "a server ran it to its end";
         else if (isExplainedByOther(crash, request, own))
             assessed.clearedBy = "another request explains the crash";
@@ -380,7 +317,7 @@
 aged_crash_records crash_history::takeUpdates(std::size_t limit, instant now)
 {
     std::vector<request_fingerprint> changedRequests(m_changed.begin(), m_changed.end());
-    std::stable_sort(changedRequests.begin(), changedRequests.end(), [this](request_fingerprint a, request_fingerprint b) { return weightOf(m_requests.at(a)) > weightOf(m_requests.at(b)); });
+    std::stable_sort(changedRequests.begin(), changedRequests.end(), [this](request_fingerprint a, request_fingerprint b) { return m_requests.at(a).evidence.strength() > m_requests.at(b).evidence.strength(); });
     changedRequests.resize(std::min(limit, changedRequests.size()));
     aged_crash_records updates;
     for (const auto request : changedRequests) {
@@ -394,11 +331,11 @@
 {
     std::vector<request_fingerprint> requests;
     for (const auto& [request, known] : m_requests) {
-        if (known.crashes.size() >= blockingEarlyCrashes)
+        if (known.evidence.crashes().size() >= blockingEarlyCrashes)
             requests.push_back(request);
     }
     // Every process must pick the same ones: by the crashes, which all know, not by time of arrival.
-    std::stable_sort(requests.begin(), requests.end(), [this](request_fingerprint a, request_fingerprint b) { return m_requests.at(a).crashes.size() > m_requests.at(b).crashes.size(); });
+    std::stable_sort(requests.begin(), requests.end(), [this](request_fingerprint a, request_fingerprint b) { return m_requests.at(a).evidence.crashes().size() > m_requests.at(b).evidence.crashes().size(); });
     requests.resize(std::min(maxRepeated, requests.size()));
     return requests;
 }
@@ -430,9 +367,8 @@
 {
     const auto& known = m_requests.at(request);
     const milliseconds age = since(known.seenAt, now);
-    crash_record uncleared { request, unclearedCrashes(known), false };
-    crash_record cleared { request, {}, true };
-    std::copy_if(known.crashes.begin(), known.crashes.end(), std::back_inserter(cleared.crashes), [&known](const observed_crash& crash) { return known.cleared.contains(crash.server); });
+    crash_record uncleared { request, known.evidence.uncleared(), false };
+    crash_record cleared { request, known.evidence.cleared(), true };
     for (auto& record : { std::move(uncleared), std::move(cleared) }) {
         if (!record.crashes.empty())
             records.emplace_back(record, age);
@@ -443,7 +379,7 @@
 {
     std::vector<request_fingerprint> expired;
     for (const auto& [request, known] : m_requests) {
-        if (now - known.seenAt >= retentionOf(known))
+        if (now - known.seenAt >= known.evidence.retention())
             expired.push_back(request);
     }
     for (const auto request : expired)
--- a/Source/policy/requests/crash_history.h
+++ b/Source/policy/requests/crash_history.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "policy/common/verdict.h"
+#include "policy/requests/crash_evidence.h"
 #include "policy/requests/request_fingerprint.h"
 
 #include <cstddef>
@@ -16,16 +17,6 @@
 
 namespace rampgap {
 
-// A crash of one server that was running the request.
-struct observed_crash {
-    // hashOf the server's incarnation.
-    std::uint32_t server = 0;
-    // The request had just begun. A request that crashes servers usually does so with its first step.
-    bool early = false;
-
-    auto operator<=>(const observed_crash&) const = default;
-};
-
 // Crashes of servers that were running one request, as processes send them to each other.
 struct crash_record {
     request_fingerprint request;
@@ -101,18 +92,10 @@
 
 private:
     struct entry {
-        std::set<observed_crash> crashes;
-        // Servers of these crashes that the request is cleared of: another server has run it to the end since.
-        std::set<std::uint32_t> cleared;
+        crash_evidence evidence;
         instant seenAt;
     };
-    // How strong the evidence against a request is: first by crashes, then by how many of them followed its start.
-    struct weight {
-        std::size_t crashes = 0;
-        std::size_t early = 0;
-
-        auto operator<=>(const weight&) const = default;
-    };
+    using weight = crash_evidence::weight;
 
     struct assessment {
         // Until when the request counts as the cause of a crash; empty if it does not count as the cause
@@ -128,14 +111,7 @@
         instant crashedAt;
     };
 
-    static std::vector<observed_crash> unclearedCrashes(const entry&);
-    static weight weightOf(const entry&);
-    static milliseconds retentionOf(const entry&);
     bool apply(const crash_record&, milliseconds age, instant now, bool own);
-    // The crash of this server in `crashes`, or their end.
-    static std::set<observed_crash>::const_iterator findCrash(const entry&, std::uint32_t server);
-    // Clears the request of these crashes. True if it was not yet cleared of all of them.
-    static bool clear(entry&, const std::vector<observed_crash>&);
     // Adds a crash. True if that changed the entry.
     bool add(entry&, request_fingerprint, const observed_crash&, instant crashedAt);
     // Calls the functions set by onServerCrashed and onChange.
