relay: a caller that reads slowly is told from one that reads nothing

A queue of 64 KB was sent in one operation, so a caller that took a part of it each 0.1 s counted as gone after 2 s; and the end of an answer was waited for no longer than that. Found by reading. Each piece that the kernel takes counts now, and the last part waits 30 s as before, since no server waits for it. Test red before: the caller that reads a little was lost.

--- a/Source/daemon/chunk_writer.cpp
+++ b/Source/daemon/chunk_writer.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 
 namespace rampgap {
@@ -58,7 +57,7 @@
     queue(lineEnd);
     send(owner);
     std::function<bool()> done = [this] { return mayQueueMore(); };
-    co_return co_await waitUntil(std::move(done));
+    co_return co_await waitUntil(std::move(done), m_limits.slowCaller);
 }
 
 awaitable<bool> chunk_writer::finish(std::shared_ptr<void> owner)
@@ -67,13 +66,13 @@
         co_return false;
     queue(lastChunk);
     send(owner);
-    co_return co_await flush();
+    co_return co_await flush(m_limits.writeTimeout);
 }
 
-awaitable<bool> chunk_writer::flush()
+awaitable<bool> chunk_writer::flush(milliseconds longest)
 {
     std::function<bool()> done = [this] { return unsent() == 0; };
-    co_return co_await waitUntil(std::move(done));
+    co_return co_await waitUntil(std::move(done), longest);
 }
 
 bool chunk_writer::mayQueueMore() const
@@ -81,15 +80,23 @@
     return unsent() == 0 || (unsent() <= m_limits.perAnswer && m_unsent->total <= m_limits.perServer);
 }
 
+// Sends piece by piece, so that each piece that the caller takes shows that it is still there.
 void chunk_writer::send(const std::shared_ptr<void>& owner)
 {
-    if (!m_sending.empty() || m_queued.empty())
+    if (m_sending.empty())
+        m_sending.swap(m_queued);
+    if (m_sending.empty() || m_isSending)
         return;
-    m_sending.swap(m_queued);
+    m_isSending = true;
     m_stream.expires_after(m_limits.writeTimeout);
-    asio::async_write(m_stream, asio::buffer(m_sending), [this, owner](const boost::system::error_code& error, std::size_t) {
-        m_unsent->total -= m_sending.size();
-        m_sending.clear();
+    m_stream.async_write_some(asio::buffer(m_sending) + m_sent, [this, owner](const boost::system::error_code& error, std::size_t size) {
+        m_isSending = false;
+        m_sent += size;
+        m_unsent->total -= size;
+        if (m_sent == m_sending.size()) {
+            m_sending.clear();
+            m_sent = 0;
+        }
         if (error)
             lose();
         else
@@ -107,10 +114,10 @@
     m_onLost();
 }
 
-awaitable<bool> chunk_writer::waitUntil(std::function<bool()> done)
+awaitable<bool> chunk_writer::waitUntil(std::function<bool()> done, milliseconds longest)
 {
     while (!m_lost && !done()) {
-        m_progress.expires_after(m_limits.slowCaller);
+        m_progress.expires_after(longest);
         const auto [error] = co_await m_progress.async_wait(asTuple);
         if (!error)
             lose();
--- a/Source/daemon/chunk_writer.h
+++ b/Source/daemon/chunk_writer.h
@@ -24,8 +24,9 @@
         // Unsent bytes of one answer, and of all answers of the server, up to which `write` does not wait.
         std::size_t perAnswer = 65'536;
         std::size_t perServer = 16'777'216;
-        // The caller counts as gone after this time without progress while `write` waits.
+        // The caller counts as gone if it takes nothing for this time while `write` waits, and so the server.
         milliseconds slowCaller { 2'000 };
+        // The same while only the caller is waited for.
         milliseconds writeTimeout { 30'000 };
 
         bool operator==(const limits&) const = default;
@@ -42,16 +43,16 @@
     awaitable<bool> write(std::string_view bytes, std::shared_ptr<void> owner);
     // Sends the last chunk and waits until all is sent.
     awaitable<bool> finish(std::shared_ptr<void> owner);
-    // Waits until all is sent, or the caller counts as gone.
-    awaitable<bool> flush();
-    std::size_t unsent() const { return m_queued.size() + m_sending.size(); }
+    // Waits until all is sent, or the caller has taken nothing for `longest`.
+    awaitable<bool> flush(milliseconds longest);
+    std::size_t unsent() const { return m_queued.size() + m_sending.size() - m_sent; }
 
 private:
     void queue(std::string_view bytes);
     void send(const std::shared_ptr<void>& owner);
     void lose();
-    // Waits until `done`; false if the caller is gone or makes no progress.
-    awaitable<bool> waitUntil(std::function<bool()> done);
+    // Waits until `done`; false if the caller is gone, or takes nothing for `longest`.
+    awaitable<bool> waitUntil(std::function<bool()> done, milliseconds longest);
     bool mayQueueMore() const;
 
     boost::beast::tcp_stream& m_stream;
@@ -59,7 +60,10 @@
     limits m_limits;
     std::function<void()> m_onLost;
     std::string m_queued;
+    // What is being sent, and how much of it the kernel has taken.
     std::string m_sending;
+    std::size_t m_sent = 0;
+    bool m_isSending = false;
     bool m_lost = false;
     // Cancelled at each progress.
     boot_timer m_progress;
--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -208,7 +208,7 @@
     awaitable<void> flushBody()
     {
         if (m_body && !m_callerGone)
-            co_await m_body->flush();
+            co_await m_body->flush(chunk_writer::limits {}.slowCaller);
     }
 
     void abort() override
--- a/Tests/requests/slow-reader/test.cpp
+++ b/Tests/requests/slow-reader/test.cpp
@@ -115,6 +115,28 @@
     CHECK_FALSE(connection->finished);
 }
 
+TEST_CASE("a caller that reads a little again and again is not given up, and one that pauses gets the end of its answer")
+{
+    asio::io_context io;
+    const auto unsent = std::make_shared<unsent_bytes>();
+    const auto connection = std::make_shared<slow_connection>(io, unsent, shortLimits());
+    asio::co_spawn(io, connection->answer(90), asio::detached);
+    std::string part(6'000, '\0');
+    for (int i = 0; i < 8; ++i) {
+        io.run_for(milliseconds(100));
+        boost::system::error_code error;
+        if (connection->caller.available() > 0)
+            connection->caller.read_some(asio::buffer(part), error);
+    }
+    CHECK_FALSE(connection->lost);
+    CHECK(connection->written == 90);
+    io.run_for(milliseconds(500));
+    CHECK_FALSE(connection->lost);
+    connection->readAll(io);
+    io.run_for(milliseconds(20));
+    CHECK(connection->finished);
+}
+
 TEST_CASE("200 callers that do not read hold a bounded part of the memory, and a fast one is not kept waiting")
 {
     asio::io_context io;
