--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -70,10 +70,10 @@
     , m_peers(std::move(peers))
     , m_settings(settings)
     , m_socket(std::move(socket))
-    , m_freshness(settings.proofReplacedAt)
     , m_snapshots(context, log, state, settings.controlPort)
     , m_crashes(context, history, m_peers, *this)
     , m_limits(context, log, limits, m_peers, *this)
+    , m_freshness(settings.proofReplacedAt)
 {
 }
 
--- a/Source/policy/configuration/published_state.h
+++ b/Source/policy/configuration/published_state.h
@@ -44,8 +44,8 @@
     std::vector<std::string> keys;
     store_position position;
     // The older copy's revision, in the same epoch, if `removed` is given and not `keys`.
-    std::optional<store_revision> changesFrom;
-    std::vector<removed_key> removed;
+    std::optional<store_revision> changesFrom = std::nullopt;
+    std::vector<removed_key> removed = {};
 
     bool operator==(const published_delta&) const = default;
 };
