agent: it learns of changes as soon as before

Cause: agents asked for proofs 6.7 times a second, and what they really took from the answers was that the list of servers had changed: nothing announces that to them. Asking each 3 s only left them to the reply to one report in four, up to 1.6 s late, so a leader missed ranks that had been started anew. They ask each 0.25 s now, one relay (two readers each 0.15 s before).

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -31,8 +31,9 @@
     // Long, since an agent rarely hears from each entry VM; it needs only a few that answer.
     constexpr milliseconds peerTimeout { 15'000 };
     constexpr milliseconds peerReportInterval { 400 };
-    // An agent admits no requests: it needs to know when the list of servers changes, not how fresh it is.
-    constexpr milliseconds proofReplacedAt { 3'000 };
+    // An agent admits no requests, so the age of a proof does not matter. But changes of the list of servers are not
+    // announced to it: it learns of them from the answers.
+    constexpr freshness_pace agentPace { milliseconds(0), milliseconds(250) };
     constexpr milliseconds distrustSourceAfter { 5'000 };
     // A group whose ranks were cut off opens 0.6 s after the cut, but their entries lapsed during
     // the cut and return up to 2 s later. Agents send no requests, so they can keep the ranks that
@@ -112,7 +113,7 @@
     exchange.datagramPort = m_settings.firstPeerPort;
     exchange.controlPort = m_settings.seedControlPort;
     exchange.reportInterval = peerReportInterval;
-    exchange.proofReplacedAt = proofReplacedAt;
+    exchange.freshness = agentPace;
     exchange.distrustSourceAfter = distrustSourceAfter;
     peer_table table({ m_settings.host, m_settings.zone, peer_role::agent, m_context.incarnation() }, m_settings.seedHosts, peerTimeout);
     auto peers = peer_exchange::open(m_context, m_log, m_state, m_loads, m_groups, m_history, m_limits, std::move(table), exchange);
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -73,7 +73,7 @@
     , m_snapshots(context, log, state, settings.controlPort)
     , m_crashes(context, history, m_peers, *this)
     , m_limits(context, log, limits, m_peers, *this)
-    , m_freshness(settings.proofReplacedAt)
+    , m_freshness(settings.freshness)
 {
 }
 
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -21,9 +21,8 @@
     unsigned short controlPort = 0;
     // Between two reports of the own work.
     milliseconds reportInterval { 250 };
-    // Age of the newest proof of freshness at which peers are asked for another one: a reader has it after
-    // two waits of its watch.
-    milliseconds proofReplacedAt { 1'610 };
+    // How often peers are asked for proofs of freshness. Their answers also tell of changes.
+    freshness_pace freshness;
     // With a state last confirmed longer ago than this, other peers than the usual one are asked, too.
     milliseconds distrustSourceAfter { 1'750 };
 };
--- a/Source/policy/configuration/freshness_schedule.h
+++ b/Source/policy/configuration/freshness_schedule.h
@@ -5,14 +5,22 @@
 
 namespace rampgap {
 
-// A reader replaces each proof by a newer one when the older one has a certain age. So this process
-// asks when its own proof has that age, whenever it has learned of it, and again after a short time
-// while it gets no newer one.
+struct freshness_pace {
+    // Age of a proof at which a newer one is expected: a reader replaces it after two waits of its watch.
+    milliseconds replacedAt { 1'610 };
+    // A source that has no newer proof, or whose answer was lost, is asked again after this. Proofs pass
+    // two hops in a large zone, and their age must stay below what makes a process read by itself.
+    milliseconds askAgainAfter { 50 };
+
+    bool operator==(const freshness_pace&) const = default;
+};
+
+// This process asks when its proof has the age at which a newer one is expected, whenever it has
+// learned of it, and again after a short time while it gets no newer one.
 class freshness_schedule {
 public:
-    // `replacedAt`: age of a proof at which a newer one is expected.
-    explicit freshness_schedule(milliseconds replacedAt)
-        : m_replacedAt(replacedAt)
+    explicit freshness_schedule(freshness_pace pace)
+        : m_pace(pace)
     {
     }
 
@@ -22,7 +30,7 @@
     instant dueAt() const;
 
 private:
-    milliseconds m_replacedAt;
+    freshness_pace m_pace;
     instant m_freshAsOf {};
     instant m_askedAt {};
 };
--- a/Tests/platform/work-at-rest/test.cpp
+++ b/Tests/platform/work-at-rest/test.cpp
@@ -210,7 +210,7 @@
         wakesAt = std::min(now + milliseconds(150), std::max(schedule.dueAt(), now + milliseconds(10)));
     }
 
-    freshness_schedule schedule { milliseconds(1'610) };
+    freshness_schedule schedule { freshness_pace {} };
     instant proof = zero;
     instant wakesAt = zero;
     int questions = 0;
