--- a/Source/gateway/peer_wire.cpp
+++ b/Source/gateway/peer_wire.cpp
@@ -65,8 +65,9 @@
 
 std::vector<heartbeat> heartbeatsOf(const gateway::peer_datagram& datagram)
 {
-    std::vector<heartbeat> heartbeats;
     const int count = std::min(datagram.heard_hosts_size(), datagram.heard_ages_ms_size());
+    std::vector<heartbeat> heartbeats;
+    heartbeats.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         heartbeats.push_back({ boost::asio::ip::address_v4(datagram.heard_hosts(i)).to_string(), milliseconds(datagram.heard_ages_ms(i)) });
     return heartbeats;
