--- a/Source/daemon/http_server.h
+++ b/Source/daemon/http_server.h
@@ -45,7 +45,8 @@
     virtual void abort() = 0;
     virtual bool begun() const = 0;
     virtual bool callerGone() const = 0;
-    // Sets an action to run at most once, when the caller disconnects before the answer ends.
+    // Sets the action to run if the caller disconnects before the answer ends. It runs at most once and
+    // replaces an earlier one.
     virtual void onCallerGone(std::function<void()>) = 0;
 };
 
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -64,7 +64,7 @@
 
 // Latency histograms. Exported names and help texts are in one table in the source.
 enum class latency {
-    // From a request's arrival to its final answer.
+    // From the arrival of a request to its final answer or failure.
     request,
     // From a request's arrival to the first byte of a server's answer.
     first_byte,
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -210,7 +210,8 @@
     const instant asked = m_context.now();
     http_request ask { http::verb::get, "/rampgap/permit", 11 };
     auto response = co_await m_client.fetch(m_table.view(id).address, std::move(ask), permitTimeout);
-    // A request that came before a pause must not get a permit from after it.
+    // The process may have been paused during the call. A permit from after the pause must not be used for
+    // a request from before it, which may have been sent by another entry VM meanwhile.
     if (m_pauses.check(m_context.now(), std::chrono::system_clock::now()))
         m_pauseSign = true;
     if (epoch != m_pauses.epoch())
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/gateway_process.cpp
@@ -34,7 +34,8 @@
     constexpr int ticksPerReload = 20;
     constexpr unsigned short metricsPort = 9'464;
     constexpr int maxFrontConnections = 3'000;
-    // Idle connections stay open a little longer than callers may use them.
+    // Added to the idle timeout of the configuration: a connection that is closed just as its caller sends
+    // a request loses that request.
     constexpr milliseconds idleMargin { 1'000 };
 
     unsigned short portOf(const std::string& address)
@@ -249,8 +250,8 @@
     }
 }
 
-// Reports not ready at once, serves on until the load balancer sends no more callers, then closes
-// connections after their answers and stops once the last request is answered.
+// The readiness check fails at once. The process goes on serving until the load balancer sends no more
+// callers. Then it closes each connection after its answer, and stops after the last one.
 awaitable<void> gateway_process::stopGracefully()
 {
     const instant killAt = m_context.now() + m_settings.stopGrace - stopMargin;
--- a/Source/gateway/gateway_server.cpp
+++ b/Source/gateway/gateway_server.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-    // When callers of a process without a configuration should retry: reading one takes less.
+    // When callers that are refused since the process has no configuration should retry.
     constexpr milliseconds notReadyRetryAfter { 250 };
-    // A starting process has its configuration after 0.3 s, from a peer or the store. Refused
-    // callers pause at least as long and retry only once.
+    // A starting process gets its configuration from a peer or the store after about 0.3 s, so callers
+    // are held: a refused one would pause as long, and may retry only once.
     constexpr milliseconds maxConfigurationWait { 1'000 };
     constexpr milliseconds configurationPoll { 10 };
     constexpr milliseconds freshnessPoll { 20 };
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -22,7 +22,8 @@
     constexpr int reportsPerMembership = 4;
     constexpr int heartbeatRound = 2;
     constexpr std::size_t processesPerDatagram = 24;
-    // An agent has no work to report; it only needs to keep knowing a few entry VMs.
+    // Entry VMs that an agent sends each report to. An agent has no requests to report: its reports only keep it
+    // in contact with some entry VMs.
     constexpr std::size_t reportFanoutOfAgent = 1;
     // Number of entry VMs to which a process forwards a changed state of a group. So the change reaches
     // all of 149 entry VMs in three or four rounds, and each of them sends 6 datagrams. If each of 129
@@ -37,8 +38,10 @@
     constexpr std::size_t announcedPerOtherZone = 2;
     // Between two queries of a process that holds no state yet.
     constexpr milliseconds joinInterval { 100 };
-    // Between two rounds of the periodic work, unless a query for freshness is due sooner.
+    // Longest pause between two rounds of the periodic work of `freshnessLoop`; a query for freshness that is due
+    // sooner shortens it.
     constexpr milliseconds checkInterval { 150 };
+    // Shortest pause, if queries are overdue.
     constexpr milliseconds minCheckPause { 10 };
     // An answer later than this is worth no more than a new query.
     constexpr milliseconds queryLifetime { 1'000 };
--- a/Source/gateway/request_codec.h
+++ b/Source/gateway/request_codec.h
@@ -56,7 +56,7 @@
     not_executed,
     // Another server has this address; it did not run the request.
     wrong_server,
-    // Not recognizable as an answer to this request.
+    // The reply is malformed or belongs to another request; this one may have run.
     unreadable,
 };
 
--- a/Source/model/caller_crowd.cpp
+++ b/Source/model/caller_crowd.cpp
@@ -193,7 +193,7 @@
         return;
     m_ended.push_back(who.id);
     m_attempts.erase(who.attempt);
-    // Not here: the caller may still be in use further up.
+    // The caller is erased by a later event, since functions that called this one may still refer to it.
     m_events.after(duration::zero(), [this] {
         for (const auto id : m_ended)
             m_callers.erase(id);
--- a/Source/policy/configuration/snapshot_choice.h
+++ b/Source/policy/configuration/snapshot_choice.h
@@ -16,7 +16,7 @@
 // once: they are small, and without them a revoked key may be admitted.
 class snapshot_choice {
 public:
-    // A peer sent a summary of its copy. Returns the host to fetch from now, if any.
+    // Records the summary of a peer's copy. Returns the host to fetch the state from now, if there is one.
     std::optional<std::string> recordPeerSummary(const std::string& host, bool sameZone, const state_summary& peer, const state_summary& own, instant now);
     // The host to fetch from if no peer of the own zone had the change in time.
     std::optional<std::string> overdueFetch(store_position own, instant now) const;
--- a/Source/policy/groups/rank_types.h
+++ b/Source/policy/groups/rank_types.h
@@ -99,7 +99,7 @@
     already,
     // The order does not fit the state of the engine.
     conflict,
-    // The engine has seen a higher fence.
+    // Refused, since the engine has received an order with a higher fencing number.
     fenced,
     refused,
     // No answer: the order may have been accepted, or may still be carried out later.
--- a/Source/policy/limits/limit_arbiter.cpp
+++ b/Source/policy/limits/limit_arbiter.cpp
@@ -18,7 +18,8 @@
     constexpr double minQuestionsPerSecond = 8;
     constexpr milliseconds minAskAgainDelay { 100 };
     constexpr milliseconds maxAskAgainDelay { 20'000 };
-    // A requester that has not asked for this long is taken to have no requests for the server.
+    // A requester that has not asked for a grant for this long does not count any more when the arbiter
+    // works out how often each requester may ask.
     constexpr milliseconds requesterLifetime { 30'000 };
     // Entry VMs that were known this long ago may be cut off and still be sending.
     constexpr milliseconds fleetMemory { 30'000 };
--- a/Source/policy/limits/server_limits.h
+++ b/Source/policy/limits/server_limits.h
@@ -73,7 +73,7 @@
     std::optional<reported_limit> reportOf(server_hash, instant now) const;
     // True if a limit of any server is stored.
     bool any() const { return !m_reports.empty() || !m_cold.empty(); }
-    // Reports that changed a short time ago, for the peers.
+    // Reports whose limit changed within the last second: they are sent to the peers.
     reported_limits recentChanges(instant now) const;
     // At most `count` of the limits that apply now, for a process that has just started.
     reported_limits currentLimits(std::size_t count, instant now) const;
--- a/Source/policy/requests/admission_share.cpp
+++ b/Source/policy/requests/admission_share.cpp
@@ -9,12 +9,12 @@
 
     // Fraction of the capacity that is shared out. Servers are chosen by counts that are 0.2 s old, so
     // that with the whole capacity some ranks get a queue while others have free slots.
-    // Answers were worth 0.56 on average with this, and 0.55 with 0.75 and with 1.0.
     constexpr double sharedFraction = 0.85;
-    // Counts from engines are up to 0.3 s old: as a group opens, all waiting callers arrive at one
-    // moment, and the counts show them too late.
+    // Counts from engines are up to 0.3 s old. When a group opens, all waiting callers are sent at one
+    // moment, and for a while the counts do not show their requests: free slots by these counts are not used.
     constexpr milliseconds countsSettleTime { 1'000 };
-    // Every entry VM may send a few requests, however many entry VMs there are.
+    // Without it, an entry VM in a large fleet could send nothing. With more entry VMs than half of the slots, the shares
+    // together exceed the capacity, and the engines' queues take the rest.
     constexpr int minShare = 2;
 
 } // namespace
--- a/Source/policy/requests/crash_detector.cpp
+++ b/Source/policy/requests/crash_detector.cpp
@@ -10,8 +10,8 @@
 
     // A server that crashed without closing its connections is restarted and listed again after about four seconds.
     constexpr milliseconds suspicionLifetime { 10'000 };
-    // Calls at a crashed server are found to be lost within a few milliseconds of each other, and calls
-    // that just fall silent within the callers' patience of two seconds.
+    // How long a crash is remembered, for calls that are found to be lost after it: those whose connections
+    // break within milliseconds, those that only fall silent when their callers give up after two seconds.
     constexpr milliseconds crashedLifetime { 10'000 };
     // Calls kept for one incarnation: those that a server runs at once and some that wait there. Bounds
     // the memory where thousands of calls wait at one server.
--- a/Source/policy/requests/crash_detector.h
+++ b/Source/policy/requests/crash_detector.h
@@ -58,8 +58,8 @@
     // A probe has not shown whether the server crashed: it got no answer, or the server still listened and
     // may be running or still ending. No further probe is requested until the next call is lost.
     void recordUndecided(const server_incarnation&);
-    // The server has crashed: nothing listens at its address, or it was restarted. Returns the calls that it
-    // was running, and no longer keeps them.
+    // Records that the server has crashed: nothing listens at its address, or it was restarted. Removes and
+    // returns the calls that it was running.
     std::vector<lost_call> recordCrashed(const server_incarnation&, instant now);
     bool hasCrashed(const server_incarnation&, instant now) const;
 
--- a/Source/policy/requests/crash_evidence.h
+++ b/Source/policy/requests/crash_evidence.h
@@ -41,14 +41,14 @@
     };
 
     struct addition {
-        // A server whose crash is not kept any more, since there are too many.
+        // The server whose crash was dropped because too many are kept; empty if none was.
         std::optional<std::uint32_t> droppedServer;
     };
 
-    // Adds a crash; empty if it was known already.
+    // Adds a crash. Empty if that changed nothing, since the crash was known already.
     std::optional<addition> add(const observed_crash&);
-    // Clears the request of these crashes: another server has run it to the end since. True if it was
-    // not yet cleared of all of them.
+    // Clears the request of these crashes, because another server has run it to the end since. True if
+    // that changed anything.
     bool clear(const std::vector<observed_crash>&);
 
     const std::set<observed_crash>& crashes() const { return m_crashes; }
--- a/Source/policy/requests/crash_history.h
+++ b/Source/policy/requests/crash_history.h
@@ -27,7 +27,7 @@
     bool operator==(const crash_record&) const = default;
 };
 
-// Records, each with the time since its request was last seen.
+// Crash records, each with the time since any process last saw the request.
 using aged_crash_records = std::vector<std::pair<crash_record, milliseconds>>;
 
 // Input of the decision whether a request may be sent to a server.
--- a/Source/policy/requests/ownership_guard.h
+++ b/Source/policy/requests/ownership_guard.h
@@ -1,5 +1,5 @@
-// Decides whether this agent may run a request id: it must be the id's only owner and certain that
-// the id has not run.
+// Decides whether this agent may run the request with an id that may run at most once. The agent must be
+// the only owner of the id, and must know that no agent has run it.
 #pragma once
 
 #include "policy/common/verdict.h"
--- a/Source/policy/routing/upstream_choice.cpp
+++ b/Source/policy/routing/upstream_choice.cpp
@@ -128,7 +128,7 @@
         each.delay = expectedDelay(load, listed->capacity, input.costs, input.promptTokens);
         each.delay += failedAttemptMs * backends.health(id).failureShare;
         each.inOwnZone = listed->zone == input.ownZone;
-        // Only one VM may have a grant, and it may be in another zone.
+        // A grant is valid for this VM and this server only, so it is used even if the server is in another zone.
         if (!each.inOwnZone && !each.granted)
             each.delay += otherZoneMs;
         each.avoided = backends.avoided(id, input.now);
--- a/Tests/config/chain-property/test.cpp
+++ b/Tests/config/chain-property/test.cpp
@@ -107,7 +107,7 @@
         }
     }
 
-    // Reads the history from a service that shows the first `visible` documents.
+    // A node reads the service while that lists only the first `visible` documents, as a stale service does.
     void read(std::size_t node, std::size_t visible)
     {
         std::vector<published_document> seen;
--- a/Tests/platform/demand-estimate/test.cpp
+++ b/Tests/platform/demand-estimate/test.cpp
@@ -1,5 +1,5 @@
-// Demand for experts that shifts every few seconds: a shift is detected at once, and random variation of the
-// counts is not taken for one.
+// Guards against a slow estimate of the demand for experts, which shifts every few seconds: a shift is detected with
+// the first counts that show it, and random variation of the counts does not count as a shift.
 #include "policy/groups/demand_estimate.h"
 
 #include <doctest/doctest.h>
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -221,8 +221,8 @@
     earlier.fresh = false;
     monitor.observe({ "a", earlier, {} }, zero + milliseconds(100));
     CHECK(monitor.view(0) == present);
-    // In a view from the engine's own machine, or once the present view has expired, another incarnation
-    // is the newer one.
+    // A view of another incarnation replaces the present one if that has expired, or if it comes from the
+    // engine's own machine.
     monitor.observe({ "a", earlier, {} }, zero + milliseconds(900));
     CHECK(monitor.view(0) == earlier);
     present.incarnation = 3;
