membership: questions for proofs grow rare while none is answered with a newer one

Cause, found by reading: with no newer proof to be had, as in an outage of the store, each process asked each 50 ms for as long as that lasts, its relay, a reader of another zone and a random peer. At 531 entry VMs that is 2,100 questions a second at a reader, and it grows with the fleet.

--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/agent_process.cpp
@@ -33,7 +33,7 @@
     constexpr milliseconds peerReportInterval { 400 };
     // An agent admits no requests, so the age of a proof does not matter. But changes of the list of servers are not
     // announced to it: it learns of them from the answers.
-    constexpr freshness_pace agentPace { milliseconds(0), milliseconds(250) };
+    constexpr freshness_pace agentPace { milliseconds(0), milliseconds(250), milliseconds(250) };
     constexpr milliseconds distrustSourceAfter { 5'000 };
     // A group whose ranks were cut off opens 0.6 s after the cut, but their entries lapsed during
     // the cut and return up to 2 s later. Agents send no requests, so they can keep the ranks that
--- a/Source/gateway/fleet_decoder.h
+++ b/Source/gateway/fleet_decoder.h
@@ -20,8 +20,9 @@
     virtual result<std::shared_ptr<const fleet_configuration>> configuration(const std::string& value) const = 0;
     virtual result<listed_backend> backend(const published_item&) const = 0;
 
-    // Configurations are ordered by version, servers by incarnation, and all evacuations of a zone are equal. A server that has announced that
-    // it leaves, or has gone, does not become ready again in the same incarnation.
+    // Configurations are ordered by version and servers by incarnation; all evacuations of a zone are
+    // equal. A server that has announced that it leaves, or has gone, does not become ready again in the
+    // same incarnation.
     std::optional<item_rank> rank(const published_item&) const override;
     bool staysInForceUnlisted(const published_item&) const override;
     bool endsByRemoval(const published_item&) const override;
--- a/Source/policy/configuration/freshness_schedule.cpp
+++ b/Source/policy/configuration/freshness_schedule.cpp
@@ -4,9 +4,24 @@
 
 namespace rampgap {
 
+void freshness_schedule::recordProof(instant freshAsOf)
+{
+    if (freshAsOf > m_freshAsOf)
+        m_pause = milliseconds(0);
+    m_freshAsOf = freshAsOf;
+}
+
+// Load pattern: the store is down, and no process gets a newer proof. If each of 531 asked each 50 ms,
+// a reader would get two thousand questions a second, and more in a larger fleet.
+void freshness_schedule::recordAsked(instant now)
+{
+    m_askedAt = now;
+    m_pause = std::clamp(m_pause * 2, m_pace.askAgainAfter, std::max(m_pace.askAgainAfter, m_pace.longestPause));
+}
+
 instant freshness_schedule::dueAt() const
 {
-    return std::max(m_freshAsOf + m_pace.replacedAt, m_askedAt + m_pace.askAgainAfter);
+    return std::max(m_freshAsOf + m_pace.replacedAt, m_askedAt + m_pause);
 }
 
 } // namespace rampgap
--- a/Source/policy/configuration/freshness_schedule.h
+++ b/Source/policy/configuration/freshness_schedule.h
@@ -8,9 +8,11 @@
 struct freshness_pace {
     // Age of a proof at which a newer one is expected: a reader replaces it after two waits of its watch.
     milliseconds replacedAt { 1'610 };
-    // A source that has no newer proof, or whose answer was lost, is asked again after this. Proofs pass
-    // two hops in a large zone, and their age must stay below what makes a process read by itself.
+    // A source that has no newer proof, or whose answer was lost, is asked again after this, and then after
+    // pauses that double up to the longest. Proofs pass two hops in a large zone, and their age must stay
+    // below what makes a process read by itself.
     milliseconds askAgainAfter { 50 };
+    milliseconds longestPause { 400 };
 
     bool operator==(const freshness_pace&) const = default;
 };
@@ -24,8 +26,8 @@
     {
     }
 
-    void recordProof(instant freshAsOf) { m_freshAsOf = freshAsOf; }
-    void recordAsked(instant now) { m_askedAt = now; }
+    void recordProof(instant freshAsOf);
+    void recordAsked(instant now);
     // When to ask next.
     instant dueAt() const;
 
@@ -33,6 +35,8 @@
     freshness_pace m_pace;
     instant m_freshAsOf {};
     instant m_askedAt {};
+    // Pause after the latest question.
+    milliseconds m_pause { 0 };
 };
 
 } // namespace rampgap
--- a/Tests/platform/work-at-rest/test.cpp
+++ b/Tests/platform/work-at-rest/test.cpp
@@ -218,6 +218,23 @@
 
 } // namespace
 
+TEST_CASE("a process that gets no newer proof asks less and less often, and at once as usual after the next one")
+{
+    freshness_schedule schedule { freshness_pace {} };
+    schedule.recordProof(zero);
+    int questions = 0;
+    instant now = zero + milliseconds(1'610);
+    for (; now < zero + milliseconds(11'610); now += milliseconds(10)) {
+        if (now < schedule.dueAt())
+            continue;
+        schedule.recordAsked(now);
+        ++questions;
+    }
+    CHECK(questions <= 3 * 10);
+    schedule.recordProof(now - milliseconds(1'600));
+    CHECK(schedule.dueAt() == now + milliseconds(10));
+}
+
 TEST_CASE("a process two hops from a reader stays fresh with a few questions a second")
 {
     // The reader's proof is replaced each 800 ms, and is as old by then.
