agent: servers that never tell their group are asked less and less often

Cause, found by reading: an agent asks each server of unknown group each 0.5 s for as long as it has no reply. It grows with the fleet. Change: the pause after a query doubles from 0.5 s up to the time after which known groups are asked again (the number of servers / 8 s, 10 s at the least), and starts anew once the server has told. Weighed: a bound for each round (the same first ones would be asked again).

--- a/Source/policy/groups/group_roster.cpp
+++ b/Source/policy/groups/group_roster.cpp
@@ -7,8 +7,8 @@
 namespace {
 
     // A query and its reply are two datagrams; after this time one of them counts as lost, and the
-    // query is repeated.
-    constexpr milliseconds queryInterval { 500 };
+    // query is repeated. The pause doubles while there is no reply: a server may have no agent.
+    constexpr milliseconds firstQueryPause { 500 };
     // A rank that moves to another group announces it to all; this repeats the query for agents
     // that did not receive the announcement.
     constexpr milliseconds minGroupLifetime { 10'000 };
@@ -31,6 +31,7 @@
     auto& known = m_known[backendId];
     m_revision += known.group == group ? 0 : 1;
     known = { group, now };
+    m_queries.erase(backendId);
 }
 
 const std::string& group_roster::groupOf(const std::string& backendId) const
@@ -62,17 +63,18 @@
 {
     const auto unlisted = [&pool](const auto& entry) { return !std::binary_search(pool.begin(), pool.end(), entry.first); };
     m_revision += std::erase_if(m_known, unlisted);
-    std::erase_if(m_queriedAt, unlisted);
+    std::erase_if(m_queries, unlisted);
     const milliseconds lifetime = groupLifetime(pool.size());
     std::vector<std::string> due;
     for (const auto& id : pool) {
         const auto known = m_known.find(id);
         const bool fresh = known != m_known.end() && now - known->second.recordedAt < lifetime;
-        const auto queried = m_queriedAt.find(id);
-        const bool queriedRecently = queried != m_queriedAt.end() && now - queried->second < queryInterval;
-        if (id == ownId || fresh || queriedRecently)
+        if (id == ownId || fresh)
             continue;
-        m_queriedAt[id] = now;
+        auto& latest = m_queries[id];
+        if (now < latest.sentAt + latest.pause)
+            continue;
+        latest = { now, std::clamp(latest.pause * 2, firstQueryPause, lifetime) };
         due.push_back(id);
     }
     return due;
--- a/Source/policy/groups/group_roster.h
+++ b/Source/policy/groups/group_roster.h
@@ -37,7 +37,13 @@
 
     std::map<std::string, entry> m_known;
     std::uint64_t m_revision = 0;
-    std::map<std::string, instant> m_queriedAt;
+    // The latest query of a server, and the pause after it.
+    struct query {
+        instant sentAt;
+        milliseconds pause { 0 };
+    };
+
+    std::map<std::string, query> m_queries;
 };
 
 } // namespace rampgap
