membership: the order of a zone is kept until its members change

Causes, found by reading: an entry VM hashed the hosts of all peers 20 times a second to see whether it reads the store, and sorted its zone for each question for a proof; both grow with the fleet. And an agent that knows no entry VM of its own zone asked nobody until its state was 5 s old: its zone may just have lost them all. Change: peer_table keeps the order and computes it anew when a peer comes, goes or is replaced; such an agent asks a reader of another zone.

--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peer_exchange.cpp
@@ -378,7 +378,8 @@
         sources.push_back(usual);
     const auto age = m_state.freshnessAge();
     const bool outdated = !age || *age > m_settings.distrustSourceAfter;
-    if (!outdated && !m_state.storeUnavailable())
+    const bool zoneUnknown = usual.empty() && m_peers.self().role == peer_role::agent;
+    if (!outdated && !m_state.storeUnavailable() && !zoneUnknown)
         return sources;
     auto readers = chosenReaders(m_peers, {});
     std::erase(readers, m_peers.self().host);
--- a/Source/policy/configuration/store_reading.cpp
+++ b/Source/policy/configuration/store_reading.cpp
@@ -17,33 +17,17 @@
 
     using places = std::vector<rendezvous_place>;
 
-    // The entry VMs of this process's zone, itself included, in the order in which they become readers.
-    places zoneOrder(const peer_table& peers)
+    // The entry VMs of this process's zone in the order in which they become readers.
+    const std::vector<std::string>& zoneOrder(const peer_table& peers)
     {
-        const rendezvous_order order(readerOrderKey);
-        const peer_info& self = peers.self();
-        places found;
-        if (self.role == peer_role::entry)
-            found.push_back(order.placeOf(self.host));
-        peers.visitLive(peer_role::entry, [&](const peer_info& peer) {
-            if (peer.zone == self.zone)
-                found.push_back(order.placeOf(peer.host));
-        });
-        std::sort(found.begin(), found.end());
-        return found;
+        return peers.zoneOrder(readerOrderKey);
     }
 
     // Position of this process in the order of its zone.
     std::size_t readingPosition(const peer_table& peers)
     {
-        const rendezvous_order order(readerOrderKey);
-        const peer_info& self = peers.self();
-        const rendezvous_place own = order.placeOf(self.host);
-        std::size_t before = 0;
-        peers.visitLive(peer_role::entry, [&](const peer_info& peer) {
-            before += peer.zone == self.zone && order.placeOf(peer.host) < own ? 1 : 0;
-        });
-        return before;
+        const auto& order = zoneOrder(peers);
+        return static_cast<std::size_t>(std::find(order.begin(), order.end(), peers.self().host) - order.begin());
     }
 
     // How many stages of standbys begin to read before this process does.
@@ -124,17 +108,15 @@
 // with 100 entry VMs and 100 agents answers some hundred questions a second.
 std::string freshnessSource(const peer_table& peers, const reading_settings& settings)
 {
-    const places order = zoneOrder(peers);
-    if (order.empty() || order.front().member == peers.self().host)
+    const auto& order = zoneOrder(peers);
+    const std::size_t position = readingPosition(peers);
+    if (order.empty() || position == 0)
         return {};
     const std::size_t relays = order.size() > settings.processesPerRelay ? order.size() / settings.processesPerRelay : 0;
-    const auto firstOther = order.begin() + static_cast<std::ptrdiff_t>(1 + relays);
-    const bool isRelay = std::any_of(order.begin(), firstOther, [&](const rendezvous_place& place) { return place.member == peers.self().host; });
-    if (relays == 0 || isRelay)
-        return std::string(order.front().member);
-    std::vector<std::string> hosts;
-    for (std::size_t i = 1; i <= relays; ++i)
-        hosts.emplace_back(order[i].member);
+    if (relays == 0 || position <= relays)
+        return order.front();
+    const auto first = order.begin() + 1;
+    const std::vector<std::string> hosts(first, first + static_cast<std::ptrdiff_t>(relays));
     return std::string(rendezvousPick(peers.self().host, hosts));
 }
 
--- a/Source/policy/configuration/store_reading.h
+++ b/Source/policy/configuration/store_reading.h
@@ -57,7 +57,7 @@
 milliseconds longestReadingPause(const peer_table&, const reading_settings&);
 
 // The peer that this process asks for proofs of freshness: the reader of its zone, or a relay in a
-// larger zone. Empty for a reader, and if the zone has none.
+// larger zone. Empty for the reader itself, and if no entry VM of the zone is known.
 std::string freshnessSource(const peer_table&, const reading_settings&);
 
 } // namespace rampgap
--- a/Source/policy/membership/peer_table.cpp
+++ b/Source/policy/membership/peer_table.cpp
@@ -43,6 +43,7 @@
 void peer_table::store(const peer_info& peer, instant heardAt)
 {
     erase(peer.host);
+    ++m_revision;
     m_peers.emplace(peer.host, entry { peer, heardAt });
     m_entryCount += peer.role == peer_role::entry ? 1 : 0;
     const std::size_t own = m_self.role == peer_role::entry ? 1 : 0;
@@ -54,6 +55,7 @@
     const auto known = m_peers.find(host);
     if (known == m_peers.end())
         return;
+    ++m_revision;
     m_entryCount -= known->second.info.role == peer_role::entry ? 1 : 0;
     m_peers.erase(known);
 }
@@ -163,6 +165,27 @@
     return std::string(first.member);
 }
 
+// A process asks for the order 20 times a second.
+const std::vector<std::string>& peer_table::zoneOrder(std::string_view key) const
+{
+    auto kept = m_zoneOrders.find(key);
+    if (kept == m_zoneOrders.end())
+        kept = m_zoneOrders.emplace(key, kept_order {}).first;
+    auto& [revision, hosts] = kept->second;
+    if (revision == m_revision)
+        return hosts;
+    std::vector<std::string> members;
+    if (m_self.role == peer_role::entry)
+        members.push_back(m_self.host);
+    visitLive(peer_role::entry, [&](const peer_info& peer) {
+        if (peer.zone == m_self.zone)
+            members.push_back(peer.host);
+    });
+    hosts = rendezvousRank(key, members, members.size());
+    revision = m_revision;
+    return hosts;
+}
+
 milliseconds peer_table::age(const std::string& host, instant now) const
 {
     const auto known = m_peers.find(host);
--- a/Source/policy/membership/peer_table.h
+++ b/Source/policy/membership/peer_table.h
@@ -71,6 +71,9 @@
     // on it once they have received the same gossip.
     std::string responsibleEntry(std::string_view key) const;
     bool isResponsibleEntry(std::string_view key) const { return responsibleEntry(key) == m_self.host; }
+    // Hosts of the entry VMs of the own zone, this one included, in rendezvous order for `key`. Computed anew
+    // only if the members have changed.
+    const std::vector<std::string>& zoneOrder(std::string_view key) const;
     // Time since the last message of a peer or report about it.
     milliseconds age(const std::string& host, instant now) const;
     // Random live entry VMs, and when each was last heard from. Their number grows with the fleet.
@@ -93,6 +96,12 @@
 
     using peer_list = std::vector<const peer_info*>;
 
+    // An order for one key, and the revision of the members that it is for.
+    struct kept_order {
+        std::uint64_t revision = 0;
+        std::vector<std::string> hosts;
+    };
+
     // Adds or replaces a peer.
     void store(const peer_info&, instant heardAt);
     void erase(const std::string& host);
@@ -105,6 +114,9 @@
     milliseconds m_silence;
     std::map<std::string, entry> m_peers;
     std::size_t m_entryCount = 0;
+    // Increases when a peer is added, replaced or dropped.
+    std::uint64_t m_revision = 1;
+    mutable std::map<std::string, kept_order, std::less<>> m_zoneOrders;
     std::size_t m_maxLiveEntries = 1;
 };
 
--- a/Tests/platform/work-at-rest/test.cpp
+++ b/Tests/platform/work-at-rest/test.cpp
@@ -125,6 +125,39 @@
     }
 }
 
+TEST_CASE("servers that never reply are asked less and less often, and one that has replied is asked again at once")
+{
+    for (const std::size_t servers : { 72, 516, 3'000 }) {
+        CAPTURE(servers);
+        known_groups listed(servers);
+        group_roster roster;
+        std::size_t asked = 0;
+        constexpr int seconds = 1'200;
+        constexpr int settledSeconds = 800;
+        for (int quarter = 0; quarter < 4 * seconds; ++quarter) {
+            const auto due = roster.selectDueQueries(listed.directory.activeServers("model"), "own", zero + milliseconds(250 * quarter));
+            asked += quarter >= 4 * settledSeconds ? due.size() : 0;
+        }
+        CHECK(asked <= 10 * (seconds - settledSeconds));
+    }
+}
+
+TEST_CASE("the order of a zone follows its members")
+{
+    auto table = tableOf(entryAt(0), 30);
+    const std::vector<std::string> before = table.zoneOrder("key");
+    CHECK(before.size() == 6);
+    CHECK(table.zoneOrder("key") == before);
+    table.recordLeaving(before.front() == hostOf(0) ? before[1] : before.front());
+    CHECK(table.zoneOrder("key").size() == 5);
+    table.recordContact(entryAt(100), zero);
+    CHECK(table.zoneOrder("key").size() == 6);
+    CHECK(table.zoneOrder("other").size() == 6);
+    const peer_table alone({ "10.200.0.1", "zone-1", peer_role::agent, 1 }, {}, milliseconds(3'000));
+    CHECK(alone.zoneOrder("key").empty());
+    CHECK(freshnessSource(alone, {}).empty());
+}
+
 TEST_CASE("the list of members follows changes of the servers and of their groups")
 {
     known_groups known(4);
