requests: a refusal after eight servers says when the service may accept requests again

The time until the first backoff ends was told only if another try was still allowed. Change: if no attempt follows a refused one, the backoffs of all servers decide, wherever the attempts end.

--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/upstream_dispatcher.cpp
@@ -87,7 +87,7 @@
             co_return late;
         }
         if (last && !mayRetry(request, state, *last))
-            co_return last->failed;
+            co_return finalFailure(request, *last);
         if (auto refused = co_await checkCrashHistory(exchange, request, state))
             co_return refused;
         if (auto closed = co_await awaitOpenGroup(exchange, request, state))
@@ -109,13 +109,13 @@
         if (exchange.callerGone())
             co_return std::nullopt;
         if (last && !consumeRetry(request, *last))
-            co_return last->failed;
+            co_return finalFailure(request, *last);
         const std::string id = co_await m_picker.pick(exchange, request, state.attempted);
         if (exchange.callerGone())
             co_return std::nullopt;
         if (id.empty()) {
             if (last)
-                co_return last->failed;
+                co_return finalFailure(request, *last);
             co_return m_picker.unavailableFailure(request);
         }
         const listed_backend backend = *m_state.backends().find(id);
@@ -220,6 +220,17 @@
     return mayAttemptAgain({ last.failed->ran, request.route.repeatable(), resumable, request.route.maxAttempts, state.runs, state.attempted.all.size(), state.relay.begun });
 }
 
+// Load pattern: all servers of a service ask to back off. A refusal of one of them does not say when the
+// service accepts requests again; the backoffs of all do.
+failure upstream_dispatcher::finalFailure(const admitted_request& request, const attempt_outcome& last)
+{
+    if (last.failed->ran == verdict::not_run) {
+        if (auto refused = m_picker.backoffFailure(request))
+            return *refused;
+    }
+    return *last.failed;
+}
+
 bool upstream_dispatcher::consumeRetry(const admitted_request& request, const attempt_outcome& last)
 {
     if (last.result == attempt_result::unreachable)
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/upstream_dispatcher.h
@@ -64,6 +64,8 @@
     instant responseDeadline(const admitted_request&, const progress&, instant sentAt);
     // Whether a retry is safe and within the route's limit; does not check the retry budget.
     static bool mayRetry(const admitted_request&, const progress&, const attempt_outcome&);
+    // The failure to answer with if no attempt follows the last one.
+    failure finalFailure(const admitted_request&, const attempt_outcome& last);
     // Takes a retry from the shared budget; false if it is used up.
     bool consumeRetry(const admitted_request&, const attempt_outcome&);
     // The server broke off the call or was silent for too long.
