gateway: folders by subject, as in policy

Cause: some 60 files lay in one folder, so that a reader could not see which of them decide on requests, which talk to peers and which lead a group. Behaviour is unchanged: no name and no statement was touched.

--- a/Source/gateway/fleet_decoder.cpp
+++ b/Source/gateway/fleet/fleet_decoder.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleet_decoder.h"
+#include "gateway/fleet/fleet_decoder.h"
 
 namespace rampgap {
 
--- a/Source/gateway/fleet_state.cpp
+++ b/Source/gateway/fleet/fleet_state.cpp
@@ -1,4 +1,4 @@
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
 
 #include <algorithm>
 
--- a/Source/gateway/fleet_state.h
+++ b/Source/gateway/fleet/fleet_state.h
@@ -3,8 +3,8 @@
 
 #include "daemon/decision_log.h"
 #include "daemon/process_context.h"
-#include "gateway/fleet_decoder.h"
-#include "gateway/published_source.h"
+#include "gateway/fleet/fleet_decoder.h"
+#include "gateway/fleet/published_source.h"
 
 #include <functional>
 
--- a/Source/gateway/snapshot_codec.cpp
+++ b/Source/gateway/fleet/snapshot_codec.cpp
@@ -1,4 +1,4 @@
-#include "gateway/snapshot_codec.h"
+#include "gateway/fleet/snapshot_codec.h"
 
 #include "gateway.pb.h"
 #include <google/protobuf/io/gzip_stream.h>
--- a/Source/gateway/snapshot_exchange.cpp
+++ b/Source/gateway/fleet/snapshot_exchange.cpp
@@ -1,8 +1,8 @@
-#include "gateway/snapshot_exchange.h"
+#include "gateway/fleet/snapshot_exchange.h"
 
 #include "gateway.pb.h"
-#include "gateway/peer_wire.h"
-#include "gateway/snapshot_codec.h"
+#include "gateway/fleet/snapshot_codec.h"
+#include "gateway/peers/peer_wire.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
--- a/Source/gateway/snapshot_exchange.h
+++ b/Source/gateway/fleet/snapshot_exchange.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "daemon/http_client.h"
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
 #include "policy/configuration/snapshot_choice.h"
 
 namespace rampgap {
--- a/Source/gateway/store_follower.cpp
+++ b/Source/gateway/fleet/store_follower.cpp
@@ -1,4 +1,4 @@
-#include "gateway/store_follower.h"
+#include "gateway/fleet/store_follower.h"
 
 #include "daemon/sleep.h"
 #include <algorithm>
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/fleet/store_follower.h
@@ -1,7 +1,7 @@
 // Keeps the fleet state up to date from the metadata store, while this process is one of its readers.
 #pragma once
 
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
 
 namespace rampgap {
 
--- a/Source/gateway/bit_stream.cpp
+++ b/Source/gateway/groups/bit_stream.cpp
@@ -1,4 +1,4 @@
-#include "gateway/bit_stream.h"
+#include "gateway/groups/bit_stream.h"
 
 namespace rampgap {
 
--- a/Source/gateway/expert_count_codec.cpp
+++ b/Source/gateway/groups/expert_count_codec.cpp
@@ -1,4 +1,4 @@
-#include "gateway/expert_count_codec.h"
+#include "gateway/groups/expert_count_codec.h"
 
 #include <algorithm>
 
--- a/Source/gateway/group_caller.cpp
+++ b/Source/gateway/groups/group_caller.cpp
@@ -1,4 +1,4 @@
-#include "gateway/group_caller.h"
+#include "gateway/groups/group_caller.h"
 
 #include <algorithm>
 
--- a/Source/gateway/group_caller.h
+++ b/Source/gateway/groups/group_caller.h
@@ -1,8 +1,8 @@
 // Calls all ranks of a group, or a single one, and tracks which agents answer.
 #pragma once
 
-#include "gateway/fleet_state.h"
-#include "gateway/rank_link.h"
+#include "gateway/fleet/fleet_state.h"
+#include "gateway/groups/rank_link.h"
 #include "policy/membership/reachability_tracker.h"
 
 namespace rampgap {
--- a/Source/gateway/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -1,7 +1,7 @@
-#include "gateway/group_leader.h"
+#include "gateway/groups/group_leader.h"
 
 #include "daemon/sleep.h"
-#include "gateway/placement_codec.h"
+#include "gateway/groups/placement_codec.h"
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
--- a/Source/gateway/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -1,8 +1,8 @@
 // Polls the ranks of a group and changes its expert placement while this agent is its leader.
 #pragma once
 
-#include "gateway/fleet_state.h"
-#include "gateway/group_caller.h"
+#include "gateway/fleet/fleet_state.h"
+#include "gateway/groups/group_caller.h"
 #include "policy/groups/group_monitor.h"
 #include "policy/groups/group_roster.h"
 #include "policy/groups/map_switch.h"
--- a/Source/gateway/placement_codec.cpp
+++ b/Source/gateway/groups/placement_codec.cpp
@@ -1,6 +1,6 @@
-#include "gateway/placement_codec.h"
+#include "gateway/groups/placement_codec.h"
 
-#include "gateway/bit_stream.h"
+#include "gateway/groups/bit_stream.h"
 #include <algorithm>
 #include <bit>
 
--- a/Source/gateway/rank_link.cpp
+++ b/Source/gateway/groups/rank_link.cpp
@@ -1,9 +1,9 @@
-#include "gateway/rank_link.h"
+#include "gateway/groups/rank_link.h"
 
 #include "daemon/boot_timer.h"
 #include "daemon/sleep.h"
-#include "gateway/expert_count_codec.h"
-#include "gateway/rank_wire.h"
+#include "gateway/groups/expert_count_codec.h"
+#include "gateway/groups/rank_wire.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/Source/gateway/rank_link.h
+++ b/Source/gateway/groups/rank_link.h
@@ -4,7 +4,7 @@
 
 #include "daemon/decision_log.h"
 #include "daemon/http_client.h"
-#include "gateway/rank_port.h"
+#include "gateway/groups/rank_port.h"
 #include "policy/groups/call_tree.h"
 #include "policy/groups/expert_choice_counter.h"
 #include "policy/routing/backend_directory.h"
--- a/Source/gateway/rank_wire.cpp
+++ b/Source/gateway/groups/rank_wire.cpp
@@ -1,7 +1,7 @@
-#include "gateway/rank_wire.h"
+#include "gateway/groups/rank_wire.h"
 
 #include "daemon/http_message.h"
-#include "gateway/placement_codec.h"
+#include "gateway/groups/placement_codec.h"
 
 namespace rampgap {
 
--- a/Source/gateway/crash_gossip.cpp
+++ b/Source/gateway/peers/crash_gossip.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crash_gossip.h"
+#include "gateway/peers/crash_gossip.h"
 
 #include "daemon/sleep.h"
 #include "wire/crash_codec.h"
--- a/Source/gateway/crash_gossip.h
+++ b/Source/gateway/peers/crash_gossip.h
@@ -3,7 +3,7 @@
 
 #include "daemon/http_message.h"
 #include "daemon/process_context.h"
-#include "gateway/datagram_sender.h"
+#include "gateway/peers/datagram_sender.h"
 #include "policy/membership/peer_table.h"
 #include "policy/requests/crash_history.h"
 
--- a/Source/gateway/limit_exchange.cpp
+++ b/Source/gateway/peers/limit_exchange.cpp
@@ -1,6 +1,6 @@
-#include "gateway/limit_exchange.h"
+#include "gateway/peers/limit_exchange.h"
 
-#include "gateway/peer_wire.h"
+#include "gateway/peers/peer_wire.h"
 
 namespace rampgap {
 
--- a/Source/gateway/limit_exchange.h
+++ b/Source/gateway/peers/limit_exchange.h
@@ -3,7 +3,7 @@
 
 #include "daemon/decision_log.h"
 #include "daemon/process_context.h"
-#include "gateway/datagram_sender.h"
+#include "gateway/peers/datagram_sender.h"
 #include "policy/limits/limit_arbiter.h"
 #include "policy/membership/peer_table.h"
 
--- a/Source/gateway/peer_exchange.cpp
+++ b/Source/gateway/peers/peer_exchange.cpp
@@ -1,7 +1,7 @@
-#include "gateway/peer_exchange.h"
+#include "gateway/peers/peer_exchange.h"
 
 #include "daemon/sleep.h"
-#include "gateway/peer_wire.h"
+#include "gateway/peers/peer_wire.h"
 #include "policy/configuration/store_reading.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peers/peer_exchange.h
@@ -2,9 +2,9 @@
 // each server, and freshness for a process that the store does not answer.
 #pragma once
 
-#include "gateway/crash_gossip.h"
-#include "gateway/limit_exchange.h"
-#include "gateway/snapshot_exchange.h"
+#include "gateway/fleet/snapshot_exchange.h"
+#include "gateway/peers/crash_gossip.h"
+#include "gateway/peers/limit_exchange.h"
 #include "policy/configuration/freshness_schedule.h"
 #include "policy/groups/group_directory.h"
 #include "policy/membership/peer_table.h"
--- a/Source/gateway/peer_wire.cpp
+++ b/Source/gateway/peers/peer_wire.cpp
@@ -1,4 +1,4 @@
-#include "gateway/peer_wire.h"
+#include "gateway/peers/peer_wire.h"
 
 #include <algorithm>
 #include <boost/asio/ip/address_v4.hpp>
--- a/Source/gateway/agent_process.cpp
+++ b/Source/gateway/process/agent_process.cpp
@@ -1,8 +1,8 @@
-#include "gateway/agent_process.h"
+#include "gateway/process/agent_process.h"
 
 #include "daemon/server_probe.h"
 #include "daemon/sleep.h"
-#include "gateway/rank_wire.h"
+#include "gateway/groups/rank_wire.h"
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/Source/gateway/agent_process.h
+++ b/Source/gateway/process/agent_process.h
@@ -2,8 +2,8 @@
 // them to other agents, and leads the group when it is chosen to.
 #pragma once
 
-#include "gateway/gateway_process.h"
-#include "gateway/group_leader.h"
+#include "gateway/groups/group_leader.h"
+#include "gateway/process/gateway_process.h"
 #include "policy/groups/group_member_list.h"
 #include "policy/groups/leadership.h"
 
--- a/Source/gateway/gateway_process.cpp
+++ b/Source/gateway/process/gateway_process.cpp
@@ -1,4 +1,4 @@
-#include "gateway/gateway_process.h"
+#include "gateway/process/gateway_process.h"
 
 #include "daemon/sleep.h"
 #include "policy/configuration/store_reading.h"
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/process/gateway_process.h
@@ -1,9 +1,9 @@
 // The process of an entry VM: creates its parts, and starts, reloads and stops them.
 #pragma once
 
-#include "gateway/gateway_server.h"
-#include "gateway/peer_exchange.h"
-#include "gateway/store_follower.h"
+#include "gateway/fleet/store_follower.h"
+#include "gateway/peers/peer_exchange.h"
+#include "gateway/requests/gateway_server.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <functional>
--- a/Source/gateway/admitted_request.cpp
+++ b/Source/gateway/requests/admitted_request.cpp
@@ -1,4 +1,4 @@
-#include "gateway/admitted_request.h"
+#include "gateway/requests/admitted_request.h"
 
 #include "policy/requests/admission_wait.h"
 
--- a/Source/gateway/admitted_request.h
+++ b/Source/gateway/requests/admitted_request.h
@@ -1,7 +1,7 @@
 // A request that passed all admission checks.
 #pragma once
 
-#include "gateway/request_codec.h"
+#include "gateway/requests/request_codec.h"
 #include "policy/configuration/fleet_configuration.h"
 
 #include <optional>
--- a/Source/gateway/call_registry.cpp
+++ b/Source/gateway/requests/call_registry.cpp
@@ -1,4 +1,4 @@
-#include "gateway/call_registry.h"
+#include "gateway/requests/call_registry.h"
 
 namespace rampgap {
 
--- a/Source/gateway/crash_reporter.cpp
+++ b/Source/gateway/requests/crash_reporter.cpp
@@ -1,4 +1,4 @@
-#include "gateway/crash_reporter.h"
+#include "gateway/requests/crash_reporter.h"
 
 #include <algorithm>
 
--- a/Source/gateway/crash_reporter.h
+++ b/Source/gateway/requests/crash_reporter.h
@@ -4,7 +4,7 @@
 
 #include "daemon/crash_watch.h"
 #include "daemon/decision_log.h"
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
 #include "policy/requests/crash_history.h"
 
 #include <functional>
--- a/Source/gateway/gateway_server.cpp
+++ b/Source/gateway/requests/gateway_server.cpp
@@ -1,6 +1,6 @@
-#include "gateway/gateway_server.h"
+#include "gateway/requests/gateway_server.h"
 
-#include "gateway/request_wait.h"
+#include "gateway/requests/request_wait.h"
 #include "policy/groups/group_wait.h"
 
 namespace rampgap {
--- a/Source/gateway/gateway_server.h
+++ b/Source/gateway/requests/gateway_server.h
@@ -2,7 +2,7 @@
 // those that are admitted.
 #pragma once
 
-#include "gateway/upstream_dispatcher.h"
+#include "gateway/requests/upstream_dispatcher.h"
 
 namespace rampgap {
 
--- a/Source/gateway/request_wait.cpp
+++ b/Source/gateway/requests/request_wait.cpp
@@ -1,4 +1,4 @@
-#include "gateway/request_wait.h"
+#include "gateway/requests/request_wait.h"
 
 #include "daemon/sleep.h"
 
--- a/Source/gateway/slot_allocator.cpp
+++ b/Source/gateway/requests/slot_allocator.cpp
@@ -1,4 +1,4 @@
-#include "gateway/slot_allocator.h"
+#include "gateway/requests/slot_allocator.h"
 
 #include "policy/groups/group_wait.h"
 #include "policy/requests/admission_share.h"
--- a/Source/gateway/slot_allocator.h
+++ b/Source/gateway/requests/slot_allocator.h
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "daemon/admission_slot.h"
-#include "gateway/admitted_request.h"
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
+#include "gateway/requests/admitted_request.h"
 #include "policy/groups/group_directory.h"
 #include "policy/limits/server_backpressure.h"
 #include "policy/requests/delay_estimate.h"
--- a/Source/gateway/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -1,7 +1,7 @@
-#include "gateway/upstream_dispatcher.h"
+#include "gateway/requests/upstream_dispatcher.h"
 
 #include "daemon/caller_watch.h"
-#include "gateway/request_wait.h"
+#include "gateway/requests/request_wait.h"
 #include "policy/groups/group_wait.h"
 #include "policy/requests/attempt_rules.h"
 #include "policy/requests/silence_limit.h"
--- a/Source/gateway/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "daemon/answer_relay.h"
-#include "gateway/call_registry.h"
-#include "gateway/crash_reporter.h"
-#include "gateway/gateway_settings.h"
-#include "gateway/slot_allocator.h"
-#include "gateway/upstream_picker.h"
+#include "gateway/process/gateway_settings.h"
+#include "gateway/requests/call_registry.h"
+#include "gateway/requests/crash_reporter.h"
+#include "gateway/requests/slot_allocator.h"
+#include "gateway/requests/upstream_picker.h"
 #include "policy/groups/group_directory.h"
 #include "policy/routing/load_table.h"
 
--- a/Source/gateway/upstream_picker.cpp
+++ b/Source/gateway/requests/upstream_picker.cpp
@@ -1,6 +1,6 @@
-#include "gateway/upstream_picker.h"
+#include "gateway/requests/upstream_picker.h"
 
-#include "gateway/request_wait.h"
+#include "gateway/requests/request_wait.h"
 #include "policy/requests/admission_wait.h"
 #include <algorithm>
 
--- a/Source/gateway/upstream_picker.h
+++ b/Source/gateway/requests/upstream_picker.h
@@ -3,8 +3,8 @@
 
 #include "daemon/decision_log.h"
 #include "daemon/http_server.h"
-#include "gateway/admitted_request.h"
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
+#include "gateway/requests/admitted_request.h"
 #include "policy/groups/group_directory.h"
 #include "policy/limits/server_backpressure.h"
 #include "policy/routing/load_table.h"
--- a/Tests/platform/change-batches/test.cpp
+++ b/Tests/platform/change-batches/test.cpp
@@ -1,6 +1,6 @@
 // Guards against one billed call to the store for each change: when all servers of a fleet register within seconds, or
 // configurations come in quick succession, a watch ends with each of them.
-#include "gateway/store_follower.h"
+#include "gateway/fleet/store_follower.h"
 #include "platform/item_decoder.h"
 
 #include <doctest/doctest.h>
--- a/Tests/platform/cold-server/test.cpp
+++ b/Tests/platform/cold-server/test.cpp
@@ -1,6 +1,6 @@
 // Guards against drowning servers that have just started: a cold server crashes if all entry VMs together send it clearly
 // more requests in a second than it accepts, and each VM sees only its own.
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
 #include "platform/item_decoder.h"
 #include "policy/limits/limit_arbiter.h"
 
--- a/Tests/platform/crash-gossip/test.cpp
+++ b/Tests/platform/crash-gossip/test.cpp
@@ -1,6 +1,6 @@
 // Agents store crash records: entry VMs that cannot reach each other learn of a crashing request through
 // an agent, and so do entry VMs that have all been restarted.
-#include "gateway/crash_gossip.h"
+#include "gateway/peers/crash_gossip.h"
 
 #include "daemon/boot_timer.h"
 #include <boost/asio/post.hpp>
--- a/Tests/platform/crash-news/test.cpp
+++ b/Tests/platform/crash-news/test.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// Size of the planned fleet; fanout and pause are those of gateway/crash_gossip.
+// Size of the planned fleet; fanout and pause are those of gateway/peers/crash_gossip.
 constexpr std::size_t entries = 390;
 constexpr std::size_t fanout = 6;
 constexpr std::size_t recordsPerDatagram = 20;
--- a/Tests/platform/evacuated-zone/test.cpp
+++ b/Tests/platform/evacuated-zone/test.cpp
@@ -1,6 +1,6 @@
 // Guards against requests that reach a zone after its operators have evacuated it: the request to evacuate a zone is an
 // item of the store, and no VM read it.
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
 #include "platform/item_decoder.h"
 
 #include <doctest/doctest.h>
--- a/Tests/platform/group-calls/test.cpp
+++ b/Tests/platform/group-calls/test.cpp
@@ -1,6 +1,6 @@
 // Guards against group calls that miss a rank or reach it twice, that need many messages from one
 // machine, or that lose time at unreachable agents, when agents forward them.
-#include "gateway/expert_count_codec.h"
+#include "gateway/groups/expert_count_codec.h"
 #include "policy/groups/call_tree.h"
 #include "policy/membership/reachability_tracker.h"
 
--- a/Tests/platform/limit-exchange/test.cpp
+++ b/Tests/platform/limit-exchange/test.cpp
@@ -1,10 +1,10 @@
 // Exchange of limits and grants between entry VMs: a starting VM learns the limits, one that cannot reach
 // a server's arbiter sends that server nothing, and one that missed the end of a limit learns of it from
 // the arbiter.
-#include "gateway/limit_exchange.h"
+#include "gateway/peers/limit_exchange.h"
 
 #include "daemon/boot_timer.h"
-#include "gateway/peer_wire.h"
+#include "gateway/peers/peer_wire.h"
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <doctest/doctest.h>
--- a/Tests/platform/link-budget/test.cpp
+++ b/Tests/platform/link-budget/test.cpp
@@ -1,9 +1,9 @@
 // Checks with the real encoders that the messages of the largest planned group take no more than a third
 // of any machine's link.
-#include "gateway/expert_count_codec.h"
-#include "gateway/peer_wire.h"
-#include "gateway/placement_codec.h"
-#include "gateway/rank_wire.h"
+#include "gateway/groups/expert_count_codec.h"
+#include "gateway/groups/placement_codec.h"
+#include "gateway/groups/rank_wire.h"
+#include "gateway/peers/peer_wire.h"
 #include "policy/groups/placement_planner.h"
 
 #include <doctest/doctest.h>
--- a/Tests/platform/placement-codec/test.cpp
+++ b/Tests/platform/placement-codec/test.cpp
@@ -1,5 +1,5 @@
 // The encoding of placements is lossless and compact, and truncated or extended bytes are rejected.
-#include "gateway/placement_codec.h"
+#include "gateway/groups/placement_codec.h"
 #include "policy/groups/placement_planner.h"
 
 #include <doctest/doctest.h>
--- a/Tests/platform/restarted-server/test.cpp
+++ b/Tests/platform/restarted-server/test.cpp
@@ -1,7 +1,7 @@
 // A server that was restarted under its id has lost its calls: they are cancelled at once. Copies of a
 // suspected request are withdrawn while their answers have not begun.
 #include "daemon/boot_timer.h"
-#include "gateway/call_registry.h"
+#include "gateway/requests/call_registry.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/Tests/platform/restored-store/test.cpp
+++ b/Tests/platform/restored-store/test.cpp
@@ -3,7 +3,7 @@
 // a second, and went on watching once the count had passed 35. So it missed what was written below 35, and sent requests to
 // a leaving server for 2.5 s more.
 #include "daemon/boot_timer.h"
-#include "gateway/store_follower.h"
+#include "gateway/fleet/store_follower.h"
 #include "platform/item_decoder.h"
 
 #include <boost/asio/as_tuple.hpp>
--- a/Tests/platform/retained-items/test.cpp
+++ b/Tests/platform/retained-items/test.cpp
@@ -1,7 +1,7 @@
 // Guards against going back in time with a restored store, which has lost the changes that it acknowledged in its last
 // seconds. A server that had left was listed as ready again and got requests 5 s later, a restarted server was back in its
 // earlier incarnation, and a restarted entry VM read an older configuration than its peers knew at the same revision.
-#include "gateway/fleet_state.h"
+#include "gateway/fleet/fleet_state.h"
 #include "platform/item_decoder.h"
 #include "policy/configuration/snapshot_choice.h"
 
--- a/Tests/platform/snapshots/test.cpp
+++ b/Tests/platform/snapshots/test.cpp
@@ -1,6 +1,6 @@
 // Transfer of the fleet's state: snapshots are compressed and accepted only as a whole, and are fetched
 // from a peer of the own zone if one has them in time.
-#include "gateway/snapshot_codec.h"
+#include "gateway/fleet/snapshot_codec.h"
 
 #include "gateway.pb.h"
 #include "policy/configuration/snapshot_choice.h"
--- a/Tests/platform/start-of-all/test.cpp
+++ b/Tests/platform/start-of-all/test.cpp
@@ -1,7 +1,7 @@
 // Load pattern: all processes restart at once, and their callers retry before the first configuration
 // has been read.
 #include "daemon/boot_timer.h"
-#include "gateway/gateway_server.h"
+#include "gateway/requests/gateway_server.h"
 #include "platform/http_codec.h"
 #include "platform/item_decoder.h"
 
