groups: room for a measured pass beside the predicted one

Cause: how many sequences a group runs is taken from a model alone; what entry VMs and leaders measure has no place to go.

--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -41,6 +41,8 @@
     load_report_by_hash rankLoads() const;
     // What lengthens the group's steps now; empty if not known.
     group_slowdown slowdown() const;
+    // Mean duration of the group's passes; 0 until it was measured.
+    milliseconds measuredPass() const { return milliseconds(0); }
     // Decides on the next task and returns when it is done. To be called repeatedly.
     awaitable<void> runNextTask(group_members);
 
--- a/Source/gateway/peers/peer_exchange.cpp
+++ b/Source/gateway/peers/peer_exchange.cpp
@@ -245,6 +245,8 @@
     const rank_load_report report = ranksOf(datagram);
     if (report.slowdown.expertSkew > 0)
         m_groups.recordSlowdown(report.group, report.slowdown, now);
+    if (report.pass > milliseconds(0))
+        m_groups.recordPublishedPass(report.group, report.pass, now);
     for (const auto& [hash, load] : report.loads)
         m_groups.recordMember(hash, report.group);
     m_loads.mergeRankLoads(report.loads, now);
@@ -339,14 +341,14 @@
         send(peer.host, datagram);
 }
 
-void peer_exchange::sendRankLoads(const group_key& group, const group_slowdown& slowdown, const load_report_by_hash& ranks)
+void peer_exchange::sendRankLoads(const group_key& group, const group_slowdown& slowdown, milliseconds pass, const load_report_by_hash& ranks)
 {
     const bool direct = m_peers.count(peer_role::entry) <= maxDirectRecipients;
     auto common = makeDatagram();
     addGroups(common, m_groups.updates(m_context.now()));
     common.set_pass_on(!direct);
     const auto recipients = direct ? m_peers.live(peer_role::entry) : m_peers.onePerZone(peer_role::entry, m_context.random());
-    for (const auto& datagram : rankDatagrams(common, { group, slowdown, ranks })) {
+    for (const auto& datagram : rankDatagrams(common, { group, slowdown, pass, ranks })) {
         for (const auto& peer : recipients)
             send(peer.host, datagram);
     }
--- a/Source/gateway/peers/peer_exchange.h
+++ b/Source/gateway/peers/peer_exchange.h
@@ -40,7 +40,8 @@
     void announceState();
     // Sends the entry VMs the number of requests at each rank: directly if they are few, otherwise
     // through one in each zone. Leaders of groups only.
-    void sendRankLoads(const group_key&, const group_slowdown&, const load_report_by_hash&);
+    // `pass`: mean duration of the group's passes, 0 if it was not measured.
+    void sendRankLoads(const group_key&, const group_slowdown&, milliseconds pass, const load_report_by_hash&);
     // Sends a change of a group's state to a few entry VMs, which gossip it; agents only.
     void publishGroupState(const group_update&);
     // Publishes new records of the crash history.
--- a/Source/gateway/peers/peer_wire.cpp
+++ b/Source/gateway/peers/peer_wire.cpp
@@ -25,6 +25,7 @@
         datagram.mutable_ranks_group()->set_group(report.group.group);
         datagram.set_ranks_skew_percent(toPercent(report.slowdown.expertSkew));
         datagram.set_ranks_slowest_pace_percent(toPercent(report.slowdown.slowestPace));
+        datagram.set_ranks_pass_ms(wholeMilliseconds(report.pass));
         return datagram;
     }
 
@@ -124,6 +125,7 @@
     rank_load_report report;
     report.group = { datagram.ranks_group().service(), datagram.ranks_group().group() };
     report.slowdown = { datagram.ranks_skew_percent() / percent, datagram.ranks_slowest_pace_percent() / percent };
+    report.pass = milliseconds(datagram.ranks_pass_ms());
     for (const auto& work : datagram.ranks())
         report.loads[work.backend_hash()] = { static_cast<int>(work.requests()), 0, std::max(1.0, work.pace_percent() / percent) };
     return report;
--- a/Source/gateway/peers/peer_wire.h
+++ b/Source/gateway/peers/peer_wire.h
@@ -45,6 +45,8 @@
 struct rank_load_report {
     group_key group;
     group_slowdown slowdown;
+    // Mean duration of the group's passes; 0 if it was not measured.
+    milliseconds pass { 0 };
     load_report_by_hash loads;
 };
 
--- a/Source/gateway/process/agent_process.cpp
+++ b/Source/gateway/process/agent_process.cpp
@@ -323,7 +323,7 @@
     if (m_context.now() - m_rankLoadsSentAt < minLoadReportInterval || m_leader.group().empty())
         co_return;
     m_rankLoadsSentAt = m_context.now();
-    m_peers->sendRankLoads({ m_settings.engineService, m_leader.group() }, m_leader.slowdown(), m_leader.rankLoads());
+    m_peers->sendRankLoads({ m_settings.engineService, m_leader.group() }, m_leader.slowdown(), m_leader.measuredPass(), m_leader.rankLoads());
 }
 
 awaitable<void> agent_process::changePlacementLoop()
--- a/Source/policy/groups/group_directory.cpp
+++ b/Source/policy/groups/group_directory.cpp
@@ -21,6 +21,8 @@
     // pass it on each 250 to 400 ms: without a fault, updates are at most 500 ms old.
     constexpr milliseconds unconfirmedAfter { 600 };
     constexpr milliseconds recentlyConfirmed { 400 };
+    // A measured pass is valid until the load or the demand has had time to change.
+    constexpr milliseconds measuredPassLifetime { 500 };
 
 } // namespace
 
@@ -58,10 +60,33 @@
     m_slowdowns[key] = { slowdown, now };
 }
 
+void group_directory::recordPublishedPass(const group_key& key, milliseconds pass, instant now)
+{
+    m_publishedPasses[key] = { pass, now };
+}
+
+std::optional<milliseconds> group_directory::publishedPass(const group_key& key, instant now) const
+{
+    const auto found = m_publishedPasses.find(key);
+    if (found == m_publishedPasses.end() || now - found->second.second >= measuredPassLifetime)
+        return std::nullopt;
+    return found->second.first;
+}
+
+void group_directory::recordTokenFactor(const group_key& key, double factor, instant now)
+{
+    m_tokenFactors[key] = { factor, now };
+}
+
 group_slowdown group_directory::slowdownAt(const std::string& service, std::uint32_t backendHash, instant now) const
 {
-    const auto found = m_slowdowns.find(groupKeyOf(service, backendHash));
-    return found != m_slowdowns.end() && now - found->second.second < m_lifetime ? found->second.first : group_slowdown {};
+    const group_key key = groupKeyOf(service, backendHash);
+    const auto found = m_slowdowns.find(key);
+    group_slowdown slowdown = found != m_slowdowns.end() && now - found->second.second < m_lifetime ? found->second.first : group_slowdown {};
+    const auto factor = m_tokenFactors.find(key);
+    if (factor != m_tokenFactors.end() && now - factor->second.second < measuredPassLifetime)
+        slowdown.tokenFactor = factor->second.first;
+    return slowdown;
 }
 
 bool group_directory::knownClosed(const entry& state, instant now) const
--- a/Source/policy/groups/group_directory.h
+++ b/Source/policy/groups/group_directory.h
@@ -60,6 +60,13 @@
     // Of the server's group; no slowdown if its leader has not published one recently.
     group_slowdown slowdownAt(const std::string& service, std::uint32_t backendHash, instant now) const;
 
+    // Mean duration of the group's passes, as measured and published by its leader.
+    void recordPublishedPass(const group_key&, milliseconds pass, instant now);
+    // The last such report; empty if there was none recently.
+    std::optional<milliseconds> publishedPass(const group_key&, instant now) const;
+    // Measured time that a sequence adds to a pass of the group, divided by the predicted one.
+    void recordTokenFactor(const group_key&, double factor, instant now);
+
     // Records that an engine with free request slots refused a request without running it: its
     // group is suspected to be closed until a later update shows it open. Where the engine's group
     // is not known, no other group becomes suspected.
@@ -72,6 +79,8 @@
     bool isUnreachable(const std::string& service, std::uint32_t backendHash, instant now) const;
     // True if another group of the service is open and, as far as is known, reachable.
     bool hasOtherOpenGroup(const std::string& service, std::uint32_t backendHash, instant now) const;
+    // The group that the server is in; without a name where that is not known.
+    group_key groupKeyOf(const std::string& service, std::uint32_t backendHash) const;
     // The group that the server is known to be a rank of; empty if it is not known.
     std::string groupOf(const std::string& service, std::uint32_t backendHash) const { return groupKeyOf(service, backendHash).group; }
     // Time since a rank of the server's group last confirmed the group's state, as far as this
@@ -117,8 +126,6 @@
     // True if no rank has confirmed the group lately, while those of another group of the service did.
     bool unconfirmed(const group_key&, instant now) const;
     bool knownClosed(const entry&, instant now) const;
-    // The group that the server is in; without a name where that is not known.
-    group_key groupKeyOf(const std::string& service, std::uint32_t backendHash) const;
     // The suspicion that is still in force, or null.
     const suspicion* suspected(const group_key&, instant now) const;
     std::vector<group_key> groupsOf(const std::string& service, instant now) const;
@@ -128,6 +135,8 @@
     std::map<group_key, suspicion> m_suspicions;
     std::map<group_key, recent_failures> m_failures;
     std::map<group_key, std::pair<group_slowdown, instant>> m_slowdowns;
+    std::map<group_key, std::pair<milliseconds, instant>> m_publishedPasses;
+    std::map<group_key, std::pair<double, instant>> m_tokenFactors;
     std::unordered_map<std::uint32_t, group_key> m_members;
 };
 
--- a/Source/policy/groups/pass_model.cpp
+++ b/Source/policy/groups/pass_model.cpp
@@ -30,7 +30,7 @@
 
 double passTime(const engine_costs& costs, double sequences, const group_slowdown& slowdown)
 {
-    const double forTokens = sequences * sequenceTime(costs);
+    const double forTokens = sequences * sequenceTime(costs) * slowdown.tokenFactor;
     const double ownPart = costs.stepMs * costs.stepsPerPass + (1 - costs.expertShare) * forTokens;
     return slowdown.slowestPace * ownPart + slowdown.expertSkew * costs.expertShare * forTokens;
 }
--- a/Source/policy/groups/pass_model.h
+++ b/Source/policy/groups/pass_model.h
@@ -11,6 +11,8 @@
     double expertSkew = 1;
     // Pace of the slowest rank: how much longer than usual it takes; 1 if none is slow.
     double slowestPace = 1;
+    // Measured time that a sequence adds to a pass, divided by the predicted one.
+    double tokenFactor = 1;
 
     bool operator==(const group_slowdown&) const = default;
 };
--- a/Source/policy/requests/admission_queue.h
+++ b/Source/policy/requests/admission_queue.h
@@ -26,6 +26,8 @@
     // 1 is served first.
     int priority = 5;
     instant deadline;
+    // Order within a priority; 0 is the most urgent.
+    int urgency = 0;
 
     bool operator==(const admission_request&) const = default;
 };
--- a/Tests/platform/link-budget/test.cpp
+++ b/Tests/platform/link-budget/test.cpp
@@ -101,7 +101,7 @@
     load_report_by_hash loads;
     for (std::size_t i = 0; i < deployed.ranks; ++i)
         loads[backendHash(std::to_string(i))] = { 6, 0, 1.0 };
-    return rankDatagrams(common, { key, { 1.3, 1.0 }, loads });
+    return rankDatagrams(common, { key, { 1.3, 1.0 }, milliseconds(84), loads });
 }
 
 std::size_t bytesOf(const std::vector<gateway::peer_datagram>& datagrams)
