--- a/Source/policy/requests/admission_wait.cpp
+++ b/Source/policy/requests/admission_wait.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/groups/group_wait.h"
 #include <algorithm>
+#include <cmath>
 
 namespace rampgap {
 
@@ -11,6 +12,9 @@
     constexpr int firstCallTenths = 9;
     // Shortest pause, as a fraction of the longest one that a caller accepts.
     constexpr double minPauseFraction = 0.5;
+    // Slots become free at random moments, at an entry VM few within a caller's target, so that their number varies
+    // by about its square root. With a smaller margin many are refused who would have been on time.
+    constexpr double refusalDeviations = 2;
 
 } // namespace
 
@@ -44,6 +48,26 @@
     return stages;
 }
 
+milliseconds predictSlotWait(const slot_forecast& forecast)
+{
+    const double startsPerSlot = forecast.queue.startsUntil / std::max(1, forecast.slots);
+    return milliseconds(static_cast<std::int64_t>(startsPerSlot * static_cast<double>(forecast.run.count())));
+}
+
+// Load pattern: for some seconds more callers than slots. They would wait until their patience ends, be refused
+// all the same and come back with little time left.
+bool shouldReturnLater(const admission_wait_input& input, const slot_forecast& forecast)
+{
+    if (input.begun || input.slotsFree || !input.firstTime || input.latencyTarget <= milliseconds(0))
+        return false;
+    // The next slot that becomes free would be its own, and could stay empty if it were refused.
+    if (forecast.queue.ahead == 0)
+        return false;
+    const double runMs = std::max(1.0, static_cast<double>(forecast.run.count()));
+    const double startsInTime = static_cast<double>(planAdmissionWait(input).timely.count()) * std::max(1, forecast.slots) / runMs;
+    return forecast.queue.startsUntil > startsInTime + refusalDeviations * std::sqrt(startsInTime);
+}
+
 bool isFirstCall(milliseconds timeLeftAtFirst, milliseconds fullTime)
 {
     return timeLeftAtFirst >= fullTime * firstCallTenths / 10;
--- a/Source/policy/requests/admission_wait.h
+++ b/Source/policy/requests/admission_wait.h
@@ -1,7 +1,7 @@
 // How long a request waits for a request slot at the engines, and with which priority.
 #pragma once
 
-#include "policy/common/verdict.h"
+#include "policy/requests/admission_queue.h"
 
 #include <vector>
 
@@ -75,6 +75,20 @@
 // The stages of a request's wait, one after the other until it gets a slot.
 std::vector<admission_stage> planAdmission(const admission_wait_input&);
 
+// What is known of the wait for a slot as a request arrives.
+struct slot_forecast {
+    queue_forecast queue;
+    int slots = 1;
+    // From getting a slot to the end of the answer, as recently observed.
+    milliseconds run { 0 };
+};
+
+milliseconds predictSlotWait(const slot_forecast&);
+
+// True if the request can be refused as it arrives: it is very unlikely to be on time, and its caller
+// can come back. Requires a moment to come back at (return_schedule).
+bool shouldReturnLater(const admission_wait_input&, const slot_forecast&);
+
 // True if the caller has probably not been refused before: a refused caller comes back after a pause
 // with the same deadline, and so with less time left. `fullTime`: the whole time that the route gives a request.
 bool isFirstCall(milliseconds timeLeftAtFirst, milliseconds fullTime);
--- a/Tests/requests/admission-property/test.cpp
+++ b/Tests/requests/admission-property/test.cpp
@@ -62,6 +62,40 @@
     }));
 }
 
+TEST_CASE("with one urgency only, its value changes nothing")
+{
+    CHECK(rc::check("one urgency", [] {
+        const admission_limits limits { *rc::gen::inRange(1, 5), *rc::gen::inRange(0, 20) };
+        admission_queue plain(limits);
+        admission_queue urgent(limits);
+        for (auto* queue : { &plain, &urgent })
+            queue->reserve(2, 4);
+        const int urgency = *rc::gen::inRange(-2, 10);
+        std::set<admission_id> running;
+        instant now = start;
+        const int steps = *rc::gen::inRange(1, 150);
+        for (int i = 0; i < steps; ++i) {
+            now += milliseconds(*rc::gen::inRange(0, 20));
+            admission_outcome expected;
+            admission_outcome outcome;
+            if (running.empty() || *rc::gen::inRange(0, 3) > 0) {
+                admission_request asked { std::string(1, static_cast<char>('a' + *rc::gen::inRange(0, 3))), *rc::gen::inRange(1, 4), now + milliseconds(*rc::gen::inRange(1, 500)) };
+                RC_ASSERT(plain.predictedWait(asked.workspace, asked.priority) == urgent.predictedWait(asked.workspace, asked.priority, urgency));
+                plain.offer(asked, now, expected);
+                asked.urgency = urgency;
+                urgent.offer(asked, now, outcome);
+            } else {
+                const admission_id ended = *running.begin();
+                running.erase(ended);
+                plain.finish(ended, milliseconds(10), now, expected);
+                urgent.finish(ended, milliseconds(10), now, outcome);
+            }
+            RC_ASSERT(outcome == expected);
+            running.insert(outcome.started.begin(), outcome.started.end());
+        }
+    }));
+}
+
 TEST_CASE("a small workspace keeps its share under a 20-fold flood of a large one")
 {
     admission_queue queue({ 4, 64 });
