gateway: order waiting requests by their priority, send it to engines, refuse early, mend malformed hints

Cause: a request's priority decided nothing at the entry VM and was never sent to engines.

slot_allocator passes the priority as urgency and, where the route sets a gap, asks shouldReturnLater() as a request arrives; a refusal needs a moment of its service's return_schedule and is logged with its inputs (admission_refused) and counted. Without a rate set on the schedule no request is refused early. The priority is sent (0 to 9) to model services whose requests can differ in it by routes or workspaces, else the bytes are those of before. Numbers of tokens that are negative, not numbers or above 10^8 are replaced by the defaults, with one bounded line a request (header_unreadable).

A change of a route's or workspace's priority holds for new requests, and for none that wait already: not begun.

Tests: decoding 20 of 20 cases, admission-order 9 of 9; both mutations added to mutation-check.py turn admission-order red (applied by hand, the script itself was not run). Integration compiled, not played.

--- a/Source/daemon/admission_gate.h
+++ b/Source/daemon/admission_gate.h
@@ -27,6 +27,7 @@
     void reserve(int priority, int nth) { m_queue.reserve(priority, nth); }
 
     bool full() const { return m_queue.running() >= m_limits.slots; }
+    int slots() const { return m_limits.slots; }
     const admission_queue& queue() const { return m_queue; }
 
 private:
--- a/Source/gateway/requests/admitted_request.h
+++ b/Source/gateway/requests/admitted_request.h
@@ -14,7 +14,10 @@
     route_spec route;
     std::string service;
     std::string workspace;
+    // 0 is the most urgent.
     int priority = 0;
+    // The priority is sent to the server: requests of others may compete there.
+    bool sendsPriority = false;
     instant receivedAt;
     // The earlier of the caller's own deadline and the route's timeout.
     instant deadline;
--- a/Source/gateway/requests/gateway_server.cpp
+++ b/Source/gateway/requests/gateway_server.cpp
@@ -34,6 +34,8 @@
     co_await awaitConfiguration(exchange);
     auto decoded = m_codec.decode(exchange.request());
     const std::string id = decoded ? decoded.value().id : std::string("-");
+    if (decoded && !decoded.value().unreadable.empty())
+        m_log.requestLine("header_unreadable").add("request", id).add("unreadable", decoded.value().unreadable).add("reason", "the defaults are used");
     if (decoded)
         co_await awaitFreshness(exchange, decoded.value());
     auto admitted = decoded ? admit(exchange, std::move(decoded.value())) : result<admitted_request>(decoded.error());
@@ -100,6 +102,7 @@
     admitted.service = pickService(*route, draw);
     if (const auto* service = configuration->findService(admitted.service); service && service->isModel)
         admitted.costs = service->costs;
+    admitted.sendsPriority = admitted.costs && configuration->prioritiesDiffer(admitted.service);
     admitted.receivedAt = exchange.receivedAt();
     admitted.deadline = admitted.receivedAt + std::min(route->timeout, parsed.timeLeft.value_or(route->timeout));
     admitted.route = *route;
--- a/Source/gateway/requests/request_codec.h
+++ b/Source/gateway/requests/request_codec.h
@@ -35,6 +35,8 @@
     // The caller's estimate of the answer's length; 0 if not given.
     std::int64_t expectedAnswerTokens = 0;
     std::vector<prompt_part> promptParts;
+    // Names of headers with invalid values, for the log; their fields have their defaults.
+    std::string unreadable;
 
     bool operator==(const gateway_request&) const = default;
 };
@@ -45,7 +47,7 @@
     std::string workspace;
     milliseconds timeLeft { 0 };
     std::string lastEventId;
-    // 0 is the most urgent; empty for the server's default.
+    // 0 is the most urgent; the codec keeps it within the range of the protocol. Empty for the server's default.
     std::optional<int> priority;
 };
 
--- a/Source/gateway/requests/slot_allocator.cpp
+++ b/Source/gateway/requests/slot_allocator.cpp
@@ -23,8 +23,9 @@
     gate.reserve(lastChancePriority, lastChanceNth);
 }
 
-slot_allocator::slot_allocator(process_context& context, fleet_state& state, load_table& loads, group_directory& groups, const server_backpressure& backpressure)
+slot_allocator::slot_allocator(process_context& context, decision_log& log, fleet_state& state, load_table& loads, group_directory& groups, const server_backpressure& backpressure)
     : m_context(context)
+    , m_log(log)
     , m_state(state)
     , m_loads(loads)
     , m_groups(groups)
@@ -49,9 +50,12 @@
     input.timeLeft = request.timeLeft(now);
     input.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
     input.firstTime = request.isFirstAttempt() && !again;
-    admission_request asked { request.workspace, resumedStreamPriority, now };
+    admission_request asked { request.workspace, resumedStreamPriority, now, request.priority };
     failure refused = notRun(failure_reason::queue_full, "no request slot became free in time");
-    for (const auto& stage : planAdmission(input)) {
+    const std::vector<admission_stage> stages = planAdmission(input);
+    if (auto early = refuseEarly(request, input, stages.front().priority, slots))
+        co_return *early;
+    for (const auto& stage : stages) {
         asked.priority = stage.priority;
         asked.deadline += stage.longest;
         auto slot = co_await enter(slots.gate, asked, exchange);
@@ -64,6 +68,23 @@
     co_return refused;
 }
 
+std::optional<failure> slot_allocator::refuseEarly(const admitted_request& request, const admission_wait_input& input, int priority, service_slots& slots)
+{
+    if (request.route.gapTarget <= milliseconds(0))
+        return std::nullopt;
+    const slot_forecast forecast { slots.gate.queue().forecast(request.workspace, priority, request.priority), slots.gate.slots(), input.run };
+    if (!shouldReturnLater(input, forecast))
+        return std::nullopt;
+    const auto pause = slots.returns.reserve({ input.timeLeft, input.run, request.priority }, m_context.now());
+    if (!pause)
+        return std::nullopt;
+    auto line = m_log.requestLine("admission_refused");
+    line.add("request", request.parsed.id).add("urgency", request.priority).add("predicted_wait_ms", predictSlotWait(forecast)).add("run_ms", input.run).add("slots", forecast.slots);
+    line.add("ahead", forecast.queue.ahead).add("starts_until", forecast.queue.startsUntil).add("retry_after_ms", *pause);
+    m_context.counters().add(metric::requests_refused_early);
+    return notRun(failure_reason::queue_full, "no request slot is expected in time", *pause);
+}
+
 void slot_allocator::setSlots(const admitted_request& request, service_slots& slots) const
 {
     const instant now = m_context.now();
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -52,7 +52,7 @@
     , m_backpressure(backpressure)
     , m_client(context, serverConnectTimeout)
     , m_crashes(context, log, state, history, codec.makeProbe())
-    , m_slots(context, state, loads, groups, backpressure)
+    , m_slots(context, log, state, loads, groups, backpressure)
     , m_picker(context, log, state, loads, groups, backpressure)
     , m_budget(bounds, context.startedAt())
 {
@@ -280,6 +280,8 @@
 {
     const instant sentAt = m_context.now();
     upstream_context facts { backend.id, request.workspace, request.timeLeft(sentAt), state.relay.lastEventId, std::nullopt };
+    if (request.sendsPriority)
+        facts.priority = request.priority;
     http_call call(m_client);
     const caller_watch watch(exchange, [&call] { call.cancel(); });
     call_registry::registration underWay(m_calls, backend.id, call, closesGroup(request) ? std::optional(state.fingerprint) : std::nullopt);
--- a/Source/policy/configuration/fleet_configuration.cpp
+++ b/Source/policy/configuration/fleet_configuration.cpp
@@ -1,6 +1,7 @@
 #include "policy/configuration/fleet_configuration.h"
 
 #include <algorithm>
+#include <set>
 
 namespace rampgap {
 
@@ -41,9 +42,36 @@
         for (const auto& key : own.workspaces[i].keys)
             configuration->m_keys.emplace(key, i);
     }
+    configuration->indexPriorities();
     return std::shared_ptr<const fleet_configuration>(std::move(configuration));
 }
 
+void fleet_configuration::indexPriorities()
+{
+    std::set<int> ofWorkspaces;
+    bool anyTakesRoutes = !usesKeys();
+    for (const auto& workspace : m_contents.workspaces) {
+        if (workspace.priority >= 0)
+            ofWorkspaces.insert(workspace.priority);
+        else
+            anyTakesRoutes = true;
+    }
+    std::unordered_map<std::string, std::set<int>> byService;
+    for (const auto& route : m_contents.routes) {
+        for (const auto& target : route.services) {
+            auto& priorities = byService[target.service];
+            if (route.isPublic || anyTakesRoutes)
+                priorities.insert(route.priority);
+            if (!route.isPublic)
+                priorities.insert(ofWorkspaces.begin(), ofWorkspaces.end());
+        }
+    }
+    for (const auto& [service, priorities] : byService) {
+        if (priorities.size() > 1)
+            m_servicesOfManyPriorities.insert(service);
+    }
+}
+
 const route_spec* fleet_configuration::findRoute(std::string_view host, std::string_view path) const
 {
     // Prefixes end with a slash, so only the path cut after a slash can match.
--- a/Source/policy/configuration/fleet_configuration.h
+++ b/Source/policy/configuration/fleet_configuration.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace rampgap {
@@ -136,6 +137,8 @@
     const workspace_spec* findWorkspace(std::string_view key) const;
     // Strictest gap target of the routes to a service; 0 if none has one.
     milliseconds strictestGap(const std::string& service) const;
+    // True if requests of different priority may go to the service.
+    bool prioritiesDiffer(const std::string& service) const { return m_servicesOfManyPriorities.contains(service); }
     const service_spec* findService(std::string_view name) const;
     // True if requests need a key unless their route is public.
     bool usesKeys() const { return !m_contents.workspaces.empty(); }
@@ -143,7 +146,10 @@
 private:
     explicit fleet_configuration(fleet_contents);
 
+    void indexPriorities();
+
     fleet_contents m_contents;
+    std::unordered_set<std::string> m_servicesOfManyPriorities;
     std::unordered_map<std::string, std::size_t> m_routes;
     std::unordered_map<std::string, std::size_t> m_keys;
     std::unordered_map<std::string, std::size_t> m_services;
--- a/Tests/platform/admission-order/test.cpp
+++ b/Tests/platform/admission-order/test.cpp
@@ -1,5 +1,6 @@
 // Who gets the next request slot, and who is refused at once, when callers exceed the slots: in virtual time, with
 // one entry VM's part of a group.
+#include "policy/configuration/fleet_configuration.h"
 #include "policy/requests/admission_queue.h"
 #include "policy/requests/admission_wait.h"
 #include "policy/requests/return_schedule.h"
@@ -361,3 +362,26 @@
     CHECK(queue.forecast("w", timelyPriority, 2).startsUntil == lessUrgentNth);
     CHECK(queue.forecast("w", latePriority, 0).startsUntil > 5);
 }
+
+TEST_CASE("priorities differ at a service by its routes, or by its callers' workspaces")
+{
+    fleet_contents contents;
+    contents.services.resize(2);
+    contents.services[0].name = "s";
+    contents.services[1].name = "t";
+    contents.routes.resize(2);
+    for (std::size_t i = 0; i < 2; ++i) {
+        contents.routes[i].pathPrefix = i == 0 ? "/a/" : "/b/";
+        contents.routes[i].services = { { "s", 1 } };
+    }
+    const auto differ = [&](const char* service) { return fleet_configuration::make(contents).value()->prioritiesDiffer(service); };
+    CHECK_FALSE(differ("s"));
+    contents.routes[1].priority = 2;
+    CHECK(differ("s"));
+    CHECK_FALSE(differ("t"));
+    contents.workspaces.resize(1);
+    contents.workspaces[0].priority = 1;
+    CHECK_FALSE(differ("s"));
+    contents.routes[0].isPublic = true;
+    CHECK(differ("s"));
+}
--- a/Tests/platform/decoding/test.cpp
+++ b/Tests/platform/decoding/test.cpp
@@ -164,6 +164,41 @@
     CHECK(upstream.count("X-Hop") == 0);
 }
 
+TEST_CASE("the priority is sent within the protocol's range, and not at all unless it is given")
+{
+    const http_codec codec;
+    const http_request message = callerRequest();
+    upstream_context facts { "i1", "w", milliseconds(700), "", std::nullopt };
+    CHECK(codec.makeUpstream(message, {}, facts).count("X-Request-Priority") == 0);
+    for (const auto& [priority, text] : { std::pair(-3, "0"), std::pair(2, "2"), std::pair(40, "9") }) {
+        facts.priority = priority;
+        CHECK(codec.makeUpstream(message, {}, facts)["X-Request-Priority"] == text);
+    }
+}
+
+TEST_CASE("malformed numbers of tokens are replaced by the defaults and reported")
+{
+    const http_codec codec;
+    http_request message = callerRequest();
+    const auto read = [&](const char* counts, const char* hint) {
+        message.set("X-Token-Usage", counts);
+        message.set("X-Length-Hint", hint);
+        const auto decoded = codec.decode(message);
+        REQUIRE(decoded);
+        const auto& request = decoded.value();
+        return std::tuple(request.promptTokens, request.maxAnswerTokens, request.expectedAnswerTokens, request.unreadable);
+    };
+    using expected = std::tuple<std::int64_t, std::int64_t, std::int64_t, std::string>;
+    CHECK((read("1460,80", "60") == expected(1460, 80, 60, "")));
+    CHECK((read("0,0", "0") == expected(0, 0, 0, "")));
+    CHECK((read("1460", "") == expected(1460, 0, 0, "")));
+    CHECK((read("1460,x", "60") == expected(1460, 0, 60, "X-Token-Usage")));
+    for (const char* bad : { "-1", "1000000000000000000", "99999999999999999999", "many", "1e3", ",5" }) {
+        CHECK((read((std::string(bad) + ",80").c_str(), "60") == expected(0, 0, 60, "X-Token-Usage")));
+        CHECK((read("1460,80", bad) == expected(1460, 80, 0, "X-Length-Hint")));
+    }
+}
+
 TEST_CASE("an answer is accepted only with the request's id and the engine's signature")
 {
     const http_codec codec;
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -35,6 +35,8 @@
     ("retry_unsafe", "retry_policy.cpp", "input.last.ran == verdict::not_run || input.repeatable", "true", "requests/retry-property"),
     ("retry_without_budget", "retry_policy.cpp", "return budget.tryConsume();", "return true;", "requests/retry-property"),
     ("admission_unfair", "admission_queue.cpp", "served < lowestServed", "false", "requests/admission-property"),
+    ("less_urgent_starve", "admission_queue.cpp", "if (++starts < lessUrgentNth)", "if (true)", "platform/admission-order"),
+    ("turned_away_with_a_free_turn", "admission_wait.cpp", "if (forecast.queue.ahead == 0)", "if (false)", "platform/admission-order"),
     ("late_one_takes_the_slot", "admission_queue.cpp", "    if (m_shedding)\n        shed(now, outcome);\n    startWaiting", "    startWaiting", "requests/admission-property"),
     ("stale_permit_taken", "permit_issuer.cpp", "age > permitLifetime", "false", "requests/permit-property"),
     ("base_not_checked", "revision_chain.cpp", "if (source == document_source::service && !linked)", "if (false)", "config/chain-property"),
