groups: release a step whose leader fell silent by the agent that sees the hold

Cause: the machine of a group's leader stands still while a step is held. In the gateway, calls waited 0.4 s for the engine of a silent agent, longer than the budget of the agent that forwards to it (0.22 s), so that answers of other ranks were lost as well.

Change: - leadership: the agent of the rank that holds the step takes over after 0.2 s without a call, or twice the polls' interval; from half of that on it asks three agents for the leader's last call (existing messages, only while the leader is overdue and a step is held). All others keep 0.9 s. - group_monitor: after a takeover a hold is abandoned; two clean-ups begin at once, further ones after 0.25 s as before. - map_switch: a clean-up can begin without a rank; it is left out where the others prove it unarmed, otherwise claimed like the others. - group_leader: the first poll after a takeover leaves out the silent agent and its engine; rounds of a change pause only before orders that are sent again. - rank_link: a call waits at most 0.15 s for engines of silent agents. - Log: leadership_taken (reason, silent_ms, held_ms), hold_ended; metric rampgap_longest_hold_seconds.

Ruled out: 0.15 s of silence. A shorter timeout for all: the same errors at all times instead of in holds only. maxHoldTime: a leader that stands still cannot use it. Arming in another order: some rank's order is always on its way.

Safety: the orders and their order are those of before; the proof for leaving a rank out doesn't depend on time.

Cost: no new messages; one comparison each 25 ms at each agent.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -44,6 +44,7 @@
         { metric::store_revision, "rampgap_store_revision", "Revision of the users' store that this process holds", true },
         { metric::store_readings_refused, "rampgap_store_readings_refused_total", "Listings of the users' store that were refused as older than what is held", false },
         { metric::zones_evacuated, "rampgap_zones_evacuated", "Zones that the operators have evacuated: their servers get no new requests", true },
+        { metric::longest_hold, "rampgap_longest_hold_seconds", "Longest time for which the own engine held a step of its group, as far as this agent has seen", true },
     } };
 
     struct latency_row {
--- a/Source/gateway/groups/group_caller.h
+++ b/Source/gateway/groups/group_caller.h
@@ -17,6 +17,8 @@
     // Limits for calls whose largest message has this size.
     call_limits limits(std::size_t largestMessage) const;
 
+    // Records that the agent of this server probably does not answer.
+    void recordSilent(const std::string& backendId) { m_reachability.record(backendId, false, m_context.now()); }
     // Targets for those of the servers that are listed; a target's index is its position in `ids`.
     std::vector<call_target> targets(const std::vector<std::string>& ids) const;
     // Sends an order, or without one only queries the state. Outcomes have the indices of the targets.
--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -64,6 +64,13 @@
     return static_cast<std::size_t>(m_costs.layerSets) * static_cast<std::size_t>(m_costs.experts);
 }
 
+milliseconds group_leader::pollIntervalFor(std::size_t ranks) const
+{
+    auto limits = m_caller.limits(countsBytes());
+    limits.targets = ranks;
+    return planPolls(limits, minPollInterval).pause;
+}
+
 poll_plan group_leader::pollPlan() const
 {
     return planPolls(m_caller.limits(countsBytes()), minPollInterval);
@@ -84,13 +91,34 @@
     m_context.counters().observe(latency::group_poll, now - began);
     const auto reached = std::count_if(outcome.ranks.begin(), outcome.ranks.end(), [](const rank_outcome& rank) { return rank.reached; });
     m_log.line("ranks_looked_at").add("ranks", ids.size()).add("reached", reached).add("counts", wantsCounts ? "yes" : "no").add("took_ms", now - began);
+    observe(outcome, ids, now);
+    m_monitor->recordChoices(outcome.expertCounts, now);
+}
+
+void group_leader::observe(const group_outcome& outcome, const std::vector<std::string>& ids, instant now)
+{
     for (const auto& rank : outcome.ranks) {
         if (!rank.after || rank.index >= ids.size())
             continue;
         m_roster.recordGroup(ids[rank.index], rank.after->group, now);
         m_monitor->observe({ ids[rank.index], *rank.after, {} }, now);
     }
-    m_monitor->recordChoices(outcome.expertCounts, now);
+}
+
+// The group may stand still meanwhile. A call that went through the silent agent would wait for it and
+// reach the ranks behind it late, so it is called no more, and this poll leaves out its engine as well.
+awaitable<void> group_leader::takeOver(group_members known, const std::string& silent)
+{
+    if (!m_monitor)
+        co_return;
+    m_monitor->follow(known.group);
+    m_monitor->recordTakeover();
+    m_caller.setCaller(known.ownId, known.group, known.members.size());
+    m_caller.recordSilent(silent);
+    std::erase(known.members, silent);
+    auto targets = m_caller.targets(known.members);
+    const auto outcome = co_await m_caller.call(std::move(targets), std::nullopt, false, callBudget(m_caller.limits(stateAnswerBytes)));
+    observe(outcome, known.members, m_context.now());
 }
 
 // A rank whose agent is gone reports its group to nobody: while ranks are missing, its engine may be
@@ -216,7 +244,7 @@
 awaitable<void> group_leader::cleanUp()
 {
     const instant began = m_context.now();
-    auto change = map_switch::cleanUp(m_monitor->epoch(), m_monitor->groupSize(), nextFence());
+    auto change = map_switch::cleanUp(m_monitor->epoch(), m_monitor->groupSize(), nextFence(), m_monitor->unobservedRank());
     m_log.line("cleanup_begun").add("holds", m_monitor->holds().size()).add("armed", m_monitor->armedPlacement()).add("epoch", m_monitor->epoch());
     co_await executeChange(change, cleanUpTimeout);
     m_monitor->recordChangeEnd();
@@ -236,6 +264,7 @@
     instant limit = m_context.now() + prepareTime;
     bool holding = change.holding();
     while (!change.ended()) {
+        const switch_phase phase = change.phase();
         co_await sendRound(change, prepareTime);
         if (!holding && change.holding()) {
             holding = true;
@@ -243,7 +272,10 @@
         }
         if (m_context.now() >= limit)
             change.cancel();
-        co_await sleepFor(m_context.io(), roundPause);
+        // Only orders that are sent again need a pause: any other lengthens the hold, and the time in which
+        // nobody else can know whether this leader's rank is armed.
+        if (change.phase() == phase)
+            co_await sleepFor(m_context.io(), roundPause);
     }
 }
 
--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -33,6 +33,10 @@
     bool configured() const { return m_monitor.has_value(); }
     // Queries the state of all ranks, and in some polls also their expert counts.
     awaitable<void> poll(group_members);
+    // Polls the ranks after a takeover from the leader `silent`, without it.
+    awaitable<void> takeOver(group_members, const std::string& silent);
+    // From the start of one poll to the start of the next, in a group of this many ranks.
+    milliseconds pollIntervalFor(std::size_t ranks) const;
     // From the start of one poll to the start of the next.
     milliseconds pollInterval() const { return pollPlan().pause; }
     // The monitored group; empty before the first task.
@@ -53,6 +57,8 @@
     awaitable<void> cleanUp();
     // Sends the orders of a change until it has ended.
     awaitable<void> executeChange(map_switch&, milliseconds prepareTime);
+    // Observes the states that a poll of `ids` returned.
+    void observe(const group_outcome&, const std::vector<std::string>& ids, instant now);
     awaitable<void> sendRound(map_switch&, milliseconds prepareTime);
     awaitable<void> sendToAll(map_switch&, std::vector<rank_order_to_send>, milliseconds prepareTime);
     awaitable<void> callRanks(map_switch&, map_order_kind, std::optional<map_order>, std::vector<call_target>, milliseconds budget);
--- a/Source/gateway/groups/rank_link.cpp
+++ b/Source/gateway/groups/rank_link.cpp
@@ -26,6 +26,10 @@
     // Budget for polling one rank through its agent.
     constexpr milliseconds singlePollBudget { 250 };
     constexpr milliseconds preparedPoll { 15 };
+    // How long a call waits for engines whose agents are silent, within its budget. The machine of such an agent often stands
+    // still with its engine: waiting longer would delay the leader's polls, by which entry VMs choose
+    // ranks, and each round of a change.
+    constexpr milliseconds silentEngineWait { 150 };
     // The one in use, the one being prepared, and those of failed changes in between.
     constexpr std::size_t placementsKept = 4;
 
@@ -58,14 +62,23 @@
 
     void end()
     {
-        if (--open == 0)
+        --open;
+        if (open <= openDirect)
             done.cancel();
     }
 
+    void endDirect()
+    {
+        --openDirect;
+        end();
+    }
+
     group_outcome outcome;
     // Encoded once for all parts; empty without an order.
     std::optional<gateway::rank_order> wireOrder;
     std::size_t open = 0;
+    // Those of them that wait for the engine of a silent agent.
+    std::size_t openDirect = 0;
     boot_timer done;
 };
 
@@ -81,7 +94,9 @@
 
 awaitable<group_outcome> rank_link::call(group_query query, std::vector<call_target> targets, milliseconds budget)
 {
-    const instant until = m_context.now() + budget;
+    const instant began = m_context.now();
+    const instant until = began + budget;
+    const instant directUntil = began + std::min(silentEngineWait, budget);
     auto pending = std::make_shared<pending_group_call>(m_context.io());
     if (query.order)
         pending->wireOrder = toWire(*query.order);
@@ -96,8 +111,14 @@
         ++pending->open;
         asio::co_spawn(m_context.io(), callPart(pending, query, std::move(part), until), asio::detached);
     }
-    while (pending->open > 0)
+    while (pending->open > 0) {
+        const bool onlyDirect = pending->open == pending->openDirect;
+        if (onlyDirect && m_context.now() >= directUntil)
+            break;
+        pending->done.expires_at(onlyDirect ? directUntil : boot_timer::time_point::max());
         co_await pending->done.async_wait(asTuple);
+    }
+    // Engines that answer after this change a state that nobody reads any more.
     group_outcome outcome = std::move(pending->outcome);
     co_return outcome;
 }
@@ -117,9 +138,11 @@
             addExpertCounts(pending->outcome.expertCounts, m_expertCounts.countSinceLast(std::move(counts.value().counts), counts.value().incarnation));
     }
     const auto state = co_await m_port.state(m_ownEngine);
-    if (state)
+    if (state) {
         outcome.after = state.value();
-    else
+        if (m_onOwnState)
+            m_onOwnState(state.value());
+    } else
         m_log.line("rank_state_unknown").add("address", m_ownEngine).add("reason", state.error().message);
     pending->outcome.ranks.push_back(std::move(outcome));
     pending->end();
@@ -159,6 +182,7 @@
         const call_target first = part.front();
         if (first.reachability == agent_reachability::unreachable) {
             ++pending->open;
+            ++pending->openDirect;
             asio::co_spawn(m_context.io(), callEngineDirectly(pending, query, first), asio::detached);
             part.erase(part.begin());
             continue;
@@ -222,7 +246,7 @@
     outcome.after = co_await readEngineState(target.address);
     outcome.reached = outcome.after.has_value();
     pending->outcome.ranks.push_back(std::move(outcome));
-    pending->end();
+    pending->endDirect();
 }
 
 awaitable<rank_outcome> rank_link::orderDirectly(group_query query, call_target target)
--- a/Source/gateway/groups/rank_link.h
+++ b/Source/gateway/groups/rank_link.h
@@ -55,6 +55,8 @@
 
     // The agent's side: answers for the own engine and forwards the call.
     awaitable<http_response> serve(const http_request&);
+    // Called with each state of the own engine that is read for a call.
+    void onOwnState(std::function<void(const rank_view&)> action) { m_onOwnState = std::move(action); }
     // Called with the leader and the group of each call that was served.
     void onCalled(std::function<void(const std::string& leader, const std::string& group)> action) { m_onCalled = std::move(action); }
 
@@ -80,6 +82,7 @@
     expert_choice_counter m_expertCounts;
     std::map<std::uint64_t, std::shared_ptr<const group_placement>> m_prepared;
     std::function<void(const std::string&, const std::string&)> m_onCalled;
+    std::function<void(const rank_view&)> m_onOwnState;
 };
 
 // Path on which an agent receives calls.
--- a/Source/gateway/process/agent_process.cpp
+++ b/Source/gateway/process/agent_process.cpp
@@ -24,6 +24,8 @@
     constexpr milliseconds queryCheckInterval { 250 };
     // Agents that are asked at a time whether a leader has called them.
     constexpr std::size_t agentsAskedForLeader = 3;
+    // Holds that are shorter than this belong to most changes and are not logged.
+    constexpr milliseconds minLoggedHold { 200 };
     // Minimum time between two reports of the ranks' loads to the entry VMs.
     constexpr milliseconds minLoadReportInterval { 95 };
     // Kept free for other work if a poll takes longer than the poll interval.
@@ -74,6 +76,7 @@
         if (group == raw->m_group)
             raw->m_leadership.recordCall(leader, raw->m_context.now());
     });
+    process->m_link.onOwnState([raw = process.get()](const rank_view& view) { raw->recordHold(view); });
     process->m_peers->start();
     asio::co_spawn(context.io(), process->pollOwnEngineLoop(), asio::detached);
     asio::co_spawn(context.io(), process->receiveLoop(), asio::detached);
@@ -169,6 +172,7 @@
         if (!view || view.value().groupSize == 0 || !own)
             continue;
         recordOwnGroup(view.value(), own->id);
+        recordHold(view.value());
         m_peers->publishGroupState({ { m_settings.engineService, m_group }, { view.value().epoch, view.value().open } });
         requestUnknownGroups(own->id);
         if (m_leadership.leaderOverdue(m_context.now()))
@@ -290,10 +294,38 @@
     return isLeading;
 }
 
+void agent_process::recordHold(const rank_view& view)
+{
+    const instant now = m_context.now();
+    const auto ended = m_leadership.recordHold(view.heldStep != 0, now);
+    if (!ended)
+        return;
+    const double seconds = std::chrono::duration<double>(*ended).count();
+    m_context.counters().set(metric::longest_hold, std::max(seconds, m_context.counters().value(metric::longest_hold)));
+    if (*ended >= minLoggedHold)
+        m_log.line("hold_ended").add("held_ms", *ended).add("step", view.step).add("leader", m_leadership.leader().empty() ? "-" : m_leadership.leader());
+}
+
+void agent_process::checkHold()
+{
+    m_leadership.setCallInterval(m_leader.pollIntervalFor(m_groupSize));
+    const auto* own = ownBackend();
+    const instant now = m_context.now();
+    if (!own || m_leadership.heldFor(now) == duration(0) || !m_leadership.leaderOverdue(now) || now - m_leaderAskedAt < enginePollInterval)
+        return;
+    m_leaderAskedAt = now;
+    requestLeader(own->id);
+}
+
 void agent_process::logLeaderChange()
 {
     if (m_leadership.leader() == m_leaderId)
         return;
+    const auto* own = ownBackend();
+    if (own && m_leadership.leader() == own->id) {
+        m_silentLeader = m_leaderId;
+        m_log.line("leadership_taken").add("before", m_leaderId.empty() ? "-" : m_leaderId).add("reason", toString(m_leadership.reason())).add("silent_ms", m_leadership.silentBefore()).add("held_ms", m_leadership.heldFor(m_context.now()));
+    }
     m_log.line("leader_chosen").add("leader", m_leadership.leader()).add("before", m_leaderId.empty() ? "-" : m_leaderId);
     m_leaderId = m_leadership.leader();
 }
@@ -330,8 +362,14 @@
 {
     for (;;) {
         co_await sleepFor(m_context.io(), placementCheckInterval);
+        checkHold();
         if (!isLeader())
             continue;
+        if (!m_silentLeader.empty()) {
+            const std::string silent = std::exchange(m_silentLeader, {});
+            auto members = currentMembers();
+            co_await m_leader.takeOver(std::move(members), silent);
+        }
         auto known = currentMembers();
         co_await m_leader.runNextTask(std::move(known));
     }
--- a/Source/gateway/process/agent_process.h
+++ b/Source/gateway/process/agent_process.h
@@ -47,6 +47,10 @@
     awaitable<void> changePlacementLoop();
     bool isLeader();
     void logLeaderChange();
+    // Records whether the own engine holds a step.
+    void recordHold(const rank_view&);
+    // Asks for the leader's last call if it is overdue while a step is held.
+    void checkHold();
     group_members currentMembers();
     awaitable<void> watchSignals();
     void configure();
@@ -85,6 +89,9 @@
     std::uint64_t m_epoch = 0;
     // The leader that was last logged.
     std::string m_leaderId;
+    // The leader from which this agent has just taken over; empty if none.
+    std::string m_silentLeader;
+    instant m_leaderAskedAt {};
     instant m_rankLoadsSentAt {};
 };
 
--- a/Source/policy/groups/group_monitor.cpp
+++ b/Source/policy/groups/group_monitor.cpp
@@ -25,6 +25,10 @@
     // The same for a group with headroom: this halves the number of copies (864 instead of 1,721 in 30 s) and lengthens passes from
     // 66 to 70 ms, which makes no more of them late.
     constexpr double minGainIfHeadroom = 0.16;
+    // Clean-ups after a takeover that don't wait whether the hold belongs to a change in progress: one
+    // without the silent rank, and one with it where the others' states prove nothing. Further ones would
+    // only send orders to an engine that does not answer.
+    constexpr int immediateCleanUps = 2;
 
 } // namespace
 
@@ -107,6 +111,23 @@
     recordChangeEnd();
 }
 
+void group_monitor::recordTakeover()
+{
+    m_ranks.clear();
+    m_strayHoldSince.reset();
+    m_immediateCleanUps = immediateCleanUps;
+}
+
+std::optional<std::size_t> group_monitor::unobservedRank() const
+{
+    if (m_ranks.size() + 1 != m_size)
+        return std::nullopt;
+    std::size_t rank = 0;
+    while (m_ranks.contains(static_cast<std::uint32_t>(rank)))
+        ++rank;
+    return rank;
+}
+
 void group_monitor::recordChangeEnd()
 {
     m_strayHoldSince.reset();
@@ -136,9 +157,15 @@
     if (!holds().empty()) {
         if (!m_strayHoldSince)
             m_strayHoldSince = now;
+        if (m_immediateCleanUps > 0) {
+            --m_immediateCleanUps;
+            return leader_task::clean_up;
+        }
         return now - *m_strayHoldSince >= m_settings.strayHoldTimeout ? leader_task::clean_up : leader_task::none;
     }
     m_strayHoldSince.reset();
+    if (!m_ranks.empty())
+        m_immediateCleanUps = 0;
     // Armed without a hold: a change that was released and whose step has not begun yet. Disarming
     // now could leave the ranks with two placements.
     if (armedPlacement() != 0)
--- a/Source/policy/groups/group_monitor.h
+++ b/Source/policy/groups/group_monitor.h
@@ -75,6 +75,9 @@
     void setPlacement(std::uint64_t placement, group_placement contents);
     // Records that a change to `contents` was completed.
     void recordPlacementChange(std::uint64_t placement, group_placement contents);
+    // Records that this agent took over from a leader that fell silent: what was known of the ranks is
+    // outdated, and a hold that is found now is an abandoned one.
+    void recordTakeover();
     // Records that a change ended, whether it was completed or not.
     void recordChangeEnd();
 
@@ -89,6 +92,8 @@
     double slowestPace() const;
     double plannedSkew() const { return m_plannedSkew; }
 
+    // The only rank that was not observed; none if there are several or none.
+    std::optional<std::size_t> unobservedRank() const;
     // True if the current state of every rank is known, and all are in the same epoch of an open group.
     bool complete(instant now) const;
     std::uint64_t epoch() const { return m_epoch; }
@@ -132,6 +137,8 @@
     double m_plannedSkew = 1;
     instant m_pauseUntil {};
     std::optional<instant> m_strayHoldSince;
+    // Clean-ups that may begin as soon as a hold is seen.
+    int m_immediateCleanUps = 0;
 };
 
 } // namespace rampgap
--- a/Source/policy/groups/map_switch.cpp
+++ b/Source/policy/groups/map_switch.cpp
@@ -39,9 +39,10 @@
 {
 }
 
-map_switch map_switch::cleanUp(std::uint64_t epoch, std::size_t ranks, std::uint64_t fence)
+map_switch map_switch::cleanUp(std::uint64_t epoch, std::size_t ranks, std::uint64_t fence, std::optional<std::size_t> silentRank)
 {
     map_switch made(0, nullptr, epoch, ranks, 0, { 0, fence });
+    made.m_silentRank = silentRank;
     made.m_reason = "left by an earlier leader";
     made.enter(switch_phase::claiming);
     return made;
@@ -113,7 +114,7 @@
         return {};
     }
     for (std::size_t rank = 0; rank < m_confirmed.size(); ++rank) {
-        if (m_confirmed[rank])
+        if (m_confirmed[rank] || (m_phase == switch_phase::claiming && rank == m_silentRank))
             continue;
         if (m_phase == switch_phase::disarming)
             order.placement = m_armed[rank];
@@ -164,8 +165,23 @@
         m_earliestArmedStep = after->armedStep;
     if (after->heldStep != 0)
         m_holds.emplace_back(rank, after->heldStep);
-    if (allConfirmed())
+    if (allConfirmed()) {
         endClaim();
+        return;
+    }
+    const auto unclaimed = std::count(m_confirmed.begin(), m_confirmed.end(), false);
+    if (m_silentRank && unclaimed == 1 && !m_confirmed[*m_silentRank] && !skipUnclaimed())
+        m_silentRank.reset();
+}
+
+bool map_switch::skipUnclaimed()
+{
+    m_skippedRank = skippableRank();
+    if (!m_skippedRank)
+        return false;
+    m_armed[*m_skippedRank] = neverPrepared;
+    endClaim();
+    return true;
 }
 
 void map_switch::endClaim()
@@ -307,13 +323,8 @@
 void map_switch::cancel()
 {
     if (m_phase == switch_phase::claiming) {
-        m_skippedRank = skippableRank();
-        if (!m_skippedRank) {
+        if (!skipUnclaimed())
             abort("a rank could not be claimed");
-            return;
-        }
-        m_armed[*m_skippedRank] = neverPrepared;
-        endClaim();
         return;
     }
     if (m_phase == switch_phase::preparing || m_phase == switch_phase::holding || m_phase == switch_phase::arming || m_phase == switch_phase::arming_own)
--- a/Source/policy/groups/map_switch.h
+++ b/Source/policy/groups/map_switch.h
@@ -55,7 +55,9 @@
 
     // Cleans up after an earlier leader: claims all ranks, disarms them and releases the holds.
     // Without a hold the ranks are left as they are: then the change was released already.
-    static map_switch cleanUp(std::uint64_t epoch, std::size_t ranks, std::uint64_t fence);
+    // `silentRank`: a rank that probably does not answer; it is claimed only where the others' replies
+    // don't show that it can be left out.
+    static map_switch cleanUp(std::uint64_t epoch, std::size_t ranks, std::uint64_t fence, std::optional<std::size_t> silentRank = std::nullopt);
 
     // The orders that are not confirmed yet; they are sent again until they are.
     std::vector<rank_order_to_send> pending() const;
@@ -84,6 +86,8 @@
     };
 
     void handleClaimed(std::size_t rank, order_reply, const rank_view* after);
+    // Continues a clean-up without the rank that is not claimed, if that is safe.
+    bool skipUnclaimed();
     void endClaim();
     // The only rank that has not been claimed, if the change that its agent led can be undone
     // without it; otherwise none.
@@ -106,6 +110,8 @@
     std::size_t m_ownRank;
     std::size_t m_holder;
     std::vector<claimed_rank> m_claimed;
+    // The rank that is claimed last; none if it answers like the others.
+    std::optional<std::size_t> m_silentRank;
     // The rank that a clean-up leaves out.
     std::optional<std::size_t> m_skippedRank;
     // The rank to disarm first.
--- a/Tests/platform/leadership/test.cpp
+++ b/Tests/platform/leadership/test.cpp
@@ -197,3 +197,43 @@
     CHECK_FALSE(alone.leads("x", { "a", "b" }, zero + milliseconds(60'000)));
     CHECK_FALSE(alone.leads("x", {}, zero + milliseconds(60'000)));
 }
+
+TEST_CASE("the agent whose engine holds a step replaces a leader that is silent for 0.2 s; no other agent does")
+{
+    const std::vector<std::string> members { "a", "b", "c" };
+    leadership holder;
+    leadership other;
+    const instant called = zero + milliseconds(1'000);
+    holder.recordCall("a", called);
+    other.recordCall("a", called);
+    holder.recordHold(true, called + milliseconds(30));
+    CHECK_FALSE(holder.leaderOverdue(called + milliseconds(90)));
+    CHECK(holder.leaderOverdue(called + milliseconds(110)));
+    CHECK_FALSE(holder.leads("c", members, called + milliseconds(190)));
+    CHECK_FALSE(other.leads("b", members, called + milliseconds(210)));
+    // Another agent has been called since.
+    holder.recordCall("a", called + milliseconds(50));
+    CHECK_FALSE(holder.leads("c", members, called + milliseconds(210)));
+    CHECK(holder.leads("c", members, called + milliseconds(250)));
+    CHECK((holder.reason() == takeover_reason::step_held));
+    CHECK(holder.recordHold(false, called + milliseconds(300)) == milliseconds(270));
+}
+
+TEST_CASE("a held step hastens no takeover where leaders poll rarely, where the hold is over, or where it was seen long ago")
+{
+    const std::vector<std::string> members { "a", "b" };
+    const instant called = zero + milliseconds(1'000);
+    leadership rarely;
+    leadership released;
+    leadership suspended;
+    for (leadership* each : { &rarely, &released, &suspended }) {
+        each->recordCall("a", called);
+        each->recordHold(true, called);
+    }
+    rarely.setCallInterval(milliseconds(140));
+    released.recordHold(false, called + milliseconds(100));
+    CHECK_FALSE(rarely.leads("b", members, called + milliseconds(270)));
+    CHECK(rarely.leads("b", members, called + milliseconds(280)));
+    CHECK_FALSE(released.leads("b", members, called + milliseconds(290)));
+    CHECK_FALSE(suspended.leads("b", members, called + milliseconds(310)));
+}
--- a/Tests/platform/map-switch/test.cpp
+++ b/Tests/platform/map-switch/test.cpp
@@ -28,8 +28,10 @@
 
 class world {
 public:
-    explicit world(std::uint32_t seed)
+    // `silentRanks`: clean-ups begin without a rank that may be silent.
+    explicit world(std::uint32_t seed, bool silentRanks = false)
         : m_random(seed)
+        , m_silentRanks(silentRanks)
     {
     }
 
@@ -72,7 +74,7 @@
         m_fence += 10;
         const auto ownRank = static_cast<std::size_t>(&acting - m_leaders.data());
         if (m_group.anyHold())
-            acting.change = map_switch::cleanUp(1, ranks, m_fence);
+            acting.change = map_switch::cleanUp(1, ranks, m_fence, m_silentRanks ? std::optional<std::size_t>(draw(ranks)) : std::nullopt);
         else
             acting.change.emplace(placementNumber(m_fence, ownRank), std::make_shared<group_placement>(), 1, ranks, ownRank, switch_settings { 2, m_fence });
         acting.rounds = 0;
@@ -159,6 +161,7 @@
     }
 
     std::mt19937 m_random;
+    bool m_silentRanks;
     group_model m_group { ranks };
     std::array<leader, 2> m_leaders;
     std::vector<late_order> m_late;
@@ -173,7 +176,7 @@
 {
     int changes = 0;
     CHECK(rc::check([&changes] {
-        world made(*rc::gen::arbitrary<std::uint32_t>());
+        world made(*rc::gen::arbitrary<std::uint32_t>(), *rc::gen::arbitrary<bool>());
         made.run();
         changes += made.changes();
         RC_ASSERT(made.group().consistent());
