--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -50,9 +50,10 @@
     store_readings_refused,
     zones_evacuated,
     requests_refused_early,
+    longest_hold,
 };
 
-inline constexpr std::size_t metricCount = 31;
+inline constexpr std::size_t metricCount = 32;
 
 struct metric_row {
     metric id;
