--- a/Source/policy/groups/group_wait.cpp
+++ b/Source/policy/groups/group_wait.cpp
@@ -30,7 +30,9 @@
 group_wait_decision decideGroupWait(const group_wait_input& input)
 {
     constexpr milliseconds none { 0 };
-    const milliseconds patienceLeft = input.patience - input.waited - patienceMargin;
+    // A group that opens too late for the first event would spend a slot on a caller that leaves.
+    const milliseconds margin = std::max(patienceMargin, input.firstEvent);
+    const milliseconds patienceLeft = input.patience - input.waited - margin;
     const milliseconds servable = input.timeLeft - input.run;
     milliseconds wait = std::max(none, std::min(patienceLeft, servable));
     if (!mayOpenWithin(wait, input.closedFor))
--- a/Source/policy/groups/group_wait.h
+++ b/Source/policy/groups/group_wait.h
@@ -15,6 +15,8 @@
     milliseconds waited { 0 };
     // Time from getting a request slot of an engine to the end of the answer, as observed lately.
     milliseconds run { 0 };
+    // From getting a request slot just after an opening to the first event, as observed lately.
+    milliseconds firstEvent { 0 };
     // How long the service has had no open group.
     milliseconds closedFor { 0 };
 };
@@ -29,11 +31,11 @@
 };
 
 // Load pattern: a group closes for 1 to 10 s, for a time that cannot be predicted: an engine that is
-// replaced is back in a second, a network partition lasts six. A caller that waits here as long as
-// its patience lasts, is then given the longest retry delay that it complies with, and waits again is
-// served if the group opens within 6.5 s of its first attempt; one that is refused at once with a
-// retry delay, within 5 s. A caller that can no longer get a complete answer is refused at once, and
-// so are all callers once the closure has lasted so long that hardly any of them would see its end:
+// replaced is back in a second, a network partition lasts six. A caller that waits here as long as a
+// first event can still come within its patience, is then given the longest retry delay that it
+// complies with, and waits again is served if the group opens within 5 to 6.5 s of its first attempt;
+// one that is refused at once with a retry delay, within 5 s. A caller that can no longer get a complete
+// answer is refused at once, and so are all callers once the closure has lasted so long that hardly any of them would see its end:
 // a group may never open.
 group_wait_decision decideGroupWait(const group_wait_input&);
 
--- a/Source/policy/requests/admission_wait.cpp
+++ b/Source/policy/requests/admission_wait.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+milliseconds expectedFirstEvent(const first_event_times& times, milliseconds openFor, milliseconds patience)
+{
+    const milliseconds expected = openFor < openingTime ? std::max(times.mean, times.meanAfterOpening) : times.mean;
+    return std::min(expected, patience / 2);
+}
+
 admission_wait planAdmissionWait(const admission_wait_input& input)
 {
     constexpr milliseconds none { 0 };
@@ -22,7 +28,8 @@
         wait.timely = std::max(none, input.latencyTarget - input.firstEvent - input.waited);
     const milliseconds patienceLeft = input.patience - input.waited;
     // An answer that the deadline would cut off must not take the slot of one that can finish.
-    const milliseconds longest = std::min(input.timeLeft - input.run, patienceLeft - input.firstEvent);
+    // A caller that leaves before its first event must not take the slot of one that gets it.
+    const milliseconds longest = std::min(input.timeLeft - input.run, patienceLeft - std::max(input.firstEvent, input.slowFirstEvent));
     wait.timely = std::min(wait.timely, std::max(none, longest));
     wait.late = std::max(none, longest - wait.timely);
     return wait;
--- a/Source/policy/requests/admission_wait.h
+++ b/Source/policy/requests/admission_wait.h
@@ -26,6 +26,11 @@
 inline constexpr milliseconds initialFirstEventDelay { 200 };
 // Assumed time from getting a slot to the end of the answer until one was observed.
 inline constexpr milliseconds initialRunTime { 1'500 };
+// Assumed time from getting a slot just after an opening to the first event until one was observed: the prompts
+// of all slots are read at once.
+inline constexpr milliseconds initialOpeningFirstEvent { 400 };
+// Time after an opening in which the requests that waited for it get their first events.
+inline constexpr milliseconds openingTime { 1'000 };
 // Passes until the first event of a request: the one under way as it gets a slot and the one that reads its prompt.
 inline constexpr int firstEventPasses = 2;
 
@@ -34,6 +39,9 @@
     milliseconds latencyTarget { 0 };
     // From getting a slot to the first event, as recently observed.
     milliseconds firstEvent { 0 };
+    // What the caller has to expect now if that is longer, such as after an opening. A wait leaves it as much of its
+    // patience; 0: firstEvent.
+    milliseconds slowFirstEvent { 0 };
     // From getting a slot to the end of the answer, as recently observed.
     milliseconds run { 0 };
     // Since the request arrived.
@@ -50,6 +58,17 @@
     bool slotsFree = false;
 };
 
+// Times from getting a slot to the first event, as observed lately.
+struct first_event_times {
+    milliseconds mean { 0 };
+    // Of requests that were sent just after an opening.
+    milliseconds meanAfterOpening { 0 };
+};
+
+// How long a caller has to expect to wait for its first event once it has a slot. `openFor`: time since the service has
+// an open group. At most half of the patience: requests that are sent show when first events are faster again.
+milliseconds expectedFirstEvent(const first_event_times&, milliseconds openFor, milliseconds patience);
+
 // Two waits, one after the other: first among requests that can be on time, then behind them.
 struct admission_wait {
     milliseconds timely { 0 };
