gateway: refusals for want of room say a reserved moment to come back

slot_allocator owns a return_schedule for each service: its rate follows the share of slots, the mean run and the new callers. The hold in a closure and the wait for a slot use the time to the first event that is seen after openings. Routes without an accepted gap keep their waits. Refusals of limited plain services still draw their pause: their room depends on grants, not on slots.

request_failed carries retry_after_ms, return_rate and returns_ahead; metrics count returns planned, served at the first try and refused again.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -44,6 +44,9 @@
         { metric::store_revision, "rampgap_store_revision", "Revision of the users' store that this process holds", true },
         { metric::store_readings_refused, "rampgap_store_readings_refused_total", "Listings of the users' store that were refused as older than what is held", false },
         { metric::zones_evacuated, "rampgap_zones_evacuated", "Zones that the operators have evacuated: their servers get no new requests", true },
+        { metric::returns_planned, "rampgap_returns_planned_total", "Refused callers that were told a reserved moment to come back", false },
+        { metric::returns_served, "rampgap_returns_served_total", "Callers that came back after a refusal and were served at their first try", false },
+        { metric::returns_refused, "rampgap_returns_refused_total", "Callers that came back after a refusal and were refused again", false },
     } };
 
     struct latency_row {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -49,9 +49,12 @@
     store_revision,
     store_readings_refused,
     zones_evacuated,
+    returns_planned,
+    returns_served,
+    returns_refused,
 };
 
-inline constexpr std::size_t metricCount = 30;
+inline constexpr std::size_t metricCount = 33;
 
 struct metric_row {
     metric id;
--- a/Source/gateway/requests/slot_allocator.cpp
+++ b/Source/gateway/requests/slot_allocator.cpp
@@ -18,6 +18,7 @@
 slot_allocator::service_slots::service_slots(process_context& context)
     : gate(context, admission_limits {}, shedding)
     , firstEvent(initialFirstEventDelay)
+    , openingFirstEvent(initialOpeningFirstEvent)
     , run(initialRunTime)
 {
     gate.reserve(lastChancePriority, lastChanceNth);
@@ -44,6 +45,7 @@
     input.slotsFree = !slots.gate.full();
     input.latencyTarget = request.route.latencyTarget;
     input.firstEvent = std::min(slots.firstEvent.value(), request.route.gapTarget * firstEventPasses);
+    input.slowFirstEvent = expectedFirstEvent(request, now);
     input.run = slots.run.mean();
     input.waited = request.waited(now);
     input.timeLeft = request.timeLeft(now);
@@ -54,16 +56,46 @@
     for (const auto& stage : planAdmission(input)) {
         asked.priority = stage.priority;
         asked.deadline += stage.longest;
-        auto slot = co_await enter(slots.gate, asked, exchange);
+        auto slot = co_await enter(slots, asked, exchange);
         if (slot || exchange.callerGone())
             co_return slot;
         refused = slot.error();
     }
     if (refused.reason == failure_reason::queue_full && !begun)
-        refused.retryAfter = backlogRetryDelay(request.timeLeft(m_context.now()), std::uniform_real_distribution<double>(0, 1)(m_context.random()));
+        refused.retryAfter = planReturn(request);
     co_return refused;
 }
 
+// A caller that is refused once more gets a moment too: it may still come back, and its refusal shows that there is
+// less room than planned.
+milliseconds slot_allocator::planReturn(const admitted_request& request)
+{
+    const instant now = m_context.now();
+    service_slots& slots = slotsFor(request.service);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
+    const return_request asked { request.timeLeft(now), slots.run.mean(), request.priority, draw };
+    slots.returns.setWaiting(slots.lastChances);
+    const auto pause = slots.returns.reserve(asked, now);
+    if (!pause)
+        return slots.returns.leastReserved(asked, now);
+    m_context.counters().add(metric::returns_planned);
+    return *pause;
+}
+
+milliseconds slot_allocator::expectedFirstEvent(const admitted_request& request, instant now)
+{
+    if (request.route.gapTarget <= milliseconds(0))
+        return milliseconds(0);
+    const service_slots& slots = slotsFor(request.service);
+    // Engines without groups do not open.
+    milliseconds openFor = m_groups.hasGroups(request.service, now) ? m_groups.openFor(request.service, now) : openingTime;
+    if (m_groups.closed(request.service, now))
+        openFor = milliseconds(0);
+    const first_event_times times { slots.firstEvent.mean(), slots.openingFirstEvent.mean() };
+    const milliseconds patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
+    return rampgap::expectedFirstEvent(times, openFor, patience);
+}
+
 void slot_allocator::setSlots(const admitted_request& request, service_slots& slots) const
 {
     const instant now = m_context.now();
@@ -71,20 +103,29 @@
     const pool_load_input input { request.service, request.costs, gap, slots.run.mean(), now };
     const pool_load load = poolLoad(input, m_state.backends(), m_loads, m_groups, m_backpressure);
     slots.busyShare = load.capacity > 0 ? static_cast<double>(load.requests) / load.capacity : 1;
-    slots.gate.setSlots(admissionShare({ load.targetRunning, load.requests, slots.gate.queue().running(), m_entries, m_groups.openFor(request.service, now) }));
+    const int share = admissionShare({ load.targetRunning, load.requests, slots.gate.queue().running(), m_entries, m_groups.openFor(request.service, now) });
+    slots.gate.setSlots(share);
+    slots.returns.setRate(returnRate({ share, slots.run.mean(), slots.newCallers.perSecond(now) }));
 }
 
-awaitable<result<admission_slot>> slot_allocator::enter(admission_gate& gate, admission_request asked, http_exchange& exchange)
+awaitable<result<admission_slot>> slot_allocator::enter(service_slots& slots, admission_request asked, http_exchange& exchange)
 {
-    const auto entered = co_await gate.enter(asked, exchange);
+    const int counted = asked.priority == lastChancePriority ? 1 : 0;
+    slots.lastChances += counted;
+    const auto entered = co_await slots.gate.enter(asked, exchange);
+    slots.lastChances -= counted;
     if (!entered)
         co_return entered.error();
-    co_return admission_slot(gate, entered.value());
+    co_return admission_slot(slots.gate, entered.value());
 }
 
 void slot_allocator::recordFirstEvent(const std::string& service, milliseconds elapsed)
 {
-    slotsFor(service).firstEvent.observe(elapsed);
+    service_slots& slots = slotsFor(service);
+    slots.firstEvent.observe(elapsed);
+    const milliseconds openFor = m_groups.openFor(service, m_context.now());
+    if (openFor > elapsed && openFor - elapsed < openingTime)
+        slots.openingFirstEvent.observe(elapsed);
 }
 
 void slot_allocator::recordCompletion(const std::string& service, milliseconds elapsed)
--- a/Source/gateway/requests/slot_allocator.h
+++ b/Source/gateway/requests/slot_allocator.h
@@ -6,7 +6,9 @@
 #include "gateway/requests/admitted_request.h"
 #include "policy/groups/group_directory.h"
 #include "policy/limits/server_backpressure.h"
+#include "policy/requests/arrival_rate.h"
 #include "policy/requests/delay_estimate.h"
+#include "policy/requests/return_schedule.h"
 #include "policy/routing/load_table.h"
 
 #include <map>
@@ -21,6 +23,14 @@
     // that is to be resumed. `again`: the request was sent to a server before, so its caller may not
     // retry. Plain services need no slot.
     awaitable<result<admission_slot>> acquire(http_exchange&, const admitted_request&, bool begun, bool again);
+    // Records that a caller has come for the first time.
+    void recordNewCaller(const admitted_request& request) { slotsFor(request.service).newCallers.record(request.receivedAt); }
+    // When a caller that gets no room is to come back.
+    milliseconds planReturn(const admitted_request&);
+    // The moments at which callers of the service come back.
+    return_schedule& returnsOf(const std::string& service) { return slotsFor(service).returns; }
+    // Time from a slot to the first event that a caller of a stream has to expect now, or once a closed group opens.
+    milliseconds expectedFirstEvent(const admitted_request&, instant now);
     // Share of the service's slots that were in use when the last request arrived.
     double busyShare(const std::string& service) { return slotsFor(service).busyShare; }
     // Sets the number of active entry VMs, this one included.
@@ -43,14 +53,20 @@
         admission_gate gate;
         // Time from a slot to the first event, and to the end of the answer.
         delay_estimate firstEvent;
+        // The former, of requests that were sent just after an opening.
+        delay_estimate openingFirstEvent;
         delay_estimate run;
         double busyShare = 0;
+        arrival_rate newCallers;
+        return_schedule returns;
+        // Requests that wait with lastChancePriority.
+        int lastChances = 0;
     };
 
     service_slots& slotsFor(const std::string& service);
     // Sets how many slots this process may use now.
     void setSlots(const admitted_request&, service_slots&) const;
-    static awaitable<result<admission_slot>> enter(admission_gate&, admission_request, http_exchange&);
+    static awaitable<result<admission_slot>> enter(service_slots&, admission_request, http_exchange&);
 
     process_context& m_context;
     fleet_state& m_state;
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -62,11 +62,15 @@
 awaitable<void> upstream_dispatcher::dispatch(http_exchange& exchange, const admitted_request& request)
 {
     m_budget.recordRequest(request.service, m_context.now());
+    if (request.costs && request.isFirstAttempt())
+        m_slots.recordNewCaller(request);
     progress state;
     state.fingerprint = fingerprintOf(exchange.request().method_string(), exchange.request().target(), request.parsed.key, exchange.request().body());
     state.relay.lastEventId = request.parsed.lastEventId;
     auto failed = co_await run(exchange, request, state);
     m_context.counters().observe(latency::request, m_context.now() - request.receivedAt);
+    if (!exchange.callerGone())
+        countReturn(request, state, failed);
     if (failed)
         co_await refuse(exchange, request, state, std::move(*failed));
     else
@@ -175,6 +179,7 @@
     input.patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
     input.waited = request.waited(m_context.now());
     input.run = m_slots.typicalRun(request.service);
+    input.firstEvent = m_slots.expectedFirstEvent(request, m_context.now());
     input.closedFor = m_groups.closedFor(request.service, m_context.now());
     group_wait_decision decision = decideGroupWait(input);
     // The caller of an interrupted stream has been waiting since its last event.
@@ -228,7 +233,26 @@
         if (auto refused = m_picker.backoffFailure(request))
             return *refused;
     }
-    return *last.failed;
+    failure failed = *last.failed;
+    if (request.costs && last.result == attempt_result::refused && failed.ran == verdict::not_run)
+        failed.retryAfter = pauseAfterRefusal(request);
+    return failed;
+}
+
+// How long a closure lasts is not known, so that the longest pause has the best chance to outlast it.
+milliseconds upstream_dispatcher::pauseAfterRefusal(const admitted_request& request)
+{
+    return noGroupOpenFor(request) ? longestRetryPause(request.timeLeft(m_context.now())) : m_slots.planReturn(request);
+}
+
+void upstream_dispatcher::countReturn(const admitted_request& request, const progress& state, const std::optional<failure>& failed)
+{
+    if (!request.costs || request.isFirstAttempt())
+        return;
+    if (!failed && state.attempted.all.size() == 1)
+        m_context.counters().add(metric::returns_served);
+    else if (failed && failed->ran == verdict::not_run)
+        m_context.counters().add(metric::returns_refused);
 }
 
 bool upstream_dispatcher::consumeRetry(const admitted_request& request, const attempt_outcome& last)
@@ -439,6 +463,10 @@
     line.add("request", request.parsed.id).add("fingerprint", toString(state.fingerprint)).add("route", request.route.name).add("service", request.service).add("age_ms", m_context.now() - request.receivedAt);
     line.add("tries", state.attempted.all.size()).add("verdict", toString(failed.ran)).add("reason", toString(failed.reason)).add("detail", failed.message);
     line.add("version", m_state.configuration() ? m_state.configuration()->version() : 0);
+    if (request.costs && failed.retryAfter) {
+        return_schedule& returns = m_slots.returnsOf(request.service);
+        line.add("retry_after_ms", *failed.retryAfter).add("return_rate", returns.rate()).add("returns_ahead", returns.returnsAhead(m_context.now()));
+    }
     if (exchange.callerGone())
         co_return;
     if (exchange.begun()) {
