--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -46,6 +46,9 @@
         { metric::zones_evacuated, "rampgap_zones_evacuated", "Zones that the operators have evacuated: their servers get no new requests", true },
         { metric::requests_refused_early, "rampgap_requests_refused_early_total", "Requests refused as they arrived, since no request slot was expected in time", false },
         { metric::longest_hold, "rampgap_longest_hold_seconds", "Longest time for which the own engine held a step of its group, as far as this agent has seen", true },
+        { metric::returns_planned, "rampgap_returns_planned_total", "Refused callers that were told a reserved moment to come back", false },
+        { metric::returns_served, "rampgap_returns_served_total", "Callers that came back after a refusal and were served at their first try", false },
+        { metric::returns_refused, "rampgap_returns_refused_total", "Callers that came back after a refusal and were refused again", false },
     } };
 
     struct latency_row {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -51,9 +51,12 @@
     zones_evacuated,
     requests_refused_early,
     longest_hold,
+    returns_planned,
+    returns_served,
+    returns_refused,
 };
 
-inline constexpr std::size_t metricCount = 32;
+inline constexpr std::size_t metricCount = 35;
 
 struct metric_row {
     metric id;
--- a/Source/gateway/requests/slot_allocator.cpp
+++ b/Source/gateway/requests/slot_allocator.cpp
@@ -18,6 +18,7 @@
 slot_allocator::service_slots::service_slots(process_context& context)
     : gate(context, admission_limits {}, shedding)
     , firstEvent(initialFirstEventDelay)
+    , openingFirstEvent(initialOpeningFirstEvent)
     , run(initialRunTime)
 {
     gate.reserve(lastChancePriority, lastChanceNth);
@@ -45,6 +46,7 @@
     input.slotsFree = !slots.gate.full();
     input.latencyTarget = request.route.latencyTarget;
     input.firstEvent = std::min(slots.firstEvent.value(), request.route.gapTarget * firstEventPasses);
+    input.slowFirstEvent = expectedFirstEvent(request, now);
     input.run = slots.run.mean();
     input.waited = request.waited(now);
     input.timeLeft = request.timeLeft(now);
@@ -58,13 +60,13 @@
     for (const auto& stage : stages) {
         asked.priority = stage.priority;
         asked.deadline += stage.longest;
-        auto slot = co_await enter(slots.gate, asked, exchange);
+        auto slot = co_await enter(slots, asked, exchange);
         if (slot || exchange.callerGone())
             co_return slot;
         refused = slot.error();
     }
     if (refused.reason == failure_reason::queue_full && !begun)
-        refused.retryAfter = backlogRetryDelay(request.timeLeft(m_context.now()), std::uniform_real_distribution<double>(0, 1)(m_context.random()));
+        refused.retryAfter = planReturn(request);
     co_return refused;
 }
 
@@ -75,7 +77,7 @@
     const slot_forecast forecast { slots.gate.queue().forecast(request.workspace, priority, request.priority), slots.gate.slots(), input.run };
     if (!shouldReturnLater(input, forecast))
         return std::nullopt;
-    const auto pause = slots.returns.reserve({ input.timeLeft, input.run, request.priority }, m_context.now());
+    const auto pause = reserveReturn(request, slots);
     if (!pause)
         return std::nullopt;
     auto line = m_log.requestLine("admission_refused");
@@ -85,6 +87,44 @@
     return notRun(failure_reason::queue_full, "no request slot is expected in time", *pause);
 }
 
+// A caller that is refused once more gets a moment too: it may still come back, and its refusal shows that there is
+// less room than planned.
+milliseconds slot_allocator::planReturn(const admitted_request& request)
+{
+    service_slots& slots = slotsFor(request.service);
+    const auto pause = reserveReturn(request, slots);
+    return pause ? *pause : slots.returns.leastReserved(returnRequest(request, slots), m_context.now());
+}
+
+return_request slot_allocator::returnRequest(const admitted_request& request, const service_slots& slots) const
+{
+    const double draw = std::uniform_real_distribution<double>(0, 1)(m_context.random());
+    return { request.timeLeft(m_context.now()), slots.run.mean(), request.priority, draw };
+}
+
+std::optional<milliseconds> slot_allocator::reserveReturn(const admitted_request& request, service_slots& slots)
+{
+    slots.returns.setWaiting(slots.lastChances);
+    const auto pause = slots.returns.reserve(returnRequest(request, slots), m_context.now());
+    if (pause)
+        m_context.counters().add(metric::returns_planned);
+    return pause;
+}
+
+milliseconds slot_allocator::expectedFirstEvent(const admitted_request& request, instant now)
+{
+    if (request.route.gapTarget <= milliseconds(0))
+        return milliseconds(0);
+    const service_slots& slots = slotsFor(request.service);
+    // Engines without groups do not open.
+    milliseconds openFor = m_groups.hasGroups(request.service, now) ? m_groups.openFor(request.service, now) : openingTime;
+    if (m_groups.closed(request.service, now))
+        openFor = milliseconds(0);
+    const first_event_times times { slots.firstEvent.mean(), slots.openingFirstEvent.mean() };
+    const milliseconds patience = callerPatience(request.route.latencyTarget, request.route.gapTarget);
+    return rampgap::expectedFirstEvent(times, openFor, patience);
+}
+
 void slot_allocator::setSlots(const admitted_request& request, service_slots& slots) const
 {
     const instant now = m_context.now();
@@ -92,20 +132,29 @@
     const pool_load_input input { request.service, request.costs, gap, slots.run.mean(), now };
     const pool_load load = poolLoad(input, m_state.backends(), m_loads, m_groups, m_backpressure);
     slots.busyShare = load.capacity > 0 ? static_cast<double>(load.requests) / load.capacity : 1;
-    slots.gate.setSlots(admissionShare({ load.targetRunning, load.requests, slots.gate.queue().running(), m_entries, m_groups.openFor(request.service, now) }));
+    const int share = admissionShare({ load.targetRunning, load.requests, slots.gate.queue().running(), m_entries, m_groups.openFor(request.service, now) });
+    slots.gate.setSlots(share);
+    slots.returns.setRate(returnRate({ share, slots.run.mean(), slots.newCallers.perSecond(now) }));
 }
 
-awaitable<result<admission_slot>> slot_allocator::enter(admission_gate& gate, admission_request asked, http_exchange& exchange)
+awaitable<result<admission_slot>> slot_allocator::enter(service_slots& slots, admission_request asked, http_exchange& exchange)
 {
-    const auto entered = co_await gate.enter(asked, exchange);
+    const int counted = asked.priority == lastChancePriority ? 1 : 0;
+    slots.lastChances += counted;
+    const auto entered = co_await slots.gate.enter(asked, exchange);
+    slots.lastChances -= counted;
     if (!entered)
         co_return entered.error();
-    co_return admission_slot(gate, entered.value());
+    co_return admission_slot(slots.gate, entered.value());
 }
 
 void slot_allocator::recordFirstEvent(const std::string& service, milliseconds elapsed)
 {
-    slotsFor(service).firstEvent.observe(elapsed);
+    service_slots& slots = slotsFor(service);
+    slots.firstEvent.observe(elapsed);
+    const milliseconds openFor = m_groups.openFor(service, m_context.now());
+    if (openFor > elapsed && openFor - elapsed < openingTime)
+        slots.openingFirstEvent.observe(elapsed);
 }
 
 void slot_allocator::recordCompletion(const std::string& service, milliseconds elapsed)
