groups: measure passes from the steps that ranks report

Cause: nobody compares the predicted pass with the real one; leaders read the newest step in each poll for nothing. Holds, idle time, closed groups, pauses of the leader and earlier epochs are left out. Not yet used here. Test: step-rate, 6 cases; two new lines of mutation-check were tried by hand (each turned its case red), the script itself was not run.

--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -91,6 +91,8 @@
     ("backoff_cut_short", "server_backoffs.cpp", "std::max(entry.until, now + std::min(requested, maxBackoff))", "now + std::min(requested, maxBackoff)", "platform/server-backoff"),
     ("all_at_once_after_a_backoff", "server_backoffs.cpp", "entry->second.firstSentAt = now;", "entry->second.firstSentAt.reset();", "platform/server-backoff"),
     ("answer_ends_backoff", "server_backoffs.cpp", " && now >= entry->second.until", "", "platform/server-backoff"),
+    ("idle_pause_is_a_pass", "step_rate.cpp", "!progress.steady || progress.active == 0", "!progress.steady", "platform/step-rate"),
+    ("hold_is_a_pass", "step_rate.cpp", "!progress.steady || progress.active == 0", "progress.active == 0", "platform/step-rate"),
     ("list_outweighs_leaving", "backend_directory.cpp", " || m_leaving.contains(id)", "", "platform/backend-list"),
     ("engine_limit_for_each_vm", "engine_throttle.cpp", "if (m_tokens.tokens() < 1)", "if (false)", "requests/engine-intake"),
     ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
