groups: copy experts by what callers get

Cause: a change of placement was judged by gain and a predicted pass, so that experts were copied also while gaps were half of what callers accept. The leader's measured pass, scaled by half as much load again and by the skew now, gives the skew that callers would not notice (up to 2): below it no change, above it a plan that stops at 0.85 of it. Where it is below 1.9, callers accept any gap, nothing was measured, or an epoch is younger than 2 s, decisions are those of before. Cost: at 1,000 VMs one skew and one sum over the ranks a poll at the leader; a deferred change spares its plan. Nothing per request, no message. Logs: placement_change_deferred (one a second at most), new fields of placement_change_begun; metric rampgap_experts_copied_total.

--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -44,6 +44,7 @@
         { metric::store_revision, "rampgap_store_revision", "Revision of the users' store that this process holds", true },
         { metric::store_readings_refused, "rampgap_store_readings_refused_total", "Listings of the users' store that were refused as older than what is held", false },
         { metric::zones_evacuated, "rampgap_zones_evacuated", "Zones that the operators have evacuated: their servers get no new requests", true },
+        { metric::experts_copied, "rampgap_experts_copied_total", "Experts that changes of placement begun by this leader had to copy", false },
     } };
 
     struct latency_row {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -49,9 +49,10 @@
     store_revision,
     store_readings_refused,
     zones_evacuated,
+    experts_copied,
 };
 
-inline constexpr std::size_t metricCount = 30;
+inline constexpr std::size_t metricCount = 31;
 
 struct metric_row {
     metric id;
--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -28,6 +28,9 @@
     constexpr std::size_t maxUnknownPerMissingRank = 2;
     // Size of an answer that has only the states of a part of the ranks, without expert counts.
     constexpr std::size_t stateAnswerBytes = 2'048;
+    // A group with headroom defers changes at each decision.
+    constexpr milliseconds deferralLineInterval { 1'000 };
+
     std::uint64_t wallMilliseconds()
     {
         return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
@@ -57,6 +60,7 @@
         return;
     m_costs = costs;
     m_monitor.emplace(monitorSettingsFor(costs));
+    m_stepRate = step_rate();
 }
 
 std::size_t group_leader::countsBytes() const
@@ -91,6 +95,8 @@
         m_monitor->observe({ ids[rank.index], *rank.after, {} }, now);
     }
     m_monitor->recordChoices(outcome.expertCounts, now);
+    m_stepRate.record(m_monitor->progress(), now);
+    m_monitor->recordMeasuredPass(measuredPass(), now);
 }
 
 // A rank whose agent is gone reports its group to nobody: while ranks are missing, its engine may be
@@ -143,10 +149,13 @@
         co_return;
     // The group may only be switched here, between two changes: the orders of one change address the
     // ranks of a single group.
+    if (known.group != m_monitor->group())
+        m_stepRate = step_rate();
     m_monitor->follow(known.group);
     const std::string ownBackendId = known.ownId;
     switch (m_monitor->decide(m_context.now())) {
     case leader_task::none:
+        logDeferral();
         break;
     case leader_task::clean_up:
         co_await cleanUp();
@@ -197,13 +206,15 @@
         co_return;
     const instant began = m_context.now();
     const auto contents = std::make_shared<const group_placement>(m_monitor->planned());
+    const std::size_t newExperts = totalNewExperts(*m_monitor->current().contents, *contents);
     m_copyingRanks.clear();
     switch_settings settings;
     settings.fence = nextFence();
     const auto ownRank = static_cast<std::size_t>(own - ids.begin());
     const auto placement = m_monitor->nextPlacement(static_cast<std::uint32_t>(ownRank), wallMilliseconds());
     map_switch change(placement, contents, m_monitor->epoch(), ids.size(), ownRank, settings);
-    m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew());
+    m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew()).add("new_experts", newExperts).add("measured_pass_ms", measuredPass()).add("longest_gap_ms", m_monitor->longestGap()).add("tolerated_skew", m_monitor->toleratedSkew(began).value_or(1));
+    m_context.counters().add(metric::experts_copied, static_cast<double>(newExperts));
     const milliseconds copies(static_cast<std::int64_t>(std::max(maxCopyMs, expertCopyMs(m_costs))));
     co_await executeChange(change, copies + prepareMargin + callBudget(m_caller.limits(packPlacement(*contents).size())));
     if (change.phase() == switch_phase::done)
@@ -223,6 +234,15 @@
     logEnd(change, began, "cleanup_ended");
 }
 
+void group_leader::logDeferral()
+{
+    const instant now = m_context.now();
+    if (!m_monitor->deferred() || now < m_nextDeferralLineAt)
+        return;
+    m_nextDeferralLineAt = now + deferralLineInterval;
+    m_log.line("placement_change_deferred").add("epoch", m_monitor->epoch()).add("skew", m_monitor->currentSkew()).add("tolerated_skew", m_monitor->toleratedSkew(now).value_or(1)).add("measured_pass_ms", measuredPass()).add("longest_gap_ms", m_monitor->longestGap());
+}
+
 void group_leader::logEnd(const map_switch& change, instant began, std::string_view event)
 {
     const bool done = change.phase() == switch_phase::done;
@@ -237,6 +257,9 @@
     bool holding = change.holding();
     while (!change.ended()) {
         co_await sendRound(change, prepareTime);
+        // A hold may be shorter than the time between two polls.
+        if (change.holding())
+            m_stepRate.discardSample();
         if (!holding && change.holding()) {
             holding = true;
             limit = m_context.now() + maxHoldTime;
--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -7,6 +7,7 @@
 #include "policy/groups/group_roster.h"
 #include "policy/groups/map_switch.h"
 #include "policy/groups/pass_model.h"
+#include "policy/groups/step_rate.h"
 #include "policy/routing/load_table.h"
 
 #include <set>
@@ -42,7 +43,7 @@
     // What lengthens the group's steps now; empty if not known.
     group_slowdown slowdown() const;
     // Mean duration of the group's passes; 0 until it was measured.
-    milliseconds measuredPass() const { return milliseconds(0); }
+    milliseconds measuredPass() const { return m_stepRate.mean(m_context.now()); }
     // Decides on the next task and returns when it is done. To be called repeatedly.
     awaitable<void> runNextTask(group_members);
 
@@ -64,6 +65,7 @@
     // Size of the expert counts of one rank, or of their sum over all ranks.
     std::size_t countsBytes() const;
     std::uint64_t nextFence();
+    void logDeferral();
     void logEnd(const map_switch&, instant began, std::string_view event);
 
     process_context& m_context;
@@ -74,6 +76,8 @@
     group_roster& m_roster;
     engine_costs m_costs;
     std::optional<group_monitor> m_monitor;
+    step_rate m_stepRate;
+    instant m_nextDeferralLineAt {};
     // Ranks that have received the contents of the placement being prepared.
     std::set<std::uint32_t> m_copyingRanks;
     int m_polls = 0;
