--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -49,6 +49,7 @@
         { metric::returns_planned, "rampgap_returns_planned_total", "Refused callers that were told a reserved moment to come back", false },
         { metric::returns_served, "rampgap_returns_served_total", "Callers that came back after a refusal and were served at their first try", false },
         { metric::returns_refused, "rampgap_returns_refused_total", "Callers that came back after a refusal and were refused again", false },
+        { metric::experts_copied, "rampgap_experts_copied_total", "Experts that changes of placement begun by this leader had to copy", false },
     } };
 
     struct latency_row {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -54,9 +54,10 @@
     returns_planned,
     returns_served,
     returns_refused,
+    experts_copied,
 };
 
-inline constexpr std::size_t metricCount = 35;
+inline constexpr std::size_t metricCount = 36;
 
 struct metric_row {
     metric id;
