admission: what a group runs at once follows its measured passes

Cause: the model takes the mean load of each rank over many passes; a pass lasts as long as its most loaded rank, set by set. With all slots taken passes were longer than predicted and accepted, every stream was late, and nothing reduced the load.

Now: pass_estimate measures a group's passes by gaps between events of own streams (median of 0.1 s, mean and four mean excesses over 0.3 s, at most the longest sample of 0.5 s); without own gaps the leader's mean pass and a tenth. pass_feedback turns it into the time that a sequence adds, in place of the modelled one; counts are averaged as the passes are, without own requests that are newer than the counts, else a load that rises seems cheap. sequencesToRun returns parts of sequences; poolLoad adds them up (choosing a server still takes whole ones). A bounded group shares out its target, not 0.85 of it; with a fifth too many running nothing is started, one request an entry VM excepted; own requests newer than the counts use up their part of what is free. The next waiting request gets a slot that ends only if it may still be used, and waiting ones get new slots each 0.1 s. With fewer than four slots for each entry VM start_budget draws lots for starts.

Cost: an entry VM visits the ranks of its service for each arrival (as before), each end, and each 0.1 s while it has requests; the measure at most each 50 ms. 1,000 VMs with 0.4 requests a second: 0.8 visits a second for requests and up to 10 a second while one runs, 72 ranks each. No new messages. Without lock-step engines or an accepted gap nothing is measured, and shares are those of before, but for parts of sequences in the target.

Checks: mutation-check compiles tests with Tests/support and has four new rules; the text of share_of_everything follows the source, the mutation is the same.

--- a/Source/daemon/admission_gate.cpp
+++ b/Source/daemon/admission_gate.cpp
@@ -42,6 +42,13 @@
     m_queue.setLimits(m_limits);
 }
 
+void admission_gate::startFitting()
+{
+    admission_outcome outcome;
+    m_queue.startFitting(m_context.now(), outcome);
+    apply(outcome);
+}
+
 awaitable<result<admission_id>> admission_gate::enter(admission_request request, http_exchange& exchange)
 {
     admission_outcome outcome;
--- a/Source/daemon/admission_gate.h
+++ b/Source/daemon/admission_gate.h
@@ -23,6 +23,8 @@
     // `ran`: how long the request ran; a gate that sheds predicts the waits of others from it.
     void leave(admission_id, duration ran = duration::zero());
     void setSlots(int slots);
+    // Starts waiting requests for which there are slots now.
+    void startFitting();
     // See admission_queue::reserve.
     void reserve(int priority, int nth) { m_queue.reserve(priority, nth); }
 
--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -11,6 +11,8 @@
     // Largest plain answer that is buffered with `bufferUnframed`, where its end may not be known in advance.
     constexpr std::size_t bufferedAnswerBytes = 4'194'304;
     constexpr std::string_view eventEnd = "\n\n";
+    // With more time for writing to the caller between two reads, a gap may be the caller's.
+    constexpr milliseconds maxWriteTime { 10 };
 
     void dropHopHeaders(http_head& head)
     {
@@ -50,6 +52,27 @@
         return count;
     }
 
+    // Measures the gaps between reads that completed an event.
+    class gap_meter {
+    public:
+        // Empty if the gap is not the server's.
+        std::optional<duration> recordEvent(instant now)
+        {
+            std::optional<duration> gap;
+            if (m_last && m_readFrom - *m_last <= maxWriteTime)
+                gap = now - *m_last;
+            m_last = now;
+            m_readFrom = now;
+            return gap;
+        }
+        void recordWritten(instant now) { m_readFrom = now; }
+
+    private:
+        std::optional<instant> m_last;
+        // When the last event had been written to the caller.
+        instant m_readFrom {};
+    };
+
     // The value of the last "id:" line.
     std::string lastIdIn(std::string_view text)
     {
@@ -151,6 +174,7 @@
     }
     event_splitter splitter;
     answer_copy copy(options.recordLimit);
+    gap_meter gaps;
     for (;;) {
         if (!callerConnected && !options.finishWithoutCaller)
             co_return incompleteOutcome(true, std::nullopt);
@@ -171,8 +195,13 @@
         if (events)
             complete = last ? splitter.takeRest() : splitter.push(piece.value());
         const std::string_view out = events ? std::string_view(complete) : piece.value();
+        if (events && !out.empty() && options.onEventGap) {
+            if (const auto gap = gaps.recordEvent(boot_clock::now()))
+                options.onEventGap(*gap);
+        }
         if (callerConnected && !out.empty()) {
             callerConnected = co_await exchange.write(out);
+            gaps.recordWritten(boot_clock::now());
             progress.events += events ? countEvents(out) : 0;
             if (auto id = lastIdIn(out); events && !id.empty())
                 progress.lastEventId = std::move(id);
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -39,6 +39,8 @@
     instant deadline {};
     // Called once, after the first read of the body.
     std::function<void()> onFirstBytes;
+    // Called with the time between two reads that completed an event, unless the caller delayed the second one.
+    std::function<void(duration)> onEventGap;
     // Buffer every answer that is not an event stream, even without a stated length, so that no answer is
     // begun that breaks off before its end.
     bool bufferUnframed = false;
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -44,6 +44,9 @@
         { metric::store_revision, "rampgap_store_revision", "Revision of the users' store that this process holds", true },
         { metric::store_readings_refused, "rampgap_store_readings_refused_total", "Listings of the users' store that were refused as older than what is held", false },
         { metric::zones_evacuated, "rampgap_zones_evacuated", "Zones that the operators have evacuated: their servers get no new requests", true },
+        { metric::measured_pass, "rampgap_measured_pass_ms", "Upper estimate of the duration of a pass, of the group with the longest ones", true },
+        { metric::token_factor, "rampgap_token_factor", "Measured time that a sequence adds to a pass, divided by the predicted one, of the same group", true },
+        { metric::target_running, "rampgap_target_running", "Requests that the engines of the last asked service should run at once", true },
     } };
 
     struct latency_row {
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -49,9 +49,12 @@
     store_revision,
     store_readings_refused,
     zones_evacuated,
+    measured_pass,
+    token_factor,
+    target_running,
 };
 
-inline constexpr std::size_t metricCount = 30;
+inline constexpr std::size_t metricCount = 33;
 
 struct metric_row {
     metric id;
--- a/Source/gateway/requests/slot_allocator.h
+++ b/Source/gateway/requests/slot_allocator.h
@@ -7,7 +7,9 @@
 #include "policy/groups/group_directory.h"
 #include "policy/limits/server_backpressure.h"
 #include "policy/requests/delay_estimate.h"
+#include "policy/requests/start_budget.h"
 #include "policy/routing/load_table.h"
+#include "policy/routing/pass_feedback.h"
 
 #include <map>
 
@@ -15,7 +17,7 @@
 
 class slot_allocator {
 public:
-    slot_allocator(process_context&, fleet_state&, load_table&, group_directory&, const server_backpressure&);
+    slot_allocator(process_context&, decision_log&, fleet_state&, load_table&, group_directory&, const server_backpressure&);
 
     // Waits for a slot for as long as that is of use to the caller. `begun`: an interrupted stream
     // that is to be resumed. `again`: the request was sent to a server before, so its caller may not
@@ -34,6 +36,15 @@
     // long gets none at all.
     milliseconds typicalRun(const std::string& service);
     void recordCompletion(const std::string& service, milliseconds elapsed);
+    // True if the slots of the request's service depend on the measured passes of its groups.
+    static bool measuresPasses(const admitted_request&);
+    // A gap between two events of the request's answer.
+    void recordGap(const admitted_request&, std::uint32_t backendHash, duration gap);
+    // To be called when an attempt has ended, before its slot is given back: the next waiting request gets the slot
+    // only if it may still be used.
+    void recordEnd(const admitted_request&);
+    // Gives slots to waiting requests when there are more of them.
+    void runPeriodicWork();
 
 private:
     // State of one service.
@@ -45,19 +56,38 @@
         delay_estimate firstEvent;
         delay_estimate run;
         double busyShare = 0;
+        // Rounds the shares of this process: the sum over all entry VMs is then what is shared out.
+        double draw;
+        start_budget starts;
+        // Of the last request; empty where no gap is set.
+        std::optional<engine_costs> costs;
+        milliseconds gapTarget { 0 };
+        bool measured = false;
+    };
+
+    // Sequences that a group was to run, as last logged.
+    struct logged_target {
+        double running = 0;
+        instant at;
     };
 
     service_slots& slotsFor(const std::string& service);
     // Sets how many slots this process may use now.
-    void setSlots(const admitted_request&, service_slots&) const;
+    // `own`: requests of this process at the engines; `wanted`: others wait to be started.
+    void setSlots(const std::string& service, const std::optional<engine_costs>&, milliseconds gapTarget, service_slots&, int own, bool wanted);
+    void updatePasses(const std::string& service, const engine_costs&, milliseconds gap, service_slots&);
+    void logTarget(const pass_measure&, double running);
     static awaitable<result<admission_slot>> enter(admission_gate&, admission_request, http_exchange&);
 
     process_context& m_context;
+    decision_log& m_log;
     fleet_state& m_state;
     load_table& m_loads;
     group_directory& m_groups;
     const server_backpressure& m_backpressure;
     std::map<std::string, service_slots> m_slotsByService;
+    pass_feedback m_passes;
+    std::map<group_key, logged_target> m_loggedTargets;
     std::size_t m_entries = 1;
 };
 
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -52,7 +52,7 @@
     , m_backpressure(backpressure)
     , m_client(context, serverConnectTimeout)
     , m_crashes(context, log, state, history, codec.makeProbe())
-    , m_slots(context, state, loads, groups, backpressure)
+    , m_slots(context, log, state, loads, groups, backpressure)
     , m_picker(context, log, state, loads, groups, backpressure)
     , m_budget(bounds, context.startedAt())
 {
@@ -193,6 +193,12 @@
     m_budget.setSharingProcesses(maxLiveEntries);
 }
 
+void upstream_dispatcher::runPeriodicWork()
+{
+    m_crashes.runPeriodicWork();
+    m_slots.runPeriodicWork();
+}
+
 void upstream_dispatcher::handleRestart(const listed_backend& backend)
 {
     m_client.closeIdle(backend.address);
@@ -307,6 +313,7 @@
         state.runs += unreachable ? 0 : 1;
     }
     m_loads.recordEnded(backend.id, unread);
+    m_slots.recordEnd(request);
     const bool isSent = !outcome.failed || outcome.failed->ran != verdict::not_run;
     if (underWay.withdrawn() && outcome.failed)
         outcome = { mayHaveRun(failure_reason::crashes_servers, "a server crashed under a copy of this request"), attempt_result::failed };
@@ -364,6 +371,8 @@
         m_loads.recordFirstByte(backend.id, unread);
         unread = 0;
     };
+    if (streams && m_slots.measuresPasses(request))
+        options.onEventGap = [this, &request, server = backendHash(backend.id)](duration gap) { m_slots.recordGap(request, server, gap); };
     const bool serverFailed = head.result_int() >= 500;
     if (state.relay.begun && serverFailed) {
         call.cancel();
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -27,8 +27,8 @@
     void handleListed(const listed_backend&);
     // Called when there are new crash records for the fleet.
     void onCrash(std::function<void()> action) { m_crashes.onUpdate(std::move(action)); }
-    // Periodic work: updates what is known of crashes.
-    void runPeriodicWork() { m_crashes.runPeriodicWork(); }
+    // Periodic work: updates what is known of crashes, and the request slots of waiting requests.
+    void runPeriodicWork();
 
 private:
     // State of one request across its attempts.
--- a/Source/policy/groups/pass_model.h
+++ b/Source/policy/groups/pass_model.h
@@ -2,6 +2,9 @@
 #pragma once
 
 #include "policy/configuration/fleet_configuration.h"
+#include "policy/groups/pass_estimate.h"
+
+#include <optional>
 
 namespace rampgap {
 
@@ -25,8 +28,13 @@
 // vary.
 milliseconds passTimeLimit(milliseconds longestGap);
 
-// Sequences that each rank should run at once: as many as still give each stream an event within
-// `longestGap`, or its whole capacity where that serves more.
-int sequencesToRun(const engine_costs&, const group_slowdown&, milliseconds longestGap);
+// Sequences that each rank should run at once, as a mean over the ranks: as many as still give each stream
+// an event within `longestGap`, or its whole capacity where that serves more.
+double sequencesToRun(const engine_costs&, const group_slowdown&, milliseconds longestGap);
+
+// Measured time that a sequence adds to a pass, divided by the predicted one; `published` is what the leader
+// says of skew and pace. Empty if the pass does not tell: too few sequences, or passes so long that a
+// step must be held or a rank slow.
+std::optional<double> tokenFactor(const engine_costs&, const group_slowdown& published, const measured_pass&);
 
 } // namespace rampgap
--- a/Source/policy/requests/admission_queue.h
+++ b/Source/policy/requests/admission_queue.h
@@ -48,6 +48,8 @@
     admission_id offer(const admission_request&, instant now, admission_outcome&);
     // A started request ended after running for `ran`; frees its slot.
     void finish(admission_id, duration ran, instant now, admission_outcome&);
+    // Starts waiting requests for which there are slots, after a rise of the limit.
+    void startFitting(instant now, admission_outcome& outcome) { startWaiting(now, outcome); }
     // Removes a waiting request whose caller withdrew it.
     void withdraw(admission_id);
     // Refuses waiting requests that could no longer finish by their deadline.
--- a/Source/policy/requests/admission_share.cpp
+++ b/Source/policy/requests/admission_share.cpp
@@ -13,22 +13,52 @@
     // Counts from engines are up to 0.3 s old. When a group opens, all waiting callers are sent at one
     // moment, and for a while the counts do not show their requests: free slots by these counts are not used.
     constexpr milliseconds countsSettleTime { 1'000 };
+    // Of slots for each entry VM: with fewer, a part of what fits is less than two slots as soon as a half fits.
+    constexpr double minSharedSlots = 4;
+    // With a fifth more than fits, nothing is started; a rule without such a range would swing by the age of the counts.
+    constexpr double excessWeight = 5;
     // Without it, an entry VM in a large fleet could send nothing. With more entry VMs than half of the slots, the shares
     // together exceed the capacity, and the engines' queues take the rest.
     constexpr int minShare = 2;
+    // Requests that engines count though nobody waits for them must not stop an entry VM for good.
+    constexpr int minBoundedShare = 1;
+
+    double partOf(double amount, const admission_share_input& input)
+    {
+        return amount / static_cast<double>(std::max<std::size_t>(1, input.entries));
+    }
 
 } // namespace
 
+double sharedCapacity(const admission_share_input& input)
+{
+    // A target below the shared fraction leaves slots free as it is, so that ranks get no queues by old counts.
+    return input.slots > 0 ? std::min<double>(input.capacity, input.slots * sharedFraction) : input.capacity * sharedFraction;
+}
+
+bool sharesStarts(const admission_share_input& input)
+{
+    return input.slots > 0 && input.openFor >= countsSettleTime && partOf(input.slots * sharedFraction, input) < minSharedSlots;
+}
+
 int admissionShare(const admission_share_input& input)
 {
-    const auto entries = static_cast<double>(std::max<std::size_t>(1, input.entries));
-    const double shared = input.capacity * sharedFraction;
-    double share = shared / entries;
+    if (sharesStarts(input))
+        return input.own + input.starts;
+    const double shared = sharedCapacity(input);
+    const bool bounded = input.slots > 0 && shared < input.slots * sharedFraction;
+    // While more run than fit, not even an entry VM below its part starts requests: running ones end only after seconds,
+    // and all streams are late until then.
+    const double excess = bounded ? std::max(0.0, input.load - shared) / std::max(1.0, shared) : 0;
+    double share = partOf(shared, input) * std::max(0.0, 1 - excessWeight * excess);
+    // In a bounded group, what was sent since the counts has used its part of the free slots: else each arrival would
+    // be given that part again.
+    const int newer = bounded ? input.sentRecently : 0;
     // Callers are spread unevenly over entry VMs, so each may use its part of the free slots as well.
-    const double freeShare = std::max(0.0, shared - input.load) / entries;
+    const double freeShare = partOf(std::max(0.0, shared - (input.load - newer)), input);
     if (input.openFor >= countsSettleTime)
-        share = std::max(share, input.own + freeShare);
-    return std::max(minShare, static_cast<int>(std::ceil(share)));
+        share = std::max(share, input.own - newer + freeShare);
+    return bounded ? std::max(minBoundedShare, static_cast<int>(std::floor(share + input.draw))) : std::max(minShare, static_cast<int>(std::ceil(share)));
 }
 
 } // namespace rampgap
--- a/Source/policy/requests/admission_share.h
+++ b/Source/policy/requests/admission_share.h
@@ -18,6 +18,14 @@
     std::size_t entries = 1;
     // Time since the group opened, as far as this process knows.
     milliseconds openFor { 0 };
+    // Request slots of the listed engines; 0 if the accepted gap does not bound the capacity.
+    int slots = 0;
+    // Of `own` and `load`, requests that are newer than the counts from engines.
+    int sentRecently = 0;
+    // Uniform in [0, 1), the same each time for an entry VM: rounds a bounded share.
+    double draw = 0;
+    // By start_budget: counts where there are few slots for each entry VM.
+    int starts = 0;
 };
 
 // Load pattern: more callers than request slots, or all callers of a closed group arriving at the
@@ -26,4 +34,9 @@
 // queues at the engines without messages between entry VMs.
 int admissionShare(const admission_share_input&);
 
+// Of the capacity, what the entry VMs share out.
+double sharedCapacity(const admission_share_input&);
+// True if there are few slots for each entry VM: then the entry VMs share starts in place of slots.
+bool sharesStarts(const admission_share_input&);
+
 } // namespace rampgap
--- a/Source/policy/routing/load_table.h
+++ b/Source/policy/routing/load_table.h
@@ -49,6 +49,8 @@
     // True if a leader has ever reported this server as a rank of its group.
     bool isKnownRank(const std::string& id) const { return m_ranks.contains(backendHash(id)); }
 
+    // Own requests that were sent after the engine's latest count was taken.
+    int sentRecently(const std::string& id, instant now) const;
     backend_load own(const std::string& id) const;
     backend_load total(const std::string& id, instant now) const;
     // Our own loads, without idle servers.
@@ -66,8 +68,6 @@
         instant at;
     };
 
-    int sentRecently(const std::string& id, instant now) const;
-
     milliseconds m_reportLifetime;
     std::map<std::string, backend_load> m_own;
     std::map<std::string, std::deque<instant>> m_sent;
--- a/Source/policy/routing/upstream_choice.cpp
+++ b/Source/policy/routing/upstream_choice.cpp
@@ -75,7 +75,8 @@
     bool runsInTime(const upstream_input& input, const group_load& load)
     {
         const milliseconds gap = passTimeLimit(input.longestGap);
-        const int limit = std::min(load.capacity, sequencesToRun(*input.costs, load.slowdown, gap));
+        // Whole sequences: a rank that gets one more than fits makes the passes of all too long.
+        const int limit = std::min(load.capacity, static_cast<int>(sequencesToRun(*input.costs, load.slowdown, gap)));
         const bool hasFreeSlots = load.requests < limit * load.ranks;
         return hasFreeSlots && passTime(*input.costs, limit, load.slowdown) <= static_cast<double>(gap.count());
     }
@@ -99,15 +100,19 @@
 pool_load poolLoad(const pool_load_input& input, const backend_directory& backends, const load_table& loads, const group_directory& groups, const server_backpressure& backpressure)
 {
     pool_load sum;
+    // Parts of sequences add up over the ranks.
+    double targetRunning = 0;
     for (const auto& id : runningPool(input.service, backends, groups, input.now)) {
         if (!backpressure.backoffs.maySend(backendHash(id), input.now))
             continue;
         const int capacity = fillableSlots(*backends.find(id), backpressure, input);
         sum.capacity += capacity;
         const bool bounded = input.costs && input.longestGap > milliseconds(0);
-        sum.targetRunning += bounded ? std::min(capacity, sequencesToRun(*input.costs, groups.slowdownAt(input.service, backendHash(id), input.now), input.longestGap)) : capacity;
+        targetRunning += bounded ? std::min<double>(capacity, sequencesToRun(*input.costs, groups.slowdownAt(input.service, backendHash(id), input.now), input.longestGap)) : capacity;
         sum.requests += loads.total(id, input.now).requests;
+        sum.sentRecently += loads.sentRecently(id, input.now);
     }
+    sum.targetRunning = static_cast<int>(targetRunning);
     return sum;
 }
 
--- a/Source/policy/routing/upstream_choice.h
+++ b/Source/policy/routing/upstream_choice.h
@@ -42,6 +42,8 @@
     int requests = 0;
     // Part of the capacity to use at once so that the requested gap is met.
     int targetRunning = 0;
+    // Of the requests, those of this process that are newer than the counts from engines.
+    int sentRecently = 0;
 
     bool operator==(const pool_load&) const = default;
 };
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -60,7 +60,11 @@
     ("refusal_forgotten", "group_directory.cpp", "    if (suspected({ service, {} }, now))\n        return true;\n", "", "platform/group-state"),
     ("patience_counted_anew", "group_wait.cpp", "input.patience - input.waited - patienceMargin", "input.patience - patienceMargin", "platform/group-state"),
     ("popularity_fades_in_a_cut", "demand_estimate.cpp", "std::min(sinceLast, static_cast<double>(m_settings.maxReportGap.count()))", "sinceLast", "platform/group-state"),
-    ("share_of_everything", "admission_share.cpp", "double share = shared / entries;", "double share = shared;", "platform/admission-share"),
+    ("share_of_everything", "admission_share.cpp", "double share = partOf(shared, input) *", "double share = shared *", "platform/admission-share"),
+    ("excess_not_drained", "admission_share.cpp", "input.own - newer + freeShare", "input.own + 1.0", "platform/pass-limit"),
+    ("starts_beyond_the_target", "start_budget.cpp", "ends + (capacity - input.load) / fillSeconds", "10 * ends", "platform/pass-limit"),
+    ("pass_not_measured", "pass_feedback.cpp", "groups.recordTokenFactor(key, *factor, now);", ";", "platform/pass-limit"),
+    ("slow_rank_as_token_time", "pass_model.cpp", "|| measured.upperMs > maxPassRatio * whole", "", "platform/pass-limit"),
     ("later_leader_goes_on", "leadership.cpp", "positionOf(m_leader, members) < position", "false", "platform/leadership"),
     ("leads_beside_a_leader", "leadership.cpp", "now - *m_waitingSince >= takeoverTimeout(position)", "true", "platform/leadership"),
     ("held_beyond_its_time", "group_wait.cpp", "std::min(patienceLeft, servable)", "patienceLeft", "platform/group-state"),
@@ -113,7 +117,7 @@
     sources = [other for other in policy if other != path]
     cases = os.path.join(ROOT, "Tests", tests)
     sources += [os.path.join(cases, f) for f in os.listdir(cases) if f.endswith(".cpp")]
-    sources += [mutated, os.path.join(ROOT, "Tests/support/main.cpp")]
+    sources += [mutated, os.path.join(ROOT, "Tests/support/main.cpp"), os.path.join(ROOT, "Tests/support/engine_costs.cpp")]
     program = os.path.join(work, "tests")
     launcher = ["ccache"] if subprocess.run(["sh", "-c", "command -v ccache"], capture_output=True).returncode == 0 else []
     objects = []
@@ -121,7 +125,7 @@
     for index, path in enumerate(sources):
         target = os.path.join(work, f"{index}.o")
         objects.append(target)
-        running.append(subprocess.Popen(launcher + ["g++", "-std=c++20", "-O1", "-I" + os.path.join(ROOT, "Source"), "-I" + cases, "-c", path, "-o", target]))
+        running.append(subprocess.Popen(launcher + ["g++", "-std=c++20", "-O1", "-I" + os.path.join(ROOT, "Source"), "-I" + os.path.join(ROOT, "Tests"), "-I" + cases, "-c", path, "-o", target]))
     if any(job.wait() != 0 for job in running):
         sys.exit(f"{name}: does not compile")
     subprocess.run(["g++", *objects, "-o", program, "-lrapidcheck", "-lcrypto", "-lxxhash"], check=True)
