--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -55,9 +55,12 @@
     returns_served,
     returns_refused,
     experts_copied,
+    measured_pass,
+    token_factor,
+    target_running,
 };
 
-inline constexpr std::size_t metricCount = 36;
+inline constexpr std::size_t metricCount = 39;
 
 struct metric_row {
     metric id;
--- a/Source/gateway/requests/slot_allocator.h
+++ b/Source/gateway/requests/slot_allocator.h
@@ -11,7 +11,9 @@
 #include "policy/requests/arrival_rate.h"
 #include "policy/requests/delay_estimate.h"
 #include "policy/requests/return_schedule.h"
+#include "policy/requests/start_budget.h"
 #include "policy/routing/load_table.h"
+#include "policy/routing/pass_feedback.h"
 
 #include <map>
 #include <optional>
@@ -47,6 +49,15 @@
     // long gets none at all.
     milliseconds typicalRun(const std::string& service);
     void recordCompletion(const std::string& service, milliseconds elapsed);
+    // True if the slots of the request's service depend on the measured passes of its groups.
+    static bool measuresPasses(const admitted_request&);
+    // A gap between two events of the request's answer.
+    void recordGap(const admitted_request&, std::uint32_t backendHash, duration gap);
+    // To be called when an attempt has ended, before its slot is given back: the next waiting request gets the slot
+    // only if it may still be used.
+    void recordEnd(const admitted_request&);
+    // Gives slots to waiting requests when there are more of them.
+    void runPeriodicWork();
 
 private:
     // State of one service.
@@ -64,11 +75,27 @@
         return_schedule returns;
         // Requests that wait with lastChancePriority.
         int lastChances = 0;
+        // Rounds the shares of this process: the sum over all entry VMs is then what is shared out.
+        double draw;
+        start_budget starts;
+        // Of the last request; empty where no gap is set.
+        std::optional<engine_costs> costs;
+        milliseconds gapTarget { 0 };
+        bool measured = false;
+    };
+
+    // Sequences that a group was to run, as last logged.
+    struct logged_target {
+        double running = 0;
+        instant at;
     };
 
     service_slots& slotsFor(const std::string& service);
     // Sets how many slots this process may use now.
-    void setSlots(const admitted_request&, service_slots&) const;
+    // `own`: requests of this process at the engines; `wanted`: others wait to be started.
+    void setSlots(const std::string& service, const std::optional<engine_costs>&, milliseconds gapTarget, service_slots&, int own, bool wanted);
+    void updatePasses(const std::string& service, const engine_costs&, milliseconds gap, service_slots&);
+    void logTarget(const pass_measure&, double running);
     // Refuses a request as it arrives if it can hardly be on time and there is a moment for its return.
     std::optional<failure> refuseEarly(const admitted_request&, const admission_wait_input&, int priority, service_slots&);
     return_request returnRequest(const admitted_request&, const service_slots&) const;
@@ -83,6 +110,8 @@
     group_directory& m_groups;
     const server_backpressure& m_backpressure;
     std::map<std::string, service_slots> m_slotsByService;
+    pass_feedback m_passes;
+    std::map<group_key, logged_target> m_loggedTargets;
     std::size_t m_entries = 1;
 };
 
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -198,6 +198,12 @@
     m_budget.setSharingProcesses(maxLiveEntries);
 }
 
+void upstream_dispatcher::runPeriodicWork()
+{
+    m_crashes.runPeriodicWork();
+    m_slots.runPeriodicWork();
+}
+
 void upstream_dispatcher::handleRestart(const listed_backend& backend)
 {
     m_client.closeIdle(backend.address);
@@ -333,6 +339,7 @@
         state.runs += unreachable ? 0 : 1;
     }
     m_loads.recordEnded(backend.id, unread);
+    m_slots.recordEnd(request);
     const bool isSent = !outcome.failed || outcome.failed->ran != verdict::not_run;
     if (underWay.withdrawn() && outcome.failed)
         outcome = { mayHaveRun(failure_reason::crashes_servers, "a server crashed under a copy of this request"), attempt_result::failed };
@@ -390,6 +397,8 @@
         m_loads.recordFirstByte(backend.id, unread);
         unread = 0;
     };
+    if (streams && m_slots.measuresPasses(request))
+        options.onEventGap = [this, &request, server = backendHash(backend.id)](duration gap) { m_slots.recordGap(request, server, gap); };
     const bool serverFailed = head.result_int() >= 500;
     if (state.relay.begun && serverFailed) {
         call.cancel();
