--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -181,6 +181,7 @@
     input.run = m_slots.typicalRun(request.service);
     input.firstEvent = m_slots.expectedFirstEvent(request, m_context.now());
     input.closedFor = m_groups.closedFor(request.service, m_context.now());
+    input.mayReturn = slot_allocator::measuresPasses(request) && request.isFirstAttempt() && state.attempted.all.empty() && m_groups.closed(request.service, m_context.now());
     group_wait_decision decision = decideGroupWait(input);
     // The caller of an interrupted stream has been waiting since its last event.
     if (state.relay.begun)
--- a/Source/policy/groups/group_wait.cpp
+++ b/Source/policy/groups/group_wait.cpp
@@ -18,6 +18,8 @@
     // probability of w / (w + c). A caller waits only where this is at least the given value: with
     // a wait of 1.9 s, up to a closure of 10.6 s.
     constexpr double minOpeningProbability = 0.15;
+    // A closure that is younger may be a refusal by a single engine, or end before the caller is late.
+    constexpr milliseconds briefClosure { 300 };
 
     bool mayOpenWithin(milliseconds wait, milliseconds closedFor)
     {
@@ -37,6 +39,10 @@
     milliseconds wait = std::max(none, std::min(patienceLeft, servable));
     if (!mayOpenWithin(wait, input.closedFor))
         wait = none;
+    // Held callers would all be late, and all be sent at the moment of the opening. Those who are told at once come
+    // back spread as they came, and are on time if the group is open by then.
+    if (input.mayReturn)
+        wait = std::min(wait, std::max(none, briefClosure - input.closedFor));
     return { wait, std::max(none, std::min(longestRetryPause(input.timeLeft - wait), servable - wait)) };
 }
 
--- a/Source/policy/groups/group_wait.h
+++ b/Source/policy/groups/group_wait.h
@@ -19,6 +19,8 @@
     milliseconds firstEvent { 0 };
     // How long the service has had no open group.
     milliseconds closedFor { 0 };
+    // The caller was not refused before, so that it can come back and be on time then.
+    bool mayReturn = false;
 };
 
 struct group_wait_decision {
