--- a/Source/policy/groups/pass_model.cpp
+++ b/Source/policy/groups/pass_model.cpp
@@ -42,12 +42,6 @@
     return slowdown.slowestPace * ownPart + slowdown.expertSkew * costs.expertShare * forTokens;
 }
 
-double predictedTokenTime(const engine_costs& costs, const group_slowdown& published)
-{
-    const group_slowdown predicted { published.expertSkew, published.slowestPace, 1 };
-    return passTime(costs, 1, predicted) - passTime(costs, 0, predicted);
-}
-
 milliseconds passTimeLimit(milliseconds longestGap)
 {
     return longestGap * passTenthsOfGap / 10;
--- a/Source/policy/groups/pass_model.h
+++ b/Source/policy/groups/pass_model.h
@@ -24,9 +24,6 @@
 // prompts that arrive for them.
 double passTime(const engine_costs&, double sequences, const group_slowdown&);
 
-// Milliseconds that each sequence adds to a pass by the published figures.
-double predictedTokenTime(const engine_costs&, const group_slowdown& published);
-
 // Longest predicted pass for callers that accept gaps up to `longestGap`; leaves a margin, since passes
 // vary.
 milliseconds passTimeLimit(milliseconds longestGap);
--- a/Source/policy/routing/pass_feedback.cpp
+++ b/Source/policy/routing/pass_feedback.cpp
@@ -9,8 +9,6 @@
     constexpr milliseconds updatePeriod { 50 };
     // Of the fixed part of a pass. Two events closer than that come from one pass, or one was delayed on its way.
     constexpr double minGapPart = 0.5;
-    // Of the capacity. With fewer sequences the most loaded rank has many times the mean, which fades as more run.
-    constexpr double minPeakPart = 0.3;
 
     struct group_count {
         double running = 0;
@@ -48,9 +46,7 @@
         count.anyRank = backendHash(id);
     }
     // A group formed again under another name leaves its estimate behind.
-    const auto isGone = [&](const auto& each) { return each.first.service == service && !counts.contains(each.first); };
-    std::erase_if(m_estimates, isGone);
-    std::erase_if(m_tokenTimes, isGone);
+    std::erase_if(m_estimates, [&](const auto& each) { return each.first.service == service && !counts.contains(each.first); });
     for (const auto& [key, count] : counts) {
         pass_estimate& estimate = m_estimates[key];
         estimate.update(count.running / count.ranks, groups.publishedPass(key, now), now);
@@ -58,13 +54,8 @@
         if (!measured)
             continue;
         const group_slowdown published = groups.slowdownAt(service, count.anyRank, now);
-        if (const auto factor = tokenFactor(costs, published, *measured)) {
-            recurring_peak& tokenTime = m_tokenTimes[key];
-            const double predicted = predictedTokenTime(costs, published);
-            if (measured->sequences >= minPeakPart * costs.capacity)
-                tokenTime.record(*factor * predicted, now);
-            groups.recordTokenFactor(key, std::max(*factor, tokenTime.value(now) / predicted), now);
-        }
+        if (const auto factor = tokenFactor(costs, published, *measured))
+            groups.recordTokenFactor(key, *factor, now);
         const group_slowdown slowdown = groups.slowdownAt(service, count.anyRank, now);
         const double predicted = passTime(costs, measured->sequences, { slowdown.expertSkew, slowdown.slowestPace });
         state.measures.push_back({ key, *measured, predicted, slowdown, groups.stateAge(service, count.anyRank, now).value_or(milliseconds(0)) });
--- a/Source/policy/routing/pass_feedback.h
+++ b/Source/policy/routing/pass_feedback.h
@@ -3,7 +3,6 @@
 
 #include "policy/groups/group_directory.h"
 #include "policy/groups/pass_estimate.h"
-#include "policy/groups/recurring_peak.h"
 #include "policy/routing/backend_directory.h"
 #include "policy/routing/load_table.h"
 
@@ -37,7 +36,6 @@
     };
 
     std::map<group_key, pass_estimate> m_estimates;
-    std::map<group_key, recurring_peak> m_tokenTimes;
     std::map<std::string, service_state> m_services;
 };
 
