--- a/Source/policy/groups/group_monitor.cpp
+++ b/Source/policy/groups/group_monitor.cpp
@@ -11,6 +11,9 @@
 
     // The load may grow by half within the second that it takes to decide a change and copy its experts.
     constexpr double loadHeadroom = 1.5;
+    // The same where a change is put off: the experts that were not copied are missing until the next change ends, and a wave
+    // or a burst of callers doubles the load until then.
+    constexpr double deferralHeadroom = 1.8;
     // Share of the longest gap that a predicted pass may take: passes are 0.15 longer while experts
     // are copied, and vary by as much.
     constexpr double headroomPartOfGap = 0.75;
@@ -284,7 +287,7 @@
     for (const auto& [rank, known] : m_ranks)
         requests += known.last.view.active + known.last.view.queued;
     const double slots = m_settings.costs.capacity * static_cast<double>(m_ranks.size());
-    return m_measuredActive > 0 ? std::max(1.0, std::min(loadHeadroom * requests, slots) / m_measuredActive) : loadHeadroom;
+    return m_measuredActive > 0 ? std::max(1.0, std::min(deferralHeadroom * requests, slots) / m_measuredActive) : deferralHeadroom;
 }
 
 group_progress group_monitor::progress() const
