--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -50,7 +50,7 @@
         { metric::returns_served, "rampgap_returns_served_total", "Callers that came back after a refusal and were served at their first try", false },
         { metric::returns_refused, "rampgap_returns_refused_total", "Callers that came back after a refusal and were refused again", false },
         { metric::experts_copied, "rampgap_experts_copied_total", "Experts that changes of placement begun by this leader had to copy", false },
-        { metric::measured_pass, "rampgap_measured_pass_ms", "Upper estimate of the duration of a pass, of the group with the longest ones", true },
+        { metric::measured_pass, "rampgap_measured_pass_ms", "Mean duration of the passes as measured, of the group with the longest ones", true },
         { metric::token_factor, "rampgap_token_factor", "Measured time that a sequence adds to a pass, divided by the predicted one, of the same group", true },
         { metric::target_running, "rampgap_target_running", "Requests that the engines of the last asked service should run at once", true },
     } };
--- a/Source/gateway/requests/slot_allocator.cpp
+++ b/Source/gateway/requests/slot_allocator.cpp
@@ -161,9 +161,9 @@
         return;
     const auto measures = m_passes.measures(service);
     slots.measured = !measures.empty();
-    const auto longest = std::max_element(measures.begin(), measures.end(), [](const auto& a, const auto& b) { return a.measured.upperMs < b.measured.upperMs; });
+    const auto longest = std::max_element(measures.begin(), measures.end(), [](const auto& a, const auto& b) { return a.measured.meanMs < b.measured.meanMs; });
     if (longest != measures.end()) {
-        m_context.counters().set(metric::measured_pass, longest->measured.upperMs);
+        m_context.counters().set(metric::measured_pass, longest->measured.meanMs);
         m_context.counters().set(metric::token_factor, longest->slowdown.tokenFactor);
     }
     for (const auto& each : measures)
@@ -178,7 +178,7 @@
         return;
     last = { running, now };
     auto line = m_log.line("pass_limit");
-    line.add("service", measure.key.service).add("group", measure.key.group).add("target", running).add("measured_ms", measure.measured.upperMs).add("predicted_ms", measure.predictedMs);
+    line.add("service", measure.key.service).add("group", measure.key.group).add("target", running).add("measured_ms", measure.measured.meanMs).add("predicted_ms", measure.predictedMs);
     line.add("factor", measure.slowdown.tokenFactor).add("skew", measure.slowdown.expertSkew).add("pace", measure.slowdown.slowestPace).add("sequences", measure.measured.sequences);
     line.add("own", static_cast<int>(measure.measured.own)).add("age_ms", measure.age);
 }
--- a/Source/policy/groups/pass_estimate.cpp
+++ b/Source/policy/groups/pass_estimate.cpp
@@ -9,17 +9,13 @@
 
     // The median of the gaps that end within it is one sample: a delay in the network reaches few of the streams.
     constexpr milliseconds samplePeriod { 100 };
-    // Long enough to average three samples, short against the time in which the load can change.
+    // Long enough to average three samples, short against the time in which the load can change. A shift of demand
+    // lengthens passes for as long; were it followed at once, callers would wait although the passes stay short enough.
     constexpr double timeConstantMs = 300;
     // A measure says nothing of the present load when it is older.
     constexpr milliseconds measureLifetime { 500 };
-    // Passes vary by sets of experts and prompts. Only excesses over the mean count, so that the estimate falls as
-    // soon as passes become shorter; four mean excesses are about two standard deviations.
-    constexpr double excessesAboveMean = 4;
     // A held step is one long gap at all streams, and no pass.
     constexpr double outlierFactor = 3;
-    // The leader publishes a mean; a stream is late when one of its passes is.
-    constexpr double publishedMargin = 1.1;
     // Bounds memory between two updates.
     constexpr std::size_t maxGaps = 512;
 
@@ -41,7 +37,7 @@
 void pass_estimate::update(double sequences, std::optional<milliseconds> publishedPass, instant now)
 {
     if (publishedPass) {
-        m_published = measured_pass { static_cast<double>(publishedPass->count()) * publishedMargin, sequences, false };
+        m_published = measured_pass { static_cast<double>(publishedPass->count()), sequences, false };
         m_publishedAt = now;
     }
     if (m_gapsMs.empty() || now - m_gapsSince < samplePeriod)
@@ -67,23 +63,15 @@
 {
     const bool first = !m_sampledAt || now - *m_sampledAt >= measureLifetime;
     const double weight = first ? 1 : 1 - std::exp(-inMs(now - *m_sampledAt) / timeConstantMs);
-    if (first)
-        m_excessMs = 0;
     m_meanMs += weight * (ms - m_meanMs);
     m_sequences += weight * (sequences - m_sequences);
-    m_excessMs += weight * (std::max(0.0, ms - m_meanMs) - m_excessMs);
     m_sampledAt = now;
-    std::erase_if(m_recent, [now](const sample& each) { return now - each.at >= measureLifetime; });
-    m_recent.push_back({ ms, now });
 }
 
 std::optional<measured_pass> pass_estimate::value(instant now) const
 {
-    if (m_sampledAt && now - *m_sampledAt < measureLifetime) {
-        // After a jump the excess is large for a while; no pass was longer than the longest.
-        const auto longest = std::max_element(m_recent.begin(), m_recent.end(), [](const sample& a, const sample& b) { return a.ms < b.ms; });
-        return measured_pass { std::min(m_meanMs + excessesAboveMean * m_excessMs, std::max(m_meanMs, longest->ms)), m_sequences, true };
-    }
+    if (m_sampledAt && now - *m_sampledAt < measureLifetime)
+        return measured_pass { m_meanMs, m_sequences, true };
     if (m_published && now - m_publishedAt < measureLifetime)
         return m_published;
     return std::nullopt;
--- a/Source/policy/groups/pass_estimate.h
+++ b/Source/policy/groups/pass_estimate.h
@@ -9,8 +9,8 @@
 namespace rampgap {
 
 struct measured_pass {
-    // Duration that few passes exceed.
-    double upperMs = 0;
+    // Mean duration.
+    double meanMs = 0;
     // Mean sequences that each rank ran during these passes.
     double sequences = 0;
     // Measured by streams of this process, not by the group's leader.
@@ -28,11 +28,6 @@
     std::optional<measured_pass> value(instant now) const;
 
 private:
-    struct sample {
-        double ms;
-        instant at;
-    };
-
     void addSample(double ms, double sequences, instant now);
     // A much longer pass counts only if the next one is as long.
     bool isSingleOutlier(double ms);
@@ -40,10 +35,7 @@
     // Gaps since the last sample was taken from them.
     std::vector<double> m_gapsMs;
     instant m_gapsSince {};
-    // Samples that bound the estimate.
-    std::vector<sample> m_recent;
     double m_meanMs = 0;
-    double m_excessMs = 0;
     double m_sequences = 0;
     bool m_lastWasOutlier = false;
     std::optional<instant> m_sampledAt;
