--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -28,8 +28,6 @@
     constexpr std::size_t maxUnknownPerMissingRank = 2;
     // Size of an answer that has only the states of a part of the ranks, without expert counts.
     constexpr std::size_t stateAnswerBytes = 2'048;
-    // A group with headroom defers changes at each decision.
-    constexpr milliseconds deferralLineInterval { 1'000 };
 
     std::uint64_t wallMilliseconds()
     {
@@ -98,7 +96,6 @@
     observe(outcome, ids, now);
     m_monitor->recordChoices(outcome.expertCounts, now);
     m_stepRate.record(m_monitor->progress(), now);
-    m_monitor->recordMeasuredPass(measuredPass(), now);
 }
 
 void group_leader::observe(const group_outcome& outcome, const std::vector<std::string>& ids, instant now)
@@ -183,7 +180,6 @@
     const std::string ownBackendId = known.ownId;
     switch (m_monitor->decide(m_context.now())) {
     case leader_task::none:
-        logDeferral();
         break;
     case leader_task::clean_up:
         co_await cleanUp();
@@ -242,7 +238,7 @@
     const auto ownRank = static_cast<std::size_t>(own - ids.begin());
     const auto placement = m_monitor->nextPlacement(static_cast<std::uint32_t>(ownRank), wallMilliseconds());
     map_switch change(placement, contents, m_monitor->epoch(), ids.size(), ownRank, settings);
-    m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew()).add("new_experts", newExperts).add("measured_pass_ms", measuredPass()).add("longest_gap_ms", m_monitor->longestGap()).add("steps_ahead", settings.stepsAhead).add("tolerated_skew", m_monitor->toleratedSkew(began).value_or(1));
+    m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew()).add("new_experts", newExperts).add("measured_pass_ms", measuredPass()).add("longest_gap_ms", m_monitor->longestGap()).add("steps_ahead", settings.stepsAhead);
     m_context.counters().add(metric::experts_copied, static_cast<double>(newExperts));
     const milliseconds copies(static_cast<std::int64_t>(std::max(maxCopyMs, expertCopyMs(m_costs))));
     co_await executeChange(change, copies + prepareMargin + callBudget(m_caller.limits(packPlacement(*contents).size())));
@@ -263,15 +259,6 @@
     logEnd(change, began, "cleanup_ended");
 }
 
-void group_leader::logDeferral()
-{
-    const instant now = m_context.now();
-    if (!m_monitor->deferred() || now < m_nextDeferralLineAt)
-        return;
-    m_nextDeferralLineAt = now + deferralLineInterval;
-    m_log.line("placement_change_deferred").add("epoch", m_monitor->epoch()).add("skew", m_monitor->currentSkew()).add("tolerated_skew", m_monitor->toleratedSkew(now).value_or(1)).add("measured_pass_ms", measuredPass()).add("longest_gap_ms", m_monitor->longestGap());
-}
-
 void group_leader::logEnd(const map_switch& change, instant began, std::string_view event)
 {
     const bool done = change.phase() == switch_phase::done;
--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -72,7 +72,6 @@
     // Size of the expert counts of one rank, or of their sum over all ranks.
     std::size_t countsBytes() const;
     std::uint64_t nextFence();
-    void logDeferral();
     void logEnd(const map_switch&, instant began, std::string_view event);
 
     process_context& m_context;
@@ -84,7 +83,6 @@
     engine_costs m_costs;
     std::optional<group_monitor> m_monitor;
     step_rate m_stepRate;
-    instant m_nextDeferralLineAt {};
     // Ranks that have received the contents of the placement being prepared.
     std::set<std::uint32_t> m_copyingRanks;
     switch_timing m_timing;
--- a/Source/policy/groups/group_monitor.cpp
+++ b/Source/policy/groups/group_monitor.cpp
@@ -3,7 +3,6 @@
 #include "policy/groups/placement_number.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace rampgap {
 
@@ -11,9 +10,6 @@
 
     // The load may grow by half within the second that it takes to decide a change and copy its experts.
     constexpr double loadHeadroom = 1.5;
-    // The same where a change is put off: the experts that were not copied are missing until the next change ends, and a wave
-    // or a burst of callers doubles the load until then.
-    constexpr double deferralHeadroom = 1.8;
     // Share of the longest gap that a predicted pass may take: passes are 0.15 longer while experts
     // are copied, and vary by as much.
     constexpr double headroomPartOfGap = 0.75;
@@ -33,29 +29,6 @@
     // without the silent rank, and one with it where the others' states prove nothing. Further ones would
     // only send orders to an engine that does not answer.
     constexpr int immediateCleanUps = 2;
-    // Share of the longest gap that the mean of the measured passes may take. An answer is late by its
-    // longest gap, and the longest of twenty is a third above the mean; copies lengthen passes by 0.15 more.
-    constexpr double measuredPartOfGap = 0.65;
-    // The same for the passes with the load that may come before a change takes effect: few answers fall
-    // into that time.
-    constexpr double grownPartOfGap = 0.9;
-    // A plan aims below the tolerated skew by this factor, so that small changes of demand don't call for
-    // another one at once.
-    constexpr double plannedPartOfTolerated = 0.85;
-    // More load than expected takes the group beyond what one change mends if its skew is higher.
-    constexpr double usualMaxToleratedSkew = 2;
-    // The published time of a step may be too long; at least this share of a measured pass grows with the load.
-    constexpr double minLoadPartOfPass = 0.5;
-    // The callers that waited for a group to open come back within this time, so its load is not yet known.
-    constexpr milliseconds openingTime { 2'000 };
-    // As long as the measured pass is smoothed.
-    constexpr double measureSmoothingMs = 300;
-
-    // Factor by which a skew lengthens the part of a pass that grows with the load.
-    double skewFactor(const engine_costs& costs, double skew)
-    {
-        return 1 - costs.expertShare + costs.expertShare * skew;
-    }
 
 } // namespace
 
@@ -75,7 +48,6 @@
     const double changeCopyMs = expertCopyMs(costs) * static_cast<double>(settings.limits.maxNewPerRank);
     settings.minGain = freeChangeGain + gainPerCopySecond * changeCopyMs / millisecondsPerSecond;
     settings.minGainWithHeadroom = std::max(settings.minGain, minGainIfHeadroom);
-    settings.maxToleratedSkew = usualMaxToleratedSkew;
     settings.costs = costs;
     return settings;
 }
@@ -96,11 +68,9 @@
     m_group = group;
 }
 
-void group_monitor::reset(std::uint64_t epoch, instant now)
+void group_monitor::reset(std::uint64_t epoch)
 {
     m_epoch = epoch;
-    m_epochSince = now;
-    m_measuredPass = milliseconds(0);
     m_ranks.clear();
     m_highestPlacement = 0;
     m_knownPlacement.reset();
@@ -114,7 +84,7 @@
     if (observation.view.group != m_group || observation.view.epoch < m_epoch)
         return;
     if (observation.view.epoch > m_epoch)
-        reset(observation.view.epoch, now);
+        reset(observation.view.epoch);
     if (isOutdated(observation.view, now))
         return;
     m_size = observation.view.groupSize;
@@ -128,17 +98,6 @@
     m_demand.add(choices, now);
 }
 
-void group_monitor::recordMeasuredPass(milliseconds pass, instant now)
-{
-    const double skew = skewNow();
-    const double elapsedMs = std::chrono::duration<double, std::milli>(now - m_measuredAt).count();
-    const double weight = m_measuredPass > milliseconds(0) ? std::exp(-elapsedMs / measureSmoothingMs) : 0;
-    m_measuredSkew = m_measuredSkew * weight + skew * (1 - weight);
-    m_measuredActive = m_measuredActive * weight + progress().active * (1 - weight);
-    m_measuredPass = pass;
-    m_measuredAt = now;
-}
-
 void group_monitor::setPlacement(std::uint64_t placement, group_placement contents)
 {
     m_knownPlacement = placement;
@@ -195,7 +154,6 @@
 
 leader_task group_monitor::decide(instant now)
 {
-    m_deferred = false;
     if (!holds().empty()) {
         if (!m_strayHoldSince)
             m_strayHoldSince = now;
@@ -226,20 +184,12 @@
     m_currentSkew = groupSkew(*m_current, estimate, pace);
     // Planning costs processor time: it is skipped where even the best plan would not gain enough,
     // and until there are new counts to plan from.
-    planner_limits limits = m_settings.limits;
-    const auto tolerated = toleratedSkew(now);
-    // A plan that stops at the skew that callers don't notice gains little, but they need it.
-    const double minGain = !tolerated && hasHeadroom() ? m_settings.minGainWithHeadroom : m_settings.minGain;
-    if (m_currentSkew - limits.targetSkew < minGain * m_currentSkew)
-        return leader_task::none;
-    if (tolerated) {
-        m_deferred = m_currentSkew <= *tolerated;
-        limits.targetSkew = std::max(limits.targetSkew, plannedPartOfTolerated * *tolerated);
-    }
-    if (m_deferred)
+    const double best = m_settings.limits.targetSkew;
+    const double minGain = hasHeadroom() ? m_settings.minGainWithHeadroom : m_settings.minGain;
+    if (m_currentSkew - best < minGain * m_currentSkew)
         return leader_task::none;
     m_pauseUntil = now + m_settings.planInterval;
-    m_planned = planPlacement(*m_current, estimate, pace, limits);
+    m_planned = planPlacement(*m_current, estimate, pace, m_settings.limits);
     m_plannedSkew = groupSkew(m_planned, estimate, pace);
     return m_currentSkew - m_plannedSkew > minGain * m_currentSkew ? leader_task::change_placement : leader_task::none;
 }
@@ -260,36 +210,6 @@
     return pass <= headroomPartOfGap * static_cast<double>(m_longestGap.count());
 }
 
-// Load pattern: demand shifts each two seconds, and a copy of an expert is expensive. Whatever the skew,
-// callers notice it only once passes near the gap that they accept; the experts copied before that are
-// soon not in demand any more. Near the gap a shift makes passes late until the next change ends, and the
-// fewer experts were copied before it, the longer they are.
-std::optional<double> group_monitor::toleratedSkew(instant now) const
-{
-    if (m_longestGap <= milliseconds(0) || m_measuredPass <= milliseconds(0) || m_settings.maxToleratedSkew <= 1)
-        return std::nullopt;
-    if (m_settings.costs.expertShare <= 0 || now - m_epochSince < openingTime || now - m_measuredAt > m_settings.observationTimeout)
-        return std::nullopt;
-    const auto pass = static_cast<double>(m_measuredPass.count());
-    const double ownPart = std::min(slowestPace() * m_settings.costs.stepMs * m_settings.costs.stepsPerPass, (1 - minLoadPartOfPass) * pass);
-    const double evenLoadPart = (pass - ownPart) / skewFactor(m_settings.costs, m_measuredSkew);
-    const auto gap = static_cast<double>(m_longestGap.count());
-    const double factor = std::min(measuredPartOfGap * gap - ownPart, (grownPartOfGap * gap - ownPart) / loadGrowth()) / evenLoadPart;
-    const double skew = 1 + (factor - 1) / m_settings.costs.expertShare;
-    if (skew < m_settings.minToleratedSkew)
-        return std::nullopt;
-    return std::min(skew, m_settings.maxToleratedSkew);
-}
-
-double group_monitor::loadGrowth() const
-{
-    double requests = 0;
-    for (const auto& [rank, known] : m_ranks)
-        requests += known.last.view.active + known.last.view.queued;
-    const double slots = m_settings.costs.capacity * static_cast<double>(m_ranks.size());
-    return m_measuredActive > 0 ? std::max(1.0, std::min(deferralHeadroom * requests, slots) / m_measuredActive) : deferralHeadroom;
-}
-
 group_progress group_monitor::progress() const
 {
     group_progress found;
--- a/Source/policy/groups/group_monitor.h
+++ b/Source/policy/groups/group_monitor.h
@@ -39,12 +39,6 @@
     // The same while the group has headroom: it would meet its callers' target with half as much
     // load again.
     double minGainWithHeadroom = 0.12;
-    // Skew above which experts are copied even where callers are served on time without; 1: the
-    // measured pass decides nothing.
-    double maxToleratedSkew = 1;
-    // If the measured pass allows less skew than this, changes are judged by gain alone: a shift of
-    // demand would make passes late.
-    double minToleratedSkew = 1.9;
     // Published figures of the engines; not used where the steps of a pass are not given.
     engine_costs costs;
     // Time between two plans; new counts arrive each 100 ms.
@@ -78,8 +72,6 @@
     void observe(const rank_observation&, instant now);
     // Counts of experts chosen by any ranks of the group, since they were last queried.
     void recordChoices(const std::vector<std::uint64_t>&, instant now);
-    // Records the mean duration of the group's passes; 0: not known.
-    void recordMeasuredPass(milliseconds pass, instant now);
     // Sets the contents of the placement in use, once they are known from all ranks.
     void setPlacement(std::uint64_t placement, group_placement contents);
     // Records that a change to `contents` was completed.
@@ -100,12 +92,6 @@
     double currentSkew() const { return m_currentSkew; }
     double slowestPace() const;
     double plannedSkew() const { return m_plannedSkew; }
-    // Up to this skew callers stay on time by the measured pass, so that no expert is copied; empty
-    // if callers accept any gap, no pass was measured, the group has just opened or is loaded.
-    std::optional<double> toleratedSkew(instant now) const;
-    // True if the last decision left a skewed placement since callers have headroom.
-    bool deferred() const { return m_deferred; }
-    milliseconds measuredPass() const { return m_measuredPass; }
     milliseconds longestGap() const { return m_longestGap; }
     group_progress progress() const;
 
@@ -133,13 +119,11 @@
         instant at;
     };
 
-    void reset(std::uint64_t epoch, instant now);
+    void reset(std::uint64_t epoch);
     bool isOutdated(const rank_view&, instant now) const;
     rank_paces paces() const;
     // True if passes would stay short enough with half as much load again, at the present skew.
     bool hasHeadroom() const;
-    // How many times as many requests as were measured may run before a change takes effect.
-    double loadGrowth() const;
 
     monitor_settings m_settings;
     milliseconds m_longestGap { 0 };
@@ -154,14 +138,6 @@
     group_placement m_planned;
     double m_currentSkew = 1;
     double m_plannedSkew = 1;
-    milliseconds m_measuredPass { 0 };
-    // Mean skew of the passes that were measured.
-    double m_measuredSkew = 1;
-    // Mean number of requests that ran meanwhile on all ranks.
-    double m_measuredActive = 0;
-    instant m_measuredAt {};
-    instant m_epochSince {};
-    bool m_deferred = false;
     instant m_pauseUntil {};
     std::optional<instant> m_strayHoldSince;
     // Clean-ups that may begin as soon as a hold is seen.
