--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -11,7 +11,7 @@
     // Largest plain answer that is buffered with `bufferUnframed`, where its end may not be known in advance.
     constexpr std::size_t bufferedAnswerBytes = 4'194'304;
     constexpr std::string_view eventEnd = "\n\n";
-    // With more time for writing to the caller between two reads, a gap may be the caller's.
+    // If writing to the caller took longer than this, the gap may be the caller's delay.
     constexpr milliseconds maxWriteTime { 10 };
 
     void dropHopHeaders(http_head& head)
--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -108,13 +108,20 @@
     }
 }
 
+void group_leader::followGroup(const std::string& group)
+{
+    if (m_monitor->group() != group)
+        m_stepRate = step_rate();
+    m_monitor->follow(group);
+}
+
 // The group may stand still meanwhile. A call that went through the silent agent would wait for it and
 // reach the ranks behind it late, so it is called no more, and this poll leaves out its engine as well.
 awaitable<void> group_leader::takeOver(group_members known, const std::string& silent)
 {
     if (!m_monitor)
         co_return;
-    m_monitor->follow(known.group);
+    followGroup(known.group);
     m_monitor->recordTakeover();
     m_caller.setCaller(known.ownId, known.group, known.members.size());
     m_caller.recordSilent(silent);
@@ -174,9 +181,7 @@
         co_return;
     // The group may only be switched here, between two changes: the orders of one change address the
     // ranks of a single group.
-    if (known.group != m_monitor->group())
-        m_stepRate = step_rate();
-    m_monitor->follow(known.group);
+    followGroup(known.group);
     const std::string ownBackendId = known.ownId;
     switch (m_monitor->decide(m_context.now())) {
     case leader_task::none:
@@ -275,13 +280,14 @@
         heldSince = m_context.now();
     while (!change.ended()) {
         const switch_phase phase = change.phase();
+        const instant roundBegan = m_context.now();
         co_await sendRound(change, prepareTime);
         // A hold may be shorter than the time between two polls.
         if (change.holding())
             m_stepRate.discardSample();
         if (!heldSince && change.holding()) {
-            heldSince = m_context.now();
-            limit = *heldSince + maxHoldTime;
+            heldSince = roundBegan;
+            limit = m_context.now() + maxHoldTime;
         }
         if (m_context.now() >= limit)
             change.cancel();
--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -54,6 +54,8 @@
 
 private:
     void setUp(const engine_costs&);
+    // Changes to another group; what was measured of the former one is discarded.
+    void followGroup(const std::string& group);
     awaitable<void> learnPlacement();
     awaitable<void> changePlacement(const std::string& ownBackendId);
     awaitable<void> cleanUp();
--- a/Source/gateway/requests/slot_allocator.cpp
+++ b/Source/gateway/requests/slot_allocator.cpp
@@ -44,8 +44,11 @@
         co_return admission_slot();
     const instant now = m_context.now();
     service_slots& slots = slotsFor(request.service);
-    slots.costs = measuresPasses(request) ? request.costs : std::nullopt;
-    slots.gapTarget = request.route.gapTarget;
+    // A route without a gap does not end the measured limit of the others that share the service.
+    if (measuresPasses(request)) {
+        slots.costs = request.costs;
+        slots.gapTarget = request.route.gapTarget;
+    }
     setSlots(request.service, request.costs, request.route.gapTarget, slots, slots.gate.queue().running(), true);
     admission_wait_input input;
     input.begun = begun;
--- a/Source/gateway/requests/slot_allocator.h
+++ b/Source/gateway/requests/slot_allocator.h
@@ -75,10 +75,10 @@
         return_schedule returns;
         // Requests that wait with lastChancePriority.
         int lastChances = 0;
-        // Rounds the shares of this process: the sum over all entry VMs is then what is shared out.
+        // Fixed random number that rounds the share of this process, so that the shares of all entry VMs add up to the whole.
         double draw;
         start_budget starts;
-        // Of the last request; empty where no gap is set.
+        // Of the last request whose route sets a gap; empty before the first one.
         std::optional<engine_costs> costs;
         milliseconds gapTarget { 0 };
         bool measured = false;
--- a/Source/policy/groups/leadership.h
+++ b/Source/policy/groups/leadership.h
@@ -19,7 +19,7 @@
     milliseconds stagger { 120 };
     std::size_t maxStaggers = 12;
     // A leader that has not called for this long while it holds a step at the own rank counts as gone:
-    // two polls of a leader whose process is paused for most of a tenth of a second in between.
+    // two poll intervals: a leader that misses a single poll is not replaced.
     milliseconds holdTimeout { 200 };
     // How long an observation of a hold counts: three readings of the own engine.
     milliseconds holdLifetime { 300 };
--- a/Source/policy/groups/pass_estimate.cpp
+++ b/Source/policy/groups/pass_estimate.cpp
@@ -9,8 +9,8 @@
 
     // The median of the gaps that end within it is one sample: a delay in the network reaches few of the streams.
     constexpr milliseconds samplePeriod { 100 };
-    // Long enough to average three samples, short against the time in which the load can change. A shift of demand
-    // lengthens passes for as long; were it followed at once, callers would wait although the passes stay short enough.
+    // Averages three samples. A shift of demand lengthens passes for about this time; following it at once would make
+    // callers wait although the passes stay short enough.
     constexpr double timeConstantMs = 300;
     // A measure says nothing of the present load when it is older.
     constexpr milliseconds measureLifetime { 500 };
--- a/Source/policy/groups/pass_model.h
+++ b/Source/policy/groups/pass_model.h
@@ -8,7 +8,7 @@
 
 namespace rampgap {
 
-// What lengthens the steps of a group at present: load skew and its slowest rank.
+// What lengthens the steps of a group at present: load skew, the pace of its slowest rank, and the measured time of a sequence.
 struct group_slowdown {
     // Predicted expert part of a step divided by that of an even load.
     double expertSkew = 1;
--- a/Source/policy/requests/admission_share.cpp
+++ b/Source/policy/requests/admission_share.cpp
@@ -13,9 +13,9 @@
     // Counts from engines are up to 0.3 s old. When a group opens, all waiting callers are sent at one
     // moment, and for a while the counts do not show their requests: free slots by these counts are not used.
     constexpr milliseconds countsSettleTime { 1'000 };
-    // Of slots for each entry VM: with fewer, a part of what fits is less than two slots as soon as a half fits.
+    // With fewer slots for each entry VM rounding decides what is sent, so that starts are shared instead.
     constexpr double minSharedSlots = 4;
-    // With a fifth more than fits, nothing is started; a rule without such a range would swing by the age of the counts.
+    // The share falls to nothing at a fifth above the capacity; without this range it would swing with the age of the counts.
     constexpr double excessWeight = 5;
     // Without it, an entry VM in a large fleet could send nothing. With more entry VMs than half of the slots, the shares
     // together exceed the capacity, and the engines' queues take the rest.
@@ -47,7 +47,7 @@
         return input.own + input.starts;
     const double shared = sharedCapacity(input);
     const bool bounded = input.slots > 0 && shared < input.slots * sharedFraction;
-    // While more run than fit, not even an entry VM below its part starts requests: running ones end only after seconds,
+    // While more run than fit, an entry VM below its part starts one request at most: running ones end only after seconds,
     // and all streams are late until then.
     const double excess = bounded ? std::max(0.0, input.load - shared) / std::max(1.0, shared) : 0;
     double share = partOf(shared, input) * std::max(0.0, 1 - excessWeight * excess);
--- a/Source/policy/requests/return_schedule.cpp
+++ b/Source/policy/requests/return_schedule.cpp
@@ -13,7 +13,7 @@
     constexpr milliseconds cellLength { 100 };
     // Below this free part a cell counts as taken; sums of parts may differ from whole starts by it.
     constexpr double minFree = 1e-6;
-    // Urgencies that were refused this recently share the moments.
+    // An urgency shares the moments if one of its callers was refused within this time.
     constexpr milliseconds urgencyMemory { 2'000 };
     // Half of the patience of most callers: how long one waits for a start in the mean.
     constexpr milliseconds waitAfterReturn { 1'000 };
@@ -69,7 +69,7 @@
     return pauseUntil(chosen, request.draw, now, longest);
 }
 
-// Such a caller competes with those who were promised a start, so that fewer are promised around its return; not for
+// A caller without a free moment competes with those who were promised a start, so that fewer are promised around its return; not for
 // longer, as it mostly leaves without one.
 milliseconds return_schedule::leastReserved(const return_request& request, instant now)
 {
--- a/Source/policy/requests/start_budget.h
+++ b/Source/policy/requests/start_budget.h
@@ -1,4 +1,4 @@
-// How many requests an entry VM may start at a group with fewer request slots than fit to all entry VMs.
+// How many requests an entry VM may start at a group with fewer than four request slots for each entry VM.
 #pragma once
 
 #include "policy/requests/admission_share.h"
@@ -20,10 +20,11 @@
 
 private:
     int m_starts = 0;
-    // Part of the time in which requests wait here: about that of the entry VMs that compete for a start.
-    double m_wantedPart = 0.5;
+    // Part of the time in which requests wait here: about that of the entry VMs that compete for a start. An entry VM that
+    // has just started assumes that few do.
+    double m_wantedPart = 0;
     bool m_wanted = false;
-    instant m_updatedAt {};
+    std::optional<instant> m_updatedAt;
     // When the group was last seen nearly full.
     std::optional<instant> m_crowdedAt;
 };
