--- a/Source/policy/requests/start_budget.h
+++ b/Source/policy/requests/start_budget.h
@@ -20,9 +20,8 @@
 
 private:
     int m_starts = 0;
-    // Part of the time in which requests wait here: about that of the entry VMs that compete for a start. An entry VM that
-    // has just started assumes that few do.
-    double m_wantedPart = 0;
+    // Part of the time in which requests wait here: about that of the entry VMs that compete for a start.
+    double m_wantedPart = 0.5;
     bool m_wanted = false;
     std::optional<instant> m_updatedAt;
     // When the group was last seen nearly full.
