--- a/Source/gateway/fleet/fleet_state.h
+++ b/Source/gateway/fleet/fleet_state.h
@@ -26,7 +26,7 @@
 
 class fleet_state {
 public:
-    // `keepLapsedFor`: see backend_directory.
+    // `keepLapsedFor`: how long servers whose entries lapsed in an outage of the store stay listed.
     fleet_state(process_context&, decision_log&, const fleet_decoder&, milliseconds keepLapsedFor);
 
     // Applies a listing of the store, requested at `askedAt`. Returns false if it is older than the
--- a/Source/gateway/requests/gateway_server.cpp
+++ b/Source/gateway/requests/gateway_server.cpp
@@ -66,7 +66,7 @@
 // for as long as they would wait anyway, and then told to pause, retry after it.
 awaitable<void> gateway_server::awaitFreshness(http_exchange& exchange, const gateway_request& parsed)
 {
-    // The usual case, which saves a second route lookup.
+    // Usually the state is fresh enough for any route, so that none has to be looked up here.
     if (m_freshness.mayUseKeys(m_state.published().freshAsOf(), m_context.now()))
         co_return;
     const auto configuration = m_state.configuration();
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -66,7 +66,7 @@
     static bool mayRetry(const admitted_request&, const progress&, const attempt_outcome&);
     // The failure to answer with if no attempt follows the last one.
     failure finalFailure(const admitted_request&, const attempt_outcome& last);
-    // When a caller is to come back whom the engines refused.
+    // The pause after which a caller whose request the engines refused is to retry.
     milliseconds pauseAfterRefusal(const admitted_request&);
     // Counts how a caller fared that was refused before and has come back.
     void countReturn(const admitted_request&, const progress&, const std::optional<failure>&);
--- a/Source/policy/configuration/fleet_configuration.h
+++ b/Source/policy/configuration/fleet_configuration.h
@@ -33,7 +33,7 @@
     repeat_rule repeat = repeat_rule::non_idempotent;
     // Longest time from a request's arrival to its final answer; a caller may set an earlier deadline.
     milliseconds timeout { 0 };
-    // Target for the time to the answer, of a stream to its first byte; an answer within it has its full value.
+    // Target for the time until the answer, or the first byte of a stream, arrives; within it the answer has its full value.
     milliseconds latencyTarget { 0 };
     // Target for the longest pause between two events of a stream; 0 if none is set.
     milliseconds gapTarget { 0 };
@@ -53,7 +53,7 @@
 struct engine_costs {
     int capacity = 1;
     std::int64_t cacheTokens = 0;
-    // Token steps of a pass in which sequences generate tokens.
+    // Steps that a pass makes if any sequence generates tokens; each step generates one token a sequence.
     int stepsPerPass = 1;
     double stepMs = 0;
     double perSequenceMs = 0;
--- a/Source/policy/groups/map_switch.h
+++ b/Source/policy/groups/map_switch.h
@@ -1,7 +1,7 @@
 // Carries out one change of the placement of experts in a group: prepare it at all ranks, hold a
 // step at one rank, arm all ranks, and release the step. No rank can begin the held step before the
 // release, and the release is sent only after every rank has reported that it is armed.
-// The step is held on another machine than the leader's, and the leader arms its own rank last: if
+// The step is held on another VM than the leader's, and the leader arms its own rank last: if
 // the leader's machine stalls in between, the other agents can conclude that its rank is not armed
 // and never will be, and release the group without it. For the same reason the leader's rank is
 // disarmed first: while it is armed, all others are.
@@ -44,7 +44,7 @@
     // ranks to be armed before the group reaches it, and near enough to have begun when a delayed order
     // arrives.
     std::uint64_t stepsAhead = 2;
-    // Fence of the orders; a cancelled change continues with the next number.
+    // Fencing number of the orders; those that cancel the change carry the next higher one.
     std::uint64_t fence = 0;
 };
 
--- a/Source/policy/groups/step_rate.h
+++ b/Source/policy/groups/step_rate.h
@@ -28,7 +28,7 @@
     void record(const group_progress&, instant now);
     // Excludes the time since the last poll: the group was kept from beginning a step.
     void discardSample() { m_last.reset(); }
-    // Mean duration of a pass; 0 if none was measured lately.
+    // Mean duration of a pass; 0 if none was measured in the last 0.5 s.
     milliseconds mean(instant now) const;
 
 private:
--- a/Source/policy/requests/admission_queue.h
+++ b/Source/policy/requests/admission_queue.h
@@ -45,7 +45,7 @@
 };
 
 struct queue_forecast {
-    // Requests that wait now and start first.
+    // Requests that already wait and start before this one.
     int ahead = 0;
     // Starts until the request's own one, which is included, with those that arrive later and overtake it.
     double startsUntil = 1;
--- a/Source/policy/requests/return_schedule.cpp
+++ b/Source/policy/requests/return_schedule.cpp
@@ -30,7 +30,7 @@
         return std::clamp(pause, milliseconds(0), longest);
     }
 
-    // A caller that comes back later than this does not comply, or could not finish any more.
+    // Callers do not comply with a longer pause, or could not get a complete answer after it.
     milliseconds longestUsefulPause(const return_request& request)
     {
         return std::min(longestRetryPause(request.timeLeft), request.timeLeft - request.run);
--- a/Tests/platform/return-schedule/test.cpp
+++ b/Tests/platform/return-schedule/test.cpp
@@ -30,7 +30,7 @@
     // All groups stand still or are closed from 1 s on.
     milliseconds closure { 0 };
     milliseconds hold { 0 };
-    // Load over the capacity, until 5 s and after it.
+    // Demand as a multiple of the capacity, until 5 s and after it.
     double load = 1.3;
     double loadAfter = 0.8;
 };
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -66,7 +66,7 @@
     ("excess_not_drained", "admission_share.cpp", "input.own - newer + freeShare", "input.own + 1.0", "platform/pass-limit"),
     ("starts_beyond_the_target", "start_budget.cpp", "ends + (capacity - input.load) / fillSeconds", "10 * ends", "platform/pass-limit"),
     ("pass_not_measured", "pass_feedback.cpp", "groups.recordTokenFactor(key, *factor, now);", ";", "platform/pass-limit"),
-    ("slow_rank_as_token_time", "pass_model.cpp", "|| measured.upperMs > maxPassRatio * whole", "", "platform/pass-limit"),
+    ("slow_rank_as_token_time", "pass_model.cpp", "|| measured.meanMs > maxPassRatio * whole", "", "platform/pass-limit"),
     ("later_leader_goes_on", "leadership.cpp", "positionOf(m_leader, members) < position", "false", "platform/leadership"),
     ("leads_beside_a_leader", "leadership.cpp", "if (silent < takeoverTimeout(position))", "if (false)", "platform/leadership"),
     ("early_takeover_without_silence", "leadership.cpp", "holds(now) && silent >= holdTimeout()", "holds(now)", "platform/leadership"),
