--- a/Tests/platform/restored-store/test.cpp
+++ b/Tests/platform/restored-store/test.cpp
@@ -25,7 +25,7 @@
 constexpr milliseconds poll { 5 };
 // The adapter's timeout of a watch beyond its wait.
 constexpr milliseconds answerMargin { 1'000 };
-// Each of 390 VMs may read five times per second; in two seconds, plus one read for each of four writes.
+// Reads that one VM may make within the two seconds of a test: five a second, and one for each of the four writes.
 constexpr int maxReadings = 14;
 
 std::string configuration(int version)
