--- a/Source/gateway/requests/crash_reporter.cpp
+++ b/Source/gateway/requests/crash_reporter.cpp
@@ -66,7 +66,7 @@
 
 void crash_reporter::onCallCrashed(const server_incarnation& incarnation, const lost_call& call)
 {
-    m_log.requestLine("call_crashed").add("request", call.requestId).add("fingerprint", toString(call.request)).add("backend", incarnation.id).add("ran_ms", call.lostAt - call.sentAt).add("events", call.events);
+    m_log.requestLine("call_crashed").add("request", call.requestId).add("fingerprint", toString(call.request)).add("backend", incarnation.id).add("ran_ms", call.lostAt - call.sentAt).add("events", call.events).add("parts", toString(call.parts));
     notifyUpdate();
 }
 
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -67,6 +67,8 @@
     progress state;
     state.fingerprint = fingerprintOf(exchange.request().method_string(), exchange.request().target(), request.parsed.key, exchange.request().body());
     state.relay.lastEventId = request.parsed.lastEventId;
+    for (const auto& part : request.parsed.promptParts)
+        state.parts.push_back(fingerprintOfPart(request.service, part.id));
     auto failed = co_await run(exchange, request, state);
     m_context.counters().observe(latency::request, m_context.now() - request.receivedAt);
     if (!exchange.callerGone())
@@ -353,7 +355,7 @@
         m_groups.recordReachability(request.service, backendHash(backend.id), outcome.result != attempt_result::unreachable, m_context.now());
     }
     const duration silence = m_context.now() - std::max(sentAt, state.relay.newestBytesAt);
-    const lost_call lost { request.parsed.id, state.fingerprint, state.relay.events - eventsBefore, sentAt, m_context.now() };
+    const lost_call lost { request.parsed.id, state.fingerprint, state.relay.events - eventsBefore, sentAt, m_context.now(), state.parts };
     if (exchange.callerGone() ? silence >= longSilence : endedByServer(outcome))
         m_crashes.recordLostCall(backend, lost);
     else if (isSent && lost.events == 0 && (exchange.callerGone() || underWay.withdrawn()))
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -34,6 +34,8 @@
     // State of one request across its attempts.
     struct progress {
         request_fingerprint fingerprint;
+        // The parts of the prompt, in their order.
+        std::vector<request_fingerprint> parts;
         attempted_servers attempted;
         // Attempts that a server may have run.
         int runs = 0;
--- a/Source/policy/requests/crash_detector.h
+++ b/Source/policy/requests/crash_detector.h
@@ -32,6 +32,8 @@
     std::uint64_t events = 0;
     instant sentAt;
     instant lostAt;
+    // The parts of its prompt, in their order; the last one belongs to the request itself or to its session.
+    std::vector<request_fingerprint> parts {};
 
     bool operator==(const lost_call&) const = default;
 };
--- a/Source/policy/requests/request_fingerprint.cpp
+++ b/Source/policy/requests/request_fingerprint.cpp
@@ -17,6 +17,19 @@
     return { hash };
 }
 
+request_fingerprint fingerprintOfPart(std::string_view service, std::string_view partId)
+{
+    return { XXH64(partId.data(), partId.size(), XXH64(service.data(), service.size(), 1)) };
+}
+
+std::string toString(const std::vector<request_fingerprint>& fingerprints)
+{
+    std::string text;
+    for (const auto fingerprint : fingerprints)
+        text += (text.empty() ? "" : ",") + toString(fingerprint);
+    return text;
+}
+
 std::string toString(request_fingerprint fingerprint)
 {
     std::array<char, 17> digits {};
