requests: block a part of prompts under which servers crash

Cause: crash_history knew whole requests only. No two of these requests are alike, so that each counted as the first of its kind. Class of fault: evidence is kept by a subject that is narrower than the cause, so that it never adds up. Ruled out: lost news (waves before any restart are alike, news arrive within a millisecond), servers that end by themselves (one part each time).

Change: parts of prompts are suspects beside whole requests, in the same table and the same news. Two crashes at different moments block a part that was never survived. What was survived on any VM is excused for the first moment with crashes after that, and whoever saw it says so. Blamed is the strongest suspect, of equal ones the narrowest. Where a crash closes a group, one crash is enough for a minute, by VMs that have known for ten seconds what is survived. A block of a part ends, at first after a minute, with one request at a time.

restarted-server: registration takes a list of suspects; its checks are the same.

--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -113,6 +113,7 @@
 void crash_watch::recordCallCrashed(const server_incarnation& incarnation, const lost_call& call)
 {
     m_history.recordCrash(call.request, hashOf(incarnation), call.events, m_context.now());
+    m_history.recordPartsCrashed(call.parts, hashOf(incarnation), call.events, m_context.now());
     m_context.counters().add(metric::calls_crashed);
     m_listener.onCallCrashed(incarnation, call);
 }
--- a/Source/gateway/requests/call_registry.cpp
+++ b/Source/gateway/requests/call_registry.cpp
@@ -1,10 +1,12 @@
 #include "gateway/requests/call_registry.h"
 
+#include <algorithm>
+
 namespace rampgap {
 
-call_registry::registration::registration(call_registry& registry, const std::string& backendId, http_call& call, std::optional<request_fingerprint> request)
+call_registry::registration::registration(call_registry& registry, const std::string& backendId, http_call& call, std::vector<request_fingerprint> suspects)
     : m_registry(registry)
-    , m_entry(registry.m_calls.insert({ backendId, { &call, request } }))
+    , m_entry(registry.m_calls.insert({ backendId, { &call, std::move(suspects) } }))
 {
 }
 
@@ -27,7 +29,8 @@
 {
     std::size_t count = 0;
     for (auto& [backendId, registered] : m_calls) {
-        if (registered.request != request || registered.withdrawn)
+        const auto& suspects = registered.suspects;
+        if (registered.withdrawn || std::find(suspects.begin(), suspects.end(), request) == suspects.end())
             continue;
         registered.withdrawn = true;
         registered.call->cancel();
--- a/Source/gateway/requests/call_registry.h
+++ b/Source/gateway/requests/call_registry.h
@@ -5,8 +5,8 @@
 #include "policy/requests/request_fingerprint.h"
 
 #include <map>
-#include <optional>
 #include <string>
+#include <vector>
 
 namespace rampgap {
 
@@ -15,8 +15,9 @@
     // Registers a call for the lifetime of this object.
     class registration {
     public:
-        // `request`: set if the call may be withdrawn until the first part of its answer has arrived.
-        registration(call_registry&, const std::string& backendId, http_call&, std::optional<request_fingerprint> request = std::nullopt);
+        // `suspects`: the request and the parts of its prompt, for whose crashes the call may be withdrawn until the
+        // first part of its answer has arrived.
+        registration(call_registry&, const std::string& backendId, http_call&, std::vector<request_fingerprint> suspects = {});
         ~registration();
         registration(const registration&) = delete;
         registration& operator=(const registration&) = delete;
@@ -27,13 +28,13 @@
         // The registry withdrew the call.
         bool withdrawn() const { return m_entry->second.withdrawn; }
         // The first part of the answer has arrived: the call can no longer be withdrawn.
-        void recordFirstBytes() { m_entry->second.request.reset(); }
+        void recordFirstBytes() { m_entry->second.suspects.clear(); }
 
     private:
         friend class call_registry;
         struct registered_call {
             http_call* call;
-            std::optional<request_fingerprint> request;
+            std::vector<request_fingerprint> suspects;
             bool cancelled = false;
             bool withdrawn = false;
         };
@@ -45,7 +46,7 @@
     // Cancels all calls at a server that can no longer answer them; returns how many. Their
     // callers are served elsewhere at once, not after the timeout of a silent connection.
     std::size_t cancelAll(const std::string& backendId);
-    // Cancels all calls of a request whose answers have not begun; returns how many.
+    // Cancels all calls of a request, or with a part in their prompts, whose answers have not begun; returns how many.
     std::size_t withdraw(request_fingerprint);
 
 private:
--- a/Source/gateway/requests/crash_reporter.cpp
+++ b/Source/gateway/requests/crash_reporter.cpp
@@ -59,6 +59,12 @@
     notifyUpdate();
 }
 
+void crash_reporter::recordSurvived(const std::vector<request_fingerprint>& parts)
+{
+    m_history.recordPartsSurvived(parts, m_context.now());
+    notifyUpdate();
+}
+
 void crash_reporter::onServerCrashed(const server_incarnation& incarnation, const std::string& address, const std::string& why, std::size_t calls)
 {
     m_log.line("server_crashed").add("backend", incarnation.id).add("address", address).add("incarnation", incarnation.incarnation).add("reason", why).add("calls", calls);
@@ -66,7 +72,7 @@
 
 void crash_reporter::onCallCrashed(const server_incarnation& incarnation, const lost_call& call)
 {
-    m_log.requestLine("call_crashed").add("request", call.requestId).add("fingerprint", toString(call.request)).add("backend", incarnation.id).add("ran_ms", call.lostAt - call.sentAt).add("events", call.events).add("parts", toString(call.parts));
+    m_log.requestLine("call_crashed").add("request", call.requestId).add("fingerprint", toString(call.request)).add("backend", incarnation.id).add("ran_ms", call.lostAt - call.sentAt).add("events", call.events).add("parts", listOf(call.parts));
     notifyUpdate();
 }
 
@@ -107,7 +113,7 @@
         if (!seen.insert(record.request).second)
             continue;
         if (isBlocked != m_blocked.contains(record.request))
-            m_log.line(isBlocked ? "request_barred" : "request_cleared").add("fingerprint", toString(record.request)).add("crashes", record.crashes.size()).add("served", static_cast<int>(record.served)).add("age_ms", age);
+            m_log.line(isBlocked ? "request_barred" : "request_cleared").add("fingerprint", toString(record.request)).add("crashes", record.crashes.size()).add("part", record.partPosition).add("served", static_cast<int>(record.served)).add("age_ms", age);
     }
     m_blocked = now;
     m_context.counters().set(metric::requests_blocked, static_cast<double>(m_blocked.size()));
--- a/Source/gateway/requests/crash_reporter.h
+++ b/Source/gateway/requests/crash_reporter.h
@@ -30,6 +30,8 @@
     awaitable<void> awaitProbe(const listed_backend& backend) { return m_watch.awaitProbe(incarnationOf(backend)); }
     // A server ran the request to completion.
     void recordServed(request_fingerprint);
+    // A server began to answer a prompt with these parts and did not crash.
+    void recordSurvived(const std::vector<request_fingerprint>& parts);
     // Periodic work: logs which requests are blocked, and records the crash of a silent server once a
     // new incarnation of it is listed.
     void runPeriodicWork();
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -59,6 +59,13 @@
     m_history.onChange([this](request_fingerprint request) { withdrawCopies(request); });
 }
 
+std::vector<request_fingerprint> upstream_dispatcher::progress::suspects() const
+{
+    std::vector<request_fingerprint> all { fingerprint };
+    all.insert(all.end(), parts.begin(), parts.end());
+    return all;
+}
+
 awaitable<void> upstream_dispatcher::dispatch(http_exchange& exchange, const admitted_request& request)
 {
     m_budget.recordRequest(request.service, m_context.now());
@@ -152,7 +159,7 @@
         std::function<bool()> undecided = [this, &state] { return m_history.clearancePendingUntil(state.fingerprint, m_context.now()).has_value(); };
         co_await waitWhile(m_context, exchange, std::move(undecided), std::min(*until, request.deadline), groupPoll);
     }
-    auto refused = m_history.refuse({ state.fingerprint, closesGroup(request), state.runs > 0 }, m_context.now());
+    auto refused = m_history.refuse({ state.fingerprint, closesGroup(request), state.runs > 0, state.parts }, m_context.now());
     const auto clearedBy = refused ? std::string_view() : m_history.clearanceReason(state.fingerprint, m_context.now());
     if (refused)
         refused->ran = state.worst;
@@ -317,12 +324,13 @@
         facts.priority = request.priority;
     http_call call(m_client);
     const caller_watch watch(exchange, [&call] { call.cancel(); });
-    call_registry::registration underWay(m_calls, backend.id, call, closesGroup(request) ? std::optional(state.fingerprint) : std::nullopt);
+    call_registry::registration underWay(m_calls, backend.id, call, closesGroup(request) ? state.suspects() : std::vector<request_fingerprint> {});
     if (request.route.repeat == repeat_rule::non_idempotent)
         call.useFreshConnection();
     std::int64_t unread = request.parsed.promptTokens;
     const std::uint64_t eventsBefore = state.relay.events;
-    const bool isIsolated = m_history.beginIsolatedAttempt(state.fingerprint, sentAt);
+    std::vector<request_fingerprint> isolated = state.suspects();
+    std::erase_if(isolated, [this, sentAt](request_fingerprint suspect) { return !m_history.beginIsolatedAttempt(suspect, sentAt); });
     m_loads.recordSent(backend.id, unread, sentAt);
 
     const instant headDeadline = responseDeadline(request, state, sentAt);
@@ -354,14 +362,17 @@
         m_state.backends().recordResult(backend.id, outcome.result, m_context.now());
         m_groups.recordReachability(request.service, backendHash(backend.id), outcome.result != attempt_result::unreachable, m_context.now());
     }
+    const std::uint64_t events = state.relay.events - eventsBefore;
+    if (isAnswerBegun(outcome, events) && (!exchange.callerGone() || events >= earlyEvents))
+        m_crashes.recordSurvived(state.parts);
     const duration silence = m_context.now() - std::max(sentAt, state.relay.newestBytesAt);
-    const lost_call lost { request.parsed.id, state.fingerprint, state.relay.events - eventsBefore, sentAt, m_context.now(), state.parts };
+    const lost_call lost { request.parsed.id, state.fingerprint, events, sentAt, m_context.now(), state.parts };
     if (exchange.callerGone() ? silence >= longSilence : endedByServer(outcome))
         m_crashes.recordLostCall(backend, lost);
     else if (isSent && lost.events == 0 && (exchange.callerGone() || underWay.withdrawn()))
         m_crashes.recordWithdrawnCall(backend, lost);
-    if (isIsolated)
-        m_history.endIsolatedAttempt(state.fingerprint, endedByServer(outcome), m_context.now());
+    for (const auto suspect : isolated)
+        m_history.endIsolatedAttempt(suspect, endedByServer(outcome), m_context.now());
     logAttempt(request, state, backend, outcome, sentAt);
     co_return outcome;
 }
@@ -426,6 +437,11 @@
     return outcome.failed && outcome.failed->reason == failure_reason::connection_lost && outcome.failed->ran != verdict::not_run;
 }
 
+bool upstream_dispatcher::isAnswerBegun(const attempt_outcome& outcome, std::uint64_t events)
+{
+    return outcome.result == attempt_result::answered || events >= earlyEvents;
+}
+
 bool upstream_dispatcher::closesGroup(const admitted_request& request)
 {
     return request.costs && request.costs->layerSets > 0;
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -36,6 +36,8 @@
         request_fingerprint fingerprint;
         // The parts of the prompt, in their order.
         std::vector<request_fingerprint> parts;
+        // What servers may crash under: the request and the parts of its prompt.
+        std::vector<request_fingerprint> suspects() const;
         attempted_servers attempted;
         // Attempts that a server may have run.
         int runs = 0;
@@ -79,6 +81,8 @@
     // A retry of a call that its server broke off first waits for the probe of that server: if it
     // crashed, the request becomes suspected.
     static bool mustAwaitProbe(const admitted_request&, const attempt_outcome&);
+    // The server did not crash as it began to answer.
+    static bool isAnswerBegun(const attempt_outcome&, std::uint64_t events);
     static bool closesGroup(const admitted_request&);
     // Withdraws copies of the request that have not begun from other servers once one has crashed.
     void withdrawCopies(request_fingerprint);
--- a/Source/policy/requests/crash_evidence.cpp
+++ b/Source/policy/requests/crash_evidence.cpp
@@ -41,6 +41,7 @@
     bool changed = false;
     for (const auto& crash : crashes)
         changed = (concerns(crash.server) && m_cleared.insert(crash.server).second) || changed;
+    m_wasCleared = m_wasCleared || changed;
     return changed;
 }
 
--- a/Source/policy/requests/crash_evidence.h
+++ b/Source/policy/requests/crash_evidence.h
@@ -55,7 +55,7 @@
     // True if the request was running on this server as it crashed.
     bool concerns(std::uint32_t server) const { return find(server) != m_crashes.end(); }
     bool isCleared(std::uint32_t server) const { return m_cleared.contains(server); }
-    bool anyCleared() const { return !m_cleared.empty(); }
+    bool anyCleared() const { return m_wasCleared; }
     std::vector<observed_crash> uncleared() const;
     std::vector<observed_crash> cleared() const;
     weight strength() const;
@@ -67,6 +67,8 @@
 
     std::set<observed_crash> m_crashes;
     std::set<std::uint32_t> m_cleared;
+    // Stays true when the crashes that it was cleared of are no longer kept.
+    bool m_wasCleared = false;
 };
 
 } // namespace rampgap
--- a/Source/policy/requests/crash_history.h
+++ b/Source/policy/requests/crash_history.h
@@ -1,10 +1,11 @@
-// Which requests were running on backend servers as these crashed, as seen by all entry VMs together,
-// and which of them are therefore blocked.
+// Which requests, with which parts of prompts, were running on backend servers as these crashed, as seen
+// by all entry VMs together, and which of them are therefore blocked.
 #pragma once
 
 #include "policy/common/verdict.h"
 #include "policy/requests/crash_evidence.h"
 #include "policy/requests/request_fingerprint.h"
+#include "policy/requests/survival_table.h"
 
 #include <cstddef>
 #include <functional>
@@ -17,12 +18,23 @@
 
 namespace rampgap {
 
-// Crashes of servers that were running one request, as processes send them to each other.
+// Events after which a request no longer counts as just begun: a request that crashes servers usually
+// does so with its first step.
+inline constexpr std::uint64_t earlyEvents = 2;
+
+// What a record is about: a whole request, or a part of prompts by its place in these, counted from 1. The last
+// part belongs to one request or its session.
+inline constexpr std::uint32_t wholeRequest = 0;
+inline constexpr std::uint32_t lastPart = 255;
+
+// Crashes of servers that were running one request, or requests with one part in their prompts, as processes
+// send them to each other.
 struct crash_record {
     request_fingerprint request;
     std::vector<observed_crash> crashes;
     // A server ran the request to the end after these crashes, so it did not cause them.
     bool served = false;
+    std::uint32_t partPosition = wholeRequest;
 
     bool operator==(const crash_record&) const = default;
 };
@@ -37,6 +49,8 @@
     bool closesGroup = false;
     // It was sent to a server before: this is a retry for the same caller.
     bool isRetry = false;
+    // The parts of its prompt.
+    std::vector<request_fingerprint> parts {};
 };
 
 class crash_history {
@@ -44,6 +58,10 @@
     // `events`: whole events of the answer that the server had sent.
     void recordCrash(request_fingerprint, std::uint32_t server, std::uint64_t events, instant now);
     void recordServed(request_fingerprint, instant now);
+    // The same for the parts of a prompt, in their order.
+    void recordPartsCrashed(const std::vector<request_fingerprint>& parts, std::uint32_t server, std::uint64_t events, instant now);
+    // A server began to answer a prompt with these parts and did not crash.
+    void recordPartsSurvived(const std::vector<request_fingerprint>& parts, instant now);
     // Merges a peer's record. `age`: since the request was last seen. True if this changed anything.
     bool merge(const crash_record&, milliseconds age, instant now);
 
@@ -94,9 +112,24 @@
     struct entry {
         crash_evidence evidence;
         instant seenAt;
+        std::uint32_t partPosition = wholeRequest;
+
+        bool isPart() const { return partPosition != wholeRequest; }
     };
     using weight = crash_evidence::weight;
 
+    // Order in which suspects are blamed for a crash that they have in common. Of equal ones the narrowest is
+    // blamed: blocking it costs the fewest requests, and the crash of a wider one still shows that.
+    struct suspect_rank {
+        // Never cleared, and several servers crashed under it.
+        bool isProven = false;
+        weight strength;
+        // The whole request, then the last part of its prompt, then the parts before it.
+        std::uint32_t narrowness = 0;
+
+        auto operator<=>(const suspect_rank&) const = default;
+    };
+
     struct assessment {
         // Until when the request counts as the cause of a crash; empty if it does not count as the cause
         // of any, instant::max() if nothing ends that.
@@ -114,19 +147,35 @@
     bool apply(const crash_record&, milliseconds age, instant now, bool own);
     // Adds a crash. True if that changed the entry.
     bool add(entry&, request_fingerprint, const observed_crash&, instant crashedAt);
+    // Clears a part of a new crash if it was survived before.
+    void applySurvivals(entry&, request_fingerprint part, const observed_crash&, instant crashedAt);
+    // Nothing is recorded of a part that is not in question and that a server survived just before.
+    bool mayIgnore(const crash_record&, instant crashedAt);
     // Calls the functions set by onServerCrashed and onChange.
     void notifyListeners(request_fingerprint, const std::vector<std::uint32_t>& newServers);
     void recordChange(request_fingerprint);
     void updateDigest();
-    // Drops the request with the weakest evidence if the table is full. False if all of them have stronger
-    // evidence than a request with so many crashes.
-    bool makeRoom(std::size_t crashes, bool own);
+    // Drops the request or part with the weakest evidence if the table is full of its kind. False if all of them
+    // have stronger evidence than the record.
+    bool makeRoom(const crash_record&, bool own);
     void erase(request_fingerprint);
     void forgetSuspect(std::uint32_t server, request_fingerprint);
     std::vector<request_fingerprint> repeatedRequests() const;
     void addRecords(aged_crash_records&, request_fingerprint, instant now) const;
     // Another request explains the crash better: there is more evidence against it.
-    bool isExplainedByOther(const observed_crash&, request_fingerprint, const weight&) const;
+    bool isExplainedByOther(const observed_crash&, request_fingerprint, const suspect_rank&) const;
+    suspect_rank rankOf(const entry&) const;
+    // The crashes count against the part, and not only against what else its requests hold.
+    bool isPartAccused(const entry&) const;
+    // Servers crashed under the part at more than one moment.
+    bool crashedAtSeveralMoments(const entry&) const;
+    instant lastCrashAt(const entry&) const;
+    // Blocked, or it was and its time has passed.
+    bool isAccused(request_fingerprint, instant now) const;
+    std::optional<failure> refusePart(request_fingerprint part, const send_input&, instant now);
+    // Refuses a request unless it may be sent as an isolated attempt.
+    std::optional<failure> refuseUnlessIsolated(request_fingerprint, bool isRetry, instant now) const;
+    bool isPartSuspected(request_fingerprint part, instant now) const;
     // When the request is cleared of the crash because more servers crashed at the same moment without it
     // than with it, which points to another cause. Until then, updates may still arrive that it also ran
     // on those servers. Empty if that does not apply.
@@ -136,10 +185,13 @@
     // It had just begun as a server crashed, and nothing else explains that crash.
     bool isSuspected(request_fingerprint, instant now) const;
     // Another request explains all these crashes equally well.
-    bool hasEqualSuspect(const std::vector<observed_crash>&, request_fingerprint, const weight&) const;
+    bool hasEqualSuspect(const std::vector<observed_crash>&, request_fingerprint, const suspect_rank&) const;
 
+    // Requests and parts; how many of them are parts.
     std::map<request_fingerprint, entry> m_requests;
+    std::size_t m_parts = 0;
     std::map<std::uint32_t, crashed_server> m_servers;
+    survival_table m_survivals;
     // Suspected requests that are running at a server, and until when an attempt excludes others.
     std::map<request_fingerprint, instant> m_isolatedAttempts;
     std::function<bool(request_fingerprint)> m_isChosen;
--- a/Source/policy/requests/request_fingerprint.cpp
+++ b/Source/policy/requests/request_fingerprint.cpp
@@ -22,7 +22,7 @@
     return { XXH64(partId.data(), partId.size(), XXH64(service.data(), service.size(), 1)) };
 }
 
-std::string toString(const std::vector<request_fingerprint>& fingerprints)
+std::string listOf(const std::vector<request_fingerprint>& fingerprints)
 {
     std::string text;
     for (const auto fingerprint : fingerprints)
--- a/Source/policy/requests/request_fingerprint.h
+++ b/Source/policy/requests/request_fingerprint.h
@@ -25,7 +25,7 @@
 // 16 hexadecimal digits, which reveal nothing about the caller's key.
 std::string toString(request_fingerprint);
 // The same for each, separated by commas.
-std::string toString(const std::vector<request_fingerprint>&);
+std::string listOf(const std::vector<request_fingerprint>&);
 // Empty if the text is not a fingerprint.
 std::optional<request_fingerprint> parseFingerprint(std::string_view);
 
--- a/Source/wire/crash_codec.cpp
+++ b/Source/wire/crash_codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/crash_codec.h"
 
+#include <algorithm>
+
 namespace rampgap {
 
 void addCrashes(crash_messages& messages, const aged_crash_records& all)
@@ -14,6 +16,7 @@
                 added->add_late_servers(crash.server);
         }
         added->set_served(record.served);
+        added->set_part_position(record.partPosition);
         added->set_age_ms(static_cast<std::uint32_t>(age.count()));
     }
 }
@@ -22,7 +25,7 @@
 {
     bool changed = false;
     for (const auto& message : messages) {
-        crash_record record { { message.request() }, {}, message.served() };
+        crash_record record { { message.request() }, {}, message.served(), std::min(message.part_position(), lastPart) };
         for (const auto server : message.early_servers())
             record.crashes.push_back({ server, true });
         for (const auto server : message.late_servers())
--- a/Tests/platform/restarted-server/test.cpp
+++ b/Tests/platform/restarted-server/test.cpp
@@ -58,9 +58,9 @@
     http_call plain(client);
     call_registry calls;
     constexpr request_fingerprint suspected { 1 };
-    const call_registry::registration ofCopy(calls, "a", copy, suspected);
-    call_registry::registration ofBegunCopy(calls, "b", begunCopy, suspected);
-    const call_registry::registration ofOther(calls, "a", other, request_fingerprint { 2 });
+    const call_registry::registration ofCopy(calls, "a", copy, { suspected });
+    call_registry::registration ofBegunCopy(calls, "b", begunCopy, { suspected });
+    const call_registry::registration ofOther(calls, "a", other, { request_fingerprint { 2 } });
     const call_registry::registration ofPlain(calls, "a", plain);
     ofBegunCopy.recordFirstBytes();
     CHECK(calls.withdraw(suspected) == 1);
