entry, agent: a beginning of prompts that crashes engines is refused

Entry VMs and agents refuse a part that is blocked; after one crash nothing is refused here, since it takes one engine only. Earlier agents ignore the header; earlier entry VMs send none, and are then judged by whole requests as before.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -176,6 +176,8 @@
     // known again here.
     const auto told = parseFingerprint(headerText(request, header::fingerprint));
     order.fingerprint = told.value_or(fingerprintOf(request.method_string(), request.target(), order.admission.workspace, request.body()));
+    if (const auto part = parseFingerprint(headerText(request, header::promptPart)))
+        order.parts.push_back(*part);
     if (!headerText(request, header::notRepeatable).empty()) {
         order.onceId = request_id { order.admission.workspace, service, headerText(request, header::idempotencyKey) };
         order.bodyDigest = hash64(request.body());
@@ -211,7 +213,7 @@
         co_await refuse(exchange, notRun(reason, m_leaving ? "this backend server is leaving" : "this backend server is not declared", leavingRetryAfter), correlation);
         co_return;
     }
-    if (const auto barred = m_engine.barred(order.value().fingerprint)) {
+    if (const auto barred = m_engine.barred(order.value().fingerprint, order.value().parts)) {
         co_await refuse(exchange, *barred, correlation);
         co_return;
     }
@@ -245,7 +247,7 @@
     if (!admitted)
         refused = admitted.error();
     else if (!exchange.callerGone())
-        refused = m_engine.barred(order.fingerprint); // The news may have come while it waited.
+        refused = m_engine.barred(order.fingerprint, order.parts); // The news may have come while it waited.
     if (admitted && !refused && !exchange.callerGone()) {
         if (const auto taken = m_intake.enter(order.entry, m_context.now()); !taken)
             refused = taken.error();
@@ -267,7 +269,7 @@
 
 awaitable<void> agent_server::recordLost(server_incarnation life, const work_order& order, std::uint64_t events, instant sentAt)
 {
-    lost_call call { order.correlation, order.fingerprint, events, sentAt, m_context.now() };
+    lost_call call { order.correlation, order.fingerprint, events, sentAt, m_context.now(), order.parts };
     co_await m_engine.recordLost(std::move(life), std::move(call));
     co_await m_configuration.awaitCrashesAnnounced();
 }
@@ -360,7 +362,7 @@
         m_guard.ledger().finishWithoutAnswer(*order.onceId, m_context.now());
     if (outcome.end == relay_end::complete) {
         m_context.counters().add(metric::requests_answered);
-        m_engine.recordServed(order.fingerprint);
+        m_engine.recordServed(order.fingerprint, order.parts);
     }
     if (outcome.end == relay_end::caller_gone && progress.events == 0)
         co_await recordLost(life, order, 0, sentAt);
--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -39,6 +39,7 @@
         std::optional<request_id> onceId;
         std::uint64_t bodyDigest = 0;
         request_fingerprint fingerprint;
+        std::vector<request_fingerprint> parts;
         // The entry VM that sent it.
         std::string entry;
     };
--- a/Source/agent/engine_guard.cpp
+++ b/Source/agent/engine_guard.cpp
@@ -13,9 +13,9 @@
 {
 }
 
-std::optional<failure> engine_guard::barred(request_fingerprint request)
+std::optional<failure> engine_guard::barred(request_fingerprint request, const std::vector<request_fingerprint>& parts)
 {
-    return m_history.refuseBlocked(request, m_context.now());
+    return m_history.refuseBlocked(request, parts, m_context.now());
 }
 
 awaitable<void> engine_guard::recordLost(server_incarnation life, lost_call call)
@@ -25,8 +25,9 @@
     co_await m_watch.awaitProbe(std::move(life));
 }
 
-void engine_guard::recordServed(request_fingerprint request)
+void engine_guard::recordServed(request_fingerprint request, const std::vector<request_fingerprint>& parts)
 {
+    m_history.recordPartsSurvived(parts, m_context.now());
     m_history.recordServed(request, m_context.now());
     tell();
 }
@@ -40,7 +41,7 @@
 
 void engine_guard::onCallCrashed(const server_incarnation&, const lost_call& call)
 {
-    logStateChange("call_crashed", "request=" + call.requestId + " fingerprint=" + toString(call.request) + " events=" + std::to_string(call.events));
+    logStateChange("call_crashed", "request=" + call.requestId + " fingerprint=" + toString(call.request) + " events=" + std::to_string(call.events) + " parts=" + listOf(call.parts));
     tell();
 }
 
--- a/Source/agent/engine_guard.h
+++ b/Source/agent/engine_guard.h
@@ -16,7 +16,7 @@
     // Called when the history has news for the fleet.
     void onNews(std::function<void()> action) { m_onNews = std::move(action); }
     // Set if the engine may not run the request.
-    std::optional<failure> barred(request_fingerprint);
+    std::optional<failure> barred(request_fingerprint, const std::vector<request_fingerprint>& parts);
     // The life of the engine that a call which is sent now goes to.
     const server_incarnation& life() const { return m_life; }
     // The engine ended the call without a whole answer; returns when it is known whether it
@@ -25,7 +25,7 @@
     // Nothing listened at its address.
     void recordRefusedConnection(const server_incarnation& life) { m_watch.recordRefusedConnection(life, m_engine); }
     // The engine ran the request to its end.
-    void recordServed(request_fingerprint);
+    void recordServed(request_fingerprint, const std::vector<request_fingerprint>& parts);
 
 private:
     void onServerCrashed(const server_incarnation&, const std::string& address, const std::string& why, std::size_t calls) override;
--- a/Source/daemon/header_names.h
+++ b/Source/daemon/header_names.h
@@ -23,6 +23,8 @@
 inline constexpr std::string_view workspace = "Rampgap-Workspace";
 inline constexpr std::string_view service = "Rampgap-Service";
 inline constexpr std::string_view fingerprint = "Rampgap-Fingerprint";
+// Fingerprint of the beginning of the prompt.
+inline constexpr std::string_view promptPart = "Rampgap-Prompt-Part";
 inline constexpr std::string_view permit = "Rampgap-Permit";
 inline constexpr std::string_view clock = "Rampgap-Clock";
 inline constexpr std::string_view load = "Rampgap-Load";
--- a/Source/entry/caller_request.cpp
+++ b/Source/entry/caller_request.cpp
@@ -66,6 +66,7 @@
         if (!made.service)
             return notRun(failure_reason::not_found, "no model named '" + head.value().model + "'");
         made.prefix = hash64(made.workspace->name + '\n' + head.value().model + '\n' + head.value().promptStart);
+        made.parts.push_back(fingerprintOfPart(made.service->name, head.value().promptStart));
         made.resumable = head.value().stream;
         return boost::outcome_v2::success();
     }
--- a/Source/entry/caller_request.h
+++ b/Source/entry/caller_request.h
@@ -26,6 +26,8 @@
     std::string session;
     // Hash of what the engine may have cached, 0 if unknown.
     std::uint64_t prefix = 0;
+    // The beginning of the prompt as a part that other requests may share; empty if there is no prompt.
+    std::vector<request_fingerprint> parts;
     bool resumable = false;
     // The count of pauses of this process when the request was read.
     std::uint64_t pauseEpoch = 0;
--- a/Source/entry/entry_server.cpp
+++ b/Source/entry/entry_server.cpp
@@ -163,7 +163,7 @@
     }
     request.value().pauseEpoch = pauseEpoch;
     const caller_request& made = request.value();
-    if (const auto barred = m_history.refuse({ made.fingerprint }, m_context.now())) {
+    if (const auto barred = m_history.refuse({ made.fingerprint, false, false, made.parts }, m_context.now())) {
         co_await refuse(exchange, *barred, made.correlation);
         co_return;
     }
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -105,7 +105,7 @@
     std::optional<failure> last;
     verdict worst = verdict::not_run;
     for (;;) {
-        if (auto refused = m_crashes.refuse({ request.fingerprint, false, worst != verdict::not_run }, m_context.now())) {
+        if (auto refused = m_crashes.refuse({ request.fingerprint, false, worst != verdict::not_run, request.parts }, m_context.now())) {
             refused->ran = worst;
             co_return refused;
         }
@@ -245,6 +245,8 @@
     upstream.set(header::service, request.service->name);
     upstream.set(header::requestId, request.correlation);
     upstream.set(header::fingerprint, toString(request.fingerprint));
+    if (!request.parts.empty())
+        upstream.set(header::promptPart, toString(request.parts.front()));
     upstream.set(header::priority, std::to_string(request.priority));
     upstream.set(header::timeoutMs, std::to_string(std::max<std::int64_t>(1, left.count())));
     upstream.set(header::revision, std::to_string(request.fleet->revision()));
--- a/Source/policy/requests/crash_history.cpp
+++ b/Source/policy/requests/crash_history.cpp
@@ -428,10 +428,8 @@
     if (!m_requests.contains(part))
         return std::nullopt;
     if (isAccused(part, now)) {
-        extendBlock(part, now);
-        if (const auto blockedTime = blockedFor(part, now))
-            return notRun(failure_reason::crashes_servers, "several servers crashed as they began to answer prompts with part " + toString(part), blockedTime);
-        return refuseUnlessIsolated(part, input.isRetry, now);
+        auto blocked = refuseBlockedPart(part, now);
+        return blocked ? std::move(blocked) : refuseUnlessIsolated(part, input.isRetry, now);
     }
     if (!input.closesGroup || !isPartSuspected(part, now))
         return std::nullopt;
@@ -439,6 +437,16 @@
     return notRun(failure_reason::crashes_servers, "a server crashed as it began to answer a prompt with part " + toString(part), left);
 }
 
+std::optional<failure> crash_history::refuseBlockedPart(request_fingerprint part, instant now)
+{
+    const auto blockedTime = blockedFor(part, now);
+    // Its evidence is kept while its callers come.
+    extendBlock(part, now);
+    if (!blockedTime)
+        return std::nullopt;
+    return notRun(failure_reason::crashes_servers, "several servers crashed as they began to answer prompts with part " + toString(part), blockedTime);
+}
+
 std::optional<failure> crash_history::refuseUnlessIsolated(request_fingerprint request, bool isRetry, instant now) const
 {
     const auto attempt = m_isolatedAttempts.find(request);
@@ -474,6 +482,17 @@
     return notRun(failure_reason::crashes_servers, "several servers crashed as they began to run this request", blockedTime);
 }
 
+std::optional<failure> crash_history::refuseBlocked(request_fingerprint request, const std::vector<request_fingerprint>& parts, instant now)
+{
+    if (auto blocked = refuseBlocked(request, now))
+        return blocked;
+    for (const auto part : parts) {
+        if (auto blocked = refuseBlockedPart(part, now))
+            return blocked;
+    }
+    return std::nullopt;
+}
+
 void crash_history::extendBlock(request_fingerprint request, instant now)
 {
     const auto known = m_requests.find(request);
--- a/Source/policy/requests/crash_history.h
+++ b/Source/policy/requests/crash_history.h
@@ -69,6 +69,8 @@
     std::optional<milliseconds> blockedFor(request_fingerprint, instant now) const;
     // The refusal for the caller of a blocked request; empty if it is not blocked. Extends the block.
     std::optional<failure> refuseBlocked(request_fingerprint, instant now);
+    // The same for a request with these parts in its prompt.
+    std::optional<failure> refuseBlocked(request_fingerprint, const std::vector<request_fingerprint>& parts, instant now);
     // The refusal of a request that may not be sent now: it is blocked, or suspected after one crash.
     std::optional<failure> refuse(const send_input&, instant now);
     // `isChosen`: whether this process may start isolated attempts of a request. Without it, every process may.
@@ -172,6 +174,7 @@
     instant lastCrashAt(const entry&) const;
     // Blocked, or it was and its time has passed.
     bool isAccused(request_fingerprint, instant now) const;
+    std::optional<failure> refuseBlockedPart(request_fingerprint part, instant now);
     std::optional<failure> refusePart(request_fingerprint part, const send_input&, instant now);
     // Refuses a request unless it may be sent as an isolated attempt.
     std::optional<failure> refuseUnlessIsolated(request_fingerprint, bool isRetry, instant now) const;
--- a/Tests/platform/part-crashes/test.cpp
+++ b/Tests/platform/part-crashes/test.cpp
@@ -1,7 +1,6 @@
 // A part of prompts that crashes every server which begins to answer it is blocked, though no two requests with
 // it are alike; sound requests that share their other parts are not.
 #include "policy/requests/crash_history.h"
-#include "wire/crash_codec.h"
 
 #include <cmath>
 #include <doctest/doctest.h>
@@ -67,9 +66,8 @@
 
 void exchange(crash_history& from, crash_history& to, instant now)
 {
-    crash_messages messages;
-    addCrashes(messages, from.takeUpdates(1'000, now));
-    mergeCrashes(messages, to, now);
+    for (const auto& [record, age] : from.takeUpdates(1'000, now))
+        to.merge(record, age, now);
 }
 
 } // namespace
@@ -206,9 +204,8 @@
             known.crash({ part(cause), { 10 + cause } }, ++server, now);
     }
     known_crashes restarted;
-    crash_messages messages;
-    addCrashes(messages, known.history.repeated(now));
-    mergeCrashes(messages, restarted.history, now);
+    for (const auto& [record, age] : known.history.repeated(now))
+        restarted.history.merge(record, age, now);
     for (std::uint64_t cause = 0; cause < 3; ++cause)
         CHECK_FALSE(restarted.maySend({ part(9), { 10 + cause } }, now));
     CHECK(restarted.maySend({ part(9) }, now));
--- a/Tests/requests/crashing-request/test.cpp
+++ b/Tests/requests/crashing-request/test.cpp
@@ -65,6 +65,26 @@
     }
 }
 
+// No two requests were alike, so that each counted as the first: with one beginning of prompts all engines ended.
+TEST_CASE("a beginning of prompts that crashes engines is refused, and other prompts are served")
+{
+    test_fleet fleet;
+    fleet.setRules("[rules]\nretry_percent = 100\n");
+    fleet.addTwoZones(engines);
+    fleet.startServing();
+    fleet.setEngineFaults("crash_on=poison");
+    const std::string beginning = "poison" + std::string(2'000, '.');
+    std::vector<std::unique_ptr<test_client>> clients;
+    for (const auto& name : fleet.entryNames())
+        clients.push_back(std::make_unique<test_client>(fleet.entry(name).address()));
+    test_answer last;
+    for (int sending = 0; sending < 6; ++sending)
+        last = clients[static_cast<std::size_t>(sending) % clients.size()]->send(completion(smallKey, "assistant", beginning + std::to_string(sending), 20, false));
+    CHECK(fleet.enginesAlive() >= engines - mostCrashes);
+    CHECK(last.header("Rampgap-Reason") == "crashes_servers");
+    CHECK(eventually([&] { return clients.front()->send(completion(smallKey, "assistant", "harmless", 20, false)).status == 200; }));
+}
+
 // Callers that had left as their engine ended hid what had ended it: all engines ended one after the other.
 TEST_CASE("a request that crashes engines after its caller has left is refused, too")
 {
