requests: an answer without length or chunks is not complete if its server ended

Callers got streams of one event, or of none, as whole answers, where engines sent them with neither a length nor chunks and crashed, or ended them as their group stalled, between two events. The end of the connection was taken for the end of the answer. A crashed engine's call then even counted as served, and cleared what it had crashed under.

At such an end the server is looked at before the caller is told that the answer is complete; a stream that has no event, whose last bytes came a second before, or whose group is closed is broken off, and goes on elsewhere where that is safe. One look for each such answer, none for answers with a length or chunks. Ruled out: the relay's check of ends inside an event, which held before.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -113,6 +113,20 @@
         std::string m_text;
     };
 
+    // The end of a connection ends such an answer, whether the server had finished it or not.
+    awaitable<bool> isServerGone(const http_call& call, const relay_options& options)
+    {
+        if (call.framed() || !options.confirmEnd)
+            co_return false;
+        const bool confirmed = co_await options.confirmEnd();
+        co_return !confirmed;
+    }
+
+    failure serverGoneFailure()
+    {
+        return mayHaveRun(failure_reason::connection_lost, "the server ended with the connection of an answer without length or chunks");
+    }
+
     relay_outcome incompleteOutcome(bool callerGone, std::optional<failure> failed)
     {
         return { callerGone ? relay_end::caller_gone : relay_end::truncated, std::move(failed), std::nullopt };
@@ -123,6 +137,9 @@
         auto body = co_await call.readAll(options.bufferUnframed ? bufferedAnswerBytes : wholeAnswerBytes);
         if (!body)
             co_return incompleteOutcome(exchange.callerGone(), body.error());
+        const bool gone = co_await isServerGone(call, options);
+        if (gone)
+            co_return incompleteOutcome(exchange.callerGone(), serverGoneFailure());
         relay_outcome outcome;
         if (options.recordLimit >= body.value().size())
             outcome.recorded = body.value();
@@ -188,8 +205,13 @@
             progress.recordBytes(boot_clock::now());
         if (const auto action = std::exchange(options.onFirstBytes, nullptr))
             action();
-        if (last && events && splitter.inEvent() && !call.framed())
-            co_return incompleteOutcome(false, mayHaveRun(failure_reason::connection_lost, "the stream ended inside an event"));
+        if (last && events && !call.framed() && (splitter.inEvent() || progress.events == 0))
+            co_return incompleteOutcome(false, mayHaveRun(failure_reason::connection_lost, "the stream ended inside an event, or before the first one"));
+        if (last) {
+            const bool gone = co_await isServerGone(call, options);
+            if (gone)
+                co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, serverGoneFailure());
+        }
         copy.append(piece.value());
         std::string complete;
         if (events)
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -44,6 +44,9 @@
     // Buffer every answer that is not an event stream, even without a stated length, so that no answer is
     // begun that breaks off before its end.
     bool bufferUnframed = false;
+    // Called at the end of an answer with neither a length nor chunks, before the caller is told that it is
+    // complete: returns false if the connection ended because the server did.
+    std::function<awaitable<bool>()> confirmEnd;
 };
 
 enum class relay_end { complete,
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -40,6 +40,7 @@
     bool isProbing(const server_incarnation& incarnation) const { return m_detector.isProbing(incarnation); }
     // Returns once the probes have shown a crash or a listening server, or have ended without a result.
     awaitable<void> awaitProbe(server_incarnation);
+    bool hasCrashed(const server_incarnation& incarnation) const { return m_detector.hasCrashed(incarnation, m_context.now()); }
     // The server is known to have ended; `why` goes into the log.
     void recordCrashed(const server_incarnation&, const std::string& address, const std::string& why);
     // The incarnation with this hash, if it is undecided whether it crashed.
--- a/Source/gateway/requests/crash_reporter.cpp
+++ b/Source/gateway/requests/crash_reporter.cpp
@@ -33,6 +33,13 @@
     m_watch.recordLost(incarnation, backend.address, call);
 }
 
+awaitable<bool> crash_reporter::confirmAnswerEnd(listed_backend backend, lost_call call)
+{
+    recordLostCall(backend, call);
+    co_await awaitProbe(backend);
+    co_return !m_watch.hasCrashed(incarnationOf(backend));
+}
+
 void crash_reporter::recordWithdrawnCall(const listed_backend& backend, const lost_call& call)
 {
     if (!isCrashPossible(backend))
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -403,6 +403,11 @@
     const bool mayResumeElsewhere = request.route.resumable && state.runs < request.route.maxAttempts && m_budget.allowsRetry(request.service, sentAt);
     if (streams && mayResumeElsewhere)
         options.silenceLimit = streamSilenceLimit(m_groups.hasOtherOpenGroup(request.service, backendHash(backend.id), sentAt));
+    options.confirmEnd = [this, &request, &state, &backend, sentAt, streams, eventsBefore = state.relay.events] {
+        const instant now = m_context.now();
+        const lost_call call { request.parsed.id, state.fingerprint, state.relay.events - eventsBefore, sentAt, now, state.parts };
+        return confirmAnswerEnd(request, backend, call, streams ? now - std::max(sentAt, state.relay.newestBytesAt) : duration::zero());
+    };
     options.onFirstBytes = [&, sentAt] {
         underWay.recordFirstBytes();
         m_crashes.recordAnswer(backend, sentAt);
@@ -437,6 +442,18 @@
     return outcome.failed && outcome.failed->reason == failure_reason::connection_lost && outcome.failed->ran != verdict::not_run;
 }
 
+// The ranks of a closed group end the connections of the streams that they cannot finish, also when it opens again.
+// A server that finishes an answer ends its connection right after the last bytes.
+awaitable<bool> upstream_dispatcher::confirmAnswerEnd(const admitted_request& request, listed_backend backend, lost_call call, duration silence)
+{
+    if (silence >= longSilence)
+        co_return false;
+    if (closesGroup(request) && m_groups.closedAt(request.service, backendHash(backend.id), m_context.now()))
+        co_return false;
+    const bool confirmed = co_await m_crashes.confirmAnswerEnd(std::move(backend), std::move(call));
+    co_return confirmed;
+}
+
 bool upstream_dispatcher::isAnswerBegun(const attempt_outcome& outcome, std::uint64_t events)
 {
     return outcome.result == attempt_result::answered || events >= earlyEvents;
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -83,6 +83,8 @@
     static bool mustAwaitProbe(const admitted_request&, const attempt_outcome&);
     // The server did not crash as it began to answer.
     static bool isAnswerBegun(const attempt_outcome&, std::uint64_t events);
+    // An answer with neither a length nor chunks ended with its connection: false if it was broken off.
+    awaitable<bool> confirmAnswerEnd(const admitted_request&, listed_backend, lost_call, duration silence);
     static bool closesGroup(const admitted_request&);
     // Withdraws copies of the request that have not begun from other servers once one has crashed.
     void withdrawCopies(request_fingerprint);
