admission: an entry VM with most callers gets more of the free slots

Cause: free slots were shared out equally, and what was sent since the last counts is taken off; a seventh of what is free does not replace the requests that end between two counts. Now half of the free slots are shared in proportion to what each VM runs. The parts still add up to what is free (the property test is unchanged), and evenly spread callers get what they got.

--- a/Source/policy/requests/admission_share.cpp
+++ b/Source/policy/requests/admission_share.cpp
@@ -23,11 +23,26 @@
     // Requests that engines count though nobody waits for them must not stop an entry VM for good.
     constexpr int minBoundedShare = 1;
 
+    // Part of the free slots that is shared in proportion to what each entry VM runs. The rest is shared equally, so that
+    // an entry VM whose callers have just come gets slots, too.
+    constexpr double proportionalPart = 0.5;
+
     double partOf(double amount, const admission_share_input& input)
     {
         return amount / static_cast<double>(std::max<std::size_t>(1, input.entries));
     }
 
+    // The parts of all entry VMs add up to the free slots. With equal parts alone, an entry VM that gets most callers could
+    // not replace its own requests as fast as these end.
+    double partOfFree(double amount, const admission_share_input& input)
+    {
+        const double equal = partOf(amount, input);
+        if (input.load <= 0)
+            return equal;
+        const double ownPart = std::min(1.0, static_cast<double>(input.own) / input.load);
+        return proportionalPart * amount * ownPart + (1 - proportionalPart) * equal;
+    }
+
 } // namespace
 
 double sharedCapacity(const admission_share_input& input)
@@ -55,7 +70,7 @@
     // be given that part again.
     const int newer = bounded ? input.sentRecently : 0;
     // Callers are spread unevenly over entry VMs, so each may use its part of the free slots as well.
-    const double freeShare = partOf(std::max(0.0, shared - (input.load - newer)), input);
+    const double freeShare = partOfFree(std::max(0.0, shared - (input.load - newer)), input);
     if (input.openFor >= countsSettleTime)
         share = std::max(share, input.own - newer + freeShare);
     return bounded ? std::max(minBoundedShare, static_cast<int>(std::floor(share + input.draw))) : std::max(minShare, static_cast<int>(std::ceil(share)));
--- a/Source/policy/requests/admission_share.h
+++ b/Source/policy/requests/admission_share.h
@@ -29,9 +29,9 @@
 };
 
 // Load pattern: more callers than request slots, or all callers of a closed group arriving at the
-// moment at which it opens. Each entry VM gets an equal part of the capacity and may use an equal part
-// of what is free as well, so that all of them together send about the capacity. This bounds the
-// queues at the engines without messages between entry VMs.
+// moment at which it opens. Each entry VM gets an equal part of the capacity and may use a part of what is
+// free as well, half of it by what it runs already, so that all of them together send about the capacity
+// however unevenly callers come. This bounds the queues at the engines without messages between entry VMs.
 int admissionShare(const admission_share_input&);
 
 // Of the capacity, what the entry VMs share out.
