requests: an answer without length or chunks does not end well across a pause of this process

Cause, by reading: while it stood still the server had crashed and was started again at its address, so that the look at the end of the connection found a server, and the silence before the end was not seen. Now such an answer is broken off if this process was paused during it, by the detector that the own interface uses.

It was seen once and was not provoked again before the change, so that the cause is suspected, not shown.

--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -55,6 +55,7 @@
     , m_slots(context, log, state, loads, groups, backpressure)
     , m_picker(context, log, state, loads, groups, backpressure)
     , m_budget(bounds, context.startedAt())
+    , m_pauses(context.now(), std::chrono::system_clock::now())
 {
     m_history.onChange([this](request_fingerprint request) { withdrawCopies(request); });
 }
@@ -210,6 +211,7 @@
 
 void upstream_dispatcher::runPeriodicWork()
 {
+    countPauses();
     m_crashes.runPeriodicWork();
     m_slots.runPeriodicWork();
 }
@@ -403,10 +405,11 @@
     const bool mayResumeElsewhere = request.route.resumable && state.runs < request.route.maxAttempts && m_budget.allowsRetry(request.service, sentAt);
     if (streams && mayResumeElsewhere)
         options.silenceLimit = streamSilenceLimit(m_groups.hasOtherOpenGroup(request.service, backendHash(backend.id), sentAt));
-    options.confirmEnd = [this, &request, &state, &backend, sentAt, streams, eventsBefore = state.relay.events] {
+    options.confirmEnd = [this, &request, &state, &backend, sentAt, streams, eventsBefore = state.relay.events, pausesBefore = countPauses()] {
         const instant now = m_context.now();
         const lost_call call { request.parsed.id, state.fingerprint, state.relay.events - eventsBefore, sentAt, now, state.parts };
-        return confirmAnswerEnd(request, backend, call, streams ? now - std::max(sentAt, state.relay.newestBytesAt) : duration::zero());
+        const duration silence = streams ? now - std::max(sentAt, state.relay.newestBytesAt) : duration::zero();
+        return confirmAnswerEnd(request, backend, call, { silence, countPauses() != pausesBefore });
     };
     options.onFirstBytes = [&, sentAt] {
         underWay.recordFirstBytes();
@@ -443,10 +446,11 @@
 }
 
 // The ranks of a closed group end the connections of the streams that they cannot finish, also when it opens again.
-// A server that finishes an answer ends its connection right after the last bytes.
-awaitable<bool> upstream_dispatcher::confirmAnswerEnd(const admitted_request& request, listed_backend backend, lost_call call, duration silence)
+// A server that finishes an answer ends its connection right after the last bytes. While this process was paused, a
+// server may have crashed and been restarted at its address.
+awaitable<bool> upstream_dispatcher::confirmAnswerEnd(const admitted_request& request, listed_backend backend, lost_call call, end_circumstances end)
 {
-    if (silence >= longSilence)
+    if (end.silence >= longSilence || end.paused)
         co_return false;
     if (closesGroup(request) && m_groups.closedAt(request.service, backendHash(backend.id), m_context.now()))
         co_return false;
@@ -454,6 +458,12 @@
     co_return confirmed;
 }
 
+std::uint64_t upstream_dispatcher::countPauses()
+{
+    m_pauses.check(m_context.now(), std::chrono::system_clock::now());
+    return m_pauses.epoch();
+}
+
 bool upstream_dispatcher::isAnswerBegun(const attempt_outcome& outcome, std::uint64_t events)
 {
     return outcome.result == attempt_result::answered || events >= earlyEvents;
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -8,6 +8,7 @@
 #include "gateway/requests/slot_allocator.h"
 #include "gateway/requests/upstream_picker.h"
 #include "policy/groups/group_directory.h"
+#include "policy/membership/pause_detector.h"
 #include "policy/routing/load_table.h"
 
 namespace rampgap {
@@ -83,8 +84,18 @@
     static bool mustAwaitProbe(const admitted_request&, const attempt_outcome&);
     // The server did not crash as it began to answer.
     static bool isAnswerBegun(const attempt_outcome&, std::uint64_t events);
-    // An answer with neither a length nor chunks ended with its connection: false if it was broken off.
-    awaitable<bool> confirmAnswerEnd(const admitted_request&, listed_backend, lost_call, duration silence);
+    // How the connection of an answer with neither a length nor chunks ended.
+    struct end_circumstances {
+        // Since the last bytes.
+        duration silence = duration::zero();
+        // This process was paused during the answer.
+        bool paused = false;
+    };
+
+    // False if such an answer was broken off.
+    awaitable<bool> confirmAnswerEnd(const admitted_request&, listed_backend, lost_call, end_circumstances);
+    // Of this process, so far.
+    std::uint64_t countPauses();
     static bool closesGroup(const admitted_request&);
     // Withdraws copies of the request that have not begun from other servers once one has crashed.
     void withdrawCopies(request_fingerprint);
@@ -107,6 +118,7 @@
     slot_allocator m_slots;
     upstream_picker m_picker;
     shared_retry_budget m_budget;
+    pause_detector m_pauses;
 };
 
 } // namespace rampgap
