--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -96,7 +96,7 @@
     ("coincidence_blamed", "crash_history.cpp", "return !clearedAt(known.evidence.uncleared().front(), known);", "return true;", "platform/part-crashes"),
     ("part_refused_for_good", "crash_history.cpp", "known.isPart() ? partBlockEnd(known) : ", "", "platform/part-crashes"),
     ("one_process_tries_for_all", "crash_history.cpp", "share * static_cast<double>(std::numeric_limits<std::uint64_t>::max())", "0", "platform/part-crashes"),
-    ("new_process_suspects", "crash_history.cpp", "if (m_survivals.recordingFor(now) < minRecordingTime)", "if (false)", "platform/part-crashes"),
+    ("new_process_suspects", "crash_history.cpp", "if (m_table.recordingFor(now) < minRecordingTime)", "if (false)", "platform/part-crashes"),
     ("withdrawn_is_no_witness", "crash_detector.cpp", "    withdrawn.push_back(call);\n", "", "platform/crash-detection"),
     ("withdrawn_for_ever", "crash_detector.cpp", "std::erase_if(entry->second.withdrawn, [sentAt](const lost_call& call) { return call.lostAt <= sentAt; });", "", "platform/crash-detection"),
     ("alive_taken_for_crashed", "crash_detector.cpp", "std::erase_if(entry->second.calls, [then](const lost_call& call) { return call.lostAt <= then; });", "", "platform/crash-detection"),
