--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -53,8 +53,8 @@
     result<std::optional<stored_answer>> claim(const http_request&, const work_order&);
     awaitable<std::optional<failure>> run(http_exchange&, const work_order&);
     awaitable<std::optional<failure>> callEngine(http_exchange&, const work_order&);
-    // Keeps what the engine says of itself. Returns how long it wants no more requests, if it has
-    // turned this one away for that.
+    // Records the limits that the engine reports in an answer. Returns how long it asks for no requests, if it refused
+    // this one for that reason.
     std::optional<milliseconds> takeNotice(const http_head&);
     // Returns when a connection to the engine ends, or none is let in: what comes next may be
     // another life of it.
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -225,7 +225,8 @@
         m_log.line("calls_ended").add("backend", backend.id).add("calls", ended).add("reason", "the server was restarted");
 }
 
-// The entry may have been written a moment ago, so the server counts as cold for a little too long.
+// The entry says how long the server stays cold from the time of writing. That time is not known here, so reading
+// counts in its place, and the server is taken for cold for a moment too long.
 void upstream_dispatcher::handleListed(const listed_backend& backend)
 {
     const auto configuration = m_state.configuration();
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -94,10 +94,11 @@
 
     // False if such an answer was broken off.
     awaitable<bool> confirmAnswerEnd(const admitted_request&, listed_backend, lost_call, end_circumstances);
-    // Of this process, so far.
+    // How often this process was paused so far.
     std::uint64_t countPauses();
     static bool closesGroup(const admitted_request&);
-    // Withdraws copies of the request that have not begun from other servers once one has crashed.
+    // A server has crashed under the request or part: withdraws the calls with it at other servers whose answers have not
+    // begun.
     void withdrawCopies(request_fingerprint);
     // A refusal by a server with free slots shows that its group has closed, unless it asks to back off.
     void recordRefusal(const admitted_request&, const listed_backend&, const server_notice&);
--- a/Source/policy/requests/admission_share.cpp
+++ b/Source/policy/requests/admission_share.cpp
@@ -15,7 +15,8 @@
     constexpr milliseconds countsSettleTime { 1'000 };
     // With fewer slots for each entry VM rounding decides what is sent, so that starts are shared instead.
     constexpr double minSharedSlots = 4;
-    // The share falls to nothing at a fifth above the capacity; without this range it would swing with the age of the counts.
+    // How fast the share shrinks while more run than the capacity: to nothing at an excess of one fifth. If it fell to
+    // nothing at once, it would swing between all and nothing with counts that are old.
     constexpr double excessWeight = 5;
     // Without it, an entry VM in a large fleet could send nothing. With more entry VMs than half of the slots, the shares
     // together exceed the capacity, and the engines' queues take the rest.
@@ -32,8 +33,8 @@
         return amount / static_cast<double>(std::max<std::size_t>(1, input.entries));
     }
 
-    // The parts of all entry VMs add up to the free slots. With equal parts alone, an entry VM that gets most callers could
-    // not replace its own requests as fast as these end.
+    // The part of the free slots that this entry VM may use; the parts of all entry VMs add up to the free slots. With
+    // equal parts alone, the requests of an entry VM that gets most callers would end faster than it may start new ones.
     double partOfFree(double amount, const admission_share_input& input)
     {
         const double equal = partOf(amount, input);
--- a/Source/policy/requests/crash_evidence.h
+++ b/Source/policy/requests/crash_evidence.h
@@ -32,7 +32,7 @@
 
 class crash_evidence {
 public:
-    // How strong the evidence is: first by crashes, then by how many of them followed the request's start.
+    // How strong the evidence is: compared by the number of crashes, then by how many of them came as the request had just begun.
     struct weight {
         std::size_t crashes = 0;
         std::size_t early = 0;
--- a/Source/policy/requests/crash_history.cpp
+++ b/Source/policy/requests/crash_history.cpp
@@ -24,13 +24,13 @@
     // that was blamed by coincidence is sent again after this time.
     constexpr milliseconds shortestPartBlock { 60'000 };
     constexpr milliseconds longestPartBlock { 600'000 };
-    // A process that has recorded survived parts for less than this does not suspect a part after one crash only
-    // because it has never seen it survive.
+    // A process that has just started has seen few parts survive, so that a part which it has not seen is not suspect yet.
+    // In this time the parts that are asked for every few seconds have come again.
     constexpr milliseconds minRecordingTime { 10'000 };
 
-    // The part of all requests that any process may send once a block has ended, and the time in which it doubles: of
-    // 25 requests a second a single one is under way until it is known whether it crashes a server, and of one in ten
-    // seconds one is sent within a minute.
+    // Once the block of a part has ended, each process may send this fraction of the requests with it, and twice as much
+    // after each doubling time. It begins so low that of many requests a second few are sent before it is known whether
+    // the first one crashed its server, and doubles so fast that every request may be sent within a minute.
     constexpr double firstTrialShare = 1.0 / 1'024;
     constexpr std::chrono::seconds trialDoublingTime { 5 };
 
--- a/Source/policy/requests/crash_history.h
+++ b/Source/policy/requests/crash_history.h
@@ -45,7 +45,7 @@
 
     // How long the request is still blocked; empty if it is not.
     std::optional<milliseconds> blockedFor(request_fingerprint, instant now) const;
-    // The refusal for the caller of a blocked request; empty if it is not blocked. Extends the block.
+    // The refusal for the caller of a blocked request; empty if it is not blocked. Extends the block of a request, not of a part.
     std::optional<failure> refuseBlocked(request_fingerprint, instant now);
     // The same for a request with these parts in its prompt.
     std::optional<failure> refuseBlocked(request_fingerprint, const std::vector<request_fingerprint>& parts, instant now);
@@ -59,7 +59,8 @@
     void onServerCrashed(std::function<void(std::uint32_t server)> action) { m_onServerCrashed = std::move(action); }
     // The request is blocked, or suspected of a crash as it began.
     bool isBlockedOrSuspected(request_fingerprint request, instant now) const { return blockedFor(request, now) || isSuspected(request, now); }
-    // Set while the request is suspected only until updates that may clear it have arrived: until when.
+    // Until when the request must wait since it is about to be cleared: more servers are known to have crashed at the same
+    // moment without it than with it, but updates that speak against it may still arrive. Empty if it need not wait.
     std::optional<instant> clearancePendingUntil(request_fingerprint, instant now) const;
     // Why a request may be sent although a server crashed as it began; empty if none did.
     std::string_view clearanceReason(request_fingerprint, instant now) const;
@@ -92,8 +93,9 @@
     using entry = crash_table::entry;
     using weight = crash_evidence::weight;
 
-    // Order in which suspects are blamed for a crash that they have in common. Of equal ones the narrowest is
-    // blamed: blocking it costs the fewest requests, and the crash of a wider one still shows that.
+    // Several requests and parts may have been running on a server as it crashed; the one with the highest rank is
+    // blamed. Of equal evidence the narrowest suspect, the one that the fewest requests share, ranks highest: blocking
+    // it refuses the fewest requests, and if a wider one is the cause, its next crash gives it more evidence.
     struct suspect_rank {
         // Never cleared, and several servers crashed under it.
         bool isProven = false;
@@ -127,8 +129,8 @@
     bool isAccused(request_fingerprint, instant now) const;
     std::optional<failure> refuseBlockedPart(request_fingerprint part, instant now);
     std::optional<failure> refusePart(request_fingerprint part, const send_input&, instant now);
-    // Refuses a request, or one with a part, unless it may be sent as an isolated attempt. `isChosen`: this process may
-    // start one.
+    // The refusal of a request or part that may be sent only as an isolated attempt; empty if such an attempt may start
+    // now. `isChosen`: this process may start one.
     std::optional<failure> refuseUnlessIsolated(request_fingerprint, bool isChosen, instant now) const;
     bool isChosen(const send_input&) const;
     // Whether this process may try the part with this request, now that its block has ended.
--- a/Source/policy/requests/crash_table.cpp
+++ b/Source/policy/requests/crash_table.cpp
@@ -10,7 +10,7 @@
 
     // Bounds the memory where a group of many servers crashes under full load: for requests, and for parts.
     constexpr std::size_t maxOfEachKind = 2'048;
-    // Requests with several crashes that one answer to a peer holds.
+    // Of how many requests and parts a peer that lacks records is sent them at once.
     constexpr std::size_t maxRepeated = 32;
 
     milliseconds since(instant then, instant now)
--- a/Source/policy/requests/crash_table.h
+++ b/Source/policy/requests/crash_table.h
@@ -69,7 +69,7 @@
     // How long this process has recorded which parts are survived.
     duration recordingFor(instant now) const { return m_survivals.recordingFor(now); }
     instant lastCrashAt(const entry&) const;
-    // Several servers crashed under it: those that count, if it is a part.
+    // Requests under which several servers crashed, and parts with several crashes that they are not cleared of.
     std::vector<request_fingerprint> repeatedRequests() const;
 
     // See crash_history.
@@ -84,9 +84,9 @@
 private:
     // Adds a crash. True if that changed the entry.
     bool add(entry&, request_fingerprint, const observed_crash&, instant crashedAt);
-    // Clears a part of a new crash if it was survived before.
+    // Decides whether a new crash counts against a part that was survived before, and clears the part of it if not.
     void applySurvivals(entry&, request_fingerprint part, const observed_crash&, instant crashedAt);
-    // Nothing is recorded of a part that is not in question and that a server survived just before.
+    // True if nothing needs to be recorded: the part is not in the table, and it was survived just before the crash.
     bool mayIgnore(const crash_record&, instant crashedAt);
     void recordChange(request_fingerprint);
     void updateDigest();
--- a/Source/policy/requests/survival_table.h
+++ b/Source/policy/requests/survival_table.h
@@ -21,12 +21,12 @@
     bool operator==(const excused_crash&) const = default;
 };
 
-// Bounded: of two generations of parts, the older one is dropped when the newer one is full.
+// Keeps two generations of parts: when the newer one is full, it replaces the older one, whose parts are forgotten.
 class survival_table {
 public:
     void record(request_fingerprint part, instant now);
-    // True if the crash of a server that had begun to answer the part is no evidence against the part: a server
-    // survived the part after that crash, or this is the first moment with crashes since one did.
+    // True if the crash of a server that had just begun to answer a prompt with the part is no evidence against the part:
+    // either the part was survived after that crash, or all crashes since it was last survived came within `sameMoment`.
     bool excuses(request_fingerprint part, const excused_crash&);
     // The first crash since the part was last survived; empty if there was none, or if it was never survived.
     std::optional<excused_crash> firstExcused(request_fingerprint part) const;
--- a/Tests/platform/admission-share/test.cpp
+++ b/Tests/platform/admission-share/test.cpp
@@ -104,7 +104,7 @@
         return started;
     }
 
-    // A VM knows its own requests, and those of the others as they were counted.
+    // A VM knows all of its own requests, but of the others only those that the last count of the engines holds.
     int share(std::size_t entry) const
     {
         admission_share_input input { capacity, 0, static_cast<int>(m_running[entry].size()), entries, settled };
--- a/Tests/platform/part-crashes/test.cpp
+++ b/Tests/platform/part-crashes/test.cpp
@@ -79,7 +79,7 @@
     for (std::uint32_t server = 0; server < 2; ++server) {
         const instant now = first + server * wave;
         known.crash({ part(server), crashing }, server, now);
-        // Others that began beside it, one of them with a first part that both crashes have in common.
+        // A sound request began beside it on both servers, with the same first part on each.
         known.crash({ part(5) }, server, now);
     }
     const instant after = first + wave + milliseconds(1);
--- a/Tests/requests/crashing-request/test.cpp
+++ b/Tests/requests/crashing-request/test.cpp
@@ -65,7 +65,7 @@
     }
 }
 
-// No two requests were alike, so that each counted as the first: with one beginning of prompts all engines ended.
+// Requests that begin alike but are not the same must count together, or each of them crashes another engine.
 TEST_CASE("a beginning of prompts that crashes engines is refused, and other prompts are served")
 {
     test_fleet fleet;
