--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,10 +25,12 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ENTRIES, GROUPS, RANKS = 7, 4, 3
+# The groups that are disturbed, in turn.
+DISTURBED_GROUPS = 2
 # node_freeze of the site: a share of 0.11 of the machines (two of nineteen) for 3.5 s.
 FREEZE_S = 1.4
 # The drain is written this long after the machines stand still.
-DRAIN_AT_S = 0.88
+DRAIN_AT_S = 0.94
 # drain_ms, and how much longer the engine goes on; then it ends, and another one starts in its place.
 DRAIN_S, LINGER_S, RESTART_S = 2.0, 0.3, 0.5
 WARM_UP_S, RUN_S, ROUND_S = 4.0, 104.0, 2.1
@@ -101,6 +103,8 @@
             self.write(f"machine of agent {number} runs again")
 
     async def play(self):
+        # Ended from outside, it still ends all processes that it started.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         await self.start(self.arguments.logs)
         stepping = [asyncio.create_task(group.run()) for group in self.groups]
         watching = [asyncio.create_task(self.watch(number)) for number in range(len(self.agents))]
@@ -109,7 +113,7 @@
         try:
             while time.monotonic() - self.began < RUN_S:
                 begin = time.monotonic()
-                await self.round(count % GROUPS)
+                await self.round(count % DISTURBED_GROUPS)
                 count += 1
                 await asyncio.sleep(max(0.0, begin + ROUND_S - time.monotonic()))
         finally:
@@ -144,6 +148,6 @@
 if __name__ == "__main__":
     try:
         sys.exit(main())
-    except OSError as error:
-        print(f"could not run: {error}")
+    except (OSError, asyncio.CancelledError) as error:
+        print(f"could not run: {error!r}")
         sys.exit(2)
