--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Engines send a few of their answers twice; the second copy comes where the answer to the next request is expected.
 
-Starts four entry processes with the command of the deploy file before stand-ins of the store and of five engines of a plain
+Starts six entry processes with the command of the deploy file before stand-ins of the store and of ten engines of a plain
 service, which reject requests while they are full. Clients ask for streams on a route that is not `resumable`, so that each
 request may run once at most. Writes record.txt beside this file. Exit code: 1 rule broken, 0 held, 2 could not run. TROUBLE=0: the
 same, and no answer comes twice.
@@ -26,9 +26,9 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # `garble` of the site: a share of 0.6 of the engines, x 0.03 of their answers, for 5 s; then a pause.
-ENGINES, GARBLING_ENGINES, EXTRA_PART, GARBLE_S, PAUSE_S = 5, 3, 0.03, 5.0, 1.0
+ENGINES, GARBLING_ENGINES, EXTRA_PART, GARBLE_S, PAUSE_S = 10, 6, 0.03, 5.0, 1.0
 CAPACITY, EVENTS, EVENT_S = 2, 12, 0.02
-WARM_UP_S, TRAFFIC_S, INTERVAL_S, DEADLINE_S = 3.0, 88.0, 0.03, 4.0
+WARM_UP_S, TRAFFIC_S, INTERVAL_S, DEADLINE_S = 3.0, 88.0, 0.014, 4.0
 PROMISES = ("408", "421", "429", "503")
 
 
@@ -138,7 +138,7 @@
         while True:
             for engine in self.engines[:GARBLING_ENGINES]:
                 engine.garbles = TROUBLE
-            self.write(f"three of five engines send {EXTRA_PART} of their answers twice: {TROUBLE}")
+            self.write(f"six of ten engines send {EXTRA_PART} of their answers twice: {TROUBLE}")
             await asyncio.sleep(GARBLE_S)
             for engine in self.engines:
                 engine.garbles = False
@@ -189,7 +189,7 @@
         return 2
     with tempfile.TemporaryDirectory() as folder:
         arguments = soak.make_parser(__doc__).parse_args(["--programs", os.path.join(ROOT, os.path.dirname(program)), "--groups", "0", "--plain", str(ENGINES),
-                                                          "--entries", "4", "--seed", os.environ.get("SEED", "1"), "--logs", folder])
+                                                          "--entries", "6", "--seed", os.environ.get("SEED", "1"), "--logs", folder])
         os.chdir(ROOT)
         return asyncio.run(Case(arguments).play())
 
