requests: the owner of a reply is known before its marks are read

Cause: http_codec::classify() looked at status 421 and X-Not-Executed before it compared the reply's id with the request's. The second copy of an earlier rejection, in the place of this request's reply, so showed that this one had not run, while its engine ran it. Evidence: the record of the case (an engine gets B, sends the copy of A's rejection, and runs B; the entry VM logs B as refused). Ruled out: retry rules and the check of pooled connections for unread bytes, which the copy comes after.

Change: another request's id makes a reply unreadable whatever it says; a reply without an id counts only if no other request was sent on the connection before. The connection is reset, the request may have run. A test of the codec asked for the opposite (a rejection with another request's id counted as this request's): it is replaced by a stricter one, of both marks, with and without ids.

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -95,6 +95,7 @@
 {
     if (!m_freshConnection)
         m_connection = m_client.popIdle(address);
+    m_firstOnConnection = !m_connection;
     if (m_connection)
         co_return boost::outcome_v2::success();
     const auto endpoint = parseEndpoint(address);
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -37,6 +37,8 @@
     void useFreshConnection() { m_freshConnection = true; }
     // True if the answer has a length or is chunked, so that its end differs from a lost connection.
     bool framed() const { return m_framed; }
+    // True if no request was sent on the connection before this one.
+    bool firstOnConnection() const { return m_firstOnConnection; }
     // True if the connection was refused: nothing listened at the address.
     bool refused() const { return m_refused; }
 
@@ -55,6 +57,7 @@
     bool m_cancelled = false;
     bool m_freshConnection = false;
     bool m_framed = true;
+    bool m_firstOnConnection = true;
     bool m_refused = false;
 };
 
--- a/Source/gateway/requests/request_codec.h
+++ b/Source/gateway/requests/request_codec.h
@@ -58,7 +58,7 @@
     not_executed,
     // Another server has this address; it did not run the request.
     wrong_server,
-    // The reply is malformed or belongs to another request; this one may have run.
+    // The reply is malformed, or belongs to another request or may do so; this one may have run.
     unreadable,
 };
 
@@ -92,7 +92,8 @@
 
     virtual result<gateway_request> decode(const http_request&) const = 0;
     virtual http_request makeUpstream(const http_request&, const gateway_request&, const upstream_context&) const = 0;
-    virtual reply_verdict classify(const http_head&, const gateway_request&) const = 0;
+    // `firstOnConnection`: nothing was sent on the connection before the request, so the reply cannot belong to an earlier one.
+    virtual reply_verdict classify(const http_head&, const gateway_request&, bool firstOnConnection) const = 0;
     virtual server_notice readNotice(const http_head&) const = 0;
     // A request that a server answers at once under any load, as long as its process works.
     virtual http_request makeProbe() const = 0;
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -383,7 +383,7 @@
 awaitable<upstream_dispatcher::attempt_outcome> upstream_dispatcher::processReply(http_exchange& exchange, const admitted_request& request, progress& state, const listed_backend& backend, call_registry::registration& underWay, http_head head, instant sentAt, std::int64_t& unread)
 {
     http_call& call = underWay.call();
-    const reply_verdict reply = m_codec.classify(head, request.parsed);
+    const reply_verdict reply = m_codec.classify(head, request.parsed, call.firstOnConnection());
     m_picker.applyNotice(backend, reply.kind, state.notice);
     if (reply.kind == reply_kind::not_executed || reply.kind == reply_kind::wrong_server) {
         co_await discardBody(call);
--- a/Tests/platform/decoding/answers.cpp
+++ b/Tests/platform/decoding/answers.cpp
@@ -43,7 +43,11 @@
             head.set("Content-Encoding", "gzip");
         if (notExecuted)
             head.set("X-Not-Executed", "shed");
-        const reply_kind kind = codec.classify(head, request).kind;
+        const bool first = *rc::gen::arbitrary<bool>();
+        const reply_kind kind = codec.classify(head, request, first).kind;
+        // A second copy of an earlier reply may come where this one is due: whatever it says is about another request.
+        if (kind != reply_kind::unreadable)
+            RC_ASSERT(answered == "id1" || (answered.empty() && first));
         if (kind == reply_kind::answer) {
             RC_ASSERT(isSigned);
             RC_ASSERT(!encoded);
--- a/Tests/platform/decoding/test.cpp
+++ b/Tests/platform/decoding/test.cpp
@@ -207,19 +207,36 @@
     http_head head;
     head.result(200);
     head.set("X-Attempt-Id", "id1");
-    CHECK((codec.classify(head, request).kind == reply_kind::unreadable));
+    const auto kindOf = [&] { return codec.classify(head, request, false).kind; };
+    CHECK((kindOf() == reply_kind::unreadable));
     head.set("X-Server-Signature", "s");
-    CHECK((codec.classify(head, request).kind == reply_kind::answer));
+    CHECK((kindOf() == reply_kind::answer));
     head.set("Content-Encoding", "gzip");
-    CHECK((codec.classify(head, request).kind == reply_kind::unreadable));
+    CHECK((kindOf() == reply_kind::unreadable));
     head.erase("Content-Encoding");
     head.set("X-Attempt-Id", "another");
-    CHECK((codec.classify(head, request).kind == reply_kind::unreadable));
-    head.result(503);
-    head.set("X-Not-Executed", "1");
-    CHECK((codec.classify(head, request).kind == reply_kind::not_executed));
-    head.result(421);
-    CHECK((codec.classify(head, request).kind == reply_kind::wrong_server));
+    CHECK((kindOf() == reply_kind::unreadable));
+}
+
+TEST_CASE("the second copy of a rejection, in the place of the next request's reply, does not show that this one was not run")
+{
+    const http_codec codec;
+    gateway_request request;
+    request.id = "id1";
+    for (const unsigned status : { 503U, 429U, 421U }) {
+        http_head head;
+        head.result(status);
+        head.set("X-Not-Executed", "1");
+        const reply_kind rejected = status == 421 ? reply_kind::wrong_server : reply_kind::not_executed;
+        // Without an id it is this request's only if no other was sent on the connection.
+        CHECK((codec.classify(head, request, true).kind == rejected));
+        CHECK((codec.classify(head, request, false).kind == reply_kind::unreadable));
+        head.set("X-Attempt-Id", "id0");
+        CHECK((codec.classify(head, request, true).kind == reply_kind::unreadable));
+        CHECK((codec.classify(head, request, false).kind == reply_kind::unreadable));
+        head.set("X-Attempt-Id", "id1");
+        CHECK((codec.classify(head, request, false).kind == rejected));
+    }
 }
 
 TEST_CASE("a server's limit is read from an answer of any status, and a malformed limit is reported")
