groups: an agent asks after each wait whether it leads, and with whom

Cause: changePlacementLoop() asked whether it leads, then waited in takeOver() for ranks that stand still (up to 0.2 s), and then dereferenced a second look-up of its own engine. Once that engine drains, is removed or replaced at its address, there is none. Evidence: each end comes within 0.2 s after the agent's leadership_taken and its own engine's state=draining. Ruled out: the takeover itself; the other loops of the agent, which look their engine up again and check it.

Change: one question with one answer, groupToLead(): the group to lead, or nothing. It is asked again after the takeover. No function is left that takes a leading agent for granted.

--- a/Source/gateway/process/agent_process.cpp
+++ b/Source/gateway/process/agent_process.cpp
@@ -286,12 +286,15 @@
         mergeMembership(datagram.membership(), from);
 }
 
-bool agent_process::isLeader()
+// Asked again after each wait: meanwhile the own engine may have begun to drain, been removed or replaced at its address.
+std::optional<group_members> agent_process::groupToLead()
 {
     const auto* own = ownBackend();
-    const bool isLeading = own && !m_group.empty() && m_leadership.leads(own->id, members(), m_context.now());
+    const bool isLeading = m_leader.configured() && own && !m_group.empty() && m_leadership.leads(own->id, members(), m_context.now());
     logLeaderChange();
-    return isLeading;
+    if (!isLeading)
+        return std::nullopt;
+    return group_members { m_group, own->id, members(), m_roster.unknown(pool()) };
 }
 
 void agent_process::recordHold(const rank_view& view)
@@ -330,11 +333,6 @@
     m_leaderId = m_leadership.leader();
 }
 
-group_members agent_process::currentMembers()
-{
-    return { m_group, ownBackend()->id, members(), m_roster.unknown(pool()) };
-}
-
 awaitable<void> agent_process::pollGroupLoop()
 {
     instant startedAt = m_context.now();
@@ -343,14 +341,13 @@
         const milliseconds pause = m_leader.configured() ? m_leader.pollInterval() : enginePollInterval;
         co_await sleepUntil(m_context.io(), std::max(startedAt + pause, m_context.now() + minPauseBetweenPolls));
         startedAt = m_context.now();
-        if (m_leader.configured() && isLeader())
-            co_await pollGroupAndReport();
+        if (auto known = groupToLead())
+            co_await pollGroupAndReport(std::move(*known));
     }
 }
 
-awaitable<void> agent_process::pollGroupAndReport()
+awaitable<void> agent_process::pollGroupAndReport(group_members known)
 {
-    auto known = currentMembers();
     co_await m_leader.poll(std::move(known));
     if (m_context.now() - m_rankLoadsSentAt < minLoadReportInterval || m_leader.group().empty())
         co_return;
@@ -363,15 +360,14 @@
     for (;;) {
         co_await sleepFor(m_context.io(), placementCheckInterval);
         checkHold();
-        if (!isLeader())
-            continue;
-        if (!m_silentLeader.empty()) {
+        auto known = groupToLead();
+        if (known && !m_silentLeader.empty()) {
             const std::string silent = std::exchange(m_silentLeader, {});
-            auto members = currentMembers();
-            co_await m_leader.takeOver(std::move(members), silent);
+            co_await m_leader.takeOver(std::move(*known), silent);
+            known = groupToLead();
         }
-        auto known = currentMembers();
-        co_await m_leader.runNextTask(std::move(known));
+        if (known)
+            co_await m_leader.runNextTask(std::move(*known));
     }
 }
 
--- a/Source/gateway/process/agent_process.h
+++ b/Source/gateway/process/agent_process.h
@@ -41,17 +41,17 @@
     awaitable<void> receiveLoop();
     // Polls all ranks and sends their loads to the entry VMs while this agent leads.
     awaitable<void> pollGroupLoop();
-    awaitable<void> pollGroupAndReport();
+    awaitable<void> pollGroupAndReport(group_members);
     // Changes placements while this agent leads. Runs beside polling, since a change takes longer
     // than a poll.
     awaitable<void> changePlacementLoop();
-    bool isLeader();
     void logLeaderChange();
     // Records whether the own engine holds a step.
     void recordHold(const rank_view&);
     // Asks for the leader's last call if it is overdue while a step is held.
     void checkHold();
-    group_members currentMembers();
+    // The group to lead now; empty if this agent does not lead one, or its own engine is not in service.
+    std::optional<group_members> groupToLead();
     awaitable<void> watchSignals();
     void configure();
     void receive(const std::string& bytes, const boost::asio::ip::udp::endpoint& from);
