groups: a rank's state is proved by its answers, or by a reading from after them

Cause: a clean-up took a reading from another machine, up to 200 ms old, for the state after its claim. An engine that stood still had carried out an order to arm from its buffer in between. The rank was disarmed with a placement that nothing is armed with, for ever where a newer reading contradicted it, since that was never taken up.

Readings count as current by the age that the service publishes (report_lag_ms), or through the rank's agent; a claim waits for one, unless the rank can only be armed with a placement that its answer then settles; replies count for the order that they answer; no phase repeats an order for ever; costs published during a change are applied after it.

--- a/Source/daemon/process_context.h
+++ b/Source/daemon/process_context.h
@@ -6,6 +6,7 @@
 #include "policy/common/verdict.h"
 
 #include <boost/asio/io_context.hpp>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
@@ -15,6 +16,9 @@
 class process_context {
 public:
     process_context(std::string name, std::string zone, std::string role);
+    ~process_context() { *m_running = false; }
+    process_context(const process_context&) = delete;
+    process_context& operator=(const process_context&) = delete;
 
     boost::asio::io_context& io() { return m_io; }
     const std::string& name() const { return m_name; }
@@ -24,6 +28,8 @@
     std::uint64_t incarnation() const { return m_incarnation; }
     instant now() const { return boot_clock::now(); }
     instant startedAt() const { return m_startedAt; }
+    // False once this object is being destroyed.
+    std::shared_ptr<const bool> running() const { return m_running; }
 
     metrics& counters() { return m_metrics; }
     event_ring& timeline() { return m_timeline; }
@@ -42,6 +48,7 @@
     std::string m_role;
     std::uint64_t m_incarnation;
     instant m_startedAt;
+    std::shared_ptr<bool> m_running = std::make_shared<bool>(true);
     metrics m_metrics;
     event_ring m_timeline;
     std::mt19937_64 m_random;
--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -1,5 +1,6 @@
 #include "gateway/groups/group_leader.h"
 
+#include "daemon/scope_exit.h"
 #include "daemon/sleep.h"
 #include "gateway/groups/placement_codec.h"
 #include <boost/asio/co_spawn.hpp>
@@ -19,6 +20,11 @@
     // Long enough to try a rank whose agent and engine are both silent once. The clean-up then goes
     // on without it or starts over with what is known by then.
     constexpr milliseconds cleanUpTimeout { 400 };
+    // For the round trips to a rank whose state is waited for.
+    constexpr milliseconds readingMargin { 150 };
+    // An order that has had no effect for this long is not repeated any more: its engine does not answer, or answers something
+    // else than the change expects.
+    constexpr milliseconds longestPhase { 2'000 };
     // Between two polls of a small group; entry VMs choose servers by their results.
     constexpr milliseconds minPollInterval { 100 };
     // Between two polls of ranks that are still copying experts though their agents are silent: they
@@ -48,10 +54,24 @@
 
 void group_leader::configure(const engine_costs& costs, milliseconds longestGap)
 {
-    setUp(costs);
+    m_longestGap = longestGap;
+    m_pendingCosts = costs;
+    if (!m_changing)
+        applyPendingCosts();
     m_monitor->setLongestGap(longestGap);
 }
 
+// The orders of a change are for the ranks that the monitor knows: with other costs it would know none until the next poll,
+// and a held step would be released by nobody.
+void group_leader::applyPendingCosts()
+{
+    if (!m_pendingCosts)
+        return;
+    setUp(*m_pendingCosts);
+    m_pendingCosts.reset();
+    m_monitor->setLongestGap(m_longestGap);
+}
+
 void group_leader::setUp(const engine_costs& costs)
 {
     if (m_monitor && costs == m_costs)
@@ -181,8 +201,11 @@
         co_return;
     // The group may only be switched here, between two changes: the orders of one change address the
     // ranks of a single group.
+    applyPendingCosts();
     followGroup(known.group);
     const std::string ownBackendId = known.ownId;
+    const scope_exit ended(m_context, [this] { m_changing = false; });
+    m_changing = true;
     switch (m_monitor->decide(m_context.now())) {
     case leader_task::none:
         break;
@@ -278,6 +301,7 @@
     std::optional<instant> heldSince;
     if (change.holding())
         heldSince = m_context.now();
+    instant phaseBegan = m_context.now();
     while (!change.ended()) {
         const switch_phase phase = change.phase();
         const instant roundBegan = m_context.now();
@@ -289,8 +313,12 @@
             heldSince = roundBegan;
             limit = m_context.now() + maxHoldTime;
         }
-        if (m_context.now() >= limit)
+        // A rank that has answered a claim shows its state soon.
+        if (m_context.now() >= limit + (change.awaitsReading() ? m_costs.reportLag + readingMargin : milliseconds(0)))
             change.cancel();
+        if (change.phase() != phase)
+            phaseBegan = m_context.now();
+        abandonIfUseless(change, phaseBegan);
         // Only orders that are sent again need a pause: any other lengthens the hold, and the time in which
         // nobody else can know whether this leader's rank is armed.
         if (change.phase() == phase)
@@ -300,6 +328,17 @@
         m_timing.recordArming(std::chrono::duration_cast<milliseconds>(m_context.now() - *heldSince));
 }
 
+// While a step is held, other agents see that it is, and a clean-up with what is known by then does what this change cannot.
+void group_leader::abandonIfUseless(map_switch& change, instant phaseBegan) const
+{
+    if (change.ended())
+        return;
+    if (m_monitor->epoch() > change.epoch())
+        change.abandon("the group has a new epoch");
+    else if (change.phase() != switch_phase::preparing && m_context.now() - phaseBegan >= longestPhase)
+        change.abandon("the orders have had no effect");
+}
+
 awaitable<void> group_leader::sendRound(map_switch& change, milliseconds prepareTime)
 {
     auto orders = change.pending();
@@ -323,7 +362,7 @@
             continue;
         anySent = true;
         const auto outcome = co_await m_caller.orderDirectly(*target, next.order);
-        recordOutcome(change, next.order.kind, outcome, ids);
+        recordOutcome(change, next.order, outcome, ids);
     }
     if (!anySent)
         change.cancel();
@@ -339,7 +378,7 @@
         co_return;
     }
     if (order.kind != map_order_kind::prepare) {
-        co_await callRanks(change, order.kind, order, std::move(targets), callBudget(m_caller.limits(stateAnswerBytes)));
+        co_await callRanks(change, std::move(orders), order, std::move(targets), callBudget(m_caller.limits(stateAnswerBytes)));
         co_return;
     }
     // The contents are sent once; ranks that have received them are only polled until their copies
@@ -348,11 +387,11 @@
     std::vector<call_target> toPoll(copying, targets.end());
     targets.erase(copying, targets.end());
     if (!targets.empty()) {
-        co_await callRanks(change, order.kind, order, std::move(targets), prepareTime);
+        co_await callRanks(change, std::move(orders), order, std::move(targets), prepareTime);
         co_return;
     }
     co_await sleepFor(m_context.io(), copyPollPause);
-    co_await callRanks(change, order.kind, std::nullopt, std::move(toPoll), callBudget(m_caller.limits(stateAnswerBytes)));
+    co_await callRanks(change, std::move(orders), std::nullopt, std::move(toPoll), callBudget(m_caller.limits(stateAnswerBytes)));
 }
 
 std::vector<call_target> group_leader::targetsFor(const std::vector<rank_order_to_send>& orders) const
@@ -368,23 +407,26 @@
     return targets;
 }
 
-awaitable<void> group_leader::callRanks(map_switch& change, map_order_kind kind, std::optional<map_order> order, std::vector<call_target> targets, milliseconds budget)
+awaitable<void> group_leader::callRanks(map_switch& change, std::vector<rank_order_to_send> orders, std::optional<map_order> sent, std::vector<call_target> targets, milliseconds budget)
 {
     const auto ids = m_monitor->backendIds();
-    const auto outcome = co_await m_caller.call(std::move(targets), std::move(order), false, budget);
-    for (const auto& rank : outcome.ranks)
-        recordOutcome(change, kind, rank, ids);
+    const auto outcome = co_await m_caller.call(std::move(targets), std::move(sent), false, budget);
+    for (const auto& rank : outcome.ranks) {
+        const auto order = std::find_if(orders.begin(), orders.end(), [&rank](const rank_order_to_send& each) { return each.rank == rank.index; });
+        if (order != orders.end())
+            recordOutcome(change, order->order, rank, ids);
+    }
 }
 
-void group_leader::recordOutcome(map_switch& change, map_order_kind kind, const rank_outcome& outcome, const std::vector<std::string>& ids)
+void group_leader::recordOutcome(map_switch& change, const map_order& sent, const rank_outcome& outcome, const std::vector<std::string>& ids)
 {
     if (outcome.index >= ids.size())
         return;
     if (outcome.after)
         m_monitor->observe({ ids[outcome.index], *outcome.after, {} }, m_context.now());
-    if (kind == map_order_kind::prepare && (outcome.reply == order_reply::accepted || outcome.reply == order_reply::already))
+    if (sent.kind == map_order_kind::prepare && (outcome.reply == order_reply::accepted || outcome.reply == order_reply::already))
         m_copyingRanks.insert(outcome.index);
-    change.handleReply(outcome.index, kind, outcome.reply, outcome.after ? &*outcome.after : nullptr);
+    change.handleReply(outcome.index, sent, outcome.reply, outcome.after ? &*outcome.after : nullptr);
 }
 
 } // namespace rampgap
--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -29,7 +29,7 @@
     // `linkMbps`: bandwidth of this agent's machine.
     group_leader(process_context&, decision_log&, fleet_state&, rank_link&, group_roster&, double linkMbps);
 
-    // Applies the service's published costs; starts over if they changed.
+    // Applies the service's published costs; starts over if they changed, once a change in progress has ended.
     // `longestGap`: the longest time between two events that the service's strictest callers accept.
     void configure(const engine_costs&, milliseconds longestGap);
     bool configured() const { return m_monitor.has_value(); }
@@ -54,6 +54,10 @@
 
 private:
     void setUp(const engine_costs&);
+    // Applies costs that were published during a change.
+    void applyPendingCosts();
+    // Ends a change that no longer fits the group, or whose orders have had no effect for long.
+    void abandonIfUseless(map_switch&, instant phaseBegan) const;
     // Changes to another group; what was measured of the former one is discarded.
     void followGroup(const std::string& group);
     awaitable<void> learnPlacement();
@@ -65,9 +69,10 @@
     void observe(const group_outcome&, const std::vector<std::string>& ids, instant now);
     awaitable<void> sendRound(map_switch&, milliseconds prepareTime);
     awaitable<void> sendToAll(map_switch&, std::vector<rank_order_to_send>, milliseconds prepareTime);
-    awaitable<void> callRanks(map_switch&, map_order_kind, std::optional<map_order>, std::vector<call_target>, milliseconds budget);
+    // `orders`: those of this round, whose replies are recorded; `sent` is sent for them, or nothing to only query the state.
+    awaitable<void> callRanks(map_switch&, std::vector<rank_order_to_send> orders, std::optional<map_order> sent, std::vector<call_target>, milliseconds budget);
     awaitable<void> sendDirectly(map_switch&, std::vector<rank_order_to_send>);
-    void recordOutcome(map_switch&, map_order_kind, const rank_outcome&, const std::vector<std::string>& ids);
+    void recordOutcome(map_switch&, const map_order& sent, const rank_outcome&, const std::vector<std::string>& ids);
     std::vector<call_target> targetsFor(const std::vector<rank_order_to_send>&) const;
     poll_plan pollPlan() const;
     std::vector<std::string> idsToPoll(group_members) const;
@@ -83,6 +88,10 @@
     group_caller m_caller;
     group_roster& m_roster;
     engine_costs m_costs;
+    milliseconds m_longestGap { 0 };
+    // Costs that are applied when the change in progress has ended.
+    std::optional<engine_costs> m_pendingCosts;
+    bool m_changing = false;
     std::optional<group_monitor> m_monitor;
     step_rate m_stepRate;
     // Ranks that have received the contents of the placement being prepared.
--- a/Source/gateway/groups/rank_link.cpp
+++ b/Source/gateway/groups/rank_link.cpp
@@ -32,6 +32,14 @@
     constexpr milliseconds silentEngineWait { 150 };
     // The one in use, the one being prepared, and those of failed changes in between.
     constexpr std::size_t placementsKept = 4;
+    // Added to the published lag: an engine's report is made a moment after the values in it are read.
+    constexpr milliseconds reportLagMargin { 50 };
+    // For a reading through an agent that may be gone.
+    constexpr milliseconds agentReadingBudget { 60 };
+    // Longest wait for a current state within one call; a call made later waits for the rest.
+    constexpr milliseconds longestReadingWait { 100 };
+    // Orders that are older than this belong to no change in progress.
+    constexpr milliseconds answeredOrderLifetime { 10'000 };
 
     map_order orderFor(const group_query& query, const call_target& target)
     {
@@ -41,6 +49,16 @@
         return order;
     }
 
+    bool isSameOrder(const map_order& a, const map_order& b)
+    {
+        return a.kind == b.kind && a.placement == b.placement && a.step == b.step && a.epoch == b.epoch && a.fence == b.fence;
+    }
+
+    bool isDone(order_reply reply)
+    {
+        return reply == order_reply::accepted || reply == order_reply::already;
+    }
+
     bool isKnown(const gateway::rank_order& order)
     {
         return order.kind() <= static_cast<std::uint32_t>(map_order_kind::release);
@@ -240,15 +258,73 @@
     outcome.index = target.index;
     if (query.order) {
         map_order order = orderFor(query, target);
-        outcome.reply = co_await m_port.order(target.address, target.backendId, order);
-        m_log.line("rank_order").add("order", toString(order.kind)).add("backend", target.backendId).add("placement", order.placement).add("step", order.step).add("fence", order.fence).add("outcome", toString(outcome.reply));
+        outcome.reply = co_await orderEngineOnce(target, std::move(order));
+        outcome.after = co_await readStateAfterOrder(query, target);
+    } else {
+        outcome.after = co_await readEngineState(target.address);
     }
-    outcome.after = co_await readEngineState(target.address);
-    outcome.reached = outcome.after.has_value();
+    outcome.reached = outcome.after.has_value() || outcome.reply != order_reply::unanswered;
     pending->outcome.ranks.push_back(std::move(outcome));
     pending->endDirect();
 }
 
+// An order that waits for a current state is repeated in each round, and each order from another machine has its price.
+awaitable<order_reply> rank_link::orderEngineOnce(const call_target& target, map_order order)
+{
+    const instant now = m_context.now();
+    std::erase_if(m_answeredOrders, [now](const auto& entry) { return now - entry.second.at > answeredOrderLifetime; });
+    const auto known = m_answeredOrders.find(target.address);
+    const bool repeated = known != m_answeredOrders.end() && isSameOrder(known->second.order, order);
+    if (repeated) {
+        known->second.repeated = true;
+        if (isDone(known->second.reply))
+            co_return known->second.reply;
+    }
+    const order_reply reply = co_await m_port.order(target.address, target.backendId, order);
+    m_log.line("rank_order").add("order", toString(order.kind)).add("backend", target.backendId).add("placement", order.placement).add("step", order.step).add("fence", order.fence).add("outcome", toString(reply)).add("direct", "yes");
+    if (reply != order_reply::unanswered && !repeated) {
+        order.contents.reset();
+        m_answeredOrders.insert_or_assign(target.address, answered_order { order, reply, m_context.now() });
+    }
+    co_return reply;
+}
+
+awaitable<std::optional<rank_view>> rank_link::readThroughAgent(group_query query, call_target target, milliseconds budget)
+{
+    query.order.reset();
+    query.wantsExpertCounts = false;
+    target.reachability = agent_reachability::answers_only;
+    std::vector<call_target> only { std::move(target) };
+    const auto seen = co_await call(std::move(query), std::move(only), budget);
+    co_return seen.ranks.empty() ? std::nullopt : seen.ranks.front().after;
+}
+
+// A machine that stood still wakes with its agent, whose reading is current at once. If the agent is gone, the engine's own
+// report is current once it must be from after the answer.
+awaitable<std::optional<rank_view>> rank_link::readStateAfterOrder(group_query query, call_target target)
+{
+    const auto answered = m_answeredOrders.find(target.address);
+    std::optional<instant> currentFrom;
+    bool waits = false;
+    if (answered != m_answeredOrders.end()) {
+        currentFrom = answered->second.at + m_reportLag + reportLagMargin;
+        // Other orders than those that claim and disarm are confirmed by what the state shows, however old it is.
+        waits = answered->second.repeated && answered->second.order.kind == map_order_kind::disarm;
+    }
+    if (waits && *currentFrom > m_context.now()) {
+        const instant waitUntil = std::min(*currentFrom, m_context.now() + longestReadingWait);
+        auto throughAgent = co_await readThroughAgent(std::move(query), target, agentReadingBudget);
+        if (throughAgent)
+            co_return throughAgent;
+        co_await sleepUntil(m_context.io(), waitUntil);
+    }
+    const instant askedAt = m_context.now();
+    auto seen = co_await readEngineState(target.address);
+    if (seen)
+        seen->fresh = currentFrom && askedAt >= *currentFrom;
+    co_return seen;
+}
+
 awaitable<rank_outcome> rank_link::orderDirectly(group_query query, call_target target)
 {
     rank_outcome outcome;
--- a/Source/gateway/process/agent_process.cpp
+++ b/Source/gateway/process/agent_process.cpp
@@ -129,8 +129,10 @@
 void agent_process::configure()
 {
     const auto* service = m_state.configuration()->findService(m_settings.engineService);
-    if (service && service->isModel && service->costs.layerSets > 0)
-        m_leader.configure(service->costs, m_state.configuration()->strictestGap(service->name));
+    if (!service || !service->isModel || service->costs.layerSets <= 0)
+        return;
+    m_link.setReportLag(service->costs.reportLag);
+    m_leader.configure(service->costs, m_state.configuration()->strictestGap(service->name));
 }
 
 awaitable<void> agent_process::handle(http_exchange& exchange)
--- a/Source/policy/configuration/fleet_configuration.h
+++ b/Source/policy/configuration/fleet_configuration.h
@@ -77,6 +77,8 @@
     double linkMbps = 0;
     // Share of the work for tokens that is done by experts.
     double expertShare = 0;
+    // How old the state that an engine reports to other machines may be.
+    milliseconds reportLag { 500 };
 
     bool operator==(const engine_costs&) const = default;
 };
--- a/Source/policy/groups/map_switch.cpp
+++ b/Source/policy/groups/map_switch.cpp
@@ -12,9 +12,21 @@
     // group opens with.
     constexpr std::uint64_t neverPrepared = 1;
 
+    // The rank has carried out the order, or it had nothing to do.
+    bool isDone(order_reply reply)
+    {
+        return reply == order_reply::accepted || reply == order_reply::already;
+    }
+
     bool isAnswered(order_reply reply)
     {
-        return reply == order_reply::accepted || reply == order_reply::already || reply == order_reply::conflict;
+        return isDone(reply) || reply == order_reply::conflict;
+    }
+
+    // The newest placement that the rank may be armed with.
+    std::uint64_t claimablePlacement(const rank_view& view)
+    {
+        return view.armedPlacement == 0 ? view.preparedPlacement : view.armedPlacement;
     }
 
     // The rank that holds the step. It is not the leader's: if the leader's machine stalls, its engine
@@ -123,8 +135,9 @@
     return orders;
 }
 
-void map_switch::handleReply(std::size_t rank, map_order_kind kind, order_reply reply, const rank_view* after)
+void map_switch::handleReply(std::size_t rank, const map_order& sent, order_reply reply, const rank_view* after)
 {
+    const map_order_kind kind = sent.kind;
     // A new epoch starts with placement 0 and nothing prepared, armed or held.
     if (after && after->epoch > m_epoch) {
         m_reason = "the group has a new epoch";
@@ -148,23 +161,21 @@
     else if (kind == map_order_kind::arm && (m_phase == switch_phase::arming || m_phase == switch_phase::arming_own))
         handleArmed(rank, reply, after);
     else if (kind == map_order_kind::disarm && (m_phase == switch_phase::disarming_leader || m_phase == switch_phase::disarming))
-        handleDisarmed(rank, reply, after);
+        handleDisarmed(rank, sent, reply, after);
     else if (kind == map_order_kind::release && (m_phase == switch_phase::releasing || m_phase == switch_phase::releasing_aborted))
-        handleReleased(rank, reply, after);
+        handleReleased(rank, sent, reply, after);
 }
 
 void map_switch::handleClaimed(std::size_t rank, order_reply reply, const rank_view* after)
 {
+    m_claimed[rank].answered = m_claimed[rank].answered || isAnswered(reply);
     if (!isAnswered(reply) || !after)
         return;
-    m_confirmed[rank] = true;
-    m_claimed[rank].placement = after->armedPlacement == 0 ? after->preparedPlacement : after->armedPlacement;
-    m_claimed[rank].surelyUnarmed = after->fresh && after->armedPlacement == 0 && after->placementInUse != after->preparedPlacement;
-    m_armed[rank] = after->armedPlacement == 0 ? neverPrepared : after->armedPlacement;
-    if (after->armedPlacement != 0 && (m_earliestArmedStep == 0 || after->armedStep < m_earliestArmedStep))
-        m_earliestArmedStep = after->armedStep;
-    if (after->heldStep != 0)
-        m_holds.emplace_back(rank, after->heldStep);
+    if (after->fresh)
+        confirmClaim(rank, *after, after->armedPlacement);
+    else
+        m_claimed[rank].olderReading = *after;
+    acceptOlderReadings();
     if (allConfirmed()) {
         endClaim();
         return;
@@ -174,6 +185,48 @@
         m_silentRank.reset();
 }
 
+void map_switch::confirmClaim(std::size_t rank, const rank_view& view, std::uint64_t armed)
+{
+    claimed_rank& claimed = m_claimed[rank];
+    m_confirmed[rank] = true;
+    claimed.placement = claimablePlacement(view);
+    claimed.placementInUse = view.placementInUse;
+    claimed.hasCurrentReading = view.fresh;
+    claimed.unarmed = view.fresh && armed == 0 && view.placementInUse != view.preparedPlacement;
+    m_armed[rank] = armed == 0 ? neverPrepared : armed;
+    if (view.armedPlacement != 0 && (m_earliestArmedStep == 0 || view.armedStep < m_earliestArmedStep))
+        m_earliestArmedStep = view.armedStep;
+    if (view.fresh && view.heldStep != 0)
+        m_holds.emplace_back(rank, view.heldStep);
+}
+
+// True if a current reading shows that the placement is the newest that was prepared at some rank, and is not in use.
+bool map_switch::isPendingPlacement(std::uint64_t placement) const
+{
+    return std::any_of(m_claimed.begin(), m_claimed.end(), [placement](const claimed_rank& claimed) {
+        return claimed.hasCurrentReading && claimed.placement == placement && claimed.placementInUse != placement;
+    });
+}
+
+// A rank that had prepared a placement can be armed with this one or a later one only, and a later one is armed only after all
+// ranks have prepared it. If another rank's newest is the same placement, there is no later one. So the rank may be armed with
+// this placement, whatever the older reading says, and with no other: its answer to the order to disarm this one proves the rest.
+// That takes a hold that is certain: one that an older reading shows may have been released by the order of an earlier leader,
+// and the step may begin while the ranks are being disarmed.
+void map_switch::acceptOlderReadings()
+{
+    if (m_holds.empty())
+        return;
+    for (std::size_t rank = 0; rank < m_claimed.size(); ++rank) {
+        const auto older = m_claimed[rank].olderReading;
+        if (!older || m_confirmed[rank])
+            continue;
+        const std::uint64_t placement = claimablePlacement(*older);
+        if (placement != 0 && isPendingPlacement(placement))
+            confirmClaim(rank, *older, placement);
+    }
+}
+
 bool map_switch::skipUnclaimed()
 {
     m_skippedRank = skippableRank();
@@ -225,7 +278,7 @@
             continue;
         if (m_claimed[rank].placement != placement)
             return std::nullopt;
-        anyUnarmed = anyUnarmed || m_claimed[rank].surelyUnarmed;
+        anyUnarmed = anyUnarmed || m_claimed[rank].unarmed;
     }
     return anyUnarmed ? std::optional(missing) : std::nullopt;
 }
@@ -277,10 +330,18 @@
 }
 
 // An order to arm that is still on its way carries a lower fence than the order to disarm: a rank
-// that has answered the order to disarm refuses it.
-void map_switch::handleDisarmed(std::size_t rank, order_reply reply, const rank_view* after)
+// that has answered the order to disarm refuses it. The order names the placement that the rank may be armed with, so its
+// answer proves that it is armed no more. An older reading proves neither; a newer one that shows another placement
+// corrects the next order. Replies to the claims of the same round come here, too, and name no placement.
+void map_switch::handleDisarmed(std::size_t rank, const map_order& sent, order_reply reply, const rank_view* after)
 {
-    if (isAnswered(reply) && after && after->armedPlacement == 0)
+    if (sent.fence != m_settings.fence)
+        return;
+    const bool current = after && after->fresh;
+    const bool named = sent.placement == m_armed[rank];
+    if (current && after->armedPlacement != 0)
+        m_armed[rank] = after->armedPlacement;
+    else if ((named && isDone(reply)) || (current && isAnswered(reply)))
         m_confirmed[rank] = true;
     if (m_phase == switch_phase::disarming_leader && m_confirmed[m_disarmFirst]) {
         enter(switch_phase::disarming);
@@ -313,9 +374,12 @@
     return std::nullopt;
 }
 
-void map_switch::handleReleased(std::size_t rank, order_reply, const rank_view* after)
+void map_switch::handleReleased(std::size_t rank, const map_order& sent, order_reply reply, const rank_view* after)
 {
-    std::erase_if(m_holds, [&](const auto& hold) { return hold.first == rank && after && (after->heldStep != hold.second || after->step >= hold.second); });
+    std::erase_if(m_holds, [&](const auto& hold) {
+        const bool seen = after && after->fresh && (after->heldStep != hold.second || after->step >= hold.second);
+        return hold.first == rank && (seen || (isDone(reply) && sent.step == hold.second));
+    });
     if (m_holds.empty())
         m_phase = m_phase == switch_phase::releasing ? switch_phase::done : switch_phase::failed;
 }
@@ -331,6 +395,23 @@
         abort("a rank did not confirm in time");
 }
 
+void map_switch::abandon(std::string reason)
+{
+    m_reason = std::move(reason);
+    m_phase = switch_phase::failed;
+}
+
+bool map_switch::awaitsReading() const
+{
+    if (m_phase != switch_phase::claiming)
+        return false;
+    for (std::size_t rank = 0; rank < m_claimed.size(); ++rank) {
+        if (m_claimed[rank].answered && !m_confirmed[rank])
+            return true;
+    }
+    return false;
+}
+
 void map_switch::abort(std::string reason)
 {
     m_reason = std::move(reason);
--- a/Source/policy/groups/map_switch.h
+++ b/Source/policy/groups/map_switch.h
@@ -7,10 +7,13 @@
 // disarmed first: while it is armed, all others are.
 // The preparation also claims the ranks: it raises their fences, so that an earlier leader can no
 // longer change anything there, and the replies show what that leader has left.
+// What a rank is armed with is proved by its answer to an order that names the placement, or by a reading from after the
+// claim. A reading from before it proves neither: an engine that stood still carries out the orders in its buffer as it wakes.
 #pragma once
 
 #include "policy/groups/rank_types.h"
 
+#include <optional>
 #include <vector>
 
 namespace rampgap {
@@ -61,12 +64,17 @@
 
     // The orders that are not confirmed yet; they are sent again until they are.
     std::vector<rank_order_to_send> pending() const;
-    // Handles the reply to an order. `after`: the state of the rank after the order, or null if it
+    // Handles the reply to the order `sent`. `after`: the state of the rank after the order, or null if it
     // could not be read.
-    void handleReply(std::size_t rank, map_order_kind, order_reply, const rank_view* after);
+    void handleReply(std::size_t rank, const map_order& sent, order_reply, const rank_view* after);
     // Aborts the change after a timeout; ignored once the release has begun. A clean-up continues
     // without the rank of the leader that left the hold, where that is safe.
     void cancel();
+    // Ends the change where its orders no longer fit the group, or are repeated without effect; the next clean-up finds out
+    // what is left.
+    void abandon(std::string reason);
+    // True if a clean-up has claimed a rank whose readings are still from before the claim.
+    bool awaitsReading() const;
 
     switch_phase phase() const { return m_phase; }
     bool ended() const { return m_phase == switch_phase::done || m_phase == switch_phase::failed; }
@@ -74,6 +82,7 @@
     bool holding() const { return m_holdPossible && !ended(); }
     std::uint64_t placement() const { return m_placement; }
     std::uint64_t heldStep() const { return m_step; }
+    std::uint64_t epoch() const { return m_epoch; }
     // Why the change failed, for the log.
     const std::string& reason() const { return m_reason; }
 
@@ -82,10 +91,22 @@
     struct claimed_rank {
         // The armed placement, otherwise the prepared one.
         std::uint64_t placement = 0;
-        bool surelyUnarmed = false;
+        std::uint64_t placementInUse = 0;
+        // By a reading from after the claim.
+        bool unarmed = false;
+        // The rank has answered the claim.
+        bool answered = false;
+        bool hasCurrentReading = false;
+        // A reading that may be from before the claim.
+        std::optional<rank_view> olderReading;
     };
 
     void handleClaimed(std::size_t rank, order_reply, const rank_view* after);
+    // Counts a rank as claimed; `armed`: the placement that it is, or may be, armed with.
+    void confirmClaim(std::size_t rank, const rank_view&, std::uint64_t armed);
+    // Counts those ranks as claimed of which an older reading shows enough.
+    void acceptOlderReadings();
+    bool isPendingPlacement(std::uint64_t placement) const;
     // Continues a clean-up without the rank that is not claimed, if that is safe.
     bool skipUnclaimed();
     void endClaim();
@@ -95,8 +116,8 @@
     void handlePrepared(std::size_t rank, order_reply, const rank_view* after);
     void handleHeld(order_reply, const rank_view* after);
     void handleArmed(std::size_t rank, order_reply, const rank_view* after);
-    void handleDisarmed(std::size_t rank, order_reply, const rank_view* after);
-    void handleReleased(std::size_t rank, order_reply, const rank_view* after);
+    void handleDisarmed(std::size_t rank, const map_order& sent, order_reply, const rank_view* after);
+    void handleReleased(std::size_t rank, const map_order& sent, order_reply, const rank_view* after);
     void enter(switch_phase);
     void disarm(std::optional<std::size_t> leaderRank);
     // The rank of the leader whose placement the claimed ranks are armed with.
--- a/Tests/platform/map-switch/test.cpp
+++ b/Tests/platform/map-switch/test.cpp
@@ -3,6 +3,7 @@
 #include "engine_model.h"
 #include "policy/groups/placement_number.h"
 
+#include <deque>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -22,10 +23,17 @@
 struct leader {
     std::optional<map_switch> change;
     int rounds = 0;
-    // Turns for which its machine is frozen: it does nothing, and its engine cannot be reached.
-    int frozen = 0;
+    switch_phase phase = switch_phase::preparing;
+    int roundsInPhase = 0;
+    // What each engine has answered to a direct order, and in which turn.
+    std::array<std::optional<std::pair<map_order, int>>, ranks> answered;
 };
 
+bool isSameOrder(const map_order& a, const map_order& b)
+{
+    return a.kind == b.kind && a.placement == b.placement && a.step == b.step && a.fence == b.fence;
+}
+
 class world {
 public:
     // `silentRanks`: clean-ups begin without a rank that may be silent.
@@ -46,27 +54,69 @@
     int changes() const { return m_done; }
 
 private:
+    // Readings from another machine are up to this many turns old.
+    static constexpr int reportLag = 4;
+    static constexpr int longestPhase = 60;
+
     int draw(int below) { return std::uniform_int_distribution<int>(0, below - 1)(m_random); }
 
     void takeTurn()
     {
+        beginTurn();
         if (draw(3) == 0)
-            m_group.step();
+            stepGroup();
         applyLate();
-        for (auto& each : m_leaders)
-            each.frozen = std::max(0, each.frozen - 1);
         if (draw(50) == 0)
-            m_leaders[static_cast<std::size_t>(draw(2))].frozen = 5 + draw(80);
-        leader& acting = m_leaders[static_cast<std::size_t>(draw(2))];
-        if (acting.frozen > 0)
+            standStill();
+        // A leader does not count on the agent of this rank for a while, and calls its engine directly.
+        if (draw(10) == 0)
+            m_direct[static_cast<std::size_t>(draw(2))][static_cast<std::size_t>(draw(ranks))] = draw(2) == 0;
+        const auto acting = static_cast<std::size_t>(draw(2));
+        if (m_standstill[acting] > 0)
             return;
-        if (!acting.change && draw(10) == 0)
-            begin(acting);
-        if (acting.change)
-            act(acting);
+        if (!m_leaders[acting].change && draw(10) == 0)
+            begin(m_leaders[acting]);
+        if (m_leaders[acting].change)
+            act(m_leaders[acting]);
         // Killed: its change stays unfinished.
         if (draw(60) == 0)
-            m_leaders[static_cast<std::size_t>(draw(2))].change.reset();
+            m_leaders[static_cast<std::size_t>(draw(2))] = leader();
+    }
+
+    void beginTurn()
+    {
+        ++m_turn;
+        std::array<rank_view, ranks> views;
+        for (std::size_t rank = 0; rank < ranks; ++rank)
+            views[rank] = m_group.view(rank);
+        m_past.push_front(views);
+        m_past.resize(std::min<std::size_t>(m_past.size(), reportLag));
+        for (std::size_t rank = 0; rank < ranks; ++rank) {
+            if (m_standstill[rank] > 0 && --m_standstill[rank] == 0)
+                wake(rank);
+        }
+    }
+
+    // One machine, or two at the same time, with their engines, agents and leaders.
+    void standStill()
+    {
+        const int length = 5 + draw(80);
+        const int machines = 1 + draw(2);
+        for (int i = 0; i < machines; ++i)
+            m_standstill[static_cast<std::size_t>(draw(ranks))] = length;
+    }
+
+    void wake(std::size_t rank)
+    {
+        for (const auto& order : m_buffers[rank])
+            m_group.apply(rank, order);
+        m_buffers[rank].clear();
+    }
+
+    void stepGroup()
+    {
+        if (std::all_of(m_standstill.begin(), m_standstill.end(), [](int turns) { return turns == 0; }))
+            m_group.step();
     }
 
     void begin(leader& acting)
@@ -88,8 +138,12 @@
                 break;
             send(acting, next);
         }
-        if (++acting.rounds > 12 + draw(14))
+        acting.roundsInPhase = acting.change->phase() == acting.phase ? acting.roundsInPhase + 1 : 0;
+        acting.phase = acting.change->phase();
+        if (++acting.rounds > 12 + draw(14) + (acting.change->awaitsReading() ? reportLag : 0))
             acting.change->cancel();
+        if (acting.roundsInPhase > longestPhase)
+            acting.change->abandon("no effect");
         if (acting.change->ended()) {
             m_done += acting.change->phase() == switch_phase::done ? 1 : 0;
             acting.change.reset();
@@ -98,33 +152,38 @@
 
     void send(leader& acting, const rank_order_to_send& next)
     {
-        if (unreachable(acting, next.rank)) {
-            acting.change->handleReply(next.rank, next.order.kind, order_reply::unanswered, nullptr);
-            return;
+        const auto unanswered = [&] { acting.change->handleReply(next.rank, next.order, order_reply::unanswered, nullptr); };
+        if (m_standstill[next.rank] > 0) {
+            // The order waits in the buffers of the machine, or is lost with the connection.
+            if (draw(2) == 0)
+                m_buffers[next.rank].push_back(next.order);
+            return unanswered();
         }
         const int fault = m_settling ? 9 : draw(10);
-        if (fault == 0) {
+        if (fault == 0)
             m_late.push_back({ next.rank, next.order, 5 + draw(60) });
-            acting.change->handleReply(next.rank, next.order.kind, order_reply::unanswered, nullptr);
-            return;
-        }
-        if (fault == 1) {
-            acting.change->handleReply(next.rank, next.order.kind, order_reply::unanswered, nullptr);
-            return;
-        }
-        const order_reply reply = m_group.apply(next.rank, next.order);
+        if (fault <= 1)
+            return unanswered();
+        const auto ownRank = static_cast<std::size_t>(&acting - m_leaders.data());
+        const bool direct = next.rank != ownRank && m_direct[ownRank][next.rank];
+        auto& before = acting.answered[next.rank];
+        const bool repeated = direct && before && isSameOrder(before->first, next.order);
+        const order_reply reply = repeated ? order_reply::already : m_group.apply(next.rank, next.order);
         // The group may begin a step between the order and the reading of its state.
         if (!m_settling && draw(4) == 0)
-            m_group.step();
+            stepGroup();
+        if (fault == 2)
+            return unanswered();
         rank_view after = m_group.view(next.rank);
-        after.fresh = draw(8) != 0;
-        const bool answered = fault != 2;
-        acting.change->handleReply(next.rank, next.order.kind, answered ? reply : order_reply::unanswered, answered ? &after : nullptr);
-    }
-
-    bool unreachable(const leader& acting, std::size_t rank) const
-    {
-        return rank < m_leaders.size() && m_leaders[rank].frozen > 0 && &m_leaders[rank] != &acting;
+        if (direct) {
+            if (!repeated && reply == order_reply::fenced)
+                before.reset();
+            else if (!repeated)
+                before.emplace(next.order, m_turn);
+            after = m_past[static_cast<std::size_t>(draw(static_cast<int>(m_past.size())))][next.rank];
+            after.fresh = before && m_turn >= before->second + reportLag;
+        }
+        acting.change->handleReply(next.rank, next.order, reply, &after);
     }
 
     void applyLate()
@@ -142,15 +201,17 @@
     void settle()
     {
         m_settling = true;
-        for (auto& acting : m_leaders) {
-            acting.change.reset();
-            acting.frozen = 0;
-        }
+        m_leaders = {};
+        m_standstill = {};
+        for (std::size_t rank = 0; rank < ranks; ++rank)
+            wake(rank);
         while (!m_late.empty()) {
+            beginTurn();
             m_group.step();
             applyLate();
         }
         for (int turn = 0; turn < 40 && m_group.anyHold(); ++turn) {
+            beginTurn();
             if (!m_leaders[0].change)
                 begin(m_leaders[0]);
             if (m_leaders[0].change)
@@ -164,7 +225,15 @@
     bool m_silentRanks;
     group_model m_group { ranks };
     std::array<leader, 2> m_leaders;
+    // By leader and rank.
+    std::array<std::array<bool, ranks>, 2> m_direct {};
+    // Turns for which a machine stands still: its leader does nothing, and its engine carries out what has arrived as it wakes.
+    std::array<int, ranks> m_standstill {};
+    std::array<std::vector<map_order>, ranks> m_buffers;
     std::vector<late_order> m_late;
+    // The ranks' states at the beginning of the last turns, the newest first.
+    std::deque<std::array<rank_view, ranks>> m_past;
+    int m_turn = 0;
     std::uint64_t m_fence = 100;
     int m_done = 0;
     bool m_settling = false;
@@ -172,7 +241,7 @@
 
 } // namespace
 
-TEST_CASE("two leaders, lost and late orders, kills: one placement in each step, no hold left")
+TEST_CASE("two leaders, lost and late orders, kills, standstills, old readings: one placement in each step, no hold left")
 {
     int changes = 0;
     CHECK(rc::check([&changes] {
@@ -206,7 +275,7 @@
         for (const auto& next : change.pending()) {
             const auto reply = group.apply(next.rank, next.order);
             const auto after = group.view(next.rank);
-            change.handleReply(next.rank, next.order.kind, reply, &after);
+            change.handleReply(next.rank, next.order, reply, &after);
         }
     }
     CHECK((change.phase() == switch_phase::done));
@@ -226,7 +295,7 @@
                 continue;
             const auto reply = group.apply(next.rank, next.order);
             const auto after = group.view(next.rank);
-            change.handleReply(next.rank, next.order.kind, reply, &after);
+            change.handleReply(next.rank, next.order, reply, &after);
         }
     };
     sendAll(ranks);
@@ -266,7 +335,7 @@
             continue;
         const auto reply = group.apply(next.rank, next.order);
         const auto after = group.view(next.rank);
-        change.handleReply(next.rank, next.order.kind, reply, &after);
+        change.handleReply(next.rank, next.order, reply, &after);
     }
 }
 
--- a/Tests/platform/silent-leader/test.cpp
+++ b/Tests/platform/silent-leader/test.cpp
@@ -104,7 +104,7 @@
                 m_agents[next.rank].recordHold(after.heldStep != 0, at(m_ms));
             if (isLeader)
                 m_agents[next.rank].recordCall(m_ids[leaderRank], at(m_ms));
-            change.handleReply(next.rank, next.order.kind, reply, &after);
+            change.handleReply(next.rank, next.order, reply, &after);
         }
         return lasts;
     }
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -114,6 +114,12 @@
     ("hold_is_a_pass", "step_rate.cpp", "!progress.steady || progress.active == 0", "progress.active == 0", "platform/step-rate"),
     ("list_outweighs_leaving", "backend_directory.cpp", " || m_leaving.contains(id)", "", "platform/backend-list"),
     ("engine_limit_for_each_vm", "engine_throttle.cpp", "if (m_tokens.tokens() < 1)", "if (false)", "requests/engine-intake"),
+    ("claim_by_an_old_reading", "map_switch.cpp", "    if (after->fresh)\n        confirmClaim(rank, *after, after->armedPlacement);", "    if (true)\n        confirmClaim(rank, *after, after->armedPlacement);", "platform/map-switch"),
+    ("older_reading_without_a_hold", "map_switch.cpp", "    if (m_holds.empty())\n        return;\n    for", "    for", "platform/map-switch"),
+    ("older_reading_of_any_placement", "map_switch.cpp", "placement != 0 && isPendingPlacement(placement)", "placement != 0", "platform/map-switch"),
+    ("claim_taken_for_disarmed", "map_switch.cpp", "(named && isDone(reply))", "isDone(reply)", "platform/map-switch"),
+    ("disarm_order_not_corrected", "map_switch.cpp", "    if (current && after->armedPlacement != 0)\n        m_armed[rank] = after->armedPlacement;\n    else if", "    if", "platform/map-switch"),
+    ("release_by_an_old_reading", "map_switch.cpp", "const bool seen = after && after->fresh &&", "const bool seen = after &&", "platform/map-switch"),
     ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
 ]
 
