requests: bytes without end from a server cost little memory, and end with their call

Cause: the buffer of a call had no bound, and chunk heads and trailers are kept there until they end; an event was kept until it ended; plain answers without a length were held up to 4 MB each, however many. The stream's timer never fires while bytes are always there.

Change: the buffer of a call is bounded below what makes the HTTP library throw (65,534 bytes in a field ended the process); deadlines are checked between reads; events are bounded (256 KB), and what all answers hold back together is a sixteenth of the process's memory: an event beyond that ends its stream, a plain answer is relayed as it comes and cut at 4 MB; the body of a refusal is waited for 0.1 s; a stated length above 2^40 bytes ends the call at once. Interim answers (100 to 199) are skipped, eight at the most, and 101 is a bad answer. An answer to HEAD no longer waits for a body.

Places where bytes are read, all of them through http_call but for the probe, which reads one byte: heads, lines, chunk sizes, extensions, trailers, events, unframed and chunked bodies, bodies of refusals, interim answers.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -7,9 +7,15 @@
 namespace {
 
     // Answers of a stated length up to this are buffered and sent in one write.
-    constexpr std::int64_t wholeAnswerBytes = 65'536;
-    // Largest plain answer that is buffered with `bufferUnframed`, where its end may not be known in advance.
-    constexpr std::size_t bufferedAnswerBytes = 4'194'304;
+    constexpr std::uint64_t wholeAnswerBytes = 65'536;
+    // Largest plain answer without a stated length: a faulty server's may not end.
+    constexpr std::uint64_t maxUnframedBytes = 4'194'304;
+    // More than a server can send until any caller's deadline: a stated length above this is a fault.
+    constexpr std::uint64_t maxStatedBytes = 1'099'511'627'776;
+    // Largest event: many times what engines send, which is up to a few tokens.
+    constexpr std::size_t maxEventBytes = 262'144;
+    // What an answer holds up to this does not count towards what all may hold: sound ones hold less.
+    constexpr std::size_t unsharedAnswerBytes = 16'384;
     constexpr std::string_view eventEnd = "\n\n";
     // If writing to the caller took longer than this, the gap may be the caller's delay.
     constexpr milliseconds maxWriteTime { 10 };
@@ -39,6 +45,7 @@
 
         std::string takeRest() { return std::exchange(m_partial, {}); }
         bool inEvent() const { return !m_partial.empty(); }
+        std::size_t heldBytes() const { return m_partial.size(); }
 
     private:
         std::string m_partial;
@@ -132,29 +139,53 @@
         return { callerGone ? relay_end::caller_gone : relay_end::truncated, std::move(failed), std::nullopt };
     }
 
-    awaitable<relay_outcome> relayWhole(http_call& call, http_head head, http_exchange& exchange, relay_progress& progress, relay_options options)
+    relay_outcome cutOutcome(http_call& call, std::string why)
+    {
+        call.cancel();
+        return incompleteOutcome(false, mayHaveRun(failure_reason::backend_error, std::move(why)));
+    }
+
+    awaitable<relay_outcome> sendWhole(std::string body, http_head head, http_exchange& exchange, relay_progress& progress, std::size_t recordLimit)
     {
-        auto body = co_await call.readAll(options.bufferUnframed ? bufferedAnswerBytes : wholeAnswerBytes);
-        if (!body)
-            co_return incompleteOutcome(exchange.callerGone(), body.error());
-        const bool gone = co_await isServerGone(call, options);
-        if (gone)
-            co_return incompleteOutcome(exchange.callerGone(), serverGoneFailure());
         relay_outcome outcome;
-        if (options.recordLimit >= body.value().size())
-            outcome.recorded = body.value();
+        if (recordLimit >= body.size())
+            outcome.recorded = body;
         http_response response;
         response.base() = std::move(head);
         response.version(11);
         progress.begun = true;
-        progress.bytes += body.value().size();
-        response.body() = std::move(body.value());
+        progress.bytes += body.size();
+        response.body() = std::move(body);
         response.prepare_payload();
         if (!co_await exchange.send(std::move(response)))
             outcome.end = relay_end::caller_gone;
         co_return outcome;
     }
 
+    // What `readHeld` has read of an answer.
+    struct held_answer {
+        std::string body;
+        // The end was read; otherwise the rest is too much to be held.
+        bool whole = false;
+        std::optional<failure> failed;
+    };
+
+    awaitable<held_answer> readHeld(http_call& call, held_bytes& held)
+    {
+        held_answer answer;
+        for (;;) {
+            const auto piece = co_await call.read();
+            if (!piece) {
+                answer.failed = piece.error();
+                co_return answer;
+            }
+            answer.whole = piece.value().empty();
+            answer.body.append(piece.value());
+            if (answer.whole || answer.body.size() > maxUnframedBytes || !held.resize(answer.body.size()))
+                co_return answer;
+        }
+    }
+
 } // namespace
 
 void relay_progress::recordBytes(instant now)
@@ -172,72 +203,145 @@
     return std::string_view(type.data(), type.size()).starts_with("text/event-stream");
 }
 
+namespace {
+
+    // Relays the pieces of an answer that has begun, after `first`, which has been read already.
+    awaitable<relay_outcome> relayPieces(http_call& call, std::string first, bool isStream, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options options)
+    {
+        const bool events = options.wholeEvents && isStream;
+        const bool lengthKnown = call.statedLength().has_value();
+        held_bytes held(options.heldAnswers, unsharedAnswerBytes);
+        event_splitter splitter;
+        answer_copy copy(options.recordLimit);
+        gap_meter gaps;
+        for (;;) {
+            if (!callerConnected && !options.finishWithoutCaller)
+                co_return incompleteOutcome(true, std::nullopt);
+            if (options.silenceLimit > milliseconds(0))
+                call.expireAt(std::min(options.deadline, boot_clock::now() + options.silenceLimit));
+            std::string_view piece = first;
+            if (first.empty()) {
+                const auto read = co_await call.read();
+                if (!read)
+                    co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, read.error());
+                piece = read.value();
+            }
+            const bool last = piece.empty();
+            if (!last)
+                progress.recordBytes(boot_clock::now());
+            if (const auto action = std::exchange(options.onFirstBytes, nullptr))
+                action();
+            if (last && events && !call.framed() && (splitter.inEvent() || progress.events == 0))
+                co_return incompleteOutcome(false, mayHaveRun(failure_reason::connection_lost, "the stream ended inside an event, or before the first one"));
+            if (last) {
+                const bool gone = co_await isServerGone(call, options);
+                if (gone)
+                    co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, serverGoneFailure());
+            }
+            copy.append(piece);
+            std::string complete;
+            if (events)
+                complete = last ? splitter.takeRest() : splitter.push(piece);
+            const std::string_view out = events ? std::string_view(complete) : piece;
+            if (events && !out.empty() && options.onEventGap) {
+                if (const auto gap = gaps.recordEvent(boot_clock::now()))
+                    options.onEventGap(*gap);
+            }
+            if (callerConnected && !out.empty()) {
+                callerConnected = co_await exchange.write(out);
+                gaps.recordWritten(boot_clock::now());
+                progress.events += events ? countEvents(out) : 0;
+                if (auto id = lastIdIn(out); events && !id.empty())
+                    progress.lastEventId = std::move(id);
+                progress.bytes += out.size();
+            }
+            first.clear();
+            if (splitter.heldBytes() > maxEventBytes || !held.resize(splitter.heldBytes()))
+                co_return cutOutcome(call, "an event of the answer is larger than may be held");
+            if (!isStream && !lengthKnown && progress.bytes > maxUnframedBytes)
+                co_return cutOutcome(call, "the answer has no stated length and does not end");
+            if (!last)
+                continue;
+            if (callerConnected)
+                callerConnected = co_await exchange.finish();
+            relay_outcome outcome;
+            outcome.end = callerConnected ? relay_end::complete : relay_end::caller_gone;
+            outcome.recorded = copy.take();
+            co_return outcome;
+        }
+    }
+
+    // Holds the answer until it is whole. One that is too large for that is relayed as it comes, if it is not larger than any may be.
+    awaitable<relay_outcome> relayHeld(http_call& call, http_head head, http_exchange& exchange, relay_progress& progress, relay_options options)
+    {
+        held_bytes held(options.heldAnswers, unsharedAnswerBytes);
+        auto answer = co_await readHeld(call, held);
+        if (answer.failed)
+            co_return incompleteOutcome(exchange.callerGone(), std::move(answer.failed));
+        if (answer.body.size() > maxUnframedBytes)
+            co_return cutOutcome(call, "the answer has no stated length and does not end");
+        if (!answer.whole) {
+            held.resize(0);
+            progress.begun = true;
+            const bool connected = co_await exchange.begin(std::move(head));
+            co_return co_await relayPieces(call, std::move(answer.body), false, exchange, connected, progress, std::move(options));
+        }
+        const bool gone = co_await isServerGone(call, options);
+        if (gone)
+            co_return incompleteOutcome(exchange.callerGone(), serverGoneFailure());
+        co_return co_await sendWhole(std::move(answer.body), std::move(head), exchange, progress, options.recordLimit);
+    }
+
+    // An answer to HEAD has no body, and states the length that the answer to GET would have.
+    awaitable<relay_outcome> relayHeadOnly(http_call& call, http_head head, http_exchange& exchange, relay_progress& progress)
+    {
+        const auto length = call.statedLength();
+        // Returns the connection to the pool.
+        const auto end = co_await call.read();
+        if (!end)
+            co_return incompleteOutcome(exchange.callerGone(), end.error());
+        http_response response;
+        response.base() = std::move(head);
+        response.version(11);
+        if (length)
+            response.content_length(*length);
+        progress.begun = true;
+        relay_outcome outcome;
+        if (!co_await exchange.send(std::move(response)))
+            outcome.end = relay_end::caller_gone;
+        co_return outcome;
+    }
+
+    awaitable<relay_outcome> relaySmall(http_call& call, http_head head, http_exchange& exchange, relay_progress& progress, relay_options options)
+    {
+        auto body = co_await call.readAll(wholeAnswerBytes);
+        if (!body)
+            co_return incompleteOutcome(exchange.callerGone(), body.error());
+        co_return co_await sendWhole(std::move(body.value()), std::move(head), exchange, progress, options.recordLimit);
+    }
+
+} // namespace
+
 awaitable<relay_outcome> relayAnswer(http_call& call, http_head head, http_exchange& exchange, relay_progress& progress, relay_options options)
 {
-    const std::int64_t length = head.find(http::field::content_length) == head.end() ? -1 : std::stoll("0" + std::string(head[http::field::content_length]));
+    const auto length = call.statedLength();
+    if (length && *length > maxStatedBytes)
+        co_return cutOutcome(call, "the answer states a length of " + std::to_string(*length) + " bytes");
     const bool isStream = isEventStream(head);
-    const bool events = options.wholeEvents && isStream;
     dropHopHeaders(head);
-    const bool small = length >= 0 && length <= wholeAnswerBytes;
+    if (exchange.request().method() == http::verb::head)
+        co_return co_await relayHeadOnly(call, std::move(head), exchange, progress);
+    if (length && *length <= wholeAnswerBytes && !progress.begun)
+        co_return co_await relaySmall(call, std::move(head), exchange, progress, std::move(options));
     // A long answer of known length is passed on as it comes: held whole, 200 of 1 MB for slow callers would exceed the VM's memory.
-    const bool buffered = options.bufferUnframed && !isStream && length < 0;
-    if ((small || buffered) && !progress.begun)
-        co_return co_await relayWhole(call, std::move(head), exchange, progress, options);
-
+    if (options.bufferUnframed && !isStream && !length && !progress.begun)
+        co_return co_await relayHeld(call, std::move(head), exchange, progress, std::move(options));
     bool callerConnected = true;
     if (!progress.begun) {
         progress.begun = true;
         callerConnected = co_await exchange.begin(std::move(head));
     }
-    event_splitter splitter;
-    answer_copy copy(options.recordLimit);
-    gap_meter gaps;
-    for (;;) {
-        if (!callerConnected && !options.finishWithoutCaller)
-            co_return incompleteOutcome(true, std::nullopt);
-        if (options.silenceLimit > milliseconds(0))
-            call.expireAt(std::min(options.deadline, boot_clock::now() + options.silenceLimit));
-        const auto piece = co_await call.read();
-        if (!piece)
-            co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, piece.error());
-        const bool last = piece.value().empty();
-        if (!last)
-            progress.recordBytes(boot_clock::now());
-        if (const auto action = std::exchange(options.onFirstBytes, nullptr))
-            action();
-        if (last && events && !call.framed() && (splitter.inEvent() || progress.events == 0))
-            co_return incompleteOutcome(false, mayHaveRun(failure_reason::connection_lost, "the stream ended inside an event, or before the first one"));
-        if (last) {
-            const bool gone = co_await isServerGone(call, options);
-            if (gone)
-                co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, serverGoneFailure());
-        }
-        copy.append(piece.value());
-        std::string complete;
-        if (events)
-            complete = last ? splitter.takeRest() : splitter.push(piece.value());
-        const std::string_view out = events ? std::string_view(complete) : piece.value();
-        if (events && !out.empty() && options.onEventGap) {
-            if (const auto gap = gaps.recordEvent(boot_clock::now()))
-                options.onEventGap(*gap);
-        }
-        if (callerConnected && !out.empty()) {
-            callerConnected = co_await exchange.write(out);
-            gaps.recordWritten(boot_clock::now());
-            progress.events += events ? countEvents(out) : 0;
-            if (auto id = lastIdIn(out); events && !id.empty())
-                progress.lastEventId = std::move(id);
-            progress.bytes += out.size();
-        }
-        if (!last)
-            continue;
-        if (callerConnected)
-            callerConnected = co_await exchange.finish();
-        relay_outcome outcome;
-        outcome.end = callerConnected ? relay_end::complete : relay_end::caller_gone;
-        outcome.recorded = copy.take();
-        co_return outcome;
-    }
+    co_return co_await relayPieces(call, {}, isStream, exchange, callerConnected, progress, std::move(options));
 }
 
 } // namespace rampgap
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -1,6 +1,7 @@
 // Relays the answer of an upstream server to a caller, piece by piece.
 #pragma once
 
+#include "daemon/byte_budget.h"
 #include "daemon/http_client.h"
 #include "daemon/http_server.h"
 
@@ -42,8 +43,10 @@
     // Called with the time between two reads that completed an event, unless the caller delayed the second one.
     std::function<void(duration)> onEventGap;
     // Buffer every answer that is not an event stream, even without a stated length, so that no answer is
-    // begun that breaks off before its end.
+    // begun that breaks off before its end. Beyond what may be held it is relayed as it comes.
     bool bufferUnframed = false;
+    // What all answers of the process may hold back together: events and answers that are not complete yet. Null: any number.
+    std::shared_ptr<byte_budget> heldAnswers;
     // Called at the end of an answer with neither a length nor chunks, before the caller is told that it is
     // complete: returns false if the connection ended because the server did.
     std::function<awaitable<bool>()> confirmEnd;
--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -22,7 +22,11 @@
     // Below the servers' idle timeout, so that a server seldom closes a connection as it is reused.
     constexpr milliseconds maxIdleTime { 10'000 };
     constexpr milliseconds closingMargin { 500 };
-    constexpr std::uint32_t maxHeadBytes = 65'536;
+    // The HTTP library ends the process if a field of a head or trailer has 65,534 bytes or more.
+    constexpr std::uint32_t maxHeadBytes = 65'000;
+    // Interim answers that a server may send before the final one: each is as large as a head may be.
+    constexpr int maxInterimAnswers = 8;
+    constexpr unsigned firstFinalStatus = 200;
 
     failure connectionFailure(verdict ran, const std::string& what, const beast::error_code& error)
     {
@@ -58,10 +62,12 @@
 struct http_call::connection {
     explicit connection(asio::io_context& io)
         : stream(io)
+        , buffer(maxHeadBytes)
     {
     }
 
     beast::tcp_stream stream;
+    // Bounded: chunk heads and trailers are kept here until they end, and a faulty server's may not end.
     beast::flat_buffer buffer;
     std::optional<http::response_parser<http::buffer_body>> parser;
     std::array<char, pieceBytes> piece;
@@ -132,18 +138,15 @@
         request.set(http::field::host, m_address);
     request.keep_alive(true);
     request.prepare_payload();
-    expireStreamAt(m_connection->stream, deadline);
+    setDeadline(deadline);
     const auto [writeError, written] = co_await http::async_write(m_connection->stream, request, asTuple);
     // A server may run a request before it has read all of it.
     if (writeError)
         co_return connectionFailure(written == 0 ? verdict::not_run : verdict::may_have_run, "cannot send to " + m_address, writeError);
 
-    m_connection->parser.emplace();
-    m_connection->parser->header_limit(maxHeadBytes);
-    m_connection->parser->body_limit(boost::none);
-    const auto [readError, bytes] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_connection->parser, asTuple);
-    if (readError)
-        co_return connectionFailure(verdict::may_have_run, "no answer from " + m_address, readError);
+    const auto received = co_await readHead(request.method() != http::verb::head);
+    if (!received)
+        co_return received.error();
     if (m_client.m_context.isCut(m_address)) {
         cancel();
         co_return mayHaveRun(failure_reason::connection_lost, "cut off from " + m_address);
@@ -152,10 +155,45 @@
     co_return m_connection->parser->get().base();
 }
 
+awaitable<result<void>> http_call::readHead(bool hasBody)
+{
+    for (int interim = 0; interim <= maxInterimAnswers; ++interim) {
+        auto& parser = m_connection->parser.emplace();
+        parser.header_limit(maxHeadBytes);
+        parser.body_limit(boost::none);
+        parser.skip(!hasBody);
+        const auto [error, bytes] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, parser, asTuple);
+        if (error)
+            co_return connectionFailure(verdict::may_have_run, "no answer from " + m_address, error);
+        const auto& head = parser.get();
+        // By number: the HTTP library has no name for some.
+        const unsigned status = head.result_int();
+        if (status == static_cast<unsigned>(http::status::switching_protocols))
+            co_return mayHaveRun(failure_reason::backend_error, m_address + " switches to a protocol that nobody asked for");
+        if (status >= firstFinalStatus)
+            co_return boost::outcome_v2::success();
+    }
+    co_return mayHaveRun(failure_reason::backend_error, "more than " + std::to_string(maxInterimAnswers) + " interim answers from " + m_address);
+}
+
+std::optional<std::uint64_t> http_call::statedLength() const
+{
+    if (!m_connection || !m_connection->parser)
+        return std::nullopt;
+    const auto length = m_connection->parser->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+void http_call::setDeadline(instant deadline)
+{
+    m_deadline = deadline;
+    expireStreamAt(m_connection->stream, deadline);
+}
+
 void http_call::expireAt(instant deadline)
 {
     if (m_connection)
-        expireStreamAt(m_connection->stream, deadline);
+        setDeadline(deadline);
 }
 
 awaitable<result<std::string_view>> http_call::read()
@@ -169,8 +207,13 @@
         auto [error, bytes] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, parser, asTuple);
         if (error == http::error::need_buffer)
             error = {};
-        if (error)
+        if (!error && !parser.is_done() && m_client.m_context.now() >= m_deadline)
+            error = beast::error::timeout;
+        if (error) {
+            // Nothing more is read, so a server that sends without end is stopped now.
+            m_connection->stream.close();
             co_return connectionFailure(verdict::may_have_run, "the answer of " + m_address + " is incomplete", error);
+        }
         const std::size_t received = pieceBytes - parser.get().body().size;
         if (received > 0)
             co_return std::string_view(m_connection->piece.data(), received);
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -5,6 +5,7 @@
 #include "daemon/process_context.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,8 +23,8 @@
     http_call(const http_call&) = delete;
     http_call& operator=(const http_call&) = delete;
 
-    // Sends the request and reads the head of the answer. The verdict of a failure is `not_run`
-    // only if no part of the request was sent.
+    // Sends the request and reads the head of the final answer; interim ones (100 to 199) are skipped, a few of them.
+    // The verdict of a failure is `not_run` only if no part of the request was sent.
     awaitable<result<http_head>> start(std::string address, http_request, instant deadline);
     // The next piece of the body; empty at its end. Valid until the next call.
     awaitable<result<std::string_view>> read();
@@ -37,6 +38,8 @@
     void useFreshConnection() { m_freshConnection = true; }
     // True if the answer has a length or is chunked, so that its end differs from a lost connection.
     bool framed() const { return m_framed; }
+    // The length that the answer's head states; empty if it states none.
+    std::optional<std::uint64_t> statedLength() const;
     // True if no request was sent on the connection before this one.
     bool firstOnConnection() const { return m_firstOnConnection; }
     // True if the connection was refused: nothing listened at the address.
@@ -47,7 +50,11 @@
     friend class http_client;
 
     awaitable<result<void>> connect(const std::string& address, instant deadline);
+    // Reads heads until that of the final answer.
+    awaitable<result<void>> readHead(bool hasBody);
     void returnToPool();
+    // Also checked between reads: the stream's own timer does not fire while a server sends without a pause.
+    void setDeadline(instant);
     // Whether closing the connection resets it, as is done until the answer is complete.
     void resetOnClose(bool reset);
 
@@ -58,6 +65,7 @@
     bool m_freshConnection = false;
     bool m_framed = true;
     bool m_firstOnConnection = true;
+    instant m_deadline {};
     bool m_refused = false;
 };
 
--- a/Source/daemon/http_message.cpp
+++ b/Source/daemon/http_message.cpp
@@ -55,6 +55,15 @@
     return amount;
 }
 
+http_request makeRequestLike(const http_request& original)
+{
+    http_request made;
+    made.version(11);
+    made.method_string(original.method_string());
+    made.target(original.target());
+    return made;
+}
+
 http_response makeResponse(int status, std::string contentType, std::string body)
 {
     http_response response { static_cast<http::status>(status), 11 };
--- a/Source/daemon/http_message.h
+++ b/Source/daemon/http_message.h
@@ -30,6 +30,9 @@
 // A non-negative decimal number from a header; empty if it is absent or malformed.
 std::optional<double> headerAmount(const http::fields&, std::string_view name);
 
+// A request with the method and target of another one, also where the method has no name in the HTTP library.
+http_request makeRequestLike(const http_request&);
+
 http_response makeResponse(int status, std::string contentType, std::string body);
 // The answer for a failure, with its verdict, reason and `Retry-After`.
 http_response makeFailure(const failure&);
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -230,7 +230,7 @@
 
 http_request request_dispatcher::makeUpstream(const http_request& original, const caller_request& request, backend_id id, const relay_progress& progress, const std::string& permitText) const
 {
-    http_request upstream { original.method(), original.target(), 11 };
+    http_request upstream = makeRequestLike(original);
     for (const auto& field : original) {
         const std::string_view name(field.name_string().data(), field.name_string().size());
         const bool ours = boost::beast::iequals(field.name_string().substr(0, internalPrefix.size()), internalPrefix);
--- a/Source/gateway/process/gateway_process.cpp
+++ b/Source/gateway/process/gateway_process.cpp
@@ -34,6 +34,9 @@
     constexpr int ticksPerReload = 20;
     constexpr unsigned short metricsPort = 9'464;
     constexpr int maxFrontConnections = 3'000;
+    // Part of the process's memory that answers held back until they are complete may take.
+    constexpr std::size_t heldAnswersPart = 16;
+    constexpr double bytesPerMb = 1'000'000;
     // Added to the idle timeout of the configuration: a connection that is closed just as its caller sends
     // a request loses that request.
     constexpr milliseconds idleMargin { 1'000 };
@@ -44,6 +47,11 @@
         return endpoint ? endpoint.value().port() : 0;
     }
 
+    std::size_t memoryBytes(const gateway_settings& settings)
+    {
+        return static_cast<std::size_t>(settings.memoryMb * bytesPerMb);
+    }
+
     peer_info selfOf(const process_context& context, const gateway_settings& settings)
     {
         return { settings.host, settings.zone, peer_role::entry, context.incarnation() };
@@ -82,7 +90,7 @@
     , m_state(context, log, m_adapter.decoder, milliseconds(0))
     , m_loads(loadReportLifetime)
     , m_groups(groupUpdateLifetime)
-    , m_dispatcher(context, log, m_adapter.codec, m_state, m_loads, m_groups, m_history, m_backpressure, m_settings.retries)
+    , m_dispatcher(context, log, m_adapter.codec, m_state, m_loads, m_groups, m_history, m_backpressure, m_settings.retries, memoryBytes(m_settings) / heldAnswersPart)
     , m_front(context, log, m_adapter.codec, m_state, m_dispatcher, freshness_rule(m_settings.strictRevocation, m_settings.revocationBound, readingMargin))
     , m_follower(context, log, m_adapter.source, m_state, watchWait)
     , m_signals(context.io(), SIGTERM, SIGINT, SIGHUP)
--- a/Source/gateway/process/gateway_settings.h
+++ b/Source/gateway/process/gateway_settings.h
@@ -21,6 +21,8 @@
     std::string storeAddress;
     // Bandwidth of this machine's link.
     double linkMbps = 1'000;
+    // Memory beyond which the platform ends this process.
+    double memoryMb = 256;
     unsigned short firstPeerPort = 0;
     std::vector<std::string> seedHosts;
     // Control port, the same on all entry VMs; 0 if there are no seeds.
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requests/upstream_dispatcher.h"
 
 #include "daemon/caller_watch.h"
+#include "daemon/scope_exit.h"
 #include "gateway/requests/request_wait.h"
 #include "policy/groups/group_wait.h"
 #include "policy/requests/attempt_rules.h"
@@ -30,10 +31,13 @@
 
     // Longest body of a refusal that is read in order to keep the connection.
     constexpr std::size_t maxDiscardedBody = 65'536;
+    // It follows its head at once. The request waits here for another server meanwhile.
+    constexpr milliseconds maxDiscardTime { 100 };
 
     // Reads and discards an answer's body; closes the connection if that fails.
     awaitable<void> discardBody(http_call& call)
     {
+        call.expireAt(boot_clock::now() + maxDiscardTime);
         const auto body = co_await call.readAll(maxDiscardedBody);
         if (!body)
             call.cancel();
@@ -41,7 +45,7 @@
 
 } // namespace
 
-upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_table& loads, group_directory& groups, crash_history& history, server_backpressure& backpressure, retry_bounds bounds)
+upstream_dispatcher::upstream_dispatcher(process_context& context, decision_log& log, const request_codec& codec, fleet_state& state, load_table& loads, group_directory& groups, crash_history& history, server_backpressure& backpressure, retry_bounds bounds, std::size_t maxHeldAnswers)
     : m_context(context)
     , m_log(log)
     , m_codec(codec)
@@ -51,6 +55,7 @@
     , m_history(history)
     , m_backpressure(backpressure)
     , m_client(context, serverConnectTimeout)
+    , m_heldAnswers(std::make_shared<byte_budget>(maxHeldAnswers))
     , m_crashes(context, log, state, history, codec.makeProbe())
     , m_slots(context, log, state, loads, groups, backpressure)
     , m_picker(context, log, state, loads, groups, backpressure)
@@ -127,12 +132,14 @@
         const std::string id = co_await m_picker.pick(exchange, request, state.attempted);
         if (exchange.callerGone())
             co_return std::nullopt;
-        if (id.empty()) {
+        const auto* chosen = m_state.backends().find(id);
+        if (!chosen) {
             if (last)
                 co_return finalFailure(request, *last);
             co_return m_picker.unavailableFailure(request);
         }
-        const listed_backend backend = *m_state.backends().find(id);
+        // By value: the list may change while the request is at the server.
+        const listed_backend backend = *chosen;
         state.attempted.all.push_back(id);
         state.lastBackend = id;
         last = co_await sendAttempt(exchange, request, state, backend);
@@ -335,6 +342,12 @@
     std::vector<request_fingerprint> isolated = state.suspects();
     std::erase_if(isolated, [this, sentAt](request_fingerprint suspect) { return !m_history.beginIsolatedAttempt(suspect, sentAt); });
     m_loads.recordSent(backend.id, unread, sentAt);
+    bool counted = true;
+    const auto endCount = [&] {
+        if (std::exchange(counted, false))
+            m_loads.recordEnded(backend.id, unread);
+    };
+    const scope_exit countEnded(m_context, endCount);
 
     const instant headDeadline = responseDeadline(request, state, sentAt);
     auto head = co_await call.start(backend.address, m_codec.makeUpstream(exchange.request(), request.parsed, facts), headDeadline);
@@ -352,7 +365,7 @@
                                                                                                                      : attempt_result::failed;
         state.runs += unreachable ? 0 : 1;
     }
-    m_loads.recordEnded(backend.id, unread);
+    endCount();
     m_slots.recordEnd(request);
     const bool isSent = !outcome.failed || outcome.failed->ran != verdict::not_run;
     if (underWay.withdrawn() && outcome.failed)
@@ -402,6 +415,7 @@
     relay_options options;
     options.wholeEvents = true;
     options.bufferUnframed = true;
+    options.heldAnswers = m_heldAnswers;
     options.deadline = request.deadline;
     const bool mayResumeElsewhere = request.route.resumable && state.runs < request.route.maxAttempts && m_budget.allowsRetry(request.service, sentAt);
     if (streams && mayResumeElsewhere)
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -15,7 +15,8 @@
 
 class upstream_dispatcher {
 public:
-    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_table&, group_directory&, crash_history&, server_backpressure&, retry_bounds);
+    // `maxHeldAnswers`: bytes of all answers together that are held back until they are complete.
+    upstream_dispatcher(process_context&, decision_log&, const request_codec&, fleet_state&, load_table&, group_directory&, crash_history&, server_backpressure&, retry_bounds, std::size_t maxHeldAnswers);
 
     // Always completes the exchange, with an answer or a refusal.
     awaitable<void> dispatch(http_exchange&, const admitted_request&);
@@ -114,6 +115,7 @@
     crash_history& m_history;
     server_backpressure& m_backpressure;
     http_client m_client;
+    std::shared_ptr<byte_budget> m_heldAnswers;
     call_registry m_calls;
     crash_reporter m_crashes;
     slot_allocator m_slots;
--- a/Tests/platform/decoding/test.cpp
+++ b/Tests/platform/decoding/test.cpp
@@ -327,3 +327,41 @@
     order.fence = 9;
     CHECK(encodeOrder(order) == R"({"operation":"retention","epoch":3,"fencing_token":9,"step":80})");
 }
+
+TEST_CASE("a request with a method that the HTTP library does not know reaches the engine by its name")
+{
+    http_request request = callerRequest();
+    request.method_string("BREW");
+    const auto decoded = http_codec().decode(request);
+    REQUIRE(decoded);
+    const auto upstream = http_codec().makeUpstream(request, decoded.value(), upstream_context {});
+    CHECK(std::string_view(upstream.method_string().data(), upstream.method_string().size()) == "BREW");
+    CHECK(upstream.target() == request.target());
+    CHECK(upstream.body() == "body");
+}
+
+TEST_CASE("a prompt with very many parts takes no more places among the parts that are remembered than any other")
+{
+    http_request request = callerRequest();
+    std::string parts;
+    for (int i = 0; i < 1'000; ++i)
+        parts += (i == 0 ? "" : ",") + std::to_string(i) + ":1";
+    request.set("X-Prompt-Prefix", parts);
+    const auto decoded = http_codec().decode(request);
+    REQUIRE(decoded);
+    CHECK(decoded.value().promptParts.size() == 64);
+    CHECK(decoded.value().promptParts.front().id == "0");
+}
+
+TEST_CASE("the age of reports is read from the service, and a service without one gets a long one")
+{
+    const auto lagOf = [](const std::string& member) {
+        std::string text = configurationText;
+        text.insert(text.find("\"capacity\""), member);
+        const auto decoded = item_decoder().configuration(text);
+        REQUIRE(decoded);
+        return decoded.value()->findService("m")->costs.reportLag;
+    };
+    CHECK((lagOf("\"report_lag_ms\":200.0,") == milliseconds(200)));
+    CHECK((lagOf("") == engine_costs {}.reportLag));
+}
--- a/Tests/platform/start-of-all/test.cpp
+++ b/Tests/platform/start-of-all/test.cpp
@@ -64,7 +64,7 @@
     group_directory groups { milliseconds(1'500) };
     crash_history history;
     server_backpressure backpressure;
-    upstream_dispatcher dispatcher { context, log, codec, state, loads, groups, history, backpressure, retry_bounds {} };
+    upstream_dispatcher dispatcher { context, log, codec, state, loads, groups, history, backpressure, retry_bounds {}, 16'000'000 };
     gateway_server server { context, log, codec, state, dispatcher, freshness_rule(true, milliseconds(5'000), milliseconds(1'400)) };
 
     void serve(one_exchange& exchange) { asio::co_spawn(context.io(), server.handle(exchange), asio::detached); }
--- a/Tests/platform/unframed-answer/test.cpp
+++ b/Tests/platform/unframed-answer/test.cpp
@@ -92,7 +92,7 @@
     bool finished = false;
 };
 
-awaitable<void> relay(http_client& client, const std::string& address, recorded_exchange& exchange, bool isServerAlive, std::optional<relay_end>& end)
+awaitable<void> relay(http_client& client, const std::string& address, recorded_exchange& exchange, bool isServerAlive, std::size_t heldAnswers, std::optional<relay_end>& end)
 {
     http_call call(client);
     http_request request { http::verb::get, "/", 11 };
@@ -102,12 +102,14 @@
     relay_options options;
     options.wholeEvents = true;
     options.bufferUnframed = true;
+    options.heldAnswers = std::make_shared<byte_budget>(heldAnswers);
     options.confirmEnd = [isServerAlive]() -> awaitable<bool> { co_return isServerAlive; };
     const auto outcome = co_await relayAnswer(call, std::move(head.value()), exchange, progress, std::move(options));
     end = outcome.end;
 }
 
-relayed relayFrom(const std::string& bytes, bool resets = false, bool isServerAlive = true)
+// `heldAnswers`: what all answers may hold together.
+relayed relayFrom(const std::string& bytes, bool resets = false, bool isServerAlive = true, std::size_t heldAnswers = 1'048'576)
 {
     process_context context { "entry", "a", "entry" };
     http_client client(context);
@@ -115,7 +117,7 @@
     recorded_exchange exchange;
     std::optional<relay_end> end;
     asio::co_spawn(context.io(), server.serve(), asio::detached);
-    asio::co_spawn(context.io(), relay(client, server.address(), exchange, isServerAlive, end), asio::detached);
+    asio::co_spawn(context.io(), relay(client, server.address(), exchange, isServerAlive, heldAnswers, end), asio::detached);
     context.io().run_for(maxWait);
     REQUIRE(end);
     return { *end, exchange.body, exchange.finished };
@@ -174,3 +176,33 @@
         CHECK(broken.body.empty());
     }
 }
+
+TEST_CASE("a stated length that no answer has ends the call at once, and its caller is not left without an end")
+{
+    for (const char* length : { "9223372036854775807", "9223372036854775808", "18446744073709551615" }) {
+        const auto broken = relayFrom("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: " + std::string(length) + "\r\n\r\nid: 1\ndata: a\n\n");
+        CHECK_MESSAGE((broken.end == relay_end::truncated), length);
+        CHECK_FALSE(broken.finished);
+    }
+}
+
+TEST_CASE("an unframed plain answer that is more than may be held is passed on as it comes, and whole")
+{
+    const std::string body(200'000, 'b');
+    const auto whole = relayFrom(plainHead + body, false, true, 50'000);
+    CHECK((whole.end == relay_end::complete));
+    CHECK(whole.finished);
+    CHECK(whole.body == body);
+}
+
+TEST_CASE("an event that is larger than may be held ends its stream after the last whole event")
+{
+    const std::string sound = "id: 1\ndata: a\n\n";
+    const auto alone = relayFrom(streamHead + sound + "data: " + std::string(300'000, 'e') + "\n\n");
+    CHECK((alone.end == relay_end::truncated));
+    CHECK(alone.body == sound);
+    // Others hold what all may hold; an event of a usual size is passed on all the same.
+    const auto beside = relayFrom(streamHead + sound + "data: " + std::string(10'000, 'e') + "\n\n", false, true, 0);
+    CHECK((beside.end == relay_end::complete));
+    CHECK(beside.body.size() == sound.size() + 10'008);
+}
