server: what callers can make an entry VM keep is bounded, bytes outside the payload too

Cause: max_header_bytes and max_body_bytes count heads and payload, nothing between them; the header timeout never fired while bytes were always there; nothing bounded what all callers hold together, or made room beside idle connections.

Change: the buffer of a connection is bounded by max_header_bytes (65,000 at most); the header timeout is checked between reads; 256 header fields; bodies of all requests take a quarter of the memory in the settings at most, the first 4 KB of each not counted, and beyond that a request is refused with 503, not run; at 3,000 connections a new one takes the place of the one that was idle for longest; a refusal is followed by 0.25 s in which what still comes is discarded, so that it is not lost in a reset.

Ruled out: a bound for each caller, whose address the platform's balancer hides.

--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <tuple>
 
 namespace rampgap {
 
@@ -23,9 +24,26 @@
     constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
     constexpr milliseconds acceptBackoff { 20 };
     constexpr std::size_t firstReadBytes = 4'096;
+    // The HTTP library ends the process if a field of a head or trailer has 65,534 bytes or more.
+    constexpr std::uint32_t largestHead = 65'000;
+    // Each field takes several times its size in memory.
+    constexpr std::ptrdiff_t maxFields = 256;
+    // Bytes of a request that do not count towards those of all requests.
+    constexpr std::size_t unsharedRequestBytes = 4'096;
+    constexpr milliseconds heldBytesRetryAfter { 250 };
+    // After a refusal, what its caller is still sending is discarded for this long: with unread bytes the close would be a
+    // reset, which may overtake the refusal.
+    constexpr milliseconds lingerTime { 250 };
+
+    std::uint32_t headLimit(const http_limits& limits)
+    {
+        return std::min(limits.maxHeaderBytes, largestHead);
+    }
 
     failure requestReadFailure(const beast::error_code& error)
     {
+        if (error == http::error::buffer_overflow)
+            return notRun(failure_reason::headers_too_large, "a chunk's head or the trailers exceed the limit of this server");
         if (error == http::error::body_limit)
             return notRun(failure_reason::too_large, "the request body exceeds the limit of this server");
         if (error == http::error::header_limit)
@@ -38,6 +56,8 @@
     {
         if (request.count(http::field::host) != 1)
             return notRun(failure_reason::invalid_request, "the request must have exactly one Host header");
+        if (std::distance(request.begin(), request.end()) > maxFields)
+            return notRun(failure_reason::headers_too_large, "the request has more than " + std::to_string(maxFields) + " header fields");
         const auto coding = request.count(http::field::transfer_encoding);
         if (coding > 0 && request.count(http::field::content_length) > 0)
             return notRun(failure_reason::invalid_request, "the request has both Content-Length and Transfer-Encoding; send only one");
@@ -50,10 +70,11 @@
 
 class http_server::connection : public http_exchange, public std::enable_shared_from_this<connection> {
 public:
-    connection(tcp::socket socket, const http_limits& limits, std::shared_ptr<unsent_bytes> unsent)
+    connection(tcp::socket socket, const http_limits& limits, std::shared_ptr<unsent_bytes> unsent, std::shared_ptr<byte_budget> heldRequests)
         : m_stream(std::move(socket))
         , m_limits(limits)
         , m_unsent(std::move(unsent))
+        , m_held(std::move(heldRequests), unsharedRequestBytes)
     {
         beast::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
@@ -63,12 +84,16 @@
     awaitable<bool> readRequest(instant& idleSince)
     {
         m_parser.emplace();
-        m_parser->header_limit(m_limits.maxHeaderBytes);
+        m_parser->header_limit(headLimit(m_limits));
         m_parser->body_limit(m_limits.maxBodyBytes);
+        // Chunk heads and trailers count neither as header nor as body: a buffer of any size would keep them without end.
+        m_buffer.max_size(std::max<std::size_t>({ m_buffer.size(), headLimit(m_limits), firstReadBytes }));
+        m_held.resize(0);
         m_busy = false;
         if (m_buffer.size() == 0) {
             expireStreamAt(m_stream, idleSince + m_limits.idleTimeout);
             m_idle = true;
+            m_idleSince = idleSince;
             const auto [waitError, received] = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
             m_idle = false;
             if (waitError)
@@ -76,25 +101,31 @@
             m_buffer.commit(received);
         }
         m_receivedAt = boot_clock::now();
-        expireStreamAt(m_stream, m_receivedAt + m_limits.headerTimeout);
+        const instant deadline = m_receivedAt + m_limits.headerTimeout;
+        expireStreamAt(m_stream, deadline);
         auto [error, bytes] = co_await http::async_read_header(m_stream, m_buffer, *m_parser, asTuple);
-        if (const auto refused = error ? std::nullopt : framingFailure(m_parser->get())) {
-            m_closeAfterAnswer = true;
-            co_await send(makeFailure(*refused));
+        std::optional<failure> refused = error ? std::nullopt : framingFailure(m_parser->get());
+        if (!error && !refused && beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
+            error = co_await sendContinue();
+        m_parser->eager(true);
+        while (!error && !refused && !m_parser->is_done()) {
+            std::tie(error, bytes) = co_await http::async_read_some(m_stream, m_buffer, *m_parser, asTuple);
+            // The stream's own timer does not fire while a caller sends without a pause.
+            if (!error && !m_parser->is_done() && boot_clock::now() >= deadline)
+                error = beast::error::timeout;
+            if (!error && !m_held.resize(m_parser->get().body().size()))
+                refused = notRun(failure_reason::queue_full, "the requests that are being read take all memory set aside for them", heldBytesRetryAfter);
+        }
+        if (refused) {
+            co_await refuse(*refused);
             co_return false;
         }
-        if (!error && beast::iequals(m_parser->get()[http::field::expect], "100-continue"))
-            error = co_await sendContinue();
-        if (!error)
-            std::tie(error, bytes) = co_await http::async_read(m_stream, m_buffer, *m_parser, asTuple);
         if (error) {
             const bool nothingRead = error == http::error::end_of_stream || !m_parser->got_some();
             const bool connectionLost = error == beast::error::timeout || error == asio::error::operation_aborted || error == asio::error::connection_reset
                 || error == http::error::partial_message || error == asio::error::eof;
-            if (!nothingRead && !connectionLost) {
-                m_closeAfterAnswer = true;
-                co_await send(makeFailure(requestReadFailure(error)));
-            }
+            if (!nothingRead && !connectionLost)
+                co_await refuse(requestReadFailure(error));
             co_return false;
         }
         if (m_dropped)
@@ -136,6 +167,7 @@
 
     bool keepAlive() const { return m_request.keep_alive() && !m_closeAfterAnswer && !m_callerGone && m_finished; }
     bool busy() const { return m_busy; }
+    instant idleSince() const { return m_idleSince; }
     // True if no byte of a next request has arrived, not even in the socket's receive buffer.
     bool idle()
     {
@@ -228,6 +260,21 @@
     }
 
 private:
+    awaitable<void> refuse(failure refused)
+    {
+        m_closeAfterAnswer = true;
+        const bool sent = co_await send(makeFailure(refused));
+        if (!sent)
+            co_return;
+        beast::error_code error;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+        const instant lingerUntil = boot_clock::now() + lingerTime;
+        expireStreamAt(m_stream, lingerUntil);
+        m_buffer.clear();
+        while (!error && boot_clock::now() < lingerUntil)
+            std::tie(error, std::ignore) = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
+    }
+
     awaitable<beast::error_code> sendContinue()
     {
         http::response<http::empty_body> interim { http::status::continue_, 11 };
@@ -245,10 +292,12 @@
     beast::tcp_stream m_stream;
     const http_limits& m_limits;
     std::shared_ptr<unsent_bytes> m_unsent;
+    held_bytes m_held;
     beast::flat_buffer m_buffer;
     std::optional<http::request_parser<http::string_body>> m_parser;
     http_request m_request;
     instant m_receivedAt;
+    instant m_idleSince;
     std::optional<chunk_writer> m_body;
     std::function<void()> m_onGone;
     bool m_idle = false;
@@ -285,6 +334,7 @@
     : m_context(context)
     , m_acceptor(std::move(acceptor))
     , m_limits(limits)
+    , m_heldRequests(std::make_shared<byte_budget>(limits.maxHeldBytes))
     , m_handler(handler)
 {
 }
@@ -307,18 +357,32 @@
             co_await sleepFor(m_context.io(), acceptBackoff);
             continue;
         }
-        if (epoch != m_dropEpoch || openConnections() >= m_limits.maxConnections) {
+        const bool full = openConnections() >= m_limits.maxConnections && !closeLongestIdle();
+        if (epoch != m_dropEpoch || full) {
             socket.close(error);
             continue;
         }
         const connection_id id = m_nextId++;
-        auto accepted = std::make_shared<connection>(std::move(socket), m_limits, m_unsent);
+        auto accepted = std::make_shared<connection>(std::move(socket), m_limits, m_unsent, m_heldRequests);
         m_connections.emplace(id, accepted);
         m_context.counters().set(metric::connections, openConnections());
         startTask(m_context, "connection", serve(id, std::move(accepted)));
     }
 }
 
+// Callers that keep connections open without using them must not shut the others out.
+bool http_server::closeLongestIdle()
+{
+    std::shared_ptr<connection> longest;
+    for (const auto& [id, client] : m_connections) {
+        if (client->idle() && (!longest || client->idleSince() < longest->idleSince()))
+            longest = client;
+    }
+    if (longest)
+        longest->close();
+    return longest != nullptr;
+}
+
 awaitable<void> http_server::serve(connection_id id, std::shared_ptr<connection> client)
 {
     const scope_exit ended(m_context, [this, id, &client] {
--- a/Source/daemon/http_server.h
+++ b/Source/daemon/http_server.h
@@ -1,6 +1,7 @@
 // Accepts HTTP/1.1 connections and hands each request to a handler.
 #pragma once
 
+#include "daemon/byte_budget.h"
 #include "daemon/chunk_writer.h"
 #include "daemon/http_message.h"
 #include "daemon/process_context.h"
@@ -19,6 +20,8 @@
     // For the whole request, from its first byte to the end of its body.
     milliseconds headerTimeout { 60'000 };
     milliseconds writeTimeout { 30'000 };
+    // Bytes of all requests together that are being read or handled; the first 4 KB of each do not count.
+    std::size_t maxHeldBytes = 67'108'864;
 
     bool operator==(const http_limits&) const = default;
 };
@@ -64,7 +67,7 @@
     ~http_server();
 
     unsigned short port() const;
-    // Applies to requests that are read from now on.
+    // Applies to requests that are read from now on; what all requests may hold together stays as it was.
     void setLimits(const http_limits& limits) { m_limits = limits; }
     int openConnections() const { return static_cast<int>(m_connections.size()); }
 
@@ -85,11 +88,14 @@
     awaitable<void> acceptLoop();
     awaitable<void> serve(connection_id, std::shared_ptr<connection>);
     awaitable<void> serveRequests(connection&);
+    // Closes the connection that has been idle for longest, to make room for a new one; false if none is idle.
+    bool closeLongestIdle();
 
     process_context& m_context;
     tcp::acceptor m_acceptor;
     http_limits m_limits;
     std::shared_ptr<unsent_bytes> m_unsent = std::make_shared<unsent_bytes>();
+    std::shared_ptr<byte_budget> m_heldRequests;
     http_handler& m_handler;
     bool m_draining = false;
     bool m_announceClose = false;
--- a/Source/gateway/process/gateway_process.cpp
+++ b/Source/gateway/process/gateway_process.cpp
@@ -34,7 +34,8 @@
     constexpr int ticksPerReload = 20;
     constexpr unsigned short metricsPort = 9'464;
     constexpr int maxFrontConnections = 3'000;
-    // Part of the process's memory that answers held back until they are complete may take.
+    // Parts of the process's memory that requests being read, and answers held back until they are complete, may take.
+    constexpr std::size_t heldRequestsPart = 4;
     constexpr std::size_t heldAnswersPart = 16;
     constexpr double bytesPerMb = 1'000'000;
     // Added to the idle timeout of the configuration: a connection that is closed just as its caller sends
@@ -148,6 +149,7 @@
 {
     http_limits frontLimits;
     frontLimits.maxConnections = maxFrontConnections;
+    frontLimits.maxHeldBytes = memoryBytes(m_settings) / heldRequestsPart;
     const http_limits pageLimits;
     struct port_to_open {
         std::unique_ptr<http_server>& server;
