groups: a coordinator whose calls have all ended at once does not wait for them

Cause, of this work: a task runs up to its first wait inside startTask(). A call to a peer that is cut off fails without a wait, so the last one cancelled the timer before the coordinator waited on it, and it waited for ever. Ruled out: the load; the counts of messages.

Change: the coordinator waits only while calls are open.

--- a/Source/agent/group_member.cpp
+++ b/Source/agent/group_member.cpp
@@ -187,7 +187,9 @@
     for (const auto& message : messages) {
         startTask(m_context, "group_message", sendCounted(message, open, done));
     }
-    co_await done.async_wait(asio::as_tuple(asio::use_awaitable));
+    // A call to a peer that is cut off fails at once: all may have ended by now.
+    while (*open > 0)
+        co_await done.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
 awaitable<void> group_member::sendCounted(rank_message outgoing, std::shared_ptr<std::size_t> open, boot_timer& done)
--- a/Tests/groups/real-processes/test.cpp
+++ b/Tests/groups/real-processes/test.cpp
@@ -104,6 +104,14 @@
         eventually([&] { return figuresOf(group.engines).steps > cutAt + 200; }, std::chrono::milliseconds(700));
         fleet.heal();
     }
+    // Its calls all fail at once, so that they have ended before it waits for them.
+    SUBCASE("the coordinator is cut off from all other ranks")
+    {
+        fleet.cut({ "r0" }, { "r1", "r2", "r3" });
+        const auto cutAt = figuresOf(group.engines).steps;
+        eventually([&] { return figuresOf(group.engines).steps > cutAt + 200; }, std::chrono::milliseconds(700));
+        fleet.heal();
+    }
     CHECK(group.switchesOn());
     CHECK(figuresOf(group.engines).mixed == 0);
 }
