groups: an answer to an order counts only with a state of the group that was read after it

Change: an answer without a readable state of the group's epoch after it confirms nothing, and the order is sent again. A current state decides by itself; an older one needs the answer, as before.

Ruled out: a new connection for each order, since a machine that stands still would refuse the order in place of leaving it unanswered, and the change would be given up at once.

--- a/Source/gateway/groups/rank_link.cpp
+++ b/Source/gateway/groups/rank_link.cpp
@@ -322,6 +322,8 @@
     auto seen = co_await readEngineState(target.address);
     if (seen)
         seen->fresh = currentFrom && askedAt >= *currentFrom;
+    else
+        m_answeredOrders.erase(target.address); // Its answer may have been a copy of an earlier one: the order is sent again.
     co_return seen;
 }
 
--- a/Source/policy/groups/map_switch.cpp
+++ b/Source/policy/groups/map_switch.cpp
@@ -144,6 +144,9 @@
         m_phase = switch_phase::failed;
         return;
     }
+    // No state of this group: the answer to something else.
+    if (after && after->epoch != m_epoch)
+        after = nullptr;
     if (after)
         m_newestStep = std::max(m_newestStep, after->step);
     if (reply == order_reply::fenced) {
@@ -333,15 +336,16 @@
 // that has answered the order to disarm refuses it. The order names the placement that the rank may be armed with, so its
 // answer proves that it is armed no more. An older reading proves neither; a newer one that shows another placement
 // corrects the next order. Replies to the claims of the same round come here, too, and name no placement.
+// Without any reading the answer counts for nothing: it may be the second copy of an earlier one, after which the reading of
+// the state finds the answer to the order, and is none.
 void map_switch::handleDisarmed(std::size_t rank, const map_order& sent, order_reply reply, const rank_view* after)
 {
-    if (sent.fence != m_settings.fence)
+    if (sent.fence != m_settings.fence || !after)
         return;
-    const bool current = after && after->fresh;
     const bool named = sent.placement == m_armed[rank];
-    if (current && after->armedPlacement != 0)
+    if (after->fresh && after->armedPlacement != 0)
         m_armed[rank] = after->armedPlacement;
-    else if ((named && isDone(reply)) || (current && isAnswered(reply)))
+    else if (after->fresh ? isAnswered(reply) : named && isDone(reply))
         m_confirmed[rank] = true;
     if (m_phase == switch_phase::disarming_leader && m_confirmed[m_disarmFirst]) {
         enter(switch_phase::disarming);
@@ -377,8 +381,10 @@
 void map_switch::handleReleased(std::size_t rank, const map_order& sent, order_reply reply, const rank_view* after)
 {
     std::erase_if(m_holds, [&](const auto& hold) {
-        const bool seen = after && after->fresh && (after->heldStep != hold.second || after->step >= hold.second);
-        return hold.first == rank && (seen || (isDone(reply) && sent.step == hold.second));
+        if (hold.first != rank || !after)
+            return false;
+        const bool shownReleased = after->heldStep != hold.second || after->step >= hold.second;
+        return after->fresh ? shownReleased : isDone(reply) && sent.step == hold.second;
     });
     if (m_holds.empty())
         m_phase = m_phase == switch_phase::releasing ? switch_phase::done : switch_phase::failed;
--- a/Tests/platform/map-switch/standstill.cpp
+++ b/Tests/platform/map-switch/standstill.cpp
@@ -253,6 +253,19 @@
         CHECK(next.rank != 1);
 }
 
+TEST_CASE("an answer to an order without any state after it proves nothing: it may be a copy of an earlier answer")
+{
+    const std::uint64_t placement = placementNumber(5, ranks);
+    auto change = claimedWith(placement);
+    change.handleReply(1, orderFor(change, 1), order_reply::already, nullptr);
+    rank_view ofNoGroup;
+    change.handleReply(1, orderFor(change, 1), order_reply::already, &ofNoGroup);
+    bool pending = false;
+    for (const auto& next : change.pending())
+        pending = pending || next.rank == 1;
+    CHECK(pending);
+}
+
 TEST_CASE("a rank that is armed with another placement than the one ordered gets an order that names it")
 {
     auto change = claimedWith(placementNumber(5, ranks));
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -117,9 +117,9 @@
     ("claim_by_an_old_reading", "map_switch.cpp", "    if (after->fresh)\n        confirmClaim(rank, *after, after->armedPlacement);", "    if (true)\n        confirmClaim(rank, *after, after->armedPlacement);", "platform/map-switch"),
     ("older_reading_without_a_hold", "map_switch.cpp", "    if (m_holds.empty())\n        return;\n    for", "    for", "platform/map-switch"),
     ("older_reading_of_any_placement", "map_switch.cpp", "placement != 0 && isPendingPlacement(placement)", "placement != 0", "platform/map-switch"),
-    ("claim_taken_for_disarmed", "map_switch.cpp", "(named && isDone(reply))", "isDone(reply)", "platform/map-switch"),
-    ("disarm_order_not_corrected", "map_switch.cpp", "    if (current && after->armedPlacement != 0)\n        m_armed[rank] = after->armedPlacement;\n    else if", "    if", "platform/map-switch"),
-    ("release_by_an_old_reading", "map_switch.cpp", "const bool seen = after && after->fresh &&", "const bool seen = after &&", "platform/map-switch"),
+    ("claim_taken_for_disarmed", "map_switch.cpp", ": named && isDone(reply)", ": isDone(reply)", "platform/map-switch"),
+    ("disarm_order_not_corrected", "map_switch.cpp", "    if (after->fresh && after->armedPlacement != 0)\n        m_armed[rank] = after->armedPlacement;\n    else if", "    if", "platform/map-switch"),
+    ("release_by_an_old_reading", "map_switch.cpp", "return after->fresh ? shownReleased", "return true ? shownReleased", "platform/map-switch"),
     ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
 ]
 
