--- a/Source/agent/group_member.cpp
+++ b/Source/agent/group_member.cpp
@@ -213,7 +213,7 @@
         co_return;
     const std::uint64_t coordination = m_coordinations;
     auto reply = co_await m_peers.group(address, std::move(message), messageTimeout);
-    // A later coordination, perhaps of another group, has not sent this message.
+    // This reply must not reach a later coordination, which may be of another group and did not send the message.
     if (!reply || !m_coordination || m_coordinations != coordination)
         co_return;
     const auto before = m_coordination->coordinator.phase();
