logs: which servers' runs a stream is made of, and by which sign an unframed end was believed

Now it has the framing and the first and last id of the run; stream_ended has one line for each stream that is not one framed answer, with all its runs; answer_end_judged says by which sign the end of a connection was taken for the end of an answer or for a break, with the inputs and their age; rampgap_unframed_ends_total counts the signs. Ids in them are cut at 32 bytes, since they are a server's.

What decides is unchanged: the judging moved from upstream_dispatcher to a class of its own, answer_end_judge, with its pause detector.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -80,20 +80,36 @@
         instant m_readFrom {};
     };
 
-    // The value of the last "id:" line.
-    std::string lastIdIn(std::string_view text)
+    // The values of the "id:" lines.
+    std::vector<std::string> idsIn(std::string_view text)
     {
         constexpr std::string_view field = "id:";
-        for (auto at = text.rfind(field); at != std::string_view::npos; at = at == 0 ? std::string_view::npos : text.rfind(field, at - 1)) {
+        std::vector<std::string> ids;
+        for (auto at = text.find(field); at != std::string_view::npos; at = text.find(field, at + field.size())) {
             if (at > 0 && text[at - 1] != '\n')
                 continue;
             auto value = text.substr(at + field.size());
             value = value.substr(0, value.find('\n'));
             while (!value.empty() && value.front() == ' ')
                 value.remove_prefix(1);
-            return std::string(value);
+            ids.emplace_back(value);
         }
-        return {};
+        return ids;
+    }
+
+    void recordEvents(relay_progress& progress, std::string_view text)
+    {
+        const std::uint64_t events = countEvents(text);
+        progress.events += events;
+        progress.run.events += events;
+        const auto ids = idsIn(text);
+        if (ids.empty())
+            return;
+        if (progress.run.firstId.empty())
+            progress.run.firstId = ids.front();
+        progress.run.lastId = ids.back();
+        if (!ids.back().empty())
+            progress.lastEventId = ids.back();
     }
 
     // Copies an answer as long as it does not exceed the limit.
@@ -120,18 +136,19 @@
         std::string m_text;
     };
 
-    // The end of a connection ends such an answer, whether the server had finished it or not.
-    awaitable<bool> isServerGone(const http_call& call, const relay_options& options)
+    // The end of a connection ends an answer without length or chunks, whether the server had finished it or not.
+    awaitable<bool> isBrokenOff(const http_call& call, relayed_run& run, const relay_options& options)
     {
-        if (call.framed() || !options.confirmEnd)
+        run.sign = call.framed() ? answer_end_sign::framed : answer_end_sign::server_answers;
+        if (call.framed() || !options.judgeEnd)
             co_return false;
-        const bool confirmed = co_await options.confirmEnd();
-        co_return !confirmed;
+        run.sign = co_await options.judgeEnd();
+        co_return !isWhole(run.sign);
     }
 
-    failure serverGoneFailure()
+    failure brokenOffFailure(const relayed_run& run)
     {
-        return mayHaveRun(failure_reason::connection_lost, "the server ended with the connection of an answer without length or chunks");
+        return mayHaveRun(failure_reason::connection_lost, "an answer without length or chunks was broken off: " + std::string(toString(run.sign)));
     }
 
     relay_outcome incompleteOutcome(bool callerGone, std::optional<failure> failed)
@@ -231,12 +248,14 @@
                 progress.recordBytes(boot_clock::now());
             if (const auto action = std::exchange(options.onFirstBytes, nullptr))
                 action();
-            if (last && events && !call.framed() && (splitter.inEvent() || progress.events == 0))
+            if (last && events && !call.framed() && (splitter.inEvent() || progress.events == 0)) {
+                progress.run.sign = splitter.inEvent() ? answer_end_sign::inside_event : answer_end_sign::no_event;
                 co_return incompleteOutcome(false, mayHaveRun(failure_reason::connection_lost, "the stream ended inside an event, or before the first one"));
+            }
             if (last) {
-                const bool gone = co_await isServerGone(call, options);
-                if (gone)
-                    co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, serverGoneFailure());
+                const bool broken = co_await isBrokenOff(call, progress.run, options);
+                if (broken)
+                    co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, brokenOffFailure(progress.run));
             }
             copy.append(piece);
             std::string complete;
@@ -250,9 +269,8 @@
             if (callerConnected && !out.empty()) {
                 callerConnected = co_await exchange.write(out);
                 gaps.recordWritten(boot_clock::now());
-                progress.events += events ? countEvents(out) : 0;
-                if (auto id = lastIdIn(out); events && !id.empty())
-                    progress.lastEventId = std::move(id);
+                if (events)
+                    recordEvents(progress, out);
                 progress.bytes += out.size();
             }
             first.clear();
@@ -286,9 +304,9 @@
             const bool connected = co_await exchange.begin(std::move(head));
             co_return co_await relayPieces(call, std::move(answer.body), false, exchange, connected, progress, std::move(options));
         }
-        const bool gone = co_await isServerGone(call, options);
-        if (gone)
-            co_return incompleteOutcome(exchange.callerGone(), serverGoneFailure());
+        const bool broken = co_await isBrokenOff(call, progress.run, options);
+        if (broken)
+            co_return incompleteOutcome(exchange.callerGone(), brokenOffFailure(progress.run));
         co_return co_await sendWhole(std::move(answer.body), std::move(head), exchange, progress, options.recordLimit);
     }
 
@@ -328,6 +346,9 @@
     if (length && *length > maxStatedBytes)
         co_return cutOutcome(call, "the answer states a length of " + std::to_string(*length) + " bytes");
     const bool isStream = isEventStream(head);
+    progress.run = {};
+    progress.run.framing = length ? "length" : call.framed() ? "chunks"
+                                                             : "none";
     dropHopHeaders(head);
     if (exchange.request().method() == http::verb::head)
         co_return co_await relayHeadOnly(call, std::move(head), exchange, progress);
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -4,6 +4,7 @@
 #include "daemon/byte_budget.h"
 #include "daemon/http_client.h"
 #include "daemon/http_server.h"
+#include "policy/requests/answer_end.h"
 
 #include <functional>
 #include <optional>
@@ -11,6 +12,17 @@
 
 namespace rampgap {
 
+// What one server sent of an answer.
+struct relayed_run {
+    // "length", "chunks" or "none".
+    std::string_view framing = "-";
+    std::uint64_t events = 0;
+    // Ids of the first and the last event that had one.
+    std::string firstId;
+    std::string lastId;
+    answer_end_sign sign = answer_end_sign::none;
+};
+
 // What has been relayed so far; the same object continues when a stream is resumed.
 struct relay_progress {
     bool begun = false;
@@ -19,6 +31,8 @@
     // Id of the last sent event that had one.
     std::string lastEventId;
     std::uint64_t bytes = 0;
+    // Of the current server.
+    relayed_run run;
     // When the first and the latest bytes of the body arrived, and the longest pause between two reads.
     std::optional<instant> firstBytesAt;
     instant newestBytesAt {};
@@ -48,8 +62,8 @@
     // What all answers of the process may hold back together: events and answers that are not complete yet. Null: any number.
     std::shared_ptr<byte_budget> heldAnswers;
     // Called at the end of an answer with neither a length nor chunks, before the caller is told that it is
-    // complete: returns false if the connection ended because the server did.
-    std::function<awaitable<bool>()> confirmEnd;
+    // complete: returns the sign that tells whether the answer ended or was broken off.
+    std::function<awaitable<answer_end_sign>()> judgeEnd;
 };
 
 enum class relay_end { complete,
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -13,6 +13,9 @@
     constexpr const char* failureName = "rampgap_requests_refused_total";
     constexpr const char* failureHelp = "Requests that ended in a failure, by reason and verdict";
 
+    constexpr const char* answerEndName = "rampgap_unframed_ends_total";
+    constexpr const char* answerEndHelp = "Ends of answers with neither a length nor chunks, by the sign that told them from a break";
+
     constexpr std::array<metric_row, metricCount> rows { {
         { metric::requests_received, "rampgap_requests_received_total", "Requests received from callers or entry VMs", false },
         { metric::requests_answered, "rampgap_requests_answered_total", "Requests answered whole by a backend server", false },
@@ -130,6 +133,14 @@
     counter->Increment();
 }
 
+void metrics::countAnswerEnd(answer_end_sign sign)
+{
+    prometheus::Counter*& counter = m_answerEnds.at(static_cast<std::size_t>(sign));
+    if (!counter)
+        counter = &prometheus::BuildCounter().Name(answerEndName).Help(answerEndHelp).Register(*m_registry).Add({ { "sign", std::string(toString(sign)) } });
+    counter->Increment();
+}
+
 std::string metrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "policy/common/verdict.h"
+#include "policy/requests/answer_end.h"
 
 #include <array>
 #include <map>
@@ -95,6 +96,8 @@
     void observe(latency, duration);
     // Counts a refusal under its reason and verdict.
     void countFailure(const failure&);
+    // Counts the end of an answer with neither a length nor chunks under the sign by which it was told from a break.
+    void countAnswerEnd(answer_end_sign);
     std::string serialize() const;
 
 private:
@@ -103,6 +106,7 @@
     std::array<prometheus::Gauge*, metricCount> m_gauges {};
     std::array<prometheus::Histogram*, latencyCount> m_latencies {};
     std::map<std::pair<verdict, failure_reason>, prometheus::Counter*> m_failures;
+    std::array<prometheus::Counter*, answerEndSignCount> m_answerEnds {};
 };
 
 } // namespace rampgap
--- /dev/null
+++ b/Source/gateway/requests/answer_end_judge.cpp
@@ -0,0 +1,50 @@
+#include "gateway/requests/answer_end_judge.h"
+
+#include "policy/requests/attempt_rules.h"
+#include "policy/routing/load_table.h"
+
+namespace rampgap {
+
+answer_end_judge::answer_end_judge(process_context& context, decision_log& log, group_directory& groups, crash_reporter& crashes)
+    : m_context(context)
+    , m_log(log)
+    , m_groups(groups)
+    , m_crashes(crashes)
+    , m_pauses(context.now(), std::chrono::system_clock::now())
+{
+}
+
+awaitable<answer_end_sign> answer_end_judge::judge(ended_answer ended)
+{
+    const instant endedAt = m_context.now();
+    const auto sign = co_await findSign(ended, endedAt);
+    auto line = m_log.requestLine("answer_end_judged");
+    line.add("request", ended.call.requestId).add("backend", ended.backend.id).add("sign", toString(sign)).add("events", ended.call.events);
+    line.add("silence_ms", endedAt - ended.newestBytesAt).add("looked_ms", m_context.now() - endedAt);
+    if (const auto age = m_groups.stateAge(ended.service, backendHash(ended.backend.id), m_context.now()))
+        line.add("group_news_ms", *age);
+    co_return sign;
+}
+
+// The ranks of a closed group end the connections of the streams that they cannot finish, also when it opens again.
+// A server that finishes an answer ends its connection right after the last bytes. While this process was paused, a
+// server may have crashed and been restarted at its address.
+awaitable<answer_end_sign> answer_end_judge::findSign(const ended_answer& ended, instant endedAt)
+{
+    if (ended.isStream && endedAt - ended.newestBytesAt >= longSilence)
+        co_return answer_end_sign::silence;
+    if (pauses() != ended.pausesBefore)
+        co_return answer_end_sign::process_paused;
+    if (ended.inGroup && m_groups.closedAt(ended.service, backendHash(ended.backend.id), m_context.now()))
+        co_return answer_end_sign::group_closed;
+    const bool confirmed = co_await m_crashes.confirmAnswerEnd(ended.backend, ended.call);
+    co_return confirmed ? answer_end_sign::server_answers : answer_end_sign::server_ended;
+}
+
+std::uint64_t answer_end_judge::pauses()
+{
+    m_pauses.check(m_context.now(), std::chrono::system_clock::now());
+    return m_pauses.epoch();
+}
+
+} // namespace rampgap
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -24,15 +24,27 @@
     // With less time left no server can answer the caller in time.
     constexpr milliseconds minTimeLeft { 20 };
     constexpr milliseconds groupPoll { 20 };
-    // A server that sends nothing for this long may have crashed silently; other gaps last up to half a
-    // second.
-    constexpr milliseconds longSilence { 1'000 };
     constexpr milliseconds fullRetryAfter { 200 };
 
     // Longest body of a refusal that is read in order to keep the connection.
     constexpr std::size_t maxDiscardedBody = 65'536;
     // It follows its head at once. The request waits here for another server meanwhile.
     constexpr milliseconds maxDiscardTime { 100 };
+    // Ids of events are a server's: longer ones are cut in the log.
+    constexpr std::size_t maxLoggedId = 32;
+
+    std::string_view loggedId(const std::string& id)
+    {
+        return std::string_view(id).substr(0, maxLoggedId);
+    }
+
+    // "BACKEND:FRAMING:FIRST..LAST:SIGN"
+    std::string describeRun(const std::string& backend, const relayed_run& run)
+    {
+        std::string text = backend + ":";
+        text.append(run.framing).append(":").append(loggedId(run.firstId)).append("..").append(loggedId(run.lastId)).append(":");
+        return text.append(toString(run.sign));
+    }
 
     // Reads and discards an answer's body; closes the connection if that fails.
     awaitable<void> discardBody(http_call& call)
@@ -57,10 +69,10 @@
     , m_client(context, serverConnectTimeout)
     , m_heldAnswers(std::make_shared<byte_budget>(maxHeldAnswers))
     , m_crashes(context, log, state, history, codec.makeProbe())
+    , m_ends(context, log, groups, m_crashes)
     , m_slots(context, log, state, loads, groups, backpressure)
     , m_picker(context, log, state, loads, groups, backpressure)
     , m_budget(bounds, context.startedAt())
-    , m_pauses(context.now(), std::chrono::system_clock::now())
 {
     m_history.onChange([this](request_fingerprint request) { withdrawCopies(request); });
 }
@@ -86,6 +98,7 @@
     m_context.counters().observe(latency::request, m_context.now() - request.receivedAt);
     if (!exchange.callerGone())
         countReturn(request, state, failed);
+    logStreamEnd(request, state, failed, exchange.callerGone());
     if (failed)
         co_await refuse(exchange, request, state, std::move(*failed));
     else
@@ -218,7 +231,7 @@
 
 void upstream_dispatcher::runPeriodicWork()
 {
-    countPauses();
+    m_ends.pauses();
     m_crashes.runPeriodicWork();
     m_slots.runPeriodicWork();
 }
@@ -353,6 +366,7 @@
     auto head = co_await call.start(backend.address, m_codec.makeUpstream(exchange.request(), request.parsed, facts), headDeadline);
     attempt_outcome outcome;
     state.notice = {};
+    state.relay.run = {};
     if (head) {
         state.notice = m_codec.readNotice(head.value());
         outcome = co_await processReply(exchange, request, state, backend, underWay, std::move(head.value()), sentAt, unread);
@@ -420,11 +434,10 @@
     const bool mayResumeElsewhere = request.route.resumable && state.runs < request.route.maxAttempts && m_budget.allowsRetry(request.service, sentAt);
     if (streams && mayResumeElsewhere)
         options.silenceLimit = streamSilenceLimit(m_groups.hasOtherOpenGroup(request.service, backendHash(backend.id), sentAt));
-    options.confirmEnd = [this, &request, &state, &backend, sentAt, streams, eventsBefore = state.relay.events, pausesBefore = countPauses()] {
-        const instant now = m_context.now();
-        const lost_call call { request.parsed.id, state.fingerprint, state.relay.events - eventsBefore, sentAt, now, state.parts };
-        const duration silence = streams ? now - std::max(sentAt, state.relay.newestBytesAt) : duration::zero();
-        return confirmAnswerEnd(request, backend, call, { silence, countPauses() != pausesBefore });
+    options.judgeEnd = [this, &request, &state, &backend, sentAt, streams, pausesBefore = m_ends.pauses()] {
+        lost_call call { request.parsed.id, state.fingerprint, state.relay.run.events, sentAt, m_context.now(), state.parts };
+        const instant newestBytesAt = std::max(sentAt, state.relay.newestBytesAt);
+        return m_ends.judge({ request.service, backend, std::move(call), streams, closesGroup(request), newestBytesAt, pausesBefore });
     };
     options.onFirstBytes = [&, sentAt] {
         underWay.recordFirstBytes();
@@ -448,6 +461,10 @@
         co_return attempt_outcome { mayHaveRun(failure_reason::backend_error, "the engine answered " + std::to_string(head.result_int())), attempt_result::failed };
     }
     auto relayed = co_await relayAnswer(call, std::move(head), exchange, state.relay, options);
+    if (!call.framed() && state.relay.run.sign != answer_end_sign::none)
+        m_context.counters().countAnswerEnd(state.relay.run.sign);
+    if (streams)
+        state.streamRuns.emplace_back(backend.id, state.relay.run);
     if (relayed.end == relay_end::truncated)
         co_return attempt_outcome { relayed.failed, relayed.failed->reason == failure_reason::deadline ? attempt_result::silent : attempt_result::failed };
     co_return attempt_outcome { std::nullopt, serverFailed ? attempt_result::failed : attempt_result::answered };
@@ -460,25 +477,6 @@
     return outcome.failed && outcome.failed->reason == failure_reason::connection_lost && outcome.failed->ran != verdict::not_run;
 }
 
-// The ranks of a closed group end the connections of the streams that they cannot finish, also when it opens again.
-// A server that finishes an answer ends its connection right after the last bytes. While this process was paused, a
-// server may have crashed and been restarted at its address.
-awaitable<bool> upstream_dispatcher::confirmAnswerEnd(const admitted_request& request, listed_backend backend, lost_call call, end_circumstances end)
-{
-    if (end.silence >= longSilence || end.paused)
-        co_return false;
-    if (closesGroup(request) && m_groups.closedAt(request.service, backendHash(backend.id), m_context.now()))
-        co_return false;
-    const bool confirmed = co_await m_crashes.confirmAnswerEnd(std::move(backend), std::move(call));
-    co_return confirmed;
-}
-
-std::uint64_t upstream_dispatcher::countPauses()
-{
-    m_pauses.check(m_context.now(), std::chrono::system_clock::now());
-    return m_pauses.epoch();
-}
-
 bool upstream_dispatcher::isAnswerBegun(const attempt_outcome& outcome, std::uint64_t events)
 {
     return outcome.result == attempt_result::answered || events >= earlyEvents;
@@ -514,6 +512,8 @@
     line.add("waited_ms", sentAt - request.receivedAt).add("took_ms", m_context.now() - sentAt).add("load", m_loads.total(backend.id, m_context.now()).requests).add("events", state.relay.events);
     if (const auto age = m_groups.stateAge(request.service, backendHash(backend.id), m_context.now()))
         line.add("group_news_ms", *age);
+    if (state.relay.run.framing != "-")
+        line.add("framing", state.relay.run.framing).add("run_events", state.relay.run.events).add("first_id", loggedId(state.relay.run.firstId)).add("last_id", loggedId(state.relay.run.lastId)).add("end_sign", toString(state.relay.run.sign));
     if (state.relay.firstBytesAt)
         line.add("first_ms", *state.relay.firstBytesAt - request.receivedAt).add("longest_pause_ms", state.relay.longestPause);
     if (state.notice.limitPerSecond)
@@ -528,6 +528,21 @@
         line.add("outcome", "answered");
 }
 
+void upstream_dispatcher::logStreamEnd(const admitted_request& request, const progress& state, const std::optional<failure>& failed, bool callerGone)
+{
+    const auto& runs = state.streamRuns;
+    const bool isPlainSuccess = runs.empty() || (runs.size() == 1 && !failed && !callerGone && runs.front().second.sign == answer_end_sign::framed);
+    if (isPlainSuccess)
+        return;
+    std::string joined;
+    for (const auto& [backend, run] : runs)
+        joined += (joined.empty() ? "" : ",") + describeRun(backend, run);
+    auto line = m_log.requestLine("stream_ended");
+    line.add("request", request.parsed.id).add("after", loggedId(request.parsed.lastEventId)).add("runs", joined).add("events", state.relay.events);
+    line.add("outcome", callerGone ? "caller_gone" : failed ? "broken_off"
+                                                            : "complete");
+}
+
 awaitable<void> upstream_dispatcher::refuse(http_exchange& exchange, const admitted_request& request, const progress& state, failure failed)
 {
     m_context.counters().countFailure(failed);
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -3,12 +3,12 @@
 
 #include "daemon/answer_relay.h"
 #include "gateway/process/gateway_settings.h"
+#include "gateway/requests/answer_end_judge.h"
 #include "gateway/requests/call_registry.h"
 #include "gateway/requests/crash_reporter.h"
 #include "gateway/requests/slot_allocator.h"
 #include "gateway/requests/upstream_picker.h"
 #include "policy/groups/group_directory.h"
-#include "policy/membership/pause_detector.h"
 #include "policy/routing/load_table.h"
 
 namespace rampgap {
@@ -44,6 +44,8 @@
         // Attempts that a server may have run.
         int runs = 0;
         relay_progress relay;
+        // What the servers sent of a stream, in their order, and the ids of the servers.
+        std::vector<std::pair<std::string, relayed_run>> streamRuns;
         verdict worst = verdict::not_run;
         std::string lastBackend;
         // What the server of the last attempt reported about itself.
@@ -85,18 +87,6 @@
     static bool mustAwaitProbe(const admitted_request&, const attempt_outcome&);
     // The server did not crash as it began to answer.
     static bool isAnswerBegun(const attempt_outcome&, std::uint64_t events);
-    // How the connection of an answer with neither a length nor chunks ended.
-    struct end_circumstances {
-        // Since the last bytes.
-        duration silence = duration::zero();
-        // This process was paused during the answer.
-        bool paused = false;
-    };
-
-    // False if such an answer was broken off.
-    awaitable<bool> confirmAnswerEnd(const admitted_request&, listed_backend, lost_call, end_circumstances);
-    // How often this process was paused so far.
-    std::uint64_t countPauses();
     static bool closesGroup(const admitted_request&);
     // A server has crashed under the request or part: withdraws the calls with it at other servers whose answers have not
     // begun.
@@ -105,6 +95,8 @@
     void recordRefusal(const admitted_request&, const listed_backend&, const server_notice&);
     awaitable<void> refuse(http_exchange&, const admitted_request&, const progress&, failure);
     void logAttempt(const admitted_request&, const progress&, const listed_backend&, const attempt_outcome&, instant sentAt);
+    // One line for a stream that is more than one framed answer of one server.
+    void logStreamEnd(const admitted_request&, const progress&, const std::optional<failure>&, bool callerGone);
 
     process_context& m_context;
     decision_log& m_log;
@@ -118,10 +110,10 @@
     std::shared_ptr<byte_budget> m_heldAnswers;
     call_registry m_calls;
     crash_reporter m_crashes;
+    answer_end_judge m_ends;
     slot_allocator m_slots;
     upstream_picker m_picker;
     shared_retry_budget m_budget;
-    pause_detector m_pauses;
 };
 
 } // namespace rampgap
--- a/Source/policy/requests/attempt_rules.h
+++ b/Source/policy/requests/attempt_rules.h
@@ -11,6 +11,10 @@
 // after a second, so trying another server is faster.
 inline constexpr milliseconds serverConnectTimeout { 250 };
 
+// A server that sends nothing for this long may have crashed silently; other gaps last up to half a
+// second.
+inline constexpr milliseconds longSilence { 1'000 };
+
 struct further_attempt_input {
     // What is known of all attempts so far together.
     verdict ran = verdict::not_run;
--- a/Tests/platform/unframed-answer/test.cpp
+++ b/Tests/platform/unframed-answer/test.cpp
@@ -103,7 +103,7 @@
     options.wholeEvents = true;
     options.bufferUnframed = true;
     options.heldAnswers = std::make_shared<byte_budget>(heldAnswers);
-    options.confirmEnd = [isServerAlive]() -> awaitable<bool> { co_return isServerAlive; };
+    options.judgeEnd = [isServerAlive]() -> awaitable<answer_end_sign> { co_return isServerAlive ? answer_end_sign::server_answers : answer_end_sign::server_ended; };
     const auto outcome = co_await relayAnswer(call, std::move(head.value()), exchange, progress, std::move(options));
     end = outcome.end;
 }
