requests: a connection that is let in and not answered does not show that an answer had ended

Cause: the look at the server was let in by the kernel and stayed without an answer for 250 ms, and that counted as a sign of life (answer_end_judged: silence_ms=19 looked_ms=250 sign=server_answers; call_crashed 31 ms later). For the evidence of crashes that is right, since a crash must be shown; for the end of an answer it is the wrong way round: that it is whole must be shown.

Now an answer shows it, and only then. A stream's end waits for a second look, 250 ms after the first, which the crash watch makes anyway: a server that ends its streams first may still answer the first one. A plain answer does not wait for that: it is held until its end is known. A look without an answer is the new sign server_silent.

Ruled out: reading delays (silence 19 ms), the group (plain servers do it too). Cost: the last chunk of a stream without length or chunks comes 0.25 s later, its events do not; no more looks than before.

--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -10,6 +10,7 @@
 namespace {
 
     constexpr milliseconds resultPollInterval { 1 };
+    constexpr milliseconds fatePollInterval { 5 };
     // A probe has no result if the connection is reset as the server ends, or is not made in time. The
     // number of probes is limited because callers wait for the result.
     constexpr int maxProbes = 3;
@@ -59,14 +60,27 @@
         co_await sleepFor(m_context.io(), resultPollInterval);
 }
 
+awaitable<server_fate> crash_watch::awaitFate(server_incarnation incarnation, instant endedAt, bool settled)
+{
+    const instant answeredAt = settled ? endedAt + maxShutdownTime : endedAt;
+    while (isLookedAt(incarnation) && !hasCrashed(incarnation) && !m_detector.answeredSince(incarnation, answeredAt))
+        co_await sleepFor(m_context.io(), settled ? fatePollInterval : resultPollInterval);
+    if (hasCrashed(incarnation))
+        co_return server_fate::ended;
+    co_return m_detector.answeredSince(incarnation, answeredAt) ? server_fate::answers : server_fate::unknown;
+}
+
 // After the last probe without a result, a crash can still be learned from a refused connection, a later
 // incarnation or a report of another process.
 awaitable<void> crash_watch::probe(server_incarnation incarnation, std::string address)
 {
+    ++m_looks[incarnation];
     // Callers wait for the end of the probe.
     const scope_exit ended(m_context, [this, &incarnation] {
         if (m_detector.isProbing(incarnation))
             m_detector.recordUndecided(incarnation);
+        if (--m_looks[incarnation] == 0)
+            m_looks.erase(incarnation);
     });
     for (int probes = 1; m_detector.isProbing(incarnation); ++probes) {
         const auto probed = co_await probeServer(m_context.io(), address, m_probeRequest);
@@ -75,6 +89,8 @@
             co_return;
         }
         if (probed.liveness != server_liveness::unknown) {
+            if (probed.liveness == server_liveness::answers)
+                m_detector.recordProbeAnswered(incarnation, m_context.now());
             m_detector.recordUndecided(incarnation);
             co_await confirm(incarnation, address, m_context.now());
             co_return;
@@ -94,7 +110,10 @@
     co_await sleepFor(m_context.io(), maxShutdownTime);
     if (!m_detector.isUndecided(incarnation))
         co_return;
+    const instant probedAt = m_context.now();
     const auto probed = co_await probeServer(m_context.io(), address, m_probeRequest);
+    if (probed.liveness == server_liveness::answers)
+        m_detector.recordProbeAnswered(incarnation, probedAt);
     if (probed.liveness == server_liveness::gone && m_detector.isUndecided(incarnation))
         recordCrashed(incarnation, address, "nothing listens at its address any more");
     else if (probed.liveness == server_liveness::answers || probed.liveness == server_liveness::listens)
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -21,6 +21,15 @@
     virtual void onProbeUnanswered(const server_incarnation&, const std::string& address, const std::string& reason) = 0;
 };
 
+// What became of a server after it had ended the connection of an answer.
+enum class server_fate {
+    // It answers.
+    answers,
+    ended,
+    // Neither is known: it could not be reached, or it accepted connections and answered nothing.
+    unknown,
+};
+
 class crash_watch {
 public:
     // `probeRequest`: a request that any server answers at once while its process works. Findings are
@@ -40,6 +49,9 @@
     bool isProbing(const server_incarnation& incarnation) const { return m_detector.isProbing(incarnation); }
     // Returns once the probes have shown a crash or a listening server, or have ended without a result.
     awaitable<void> awaitProbe(server_incarnation);
+    // What became of the server whose call, ended at `endedAt`, was given to `recordLost`. `settled`: a server that is ending
+    // may still answer, so that it is waited until it must have ended.
+    awaitable<server_fate> awaitFate(server_incarnation, instant endedAt, bool settled);
     bool hasCrashed(const server_incarnation& incarnation) const { return m_detector.hasCrashed(incarnation, m_context.now()); }
     // The server is known to have ended; `why` goes into the log.
     void recordCrashed(const server_incarnation&, const std::string& address, const std::string& why);
@@ -56,12 +68,15 @@
     // Probes once more, since a server that still listened may have been ending.
     awaitable<void> confirm(server_incarnation, std::string address, instant listenedAt);
     void recordCallCrashed(const server_incarnation&, const lost_call&);
+    bool isLookedAt(const server_incarnation& incarnation) const { return isProbing(incarnation) || m_looks.contains(incarnation); }
 
     process_context& m_context;
     crash_history& m_history;
     crash_listener& m_listener;
     http_request m_probeRequest;
     crash_detector m_detector;
+    // How many probes of each server have begun and have not been followed by their second one yet.
+    std::map<server_incarnation, int> m_looks;
 };
 
 } // namespace rampgap
--- a/Source/gateway/requests/answer_end_judge.cpp
+++ b/Source/gateway/requests/answer_end_judge.cpp
@@ -37,8 +37,11 @@
         co_return answer_end_sign::process_paused;
     if (ended.inGroup && m_groups.closedAt(ended.service, backendHash(ended.backend.id), m_context.now()))
         co_return answer_end_sign::group_closed;
-    const bool confirmed = co_await m_crashes.confirmAnswerEnd(ended.backend, ended.call);
-    co_return confirmed ? answer_end_sign::server_answers : answer_end_sign::server_ended;
+    // A stream's events have been sent, so that its end may wait; a plain answer is held until it is known to be whole.
+    const auto fate = co_await m_crashes.awaitFate(ended.backend, ended.call, ended.isStream);
+    if (fate == server_fate::answers)
+        co_return answer_end_sign::server_answers;
+    co_return fate == server_fate::ended ? answer_end_sign::server_ended : answer_end_sign::server_silent;
 }
 
 std::uint64_t answer_end_judge::pauses()
--- a/Source/gateway/requests/crash_reporter.cpp
+++ b/Source/gateway/requests/crash_reporter.cpp
@@ -33,11 +33,14 @@
     m_watch.recordLost(incarnation, backend.address, call);
 }
 
-awaitable<bool> crash_reporter::confirmAnswerEnd(listed_backend backend, lost_call call)
+awaitable<server_fate> crash_reporter::awaitFate(listed_backend backend, lost_call call, bool settled)
 {
+    if (!isCrashPossible(backend))
+        co_return server_fate::answers;
+    const instant endedAt = call.lostAt;
     recordLostCall(backend, call);
-    co_await awaitProbe(backend);
-    co_return !m_watch.hasCrashed(incarnationOf(backend));
+    const auto fate = co_await m_watch.awaitFate(incarnationOf(backend), endedAt, settled);
+    co_return fate;
 }
 
 void crash_reporter::recordWithdrawnCall(const listed_backend& backend, const lost_call& call)
--- a/Source/gateway/requests/crash_reporter.h
+++ b/Source/gateway/requests/crash_reporter.h
@@ -21,9 +21,9 @@
     void recordLostCall(const listed_backend&, const lost_call&);
     // The call was ended by this process before its answer had arrived.
     void recordWithdrawnCall(const listed_backend&, const lost_call&);
-    // An answer ended with its connection. Returns true unless the server has crashed, in which case the call counts
-    // as lost.
-    awaitable<bool> confirmAnswerEnd(listed_backend, lost_call);
+    // An answer ended with its connection: what has become of its server. If it has crashed, the call counts as lost.
+    // `settled`: see `crash_watch::awaitFate`.
+    awaitable<server_fate> awaitFate(listed_backend, lost_call, bool settled);
     // A connection to the server was refused: nothing listened at its address.
     void recordRefusedConnection(const listed_backend&);
     // The first part of the answer to a call sent at `sentAt` has arrived.
--- a/Source/policy/requests/answer_end.cpp
+++ b/Source/policy/requests/answer_end.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, answerEndSignCount> names { "none", "framed", "server_answers", "inside_event", "no_event", "silence", "process_paused", "group_closed", "server_ended" };
+    constexpr std::array<std::string_view, answerEndSignCount> names { "none", "framed", "server_answers", "inside_event", "no_event", "silence", "process_paused", "group_closed", "server_ended", "server_silent" };
 
 } // namespace
 
--- a/Source/policy/requests/answer_end.h
+++ b/Source/policy/requests/answer_end.h
@@ -21,9 +21,10 @@
     process_paused,
     group_closed,
     server_ended,
+    server_silent,
 };
 
-inline constexpr std::size_t answerEndSignCount = 9;
+inline constexpr std::size_t answerEndSignCount = 10;
 
 // As in logs and metrics.
 std::string_view toString(answer_end_sign);
--- a/Source/policy/requests/crash_detector.cpp
+++ b/Source/policy/requests/crash_detector.cpp
@@ -95,6 +95,18 @@
     return calls;
 }
 
+void crash_detector::recordProbeAnswered(const server_incarnation& server, instant then)
+{
+    auto& newest = m_probeAnswered.try_emplace(server, then).first->second;
+    newest = std::max(newest, then);
+}
+
+bool crash_detector::answeredSince(const server_incarnation& server, instant then) const
+{
+    const auto answered = m_probeAnswered.find(server);
+    return answered != m_probeAnswered.end() && answered->second >= then;
+}
+
 bool crash_detector::isProbing(const server_incarnation& server) const
 {
     const auto entry = m_suspicions.find(server);
@@ -121,6 +133,7 @@
 {
     const auto isOld = [now](const lost_call& call) { return now - call.lostAt >= suspicionLifetime; };
     std::erase_if(m_crashed, [now](const auto& crashed) { return now - crashed.second >= crashedLifetime; });
+    std::erase_if(m_probeAnswered, [now](const auto& answered) { return now - answered.second >= suspicionLifetime; });
     for (auto& [server, entry] : m_suspicions) {
         std::erase_if(entry.calls, isOld);
         std::erase_if(entry.withdrawn, isOld);
--- a/Source/policy/requests/crash_detector.h
+++ b/Source/policy/requests/crash_detector.h
@@ -64,6 +64,10 @@
     // returns the calls that it was running.
     std::vector<lost_call> recordCrashed(const server_incarnation&, instant now);
     bool hasCrashed(const server_incarnation&, instant now) const;
+    // The server answered a probe that was sent, or waited for, at `then`.
+    void recordProbeAnswered(const server_incarnation&, instant then);
+    // True if a probe showed that the server's process worked at `then` or later.
+    bool answeredSince(const server_incarnation&, instant then) const;
 
     // Calls at the server ended, and it is not known whether the server did.
     bool isUndecided(const server_incarnation& server) const { return m_suspicions.contains(server); }
@@ -88,6 +92,8 @@
 
     std::map<server_incarnation, suspicion> m_suspicions;
     std::map<server_incarnation, instant> m_crashed;
+    // When each server last answered a probe.
+    std::map<server_incarnation, instant> m_probeAnswered;
 };
 
 } // namespace rampgap
--- a/Tests/platform/dying-server/test.cpp
+++ b/Tests/platform/dying-server/test.cpp
@@ -245,3 +245,56 @@
     process.probeUntilDecided(running.address());
     CHECK(process.watch.undecided().empty());
 }
+
+namespace {
+
+// What `awaitFate` finds of a call that has just ended.
+server_fate fateAt(watching_process& process, const std::string& address)
+{
+    const auto call = process.call();
+    process.watch.recordLost(incarnation, address, call);
+    std::optional<server_fate> fate;
+    const auto wait = [&]() -> awaitable<void> {
+        fate = co_await process.watch.awaitFate(incarnation, call.lostAt, true);
+    };
+    asio::co_spawn(process.context.io(), wait(), asio::detached);
+    const instant end = process.context.now() + maxWait;
+    while (!fate && process.context.now() < end) {
+        process.context.io().restart();
+        process.context.io().run_one_for(milliseconds(1));
+    }
+    REQUIRE(fate);
+    return *fate;
+}
+
+} // namespace
+
+TEST_CASE("a connection that is let in and not answered is no sign that an answer had ended before its server did")
+{
+    // Streams without a length or chunks ended as complete at servers that went on listening as they ended.
+    watching_process process;
+    server ending(process.context.io());
+    asio::co_spawn(process.context.io(), endAfter(process.context.io(), ending, milliseconds(400)), asio::detached);
+    CHECK((fateAt(process, ending.address()) == server_fate::ended));
+    watching_process another;
+    server silent(another.context.io());
+    asio::co_spawn(another.context.io(), silent.serve(false), asio::detached);
+    CHECK((fateAt(another, silent.address()) == server_fate::unknown));
+}
+
+TEST_CASE("a server that answers once while it is ending, and then is gone, had broken its answers off")
+{
+    watching_process process;
+    server ending(process.context.io());
+    asio::co_spawn(process.context.io(), ending.answer(), asio::detached);
+    asio::co_spawn(process.context.io(), endAfter(process.context.io(), ending, milliseconds(100)), asio::detached);
+    CHECK((fateAt(process, ending.address()) == server_fate::ended));
+}
+
+TEST_CASE("a server that goes on answering had finished its answers")
+{
+    watching_process process;
+    server running(process.context.io());
+    asio::co_spawn(process.context.io(), running.answer(), asio::detached);
+    CHECK((fateAt(process, running.address()) == server_fate::answers));
+}
