requests: a server that drains or is not listed any more is looked at, too, before its answer counts as whole

Class: no evidence of a break taken for evidence of an end.

Now it is looked at twice like others, and nothing is recorded of it. One whose address or id another has taken has ended.

That way round no caller takes a part for the whole.

--- a/Source/daemon/crash_watch.cpp
+++ b/Source/daemon/crash_watch.cpp
@@ -70,6 +70,18 @@
     co_return m_detector.answeredSince(incarnation, answeredAt) ? server_fate::answers : server_fate::unknown;
 }
 
+awaitable<server_fate> crash_watch::lookAt(std::string address, bool settled)
+{
+    auto probed = co_await probeServer(m_context.io(), address, m_probeRequest);
+    if (settled && probed.liveness == server_liveness::answers) {
+        co_await sleepFor(m_context.io(), maxShutdownTime);
+        probed = co_await probeServer(m_context.io(), address, m_probeRequest);
+    }
+    if (probed.liveness == server_liveness::answers)
+        co_return server_fate::answers;
+    co_return probed.liveness == server_liveness::gone ? server_fate::ended : server_fate::unknown;
+}
+
 // After the last probe without a result, a crash can still be learned from a refused connection, a later
 // incarnation or a report of another process.
 awaitable<void> crash_watch::probe(server_incarnation incarnation, std::string address)
--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -52,6 +52,8 @@
     // What became of the server whose call, ended at `endedAt`, was given to `recordLost`. `settled`: a server that is ending
     // may still answer, so that it is waited until it must have ended.
     awaitable<server_fate> awaitFate(server_incarnation, instant endedAt, bool settled);
+    // The same of a server whose end is no crash: nothing is recorded.
+    awaitable<server_fate> lookAt(std::string address, bool settled);
     bool hasCrashed(const server_incarnation& incarnation) const { return m_detector.hasCrashed(incarnation, m_context.now()); }
     // The server is known to have ended; `why` goes into the log.
     void recordCrashed(const server_incarnation&, const std::string& address, const std::string& why);
--- a/Source/gateway/requests/crash_reporter.cpp
+++ b/Source/gateway/requests/crash_reporter.cpp
@@ -35,8 +35,14 @@
 
 awaitable<server_fate> crash_reporter::awaitFate(listed_backend backend, lost_call call, bool settled)
 {
-    if (!isCrashPossible(backend))
-        co_return server_fate::answers;
+    if (!isCrashPossible(backend)) {
+        // Another server at its address has followed it.
+        const bool replaced = hasRestarted(incarnationOf(backend), backend.address);
+        if (replaced)
+            co_return server_fate::ended;
+        const auto left = co_await m_watch.lookAt(backend.address, settled);
+        co_return left;
+    }
     const instant endedAt = call.lostAt;
     recordLostCall(backend, call);
     const auto fate = co_await m_watch.awaitFate(incarnationOf(backend), endedAt, settled);
