requests: an unframed stream does not count as whole if its group closed while it ran, or just after

Cause: the group's closing was looked up once, as the connection ended. Its news were still on their way (answer_end_judged: silence_ms=103 looked_ms=1 group_news_ms=15, sign=server_answers, the closing known some ten ms later), the group had opened again by then, or the server was started a moment ago and its group not known yet.

--- a/Source/gateway/requests/answer_end_judge.h
+++ b/Source/gateway/requests/answer_end_judge.h
@@ -16,6 +16,7 @@
     bool isStream = false;
     // The server is a rank of a group, which stops as a whole.
     bool inGroup = false;
+    instant begunAt {};
     // When the last bytes were read.
     instant newestBytesAt {};
     // `answer_end_judge::pauses()` as the answer began.
@@ -33,6 +34,8 @@
 
 private:
     awaitable<answer_end_sign> findSign(const ended_answer&, instant endedAt);
+    // Whether the server's group is known to have closed during the answer, or just after its end.
+    bool groupClosed(const ended_answer&) const;
 
     process_context& m_context;
     decision_log& m_log;
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -434,10 +434,10 @@
     const bool mayResumeElsewhere = request.route.resumable && state.runs < request.route.maxAttempts && m_budget.allowsRetry(request.service, sentAt);
     if (streams && mayResumeElsewhere)
         options.silenceLimit = streamSilenceLimit(m_groups.hasOtherOpenGroup(request.service, backendHash(backend.id), sentAt));
-    options.judgeEnd = [this, &request, &state, &backend, sentAt, streams, pausesBefore = m_ends.pauses()] {
+    options.judgeEnd = [this, &request, &state, &backend, sentAt, streams, begunAt = m_context.now(), pausesBefore = m_ends.pauses()] {
         lost_call call { request.parsed.id, state.fingerprint, state.relay.run.events, sentAt, m_context.now(), state.parts };
         const instant newestBytesAt = std::max(sentAt, state.relay.newestBytesAt);
-        return m_ends.judge({ request.service, backend, std::move(call), streams, closesGroup(request), newestBytesAt, pausesBefore });
+        return m_ends.judge({ request.service, backend, std::move(call), streams, closesGroup(request), begunAt, newestBytesAt, pausesBefore });
     };
     options.onFirstBytes = [&, sentAt] {
         underWay.recordFirstBytes();
--- a/Source/policy/groups/group_directory.cpp
+++ b/Source/policy/groups/group_directory.cpp
@@ -36,7 +36,7 @@
     const instant at = now - age;
     const auto found = m_groups.find(update.key);
     if (found == m_groups.end()) {
-        m_groups[update.key] = { update.phase, at, at };
+        m_groups[update.key] = { update.phase, at, at, update.phase.open ? std::nullopt : std::optional(at) };
         return true;
     }
     const auto knownRank = found->second.phase.rank();
@@ -46,6 +46,8 @@
     found->second.confirmedAt = changed ? at : std::max(found->second.confirmedAt, at);
     if (changed)
         found->second.changedAt = at;
+    if (update.phase.closings() > found->second.phase.closings())
+        found->second.closedAt = at;
     found->second.phase = update.phase;
     return changed;
 }
@@ -191,6 +193,17 @@
     return std::chrono::duration_cast<milliseconds>(now - found->second.confirmedAt);
 }
 
+std::optional<instant> group_directory::lastClosing(const std::string& service, std::uint32_t backendHash) const
+{
+    const group_key key = groupKeyOf(service, backendHash);
+    std::optional<instant> last;
+    for (auto group = m_groups.lower_bound(key); group != m_groups.end() && group->first.service == service; ++group) {
+        if (key.group.empty() || group->first == key)
+            last = std::max(last, group->second.closedAt);
+    }
+    return last;
+}
+
 std::vector<group_key> group_directory::groupsOf(const std::string& service, instant now) const
 {
     std::vector<group_key> keys;
--- a/Source/policy/groups/group_directory.h
+++ b/Source/policy/groups/group_directory.h
@@ -32,6 +32,8 @@
     bool open = false;
 
     auto rank() const { return epoch * 2 + (open ? 0 : 1); }
+    // How often the group has closed: each epoch but the first follows a closing.
+    auto closings() const { return epoch + (open ? 0 : 1); }
     bool operator==(const group_phase&) const = default;
 };
 
@@ -87,6 +89,9 @@
     // process knows; empty if none ever did.
     std::optional<milliseconds> stateAge(const std::string& service, std::uint32_t backendHash, instant now) const;
 
+    // When the server's group last closed, or any group of the service if the server's is not known; empty if none did.
+    std::optional<instant> lastClosing(const std::string& service, std::uint32_t backendHash) const;
+
     // True if the server's group is known or suspected to be closed.
     bool closedAt(const std::string& service, std::uint32_t backendHash, instant now) const;
     // True if any group of the service is known.
@@ -105,6 +110,7 @@
         group_phase phase;
         instant confirmedAt;
         instant changedAt;
+        std::optional<instant> closedAt;
     };
 
     // That a group is closed.
--- a/Tests/platform/group-state/test.cpp
+++ b/Tests/platform/group-state/test.cpp
@@ -239,3 +239,23 @@
     CHECK_FALSE(board.hasGroups("other", zero));
     CHECK_FALSE(board.hasGroups("model", zero + milliseconds(20'000)));
 }
+
+TEST_CASE("a closing stays known once the group has opened again, and an opening is none")
+{
+    // Streams that their servers had broken off in a closing that was over, or that nobody had heard of, ended as complete.
+    const instant closedAt = zero + milliseconds(100);
+    group_directory board(lifetime);
+    board.recordMember(engine, { "model", "g" });
+    board.mergeUpdate(update(1, true), milliseconds(0), zero);
+    CHECK_FALSE(board.lastClosing("model", engine));
+    board.mergeUpdate(update(1, false), milliseconds(20), closedAt + milliseconds(20));
+    board.mergeUpdate(update(2, true), milliseconds(0), closedAt + milliseconds(300));
+    CHECK(board.lastClosing("model", engine) == closedAt);
+    // The news of a closing were lost: the next epoch shows it.
+    const instant again = closedAt + milliseconds(900);
+    board.mergeUpdate(update(3, true), milliseconds(0), again);
+    CHECK(board.lastClosing("model", engine) == again);
+    // A server whose group is not known may be in any of the service's.
+    CHECK(board.lastClosing("model", engine + 1) == again);
+    CHECK_FALSE(board.lastClosing("other", engine));
+}
