requests: a run that resumes a stream is checked event by event before its caller gets it

Cause: head and events of a resumed run were relayed unread; only a status of 500 and more ended it. Class: what a server says is taken on trust where it could be compared with what the caller has.

Now the head must be a success and an event stream. Events are parsed by the standard (event_stream_parser: CR LF and CR as well, which were held until the end of the stream, and passed on with the last byte) and compared with the last id sent (stream_continuation), also after a caller's own Last-Event-Id. What the caller has is dropped, within bounds; a gap against the usual step of the service's ids (event_id_steps) fails the attempt. After an event without an id nothing is resumed.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -1,5 +1,6 @@
 #include "daemon/answer_relay.h"
 
+#include "policy/requests/stream_continuation.h"
 #include <algorithm>
 
 namespace rampgap {
@@ -16,7 +17,6 @@
     constexpr std::size_t maxEventBytes = 262'144;
     // What an answer holds up to this does not count towards what all may hold: sound ones hold less.
     constexpr std::size_t unsharedAnswerBytes = 16'384;
-    constexpr std::string_view eventEnd = "\n\n";
     // If writing to the caller took longer than this, the gap may be the caller's delay.
     constexpr milliseconds maxWriteTime { 10 };
 
@@ -28,37 +28,6 @@
         head.erase(http::field::keep_alive);
     }
 
-    // Holds back the beginning of an event until the complete event has arrived.
-    class event_splitter {
-    public:
-        // Returns all events that are complete now that `piece` has arrived.
-        std::string push(std::string_view piece)
-        {
-            m_partial.append(piece);
-            const auto end = m_partial.rfind(eventEnd);
-            if (end == std::string::npos)
-                return {};
-            std::string complete = m_partial.substr(0, end + eventEnd.size());
-            m_partial.erase(0, complete.size());
-            return complete;
-        }
-
-        std::string takeRest() { return std::exchange(m_partial, {}); }
-        bool inEvent() const { return !m_partial.empty(); }
-        std::size_t heldBytes() const { return m_partial.size(); }
-
-    private:
-        std::string m_partial;
-    };
-
-    std::uint64_t countEvents(std::string_view text)
-    {
-        std::uint64_t count = 0;
-        for (auto at = text.find(eventEnd); at != std::string_view::npos; at = text.find(eventEnd, at + eventEnd.size()))
-            ++count;
-        return count;
-    }
-
     // Measures the gaps between reads that completed an event.
     class gap_meter {
     public:
@@ -80,36 +49,66 @@
         instant m_readFrom {};
     };
 
-    // The values of the "id:" lines.
-    std::vector<std::string> idsIn(std::string_view text)
-    {
-        constexpr std::string_view field = "id:";
-        std::vector<std::string> ids;
-        for (auto at = text.find(field); at != std::string_view::npos; at = text.find(field, at + field.size())) {
-            if (at > 0 && text[at - 1] != '\n')
-                continue;
-            auto value = text.substr(at + field.size());
-            value = value.substr(0, value.find('\n'));
-            while (!value.empty() && value.front() == ' ')
-                value.remove_prefix(1);
-            ids.emplace_back(value);
+    // Passes on the events of one run that its caller does not have yet.
+    class event_filter {
+    public:
+        event_filter(const relay_progress& progress, const relay_options& options)
+            : m_continuation(options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps ? options.idSteps->usual() : std::nullopt)
+            , m_steps(options.idSteps)
+        {
         }
-        return ids;
-    }
 
-    void recordEvents(relay_progress& progress, std::string_view text)
+        // The events that are whole now, without those that the caller has.
+        result<std::vector<stream_event>> push(std::string_view piece)
+        {
+            auto events = m_parser.push(piece);
+            std::vector<stream_event> passed;
+            passed.reserve(events.size());
+            for (auto& event : events) {
+                learnStep(event);
+                switch (m_continuation.check(event)) {
+                case continuation_verdict::send:
+                    passed.push_back(std::move(event));
+                    break;
+                case continuation_verdict::drop:
+                    break;
+                case continuation_verdict::gap:
+                    return mayHaveRun(failure_reason::backend_error, "the server that was to go on with the stream left events out");
+                case continuation_verdict::too_many_repeated:
+                    return mayHaveRun(failure_reason::backend_error, "the server that was to go on with the stream repeats too much of it");
+                }
+            }
+            return passed;
+        }
+
+        std::string takeRest() { return m_parser.takeRest(); }
+        bool inEvent() const { return m_parser.inEvent(); }
+        std::size_t heldBytes() const { return m_parser.heldBytes(); }
+        std::size_t repeated() const { return m_continuation.repeated(); }
+
+    private:
+        void learnStep(const stream_event& event)
+        {
+            if (!m_steps || !event.id)
+                return;
+            const auto number = eventNumber(*event.id);
+            if (number && m_previous)
+                m_steps->record(*m_previous, *number);
+            m_previous = number;
+        }
+
+        event_stream_parser m_parser;
+        stream_continuation m_continuation;
+        std::shared_ptr<event_id_steps> m_steps;
+        std::optional<std::uint64_t> m_previous;
+    };
+
+    std::string joinBytes(const std::vector<stream_event>& events)
     {
-        const std::uint64_t events = countEvents(text);
-        progress.events += events;
-        progress.run.events += events;
-        const auto ids = idsIn(text);
-        if (ids.empty())
-            return;
-        if (progress.run.firstId.empty())
-            progress.run.firstId = ids.front();
-        progress.run.lastId = ids.back();
-        if (!ids.back().empty())
-            progress.lastEventId = ids.back();
+        std::string text;
+        for (const auto& event : events)
+            text += event.bytes;
+        return text;
     }
 
     // Copies an answer as long as it does not exceed the limit.
@@ -214,6 +213,21 @@
     newestBytesAt = now;
 }
 
+void relay_progress::recordEvent(const stream_event& event)
+{
+    if (!event.isEvent())
+        return;
+    ++events;
+    ++run.events;
+    if (event.id) {
+        if (run.firstId.empty())
+            run.firstId = *event.id;
+        run.lastId = *event.id;
+        lastEventId = *event.id;
+    }
+    mayGoOn = event.id && mayNameEvent(*event.id);
+}
+
 bool isEventStream(const http_head& head)
 {
     const auto type = head[http::field::content_type];
@@ -228,7 +242,9 @@
         const bool events = options.wholeEvents && isStream;
         const bool lengthKnown = call.statedLength().has_value();
         held_bytes held(options.heldAnswers, unsharedAnswerBytes);
-        event_splitter splitter;
+        event_filter filter(progress, options);
+        // A run that is to go on after the last event has none.
+        const bool mayBeEmpty = options.checkContinuation && !progress.lastEventId.empty();
         answer_copy copy(options.recordLimit);
         gap_meter gaps;
         for (;;) {
@@ -248,8 +264,8 @@
                 progress.recordBytes(boot_clock::now());
             if (const auto action = std::exchange(options.onFirstBytes, nullptr))
                 action();
-            if (last && events && !call.framed() && (splitter.inEvent() || progress.events == 0)) {
-                progress.run.sign = splitter.inEvent() ? answer_end_sign::inside_event : answer_end_sign::no_event;
+            if (last && events && !call.framed() && (filter.inEvent() || (progress.run.events == 0 && !mayBeEmpty))) {
+                progress.run.sign = filter.inEvent() ? answer_end_sign::inside_event : answer_end_sign::no_event;
                 co_return incompleteOutcome(false, mayHaveRun(failure_reason::connection_lost, "the stream ended inside an event, or before the first one"));
             }
             if (last) {
@@ -258,9 +274,18 @@
                     co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, brokenOffFailure(progress.run));
             }
             copy.append(piece);
+            std::vector<stream_event> passed;
             std::string complete;
-            if (events)
-                complete = last ? splitter.takeRest() : splitter.push(piece);
+            if (events && last)
+                complete = filter.takeRest();
+            if (events && !last) {
+                auto pushed = filter.push(piece);
+                progress.run.repeated = filter.repeated();
+                if (!pushed)
+                    co_return cutOutcome(call, pushed.error().message);
+                passed = std::move(pushed.value());
+                complete = joinBytes(passed);
+            }
             const std::string_view out = events ? std::string_view(complete) : piece;
             if (events && !out.empty() && options.onEventGap) {
                 if (const auto gap = gaps.recordEvent(boot_clock::now()))
@@ -269,12 +294,12 @@
             if (callerConnected && !out.empty()) {
                 callerConnected = co_await exchange.write(out);
                 gaps.recordWritten(boot_clock::now());
-                if (events)
-                    recordEvents(progress, out);
+                for (const auto& event : passed)
+                    progress.recordEvent(event);
                 progress.bytes += out.size();
             }
             first.clear();
-            if (splitter.heldBytes() > maxEventBytes || !held.resize(splitter.heldBytes()))
+            if (filter.heldBytes() > maxEventBytes || !held.resize(filter.heldBytes()))
                 co_return cutOutcome(call, "an event of the answer is larger than may be held");
             if (!isStream && !lengthKnown && progress.bytes > maxUnframedBytes)
                 co_return cutOutcome(call, "the answer has no stated length and does not end");
@@ -352,7 +377,8 @@
     dropHopHeaders(head);
     if (exchange.request().method() == http::verb::head)
         co_return co_await relayHeadOnly(call, std::move(head), exchange, progress);
-    if (length && *length <= wholeAnswerBytes && !progress.begun)
+    const bool goesOn = isStream && options.checkContinuation && !progress.lastEventId.empty();
+    if (length && *length <= wholeAnswerBytes && !progress.begun && !goesOn)
         co_return co_await relaySmall(call, std::move(head), exchange, progress, std::move(options));
     // A long answer of known length is passed on as it comes: held whole, 200 of 1 MB for slow callers would exceed the VM's memory.
     if (options.bufferUnframed && !isStream && !length && !progress.begun)
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -5,6 +5,8 @@
 #include "daemon/http_client.h"
 #include "daemon/http_server.h"
 #include "policy/requests/answer_end.h"
+#include "policy/requests/event_id_steps.h"
+#include "policy/requests/event_stream_parser.h"
 
 #include <functional>
 #include <optional>
@@ -20,6 +22,8 @@
     // Ids of the first and the last event that had one.
     std::string firstId;
     std::string lastId;
+    // Events that the caller had already, and that it was not sent again.
+    std::uint64_t repeated = 0;
     answer_end_sign sign = answer_end_sign::none;
 };
 
@@ -28,8 +32,10 @@
     bool begun = false;
     // Complete server-sent events sent to the caller.
     std::uint64_t events = 0;
-    // Id of the last sent event that had one.
+    // Id of the last event that the caller has and that had one.
     std::string lastEventId;
+    // A server can be asked to go on after the last event sent: it had an id, or there was none yet.
+    bool mayGoOn = true;
     std::uint64_t bytes = 0;
     // Of the current server.
     relayed_run run;
@@ -39,11 +45,16 @@
     milliseconds longestPause { 0 };
 
     void recordBytes(instant now);
+    void recordEvent(const stream_event&);
 };
 
 struct relay_options {
     // Relay only complete server-sent events, so that a stream that breaks off ends between two of them.
     bool wholeEvents = false;
+    // Check that the events of a stream go on after `relay_progress::lastEventId`.
+    bool checkContinuation = false;
+    // What the ids of the service's events rise by; learned from whole runs. Null: not known.
+    std::shared_ptr<event_id_steps> idSteps;
     // Read the answer to its end even if the caller has disconnected, so that the request is not aborted.
     bool finishWithoutCaller = false;
     // Keep a copy of an answer of up to this many bytes; 0 keeps none.
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -30,6 +30,8 @@
     constexpr std::size_t maxDiscardedBody = 65'536;
     // It follows its head at once. The request waits here for another server meanwhile.
     constexpr milliseconds maxDiscardTime { 100 };
+    // Configurations come and go, and each may name other services.
+    constexpr std::size_t maxServices = 1'024;
     // Ids of events are a server's: longer ones are cut in the log.
     constexpr std::size_t maxLoggedId = 32;
 
@@ -38,11 +40,11 @@
         return std::string_view(id).substr(0, maxLoggedId);
     }
 
-    // "BACKEND:FRAMING:FIRST..LAST:SIGN"
+    // "BACKEND:FRAMING[+REPEATED EVENTS]:FIRST..LAST:SIGN"
     std::string describeRun(const std::string& backend, const relayed_run& run)
     {
         std::string text = backend + ":";
-        text.append(run.framing).append(":").append(loggedId(run.firstId)).append("..").append(loggedId(run.lastId)).append(":");
+        text.append(run.framing).append(run.repeated > 0 ? "+" + std::to_string(run.repeated) : "").append(":").append(loggedId(run.firstId)).append("..").append(loggedId(run.lastId)).append(":");
         return text.append(toString(run.sign));
     }
 
@@ -260,7 +262,7 @@
 
 bool upstream_dispatcher::mayRetry(const admitted_request& request, const progress& state, const attempt_outcome& last)
 {
-    const bool resumable = request.route.repeat == repeat_rule::streaming && request.route.resumable;
+    const bool resumable = request.route.repeat == repeat_rule::streaming && request.route.resumable && state.relay.mayGoOn;
     return mayAttemptAgain({ last.failed->ran, request.route.repeatable(), resumable, request.route.maxAttempts, state.runs, state.attempted.all.size(), state.relay.begun });
 }
 
@@ -428,6 +430,9 @@
     const bool streams = isEventStream(head);
     relay_options options;
     options.wholeEvents = true;
+    options.checkContinuation = request.route.resumable;
+    if (streams)
+        options.idSteps = idStepsOf(request.service);
     options.bufferUnframed = true;
     options.heldAnswers = m_heldAnswers;
     options.deadline = request.deadline;
@@ -450,9 +455,11 @@
     if (streams && m_slots.measuresPasses(request))
         options.onEventGap = [this, &request, server = backendHash(backend.id)](duration gap) { m_slots.recordGap(request, server, gap); };
     const bool serverFailed = head.result_int() >= 500;
-    if (state.relay.begun && serverFailed) {
+    // Its body would be joined to the stream.
+    const bool goesOn = streams && http::to_status_class(head.result()) == http::status_class::successful;
+    if (state.relay.begun && !goesOn) {
         call.cancel();
-        co_return attempt_outcome { mayHaveRun(failure_reason::backend_error, "the engine that was to resume the stream answered " + std::to_string(head.result_int())), attempt_result::failed };
+        co_return attempt_outcome { mayHaveRun(failure_reason::backend_error, "the engine that was to resume the stream answered " + std::to_string(head.result_int()) + " " + headerText(head, "Content-Type")), attempt_result::failed };
     }
     // If an engine fails a repeatable request, another engine may answer it.
     const bool retryElsewhere = serverFailed && request.route.repeatable() && state.runs < request.route.maxAttempts && request.timeLeft(m_context.now()) > request.route.latencyTarget;
@@ -470,6 +477,16 @@
     co_return attempt_outcome { std::nullopt, serverFailed ? attempt_result::failed : attempt_result::answered };
 }
 
+std::shared_ptr<event_id_steps> upstream_dispatcher::idStepsOf(const std::string& service)
+{
+    if (m_idSteps.size() >= maxServices && !m_idSteps.contains(service))
+        m_idSteps.clear();
+    auto& steps = m_idSteps[service];
+    if (!steps)
+        steps = std::make_shared<event_id_steps>();
+    return steps;
+}
+
 bool upstream_dispatcher::endedByServer(const attempt_outcome& outcome)
 {
     if (outcome.result == attempt_result::silent)
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -87,6 +87,7 @@
     static bool mustAwaitProbe(const admitted_request&, const attempt_outcome&);
     // The server did not crash as it began to answer.
     static bool isAnswerBegun(const attempt_outcome&, std::uint64_t events);
+    std::shared_ptr<event_id_steps> idStepsOf(const std::string& service);
     static bool closesGroup(const admitted_request&);
     // A server has crashed under the request or part: withdraws the calls with it at other servers whose answers have not
     // begun.
@@ -114,6 +115,8 @@
     slot_allocator m_slots;
     upstream_picker m_picker;
     shared_retry_budget m_budget;
+    // By service.
+    std::map<std::string, std::shared_ptr<event_id_steps>> m_idSteps;
 };
 
 } // namespace rampgap
--- /dev/null
+++ b/Source/policy/requests/event_stream_parser.h
@@ -0,0 +1,46 @@
+// Splits a stream of server-sent events into its events, in whatever pieces its bytes come.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rampgap {
+
+// One event, or one block of comments. The standard is the WHATWG's `text/event-stream`.
+struct stream_event {
+    // From its first line to the end of the blank line that ends it.
+    std::string bytes;
+    // The value of its last "id" line.
+    std::optional<std::string> id;
+    bool hasData = false;
+
+    // False for comments alone, and for the second half of a line end that came in two pieces.
+    bool isEvent() const { return hasData || id.has_value(); }
+    bool operator==(const stream_event&) const = default;
+};
+
+class event_stream_parser {
+public:
+    // The events that are whole now that `bytes` have come. The bytes of all events, in their order, are those of the stream.
+    std::vector<stream_event> push(std::string_view bytes);
+    // An event has begun and is not whole yet.
+    bool inEvent() const { return !m_event.bytes.empty(); }
+    // Bytes of that event. The parser does not limit them.
+    std::size_t heldBytes() const { return m_event.bytes.size(); }
+    std::string takeRest();
+
+private:
+    void readLine(std::string_view line);
+
+    stream_event m_event;
+    // Where the line that is being read begins in the event.
+    std::size_t m_lineBegin = 0;
+    // The last byte was a CR: an LF that follows belongs to the same line end.
+    bool m_afterReturn = false;
+    bool m_firstLine = true;
+};
+
+} // namespace rampgap
