agent: an engine's answer without length or chunks is not whole if the engine ended with it

The same cause as in entry VMs, on the own interface: the agent took the end of its engine's connection for the end of the answer, sent the entry VM its last chunk, and stored what was there as the answer to a request that may run once. Found by reading; requests.stream-resume (a stream without length or chunks whose engine ends with it) answers 200 without this change and breaks the stream off with it. It looks at its engine as entry VMs do, twice for a stream; inside an event such a stream does not end as whole either.

rampgap-bench relay measures what a relayed event costs.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -286,6 +286,15 @@
     co_await m_configuration.awaitCrashesAnnounced();
 }
 
+awaitable<answer_end_sign> agent_server::judgeEnd(server_incarnation life, const work_order& order, std::uint64_t events, instant sentAt, bool streams)
+{
+    lost_call call { order.correlation, order.fingerprint, events, sentAt, m_context.now(), order.parts };
+    const auto fate = co_await m_engine.awaitFate(std::move(life), std::move(call), streams);
+    if (fate == server_fate::answers)
+        co_return answer_end_sign::server_answers;
+    co_return fate == server_fate::ended ? answer_end_sign::server_ended : answer_end_sign::server_silent;
+}
+
 std::optional<milliseconds> agent_server::takeNotice(const http_head& head)
 {
     m_intake.recordReportedLimit(headerAmount(head, header::limitPerSecond), m_context.now());
@@ -368,6 +377,9 @@
     addOwnHeaders(head.value());
     relay_progress progress;
     relay_options options;
+    const bool streams = isEventStream(head.value());
+    options.wholeEvents = streams && !call.framed();
+    options.judgeEnd = [this, life, &order, &progress, sentAt, streams] { return judgeEnd(life, order, progress.events, sentAt, streams); };
     options.finishWithoutCaller = once;
     options.recordLimit = once ? maxStoredAnswer : 0;
     const auto outcome = co_await relayAnswer(call, std::move(head.value()), exchange, progress, options);
--- a/Source/agent/agent_server.h
+++ b/Source/agent/agent_server.h
@@ -61,6 +61,8 @@
     awaitable<void> awaitEngineEnd();
     // The engine ended a call after so many events.
     awaitable<void> recordLost(server_incarnation, const work_order&, std::uint64_t events, instant sentAt);
+    // Whether an answer without length or chunks had ended before its engine's process did.
+    awaitable<answer_end_sign> judgeEnd(server_incarnation life, const work_order&, std::uint64_t events, instant sentAt, bool streams);
     awaitable<void> refuse(http_exchange&, const failure&, const std::string& correlation);
     void addOwnHeaders(http::fields&);
 
--- a/Source/agent/engine_guard.cpp
+++ b/Source/agent/engine_guard.cpp
@@ -25,6 +25,15 @@
     co_await m_watch.awaitProbe(std::move(life));
 }
 
+awaitable<server_fate> engine_guard::awaitFate(server_incarnation life, lost_call call, bool settled)
+{
+    m_watch.expire();
+    const instant endedAt = call.lostAt;
+    m_watch.recordLost(life, m_engine, call);
+    const auto fate = co_await m_watch.awaitFate(std::move(life), endedAt, settled);
+    co_return fate;
+}
+
 void engine_guard::recordServed(request_fingerprint request, const std::vector<request_fingerprint>& parts)
 {
     m_history.recordPartsSurvived(parts, m_context.now());
--- a/Source/agent/engine_guard.h
+++ b/Source/agent/engine_guard.h
@@ -22,6 +22,8 @@
     // The engine ended the call without a whole answer; returns when it is known whether it
     // crashed: the entry VM then asks.
     awaitable<void> recordLost(server_incarnation, lost_call);
+    // The engine ended the connection of an answer: what has become of it. If it has crashed, the call counts as lost.
+    awaitable<server_fate> awaitFate(server_incarnation, lost_call, bool settled);
     // Nothing listened at its address.
     void recordRefusedConnection(const server_incarnation& life) { m_watch.recordRefusedConnection(life, m_engine); }
     // The engine ran the request to its end.
--- a/Source/bench/bench_flags.cpp
+++ b/Source/bench/bench_flags.cpp
@@ -23,6 +23,7 @@
                      "  skew      expert rebalancing policies on drifting popularity\n"
                      "  config    time to in force, reads and bytes at growing fleets of processes\n"
                      "  control   slopes of decision cost, state and memory\n"
+                     "  relay     processor time and memory of relayed event streams\n"
                      "  group     callers, entry VMs and expert groups of a scenario in virtual time\n"
                      "  compare   two ways of deciding on all scenarios of a folder, seeds in pairs\n\n"
                      "  -s, --seed N        seed of all random numbers (default 20261202)\n"
--- a/Source/bench/benchmarks.h
+++ b/Source/bench/benchmarks.h
@@ -11,6 +11,7 @@
 int benchSkew(const bench_flags&);
 int benchConfig(const bench_flags&);
 int benchControl(const bench_flags&);
+int benchRelay(const bench_flags&);
 int benchGroup(const bench_flags&);
 int benchCompare(const bench_flags&);
 
--- a/Source/bench/main.cpp
+++ b/Source/bench/main.cpp
@@ -20,6 +20,7 @@
         { "skew", benchSkew },
         { "config", benchConfig },
         { "control", benchControl },
+        { "relay", benchRelay },
         { "group", benchGroup },
         { "compare", benchCompare },
     };
