--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -4,6 +4,7 @@
 Usage: Utilities/mutation-check.py [NAME]...   (all rules without a name; needs g++ only)
 Exit code 0 if every rule is caught, 1 if one is not.
 """
+import concurrent.futures
 import glob
 import os
 import subprocess
@@ -120,6 +121,14 @@
     ("claim_taken_for_disarmed", "map_switch.cpp", ": named && isDone(reply)", ": isDone(reply)", "platform/map-switch"),
     ("disarm_order_not_corrected", "map_switch.cpp", "    if (after->fresh && after->armedPlacement != 0)\n        m_armed[rank] = after->armedPlacement;\n    else if", "    if", "platform/map-switch"),
     ("release_by_an_old_reading", "map_switch.cpp", "return after->fresh ? shownReleased", "return true ? shownReleased", "platform/map-switch"),
+    ("events_end_with_lf_only", "event_stream_parser.cpp", "const auto feed = bytes.substr(0, newline).find('\\r');", "const auto feed = std::string_view::npos;", "platform/event-stream"),
+    ("lf_after_cr_ends_a_line", "event_stream_parser.cpp", "m_afterReturn = isReturn && end + 1 == bytes.size();", "m_afterReturn = false;", "platform/event-stream"),
+    ("byte_order_mark_is_text", "event_stream_parser.cpp", "if (m_firstLine && line.starts_with(byteOrderMark))", "if (false)", "platform/event-stream"),
+    ("repeated_events_are_sent", "stream_continuation.cpp", "if (*number <= *m_last)", "if (false)", "platform/event-stream"),
+    ("gaps_are_sent", "stream_continuation.cpp", "!m_goesOn && m_usualStep &&", "false && m_usualStep &&", "platform/event-stream"),
+    ("repeats_without_bound", "stream_continuation.cpp", "m_repeated > maxRepeatedEvents ||", "false ||", "platform/event-stream"),
+    ("any_step_is_usual", "event_id_steps.cpp", "|| m_atLargest * 10 < m_seen * usualOfTen", "", "platform/event-stream"),
+    ("closing_forgotten", "group_directory.cpp", "if (update.phase.closings() > found->second.phase.closings())", "if (!update.phase.open)", "platform/group-state"),
     ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
 ]
 
@@ -143,14 +152,13 @@
     sources += [mutated, os.path.join(ROOT, "Tests/support/main.cpp"), os.path.join(ROOT, "Tests/support/engine_costs.cpp")]
     program = os.path.join(work, "tests")
     launcher = ["ccache"] if subprocess.run(["sh", "-c", "command -v ccache"], capture_output=True).returncode == 0 else []
-    objects = []
-    running = []
-    for index, path in enumerate(sources):
-        target = os.path.join(work, f"{index}.o")
-        objects.append(target)
-        running.append(subprocess.Popen(launcher + ["g++", "-std=c++20", "-O1", "-I" + os.path.join(ROOT, "Source"), "-I" + os.path.join(ROOT, "Tests"), "-I" + cases, "-c", path, "-o", target]))
-    if any(job.wait() != 0 for job in running):
-        sys.exit(f"{name}: does not compile")
+    objects = [os.path.join(work, f"{index}.o") for index in range(len(sources))]
+    commands = [launcher + ["g++", "-std=c++20", "-O1", "-I" + os.path.join(ROOT, "Source"), "-I" + os.path.join(ROOT, "Tests"), "-I" + cases, "-c", path, "-o", target]
+                for path, target in zip(sources, objects)]
+    # No more compilers at once than there are processors: they would take the machine's memory.
+    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+        if any(pool.map(subprocess.call, commands)):
+            sys.exit(f"{name}: does not compile")
     subprocess.run(["g++", *objects, "-o", program, "-lrapidcheck", "-lcrypto", "-lxxhash"], check=True)
     return subprocess.run([program], capture_output=True, env={**os.environ, **RUNS}).returncode != 0
 
