--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -1,6 +1,6 @@
 #include "daemon/answer_relay.h"
 
-#include "policy/requests/stream_continuation.h"
+#include "policy/requests/event_filter.h"
 #include <algorithm>
 
 namespace rampgap {
@@ -49,62 +49,6 @@
         instant m_readFrom {};
     };
 
-    // Passes on the events of one run that its caller does not have yet.
-    class event_filter {
-    public:
-        event_filter(const relay_progress& progress, const relay_options& options)
-            : m_continuation(options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps ? options.idSteps->usual() : std::nullopt)
-            , m_steps(options.idSteps)
-        {
-        }
-
-        // The events that are whole now, without those that the caller has.
-        result<std::vector<stream_event>> push(std::string_view piece)
-        {
-            auto events = m_parser.push(piece);
-            bool drops = false;
-            for (auto& event : events) {
-                learnStep(event);
-                switch (m_continuation.check(event)) {
-                case continuation_verdict::send:
-                    break;
-                case continuation_verdict::drop:
-                    event.bytes.clear();
-                    drops = true;
-                    break;
-                case continuation_verdict::gap:
-                    return mayHaveRun(failure_reason::backend_error, "the server that was to go on with the stream left events out");
-                case continuation_verdict::too_many_repeated:
-                    return mayHaveRun(failure_reason::backend_error, "the server that was to go on with the stream repeats too much of it");
-                }
-            }
-            if (drops)
-                std::erase_if(events, [](const stream_event& event) { return event.bytes.empty(); });
-            return events;
-        }
-
-        std::string takeRest() { return m_parser.takeRest(); }
-        bool inEvent() const { return m_parser.inEvent(); }
-        std::size_t heldBytes() const { return m_parser.heldBytes(); }
-        std::size_t repeated() const { return m_continuation.repeated(); }
-
-    private:
-        void learnStep(const stream_event& event)
-        {
-            if (!m_steps || !event.id)
-                return;
-            const auto number = eventNumber(*event.id);
-            if (number && m_previous)
-                m_steps->record(*m_previous, *number);
-            m_previous = number;
-        }
-
-        event_stream_parser m_parser;
-        stream_continuation m_continuation;
-        std::shared_ptr<event_id_steps> m_steps;
-        std::optional<std::uint64_t> m_previous;
-    };
-
     // Takes the bytes out of the events: mostly there is one, which is not copied.
     std::string takeBytes(std::vector<stream_event>& events)
     {
@@ -249,7 +193,7 @@
         const bool events = options.wholeEvents && isStream;
         const bool lengthKnown = call.statedLength().has_value();
         held_bytes held(options.heldAnswers, unsharedAnswerBytes);
-        event_filter filter(progress, options);
+        event_filter filter(options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps);
         // A run that is to go on after the last event has none.
         const bool mayBeEmpty = options.checkContinuation && !progress.lastEventId.empty();
         answer_copy copy(options.recordLimit);
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -32,22 +32,6 @@
     constexpr milliseconds maxDiscardTime { 100 };
     // Configurations come and go, and each may name other services.
     constexpr std::size_t maxServices = 1'024;
-    // Ids of events are a server's: longer ones are cut in the log.
-    constexpr std::size_t maxLoggedId = 32;
-
-    std::string_view loggedId(const std::string& id)
-    {
-        return std::string_view(id).substr(0, maxLoggedId);
-    }
-
-    // "BACKEND:FRAMING[+REPEATED EVENTS]:FIRST..LAST:SIGN"
-    std::string describeRun(const std::string& backend, const relayed_run& run)
-    {
-        std::string text = backend + ":";
-        text.append(run.framing).append(run.repeated > 0 ? "+" + std::to_string(run.repeated) : "").append(":").append(loggedId(run.firstId)).append("..").append(loggedId(run.lastId)).append(":");
-        return text.append(toString(run.sign));
-    }
-
     // Reads and discards an answer's body; closes the connection if that fails.
     awaitable<void> discardBody(http_call& call)
     {
@@ -100,7 +84,8 @@
     m_context.counters().observe(latency::request, m_context.now() - request.receivedAt);
     if (!exchange.callerGone())
         countReturn(request, state, failed);
-    logStreamEnd(request, state, failed, exchange.callerGone());
+    logStreamEnd(m_log, request.parsed, state.streamRuns, exchange.callerGone() ? "caller_gone" : failed ? "broken_off"
+                                                                                                         : "complete");
     if (failed)
         co_await refuse(exchange, request, state, std::move(*failed));
     else
@@ -471,7 +456,7 @@
     if (!call.framed() && state.relay.run.sign != answer_end_sign::none)
         m_context.counters().countAnswerEnd(state.relay.run.sign);
     if (streams)
-        state.streamRuns.emplace_back(backend.id, state.relay.run);
+        state.streamRuns.push_back({ backend.id, state.relay.run });
     if (relayed.end == relay_end::truncated)
         co_return attempt_outcome { relayed.failed, relayed.failed->reason == failure_reason::deadline ? attempt_result::silent : attempt_result::failed };
     co_return attempt_outcome { std::nullopt, serverFailed ? attempt_result::failed : attempt_result::answered };
@@ -529,8 +514,7 @@
     line.add("waited_ms", sentAt - request.receivedAt).add("took_ms", m_context.now() - sentAt).add("load", m_loads.total(backend.id, m_context.now()).requests).add("events", state.relay.events);
     if (const auto age = m_groups.stateAge(request.service, backendHash(backend.id), m_context.now()))
         line.add("group_news_ms", *age);
-    if (state.relay.run.framing != "-")
-        line.add("framing", state.relay.run.framing).add("run_events", state.relay.run.events).add("first_id", loggedId(state.relay.run.firstId)).add("last_id", loggedId(state.relay.run.lastId)).add("end_sign", toString(state.relay.run.sign));
+    addRun(line, state.relay.run);
     if (state.relay.firstBytesAt)
         line.add("first_ms", *state.relay.firstBytesAt - request.receivedAt).add("longest_pause_ms", state.relay.longestPause);
     if (state.notice.limitPerSecond)
@@ -545,21 +529,6 @@
         line.add("outcome", "answered");
 }
 
-void upstream_dispatcher::logStreamEnd(const admitted_request& request, const progress& state, const std::optional<failure>& failed, bool callerGone)
-{
-    const auto& runs = state.streamRuns;
-    const bool isPlainSuccess = runs.empty() || (runs.size() == 1 && !failed && !callerGone && runs.front().second.sign == answer_end_sign::framed);
-    if (isPlainSuccess)
-        return;
-    std::string joined;
-    for (const auto& [backend, run] : runs)
-        joined += (joined.empty() ? "" : ",") + describeRun(backend, run);
-    auto line = m_log.requestLine("stream_ended");
-    line.add("request", request.parsed.id).add("after", loggedId(request.parsed.lastEventId)).add("runs", joined).add("events", state.relay.events);
-    line.add("outcome", callerGone ? "caller_gone" : failed ? "broken_off"
-                                                            : "complete");
-}
-
 awaitable<void> upstream_dispatcher::refuse(http_exchange& exchange, const admitted_request& request, const progress& state, failure failed)
 {
     m_context.counters().countFailure(failed);
--- a/Source/gateway/requests/upstream_dispatcher.h
+++ b/Source/gateway/requests/upstream_dispatcher.h
@@ -7,6 +7,7 @@
 #include "gateway/requests/call_registry.h"
 #include "gateway/requests/crash_reporter.h"
 #include "gateway/requests/slot_allocator.h"
+#include "gateway/requests/stream_report.h"
 #include "gateway/requests/upstream_picker.h"
 #include "policy/groups/group_directory.h"
 #include "policy/routing/load_table.h"
@@ -45,7 +46,7 @@
         int runs = 0;
         relay_progress relay;
         // What the servers sent of a stream, in their order, and the ids of the servers.
-        std::vector<std::pair<std::string, relayed_run>> streamRuns;
+        std::vector<stream_run> streamRuns;
         verdict worst = verdict::not_run;
         std::string lastBackend;
         // What the server of the last attempt reported about itself.
@@ -96,8 +97,6 @@
     void recordRefusal(const admitted_request&, const listed_backend&, const server_notice&);
     awaitable<void> refuse(http_exchange&, const admitted_request&, const progress&, failure);
     void logAttempt(const admitted_request&, const progress&, const listed_backend&, const attempt_outcome&, instant sentAt);
-    // One line for a stream that is more than one framed answer of one server.
-    void logStreamEnd(const admitted_request&, const progress&, const std::optional<failure>&, bool callerGone);
 
     process_context& m_context;
     decision_log& m_log;
--- a/Tests/platform/event-stream/test.cpp
+++ b/Tests/platform/event-stream/test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
+#include <utility>
 
 using namespace rampgap;
 
