--- a/Source/daemon/crash_watch.h
+++ b/Source/daemon/crash_watch.h
@@ -49,8 +49,8 @@
     bool isProbing(const server_incarnation& incarnation) const { return m_detector.isProbing(incarnation); }
     // Returns once the probes have shown a crash or a listening server, or have ended without a result.
     awaitable<void> awaitProbe(server_incarnation);
-    // What became of the server whose call, ended at `endedAt`, was given to `recordLost`. `settled`: a server that is ending
-    // may still answer, so that it is waited until it must have ended.
+    // What became of the server whose call, ended at `endedAt`, was given to `recordLost`. A server that is ending may still
+    // answer: with `settled`, only an answer counts that came too late for that.
     awaitable<server_fate> awaitFate(server_incarnation, instant endedAt, bool settled);
     // The same of a server whose end is no crash: nothing is recorded.
     awaitable<server_fate> lookAt(std::string address, bool settled);
