--- a/Source/policy/requests/answer_end.h
+++ b/Source/policy/requests/answer_end.h
@@ -12,7 +12,7 @@
     none,
     // The answer has a length or chunks, so that it says itself where it ends.
     framed,
-    // The server works on: the answer is whole.
+    // The server still answered after the end: the answer is whole.
     server_answers,
     // The signs below tell a break.
     inside_event,
--- a/Source/policy/requests/stream_continuation.h
+++ b/Source/policy/requests/stream_continuation.h
@@ -1,4 +1,4 @@
-// Checks that a run of a stream goes on where what its caller has ends.
+// Checks that a resumed run continues right after the last event that the caller has.
 #pragma once
 
 #include "policy/requests/event_stream_parser.h"
