logs: an order to a rank shows the state that was read after it, and who read it

A log could not tell whether a leader took an older state of a rank for the one after its order: the line of an order had the answer only. It now has the state that the leader decides on (in use, prepared, armed, held, begun, the engine's count of orders), whether it counts as current, and who sent the order (path). One line an order, as before.

--- a/Source/gateway/groups/rank_link.cpp
+++ b/Source/gateway/groups/rank_link.cpp
@@ -59,6 +59,19 @@
         return reply == order_reply::accepted || reply == order_reply::already;
     }
 
+    std::string_view nameOf(order_path path)
+    {
+        switch (path) {
+        case order_path::own_agent:
+            return "own_agent";
+        case order_path::past_agent:
+            return "past_agent";
+        case order_path::leader:
+            break;
+        }
+        return "leader";
+    }
+
     bool isKnown(const gateway::rank_order& order)
     {
         return order.kind() <= static_cast<std::uint32_t>(map_order_kind::release);
@@ -147,9 +160,10 @@
     rank_outcome outcome;
     outcome.index = target.index;
     outcome.reached = true;
+    std::optional<map_order> order;
     if (query.order) {
-        map_order order = orderFor(query, target);
-        outcome.reply = co_await orderOwnEngine(std::move(order), target.backendId, until);
+        order = orderFor(query, target);
+        outcome.reply = co_await orderOwnEngine(*order, target.backendId, until);
     }
     if (query.wantsExpertCounts) {
         auto counts = co_await m_port.counts(m_ownEngine);
@@ -163,6 +177,8 @@
             m_onOwnState(state.value());
     } else
         m_log.line("rank_state_unknown").add("address", m_ownEngine).add("reason", state.error().message);
+    if (order)
+        logOrder(*order, target.backendId, outcome, order_path::own_agent);
     pending->outcome.ranks.push_back(std::move(outcome));
 }
 
@@ -180,7 +196,6 @@
         if (reply != order_reply::fenced && reply != order_reply::refused)
             co_await awaitPrepared(order.placement, until - hopMargin);
     }
-    m_log.line("rank_order").add("order", toString(order.kind)).add("placement", order.placement).add("step", order.step).add("epoch", order.epoch).add("fence", order.fence).add("outcome", toString(reply));
     co_return reply;
 }
 
@@ -259,8 +274,9 @@
     outcome.index = target.index;
     if (query.order) {
         map_order order = orderFor(query, target);
-        outcome.reply = co_await orderEngineOnce(target, std::move(order));
+        outcome.reply = co_await orderEngineOnce(target, order);
         outcome.after = co_await readStateAfterOrder(query, target);
+        logOrder(order, target.backendId, outcome, order_path::past_agent);
     } else {
         outcome.after = co_await readEngineState(target.address);
     }
@@ -281,7 +297,6 @@
             co_return known->second.reply;
     }
     const order_reply reply = co_await m_port.order(target.address, target.backendId, order);
-    m_log.line("rank_order").add("order", toString(order.kind)).add("backend", target.backendId).add("placement", order.placement).add("step", order.step).add("fence", order.fence).add("outcome", toString(reply)).add("direct", "yes");
     if (reply != order_reply::unanswered && !repeated) {
         order.contents.reset();
         m_answeredOrders.insert_or_assign(target.address, answered_order { order, reply, m_context.now() });
@@ -345,10 +360,23 @@
     else
         outcome.after = co_await readEngineState(target.address);
     outcome.reached = outcome.after.has_value();
-    m_log.line("rank_order").add("order", toString(order.kind)).add("backend", target.backendId).add("step", order.step).add("epoch", order.epoch).add("fence", order.fence).add("outcome", toString(outcome.reply));
+    logOrder(order, target.backendId, outcome, order_path::leader);
     co_return outcome;
 }
 
+// Shows with the answer the state that the leader decides on, and who read it: a state may be older than the answer.
+void rank_link::logOrder(const map_order& order, const std::string& backendId, const rank_outcome& outcome, order_path path)
+{
+    auto line = m_log.line("rank_order");
+    line.add("order", toString(order.kind)).add("backend", backendId).add("placement", order.placement).add("step", order.step).add("epoch", order.epoch).add("fence", order.fence).add("outcome", toString(outcome.reply)).add("path", nameOf(path));
+    if (!outcome.after) {
+        line.add("state", "unknown");
+        return;
+    }
+    const rank_view& seen = *outcome.after;
+    line.add("state", seen.fresh ? "current" : "maybe_old").add("in_use", seen.placementInUse).add("prepared", seen.preparedPlacement).add("armed", seen.armedPlacement).add("armed_step", seen.armedStep).add("held", seen.heldStep).add("begun", seen.step).add("orders", seen.orders).add("seen_epoch", seen.epoch);
+}
+
 std::string rank_link::agentAddress(const std::string& engineAddress) const
 {
     return hostOf(engineAddress) + ":" + std::to_string(m_agentPort);
--- a/Source/gateway/groups/rank_link.h
+++ b/Source/gateway/groups/rank_link.h
@@ -38,6 +38,16 @@
     std::vector<std::uint64_t> expertCounts;
 };
 
+// Who sent an order to the engine.
+enum class order_path {
+    // The agent on the engine's machine.
+    own_agent,
+    // Another machine, since that agent is silent.
+    past_agent,
+    // The leader, so that nobody else's delay is added.
+    leader,
+};
+
 class rank_link {
 public:
     // `agentPort`: the port on which agents receive calls, on every machine. `ownEngine`: "host:port".
@@ -91,6 +101,8 @@
     awaitable<order_reply> orderOwnEngine(map_order, std::string backendId, instant until);
     awaitable<void> awaitPrepared(std::uint64_t placement, instant until);
     std::string agentAddress(const std::string& engineAddress) const;
+    // Logs an order with its answer and the state that was read after it.
+    void logOrder(const map_order&, const std::string& backendId, const rank_outcome&, order_path);
 
     process_context& m_context;
     decision_log& m_log;
