groups: a leader gives no placement number and no fence twice

What callers could have seen: ranks with placements of one number but different contents (MAP "by version or content"; ranks do not compare them).

Cause: the number was the highest that any rank had shown, plus one, where the leader's wall clock is behind that of an earlier leader. Two changes of such a leader got one number as long as no rank had shown the first: a rank that carries out the first order late and one that carries out the second then count as prepared alike.

Changed: change_numbers remembers what it gave, for placements and fences.

--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -3,7 +3,6 @@
 #include "daemon/scope_exit.h"
 #include "daemon/sleep.h"
 #include "gateway/groups/placement_codec.h"
-#include "policy/groups/placement_number.h"
 
 namespace rampgap {
 
@@ -186,14 +185,6 @@
     return { m_monitor->skewNow(), m_monitor->slowestPace() };
 }
 
-// Increases with each change, and is above that of an earlier leader unless the wall clock was put
-// back; in that case the engines refuse the order as fenced. No other leader's is equal.
-std::uint64_t group_leader::nextFence(std::size_t ownRank)
-{
-    m_fenceSequence = std::max(m_fenceSequence + 1, wallMilliseconds());
-    return fenceNumber(m_fenceSequence, ownRank);
-}
-
 std::optional<std::size_t> group_leader::rankOf(const std::string& backendId) const
 {
     const auto ids = m_monitor->backendIds();
@@ -268,9 +259,9 @@
     const std::size_t newExperts = totalNewExperts(*m_monitor->current().contents, *contents);
     m_copyingRanks.clear();
     switch_settings settings;
-    settings.fence = nextFence(ownRank);
+    settings.fence = m_numbers.nextFence(ownRank, wallMilliseconds());
     settings.stepsAhead = m_timing.stepsAhead(measuredPass());
-    const auto placement = m_monitor->nextPlacement(static_cast<std::uint32_t>(ownRank), wallMilliseconds());
+    const auto placement = m_numbers.nextPlacement(ownRank, m_monitor->highestPlacement(), wallMilliseconds());
     map_switch change(placement, contents, m_monitor->epoch(), ranks, ownRank, settings);
     m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew()).add("new_experts", newExperts).add("measured_pass_ms", measuredPass()).add("longest_gap_ms", m_monitor->longestGap()).add("steps_ahead", settings.stepsAhead);
     m_context.counters().add(metric::experts_copied, static_cast<double>(newExperts));
@@ -290,7 +281,7 @@
     if (!ownRank)
         co_return;
     const instant began = m_context.now();
-    auto change = map_switch::cleanUp(m_monitor->epoch(), m_monitor->groupSize(), nextFence(*ownRank), m_monitor->unobservedRank(), m_monitor->holds());
+    auto change = map_switch::cleanUp(m_monitor->epoch(), m_monitor->groupSize(), m_numbers.nextFence(*ownRank, wallMilliseconds()), m_monitor->unobservedRank(), m_monitor->holds());
     m_log.line("cleanup_begun").add("holds", m_monitor->holds().size()).add("armed", m_monitor->armedPlacement()).add("epoch", m_monitor->epoch());
     co_await executeChange(change, cleanUpTimeout);
     const auto contents = change.phase() == switch_phase::done ? m_link.prepared(change.placement()) : nullptr;
--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -3,6 +3,7 @@
 
 #include "gateway/fleet/fleet_state.h"
 #include "gateway/groups/group_caller.h"
+#include "policy/groups/change_numbers.h"
 #include "policy/groups/group_monitor.h"
 #include "policy/groups/group_roster.h"
 #include "policy/groups/map_switch.h"
@@ -78,7 +79,6 @@
     std::vector<std::string> idsToPoll(group_members) const;
     // Size of the expert counts of one rank, or of their sum over all ranks.
     std::size_t countsBytes() const;
-    std::uint64_t nextFence(std::size_t ownRank);
     // Rank of this server in the monitored group, if it is known.
     std::optional<std::size_t> rankOf(const std::string& backendId) const;
     void logEnd(const map_switch&, instant began, std::string_view event);
@@ -100,7 +100,7 @@
     std::set<std::uint32_t> m_copyingRanks;
     switch_timing m_timing;
     int m_polls = 0;
-    std::uint64_t m_fenceSequence = 0;
+    change_numbers m_numbers;
 };
 
 } // namespace rampgap
--- /dev/null
+++ b/Source/policy/groups/change_numbers.cpp
@@ -0,0 +1,21 @@
+#include "policy/groups/change_numbers.h"
+
+#include "policy/groups/placement_number.h"
+
+#include <algorithm>
+
+namespace rampgap {
+
+std::uint64_t change_numbers::nextFence(std::size_t ownRank, std::uint64_t wallMs)
+{
+    m_lastFence = std::max(m_lastFence + 1, wallMs);
+    return fenceNumber(m_lastFence, ownRank);
+}
+
+std::uint64_t change_numbers::nextPlacement(std::size_t ownRank, std::uint64_t highestKnown, std::uint64_t wallMs)
+{
+    m_lastPlacement = std::max({ m_lastPlacement + 1, highestKnown / leadersPerNumber + 1, wallMs });
+    return placementNumber(m_lastPlacement, ownRank);
+}
+
+} // namespace rampgap
--- a/Source/policy/groups/group_monitor.cpp
+++ b/Source/policy/groups/group_monitor.cpp
@@ -1,7 +1,5 @@
 #include "policy/groups/group_monitor.h"
 
-#include "policy/groups/placement_number.h"
-
 #include <algorithm>
 
 namespace rampgap {
@@ -253,11 +251,6 @@
     return groupSkew(*m_current, m_demand.shares(), paces());
 }
 
-std::uint64_t group_monitor::nextPlacement(std::uint32_t leaderRank, std::uint64_t wallMs) const
-{
-    return placementNumber(std::max(m_highestPlacement / leadersPerNumber + 1, wallMs), leaderRank);
-}
-
 std::vector<std::string> group_monitor::backendIds() const
 {
     std::vector<std::string> ids(m_size);
--- a/Source/policy/groups/group_monitor.h
+++ b/Source/policy/groups/group_monitor.h
@@ -101,9 +101,8 @@
     bool complete(instant now) const;
     std::uint64_t epoch() const { return m_epoch; }
     std::uint32_t groupSize() const { return m_size; }
-    // A placement number that no leader of this epoch has used: above all known ones, made from
-    // the leader's rank, and from its wall-clock time since the leader may have been restarted.
-    std::uint64_t nextPlacement(std::uint32_t leaderRank, std::uint64_t wallMs) const;
+    // The highest placement number that a rank has shown.
+    std::uint64_t highestPlacement() const { return m_highestPlacement; }
     // The server of each rank, by rank; empty where it is not known.
     std::vector<std::string> backendIds() const;
     std::optional<rank_view> view(std::uint32_t rank) const;
--- a/Tests/platform/placement-number/test.cpp
+++ b/Tests/platform/placement-number/test.cpp
@@ -1,6 +1,8 @@
-// Guards against two placements of one epoch with the same number, also when leaders do not know of
+// Guards against two placements of one epoch with the same number, and two changes with one fence, also when leaders do not know of
 // each other, restart, or have a clock that went back.
+#include "policy/groups/change_numbers.h"
 #include "policy/groups/group_monitor.h"
+#include "policy/groups/placement_number.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -14,10 +16,9 @@
         const auto now = *rc::gen::inRange<std::uint64_t>(1'700'000'000'000, 1'900'000'000'000);
         std::set<std::uint64_t> numbers;
         for (std::uint32_t rank = 0; rank < 63; ++rank) {
-            const group_monitor monitor { monitor_settings {} };
-            RC_ASSERT(numbers.insert(monitor.nextPlacement(rank, now)).second);
+            RC_ASSERT(numbers.insert(change_numbers().nextPlacement(rank, 0, now)).second);
             // The same leader after a restart, which takes longer than a millisecond.
-            RC_ASSERT(numbers.insert(monitor.nextPlacement(rank, now + 1)).second);
+            RC_ASSERT(numbers.insert(change_numbers().nextPlacement(rank, 0, now + 1)).second);
         }
     }));
 }
@@ -30,5 +31,37 @@
     view.open = true;
     view.preparedPlacement = 1'000'000;
     monitor.observe({ "a", view, {} }, instant {});
-    CHECK(monitor.nextPlacement(5, 10) > 1'000'000);
+    CHECK(change_numbers().nextPlacement(5, monitor.highestPlacement(), 10) > 1'000'000);
+}
+
+TEST_CASE("a leader whose clock is behind gives each of its changes another number, also before any rank has shown the last one")
+{
+    change_numbers numbers;
+    constexpr std::uint64_t highest = 1'000'000;
+    const auto first = numbers.nextPlacement(5, highest, 10);
+    CHECK(numbers.nextPlacement(5, highest, 10) > first);
+}
+
+TEST_CASE("no two leaders give a change the same fence, in the same millisecond either, nor one that a cancelled change uses")
+{
+    CHECK(rc::check([] {
+        const auto now = *rc::gen::inRange<std::uint64_t>(1'700'000'000'000, 1'900'000'000'000);
+        std::set<std::uint64_t> fences;
+        for (std::uint32_t rank = 0; rank < 63; ++rank) {
+            change_numbers numbers;
+            for (const std::uint64_t at : { now, now, now - 1 }) {
+                const auto fence = numbers.nextFence(rank, at);
+                RC_ASSERT(fences.insert(fence).second);
+                RC_ASSERT(fences.insert(fence + 1).second);
+            }
+        }
+    }));
+}
+
+TEST_CASE("the fence of a later change is higher, whichever leader's it is, and JSON carries it exactly")
+{
+    constexpr std::uint64_t now = 1'900'000'000'000;
+    constexpr std::uint64_t exact = std::uint64_t { 1 } << 53U;
+    CHECK(change_numbers().nextFence(0, now + 1) > change_numbers().nextFence(leadersPerNumber - 1, now) + 1);
+    CHECK(change_numbers().nextFence(leadersPerNumber - 1, now) < exact);
 }
