groups: a leader's fence is above that of the orders that its agent has passed on

What callers could have seen: a group that stands after a takeover for as long as the new leader's wall clock is behind the old one's.

Cause: fences come from the wall clock of the leader's machine. Ranks refuse a new leader's claims (412) until its clock has passed the fence that they have seen, while the step is held.

Changed: an agent remembers the highest fence that it has sent to its own engine, and its next fence as a leader is above it. The agent that takes over early is that of the holding rank, which has been ordered to prepare by the silent leader.

Test: "a leader whose clock is behind is not refused ..."; it fails without the rule (mutation predecessor_s_fence_ignored).

--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -201,6 +201,8 @@
     applyPendingCosts();
     followGroup(known.group);
     const std::string ownBackendId = known.ownId;
+    // An earlier leader's clock may be ahead of this one's: this agent has passed its orders on.
+    m_numbers.recordFence(m_link.highestFence());
     const scope_exit ended(m_context, [this] { m_changing = false; });
     m_changing = true;
     switch (m_monitor->decide(m_context.now())) {
--- a/Source/gateway/groups/rank_link.cpp
+++ b/Source/gateway/groups/rank_link.cpp
@@ -178,6 +178,7 @@
 
 awaitable<order_reply> rank_link::orderOwnEngine(map_order order, std::string backendId, instant until)
 {
+    m_highestFence = std::max(m_highestFence, order.fence);
     order_reply reply = co_await m_port.order(m_ownEngine, backendId, order);
     if (order.kind == map_order_kind::prepare) {
         m_prepared[order.placement] = order.contents;
--- a/Source/gateway/groups/rank_link.h
+++ b/Source/gateway/groups/rank_link.h
@@ -63,6 +63,9 @@
     // ago.
     std::shared_ptr<const group_placement> prepared(std::uint64_t placement) const;
 
+    // The highest fence of an order that was sent to the own engine; 0 if none was.
+    std::uint64_t highestFence() const { return m_highestFence; }
+
     // The agent's side: answers for the own engine and forwards the call.
     awaitable<http_response> serve(const http_request&);
     // Called with each state of the own engine that is read for a call.
@@ -105,6 +108,7 @@
     // By address.
     std::map<std::string, answered_order> m_answeredOrders;
     std::map<std::uint64_t, std::shared_ptr<const group_placement>> m_prepared;
+    std::uint64_t m_highestFence = 0;
     std::function<void(const std::string&, const std::string&)> m_onCalled;
     std::function<void(const rank_view&)> m_onOwnState;
 };
--- a/Source/policy/groups/change_numbers.cpp
+++ b/Source/policy/groups/change_numbers.cpp
@@ -12,6 +12,11 @@
     return fenceNumber(m_lastFence, ownRank);
 }
 
+void change_numbers::recordFence(std::uint64_t fence)
+{
+    m_lastFence = std::max(m_lastFence, fenceSequence(fence));
+}
+
 std::uint64_t change_numbers::nextPlacement(std::size_t ownRank, std::uint64_t highestKnown, std::uint64_t wallMs)
 {
     m_lastPlacement = std::max({ m_lastPlacement + 1, highestKnown / leadersPerNumber + 1, wallMs });
--- a/Source/policy/groups/change_numbers.h
+++ b/Source/policy/groups/change_numbers.h
@@ -13,6 +13,8 @@
 public:
     // The fence of the next change of the leader at this rank; `wallMs`: its wall clock in Unix milliseconds.
     std::uint64_t nextFence(std::size_t ownRank, std::uint64_t wallMs);
+    // Records the fence of another leader's order: the next one is above it, also where the wall clocks differ.
+    void recordFence(std::uint64_t fence);
     // The number of the next placement, above `highestKnown`.
     std::uint64_t nextPlacement(std::size_t ownRank, std::uint64_t highestKnown, std::uint64_t wallMs);
 
--- a/Source/policy/groups/placement_number.h
+++ b/Source/policy/groups/placement_number.h
@@ -31,4 +31,10 @@
     return placementNumber(sequence, leaderRank) * fencesPerChange;
 }
 
+// The sequence that a fence was made of.
+constexpr std::uint64_t fenceSequence(std::uint64_t fence)
+{
+    return fence / fencesPerChange / leadersPerNumber;
+}
+
 } // namespace rampgap
--- a/Tests/platform/placement-number/test.cpp
+++ b/Tests/platform/placement-number/test.cpp
@@ -65,3 +65,12 @@
     CHECK(change_numbers().nextFence(0, now + 1) > change_numbers().nextFence(leadersPerNumber - 1, now) + 1);
     CHECK(change_numbers().nextFence(leadersPerNumber - 1, now) < exact);
 }
+
+TEST_CASE("a leader whose clock is behind is not refused by ranks that have seen its predecessor's fence")
+{
+    constexpr std::uint64_t now = 1'800'000'000'000;
+    const auto earlier = change_numbers().nextFence(7, now + 5'000);
+    change_numbers numbers;
+    numbers.recordFence(earlier + 1);
+    CHECK(numbers.nextFence(3, now) > earlier + 1);
+}
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -77,6 +77,7 @@
     ("number_given_twice", "change_numbers.cpp", "std::max({ m_lastPlacement + 1, highestKnown", "std::max({ highestKnown", "platform/placement-number"),
     ("fence_of_another_leader", "change_numbers.cpp", "return fenceNumber(m_lastFence, ownRank);", "return fenceNumber(m_lastFence, 0);", "platform/placement-number"),
     ("fence_given_twice", "change_numbers.cpp", "std::max(m_lastFence + 1, wallMs)", "wallMs", "platform/placement-number"),
+    ("predecessor_s_fence_ignored", "change_numbers.cpp", "std::max(m_lastFence, fenceSequence(fence))", "m_lastFence", "platform/placement-number"),
     ("marks_left_behind", "map_switch.cpp", "            withdrawMarks(\"a rank could not be claimed\");", "            fail(\"a rank could not be claimed\");", "platform/map-switch"),
     ("refusal_forgotten", "group_directory.cpp", "    if (suspected({ service, {} }, now))\n        return true;\n", "", "platform/group-state"),
     ("patience_counted_anew", "group_wait.cpp", "input.patience - input.waited - margin", "input.patience - margin", "platform/group-state"),
