agent: calls to the engine of the same machine leave from the machine's address

What callers saw: few changes of placement where engines do not know their agents: on one host all calls came from 127.0.0.1, so that each engine took its own agent for another machine and answered with a state of 200 ms ago. A step was chosen by such a state and had begun before it could be held, after the copies.

This alone would have been no mend: it rests on how an engine tells its machine.

Cost: one system call or two for each new connection to the own engine; a connection is kept. Without success the operating system chooses. Test: platform.standing-machines-known fails before ("no engine took its agent's machine for its own"); platform.standing-machines keeps readings that are old for everybody.

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -7,7 +7,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
 #include <optional>
+#include <sys/socket.h>
 
 namespace rampgap {
 
@@ -57,6 +59,18 @@
         return error != asio::error::would_block;
     }
 
+    // Chooses the local address of a connection that is opened next. Without success the operating system chooses it.
+    void bindTo(tcp::socket& socket, const asio::ip::address& address)
+    {
+        constexpr int on = 1;
+        const tcp::endpoint local(address, 0);
+        beast::error_code ignored;
+        socket.open(local.protocol(), ignored);
+        // The port is chosen as the connection is opened, when the peer is known: otherwise no two connections could share one.
+        ::setsockopt(socket.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+        socket.bind(local, ignored);
+    }
+
 } // namespace
 
 struct http_call::connection {
@@ -108,6 +122,8 @@
     if (!endpoint)
         co_return endpoint.error();
     m_connection = std::make_unique<connection>(m_client.m_context.io());
+    if (endpoint.value().address() == m_client.m_ownAddress)
+        bindTo(m_connection->stream.socket(), endpoint.value().address());
     expireStreamAt(m_connection->stream, std::min(deadline, m_client.m_context.now() + m_client.m_connectTimeout));
     const auto [error] = co_await m_connection->stream.async_connect(endpoint.value(), asTuple);
     if (error) {
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -80,6 +80,10 @@
     // Sends a request and buffers the whole answer, up to `limit` bytes.
     awaitable<result<http_response>> fetch(std::string address, http_request, milliseconds timeout, std::size_t limit = 4'194'304);
 
+    // Calls to this address leave from it: a server on the same machine knows its machine by the caller's address, and on
+    // a host of several addresses the operating system would choose another one.
+    void setOwnAddress(boost::asio::ip::address address) { m_ownAddress = std::move(address); }
+
     // Closes the idle connections to a server that was restarted; its previous process has ended.
     void closeIdle(const std::string& address);
 
@@ -95,6 +99,7 @@
 
     process_context& m_context;
     milliseconds m_connectTimeout;
+    std::optional<boost::asio::ip::address> m_ownAddress;
     std::unordered_map<std::string, std::vector<idle_connection>> m_idle;
 };
 
