groups: a mark of a clean-up is no reason to take the lead

A clean-up that goes without a silent leader's rank marks all others. If its own machine stood still then, the agents of all marked ranks would have taken over at the same moment (0.2 s of silence while a step is held), each with calls to all ranks: by reading, not seen. Only a hold of a step that the group can reach counts now.

--- a/Source/gateway/process/agent_process.cpp
+++ b/Source/gateway/process/agent_process.cpp
@@ -301,7 +301,7 @@
 void agent_process::recordHold(const rank_view& view)
 {
     const instant now = m_context.now();
-    const auto ended = m_leadership.recordHold(view.heldStep != 0, now);
+    const auto ended = m_leadership.recordHold(view.holdsUp(), now);
     if (!ended)
         return;
     const double seconds = std::chrono::duration<double>(*ended).count();
--- a/Source/policy/groups/group_monitor.cpp
+++ b/Source/policy/groups/group_monitor.cpp
@@ -216,7 +216,7 @@
         const rank_view& view = known.last.view;
         found.step = std::max(found.step, view.step);
         found.active += view.active;
-        found.steady = found.steady && view.open && view.heldStep == 0;
+        found.steady = found.steady && view.open && !view.holdsUp();
     }
     return found;
 }
--- a/Source/policy/groups/map_switch.cpp
+++ b/Source/policy/groups/map_switch.cpp
@@ -12,10 +12,6 @@
     // A placement number that is never used: real ones are far higher, and 0 is the placement that a
     // group opens with.
     constexpr std::uint64_t neverPrepared = 1;
-    // Holds from here on are marks of clean-ups: no group ever reaches such a step. The largest mark still fits into the integers
-    // that JSON carries exactly.
-    constexpr std::uint64_t firstMarkStep = std::uint64_t { 1 } << 52U;
-
     constexpr std::array<std::string_view, 11> phaseNames { "claiming", "securing", "preparing", "holding", "arming", "arming_own", "releasing", "disarming_leader", "disarming", "releasing_aborted", "done" };
 
     // The rank has carried out the order, or it had nothing to do.
--- a/Source/policy/groups/rank_types.h
+++ b/Source/policy/groups/rank_types.h
@@ -15,6 +15,10 @@
 // The experts that each rank holds, indexed by layer set and rank.
 using group_placement = std::vector<std::vector<std::vector<std::uint16_t>>>;
 
+// Holds of steps from here on are marks of clean-ups: no group ever reaches such a step. The largest mark still fits into the
+// integers that JSON carries exactly.
+inline constexpr std::uint64_t firstMarkStep = std::uint64_t { 1 } << 52U;
+
 // State that an engine reports as a rank.
 struct rank_view {
     std::string group;
@@ -45,6 +49,8 @@
     // does not recognise its machine: they are no proof.
     bool fresh = true;
 
+    // True if the group may have to wait for this rank: a mark holds nothing up.
+    bool holdsUp() const { return heldStep != 0 && heldStep < firstMarkStep; }
     bool operator==(const rank_view&) const = default;
 };
 
