--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -268,11 +268,14 @@
     m_log.line("placement_change_begun").add("placement", change.placement()).add("epoch", m_monitor->epoch()).add("fence", settings.fence).add("slowest_pace", m_monitor->slowestPace()).add("skew", m_monitor->currentSkew()).add("planned_skew", m_monitor->plannedSkew()).add("new_experts", newExperts).add("measured_pass_ms", measuredPass()).add("longest_gap_ms", m_monitor->longestGap()).add("steps_ahead", settings.stepsAhead);
     m_context.counters().add(metric::experts_copied, static_cast<double>(newExperts));
     const milliseconds copies(static_cast<std::int64_t>(std::max(maxCopyMs, expertCopyMs(m_costs))));
-    co_await executeChange(change, copies + prepareMargin + callBudget(m_caller.limits(packPlacement(*contents).size())));
-    if (change.phase() == switch_phase::done)
+    const auto heldSince = co_await executeChange(change, copies + prepareMargin + callBudget(m_caller.limits(packPlacement(*contents).size())));
+    const bool done = change.phase() == switch_phase::done;
+    if (done)
         m_monitor->recordPlacementChange(change.placement(), *contents);
     else
         m_monitor->recordChangeEnd();
+    if (done && heldSince)
+        m_timing.recordArming(std::chrono::duration_cast<milliseconds>(m_context.now() - *heldSince));
     logEnd(change, began, "placement_change_ended");
 }
 
@@ -283,8 +286,8 @@
     if (!ownRank)
         co_return;
     const instant began = m_context.now();
-    auto change = map_switch::cleanUp(m_monitor->epoch(), m_monitor->groupSize(), m_numbers.nextFence(*ownRank, wallMilliseconds()), m_monitor->unobservedRank(), m_monitor->holds());
-    m_log.line("cleanup_begun").add("holds", m_monitor->holds().size()).add("armed", m_monitor->armedPlacement()).add("epoch", m_monitor->epoch());
+    hold_cleanup change(m_monitor->epoch(), m_monitor->groupSize(), m_numbers.nextFence(*ownRank, wallMilliseconds()), m_monitor->unobservedRank(), m_monitor->holds());
+    m_log.line("cleanup_begun").add("fence", change.fence()).add("holds", m_monitor->holds().size()).add("armed", m_monitor->armedPlacement()).add("epoch", m_monitor->epoch());
     co_await executeChange(change, cleanUpTimeout);
     const auto contents = change.phase() == switch_phase::done ? m_link.prepared(change.placement()) : nullptr;
     if (contents)
@@ -294,7 +297,7 @@
     logEnd(change, began, "cleanup_ended");
 }
 
-void group_leader::logEnd(const map_switch& change, instant began, std::string_view event)
+void group_leader::logEnd(const rank_change& change, instant began, std::string_view event)
 {
     const bool done = change.phase() == switch_phase::done;
     if (done)
@@ -302,7 +305,7 @@
     m_log.line(event).add("placement", change.placement()).add("step", change.heldStep()).add("took_ms", m_context.now() - began).add("outcome", done ? "done" : "failed").add("reason", change.reason().empty() ? "-" : change.reason());
 }
 
-awaitable<void> group_leader::executeChange(map_switch& change, milliseconds prepareTime)
+awaitable<std::optional<instant>> group_leader::executeChange(rank_change& change, milliseconds prepareTime)
 {
     instant limit = m_context.now() + prepareTime;
     std::optional<instant> heldSince;
@@ -325,7 +328,7 @@
             change.cancel();
         if (change.phase() != phase) {
             phaseBegan = m_context.now();
-            m_log.line("change_phase").add("change", change.isCleanUp() ? "cleanup" : "placement").add("from", toString(phase)).add("phase", toString(change.phase())).add("placement", change.placement()).add("step", change.heldStep()).add("took_ms", phaseBegan - roundBegan);
+            m_log.line("change_phase").add("fence", change.fence()).add("from", toString(phase)).add("phase", toString(change.phase())).add("placement", change.placement()).add("step", change.heldStep()).add("took_ms", phaseBegan - roundBegan);
         }
         abandonIfUseless(change, phaseBegan);
         // Only orders that are sent again need a pause: any other lengthens the hold, and the time in which
@@ -333,12 +336,11 @@
         if (change.phase() == phase)
             co_await sleepFor(m_context.io(), roundPause);
     }
-    if (heldSince && change.phase() == switch_phase::done && !change.isCleanUp())
-        m_timing.recordArming(std::chrono::duration_cast<milliseconds>(m_context.now() - *heldSince));
+    co_return heldSince;
 }
 
 // While a step is held, other agents see that it is, and a clean-up with what is known by then does what this change cannot.
-void group_leader::abandonIfUseless(map_switch& change, instant phaseBegan) const
+void group_leader::abandonIfUseless(rank_change& change, instant phaseBegan) const
 {
     if (change.ended())
         return;
@@ -348,7 +350,7 @@
         change.abandon("the orders have had no effect");
 }
 
-awaitable<void> group_leader::sendRound(map_switch& change, milliseconds prepareTime)
+awaitable<void> group_leader::sendRound(rank_change& change, milliseconds prepareTime)
 {
     auto orders = change.pending();
     if (orders.empty())
@@ -368,7 +370,7 @@
     }
 }
 
-awaitable<void> group_leader::sendDirectly(map_switch& change, std::vector<rank_order_to_send> orders)
+awaitable<void> group_leader::sendDirectly(rank_change& change, std::vector<rank_order_to_send> orders)
 {
     const auto ids = m_monitor->backendIds();
     const auto targets = m_caller.targets(ids);
@@ -385,7 +387,7 @@
         change.cancel();
 }
 
-awaitable<void> group_leader::sendToAll(map_switch& change, std::vector<rank_order_to_send> orders, milliseconds prepareTime)
+awaitable<void> group_leader::sendToAll(rank_change& change, std::vector<rank_order_to_send> orders, milliseconds prepareTime)
 {
     const map_order order = orders.front().order;
     auto targets = targetsFor(orders);
@@ -424,7 +426,7 @@
     return targets;
 }
 
-awaitable<void> group_leader::callRanks(map_switch& change, std::vector<rank_order_to_send> orders, std::optional<map_order> sent, std::vector<call_target> targets, milliseconds budget)
+awaitable<void> group_leader::callRanks(rank_change& change, std::vector<rank_order_to_send> orders, std::optional<map_order> sent, std::vector<call_target> targets, milliseconds budget)
 {
     const auto ids = m_monitor->backendIds();
     const auto outcome = co_await m_caller.call(std::move(targets), std::move(sent), false, budget);
@@ -435,7 +437,7 @@
     }
 }
 
-void group_leader::recordOutcome(map_switch& change, const map_order& sent, const rank_outcome& outcome, const std::vector<std::string>& ids)
+void group_leader::recordOutcome(rank_change& change, const map_order& sent, const rank_outcome& outcome, const std::vector<std::string>& ids)
 {
     if (outcome.index >= ids.size())
         return;
--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -6,6 +6,7 @@
 #include "policy/groups/change_numbers.h"
 #include "policy/groups/group_monitor.h"
 #include "policy/groups/group_roster.h"
+#include "policy/groups/hold_cleanup.h"
 #include "policy/groups/map_switch.h"
 #include "policy/groups/pass_model.h"
 #include "policy/groups/step_rate.h"
@@ -58,22 +59,22 @@
     // Applies costs that were published during a change.
     void applyPendingCosts();
     // Ends a change that no longer fits the group, or whose orders have had no effect for long.
-    void abandonIfUseless(map_switch&, instant phaseBegan) const;
+    void abandonIfUseless(rank_change&, instant phaseBegan) const;
     // Changes to another group; what was measured of the former one is discarded.
     void followGroup(const std::string& group);
     awaitable<void> learnPlacement();
     awaitable<void> changePlacement(const std::string& ownBackendId);
     awaitable<void> cleanUp(const std::string& ownBackendId);
-    // Sends the orders of a change until it has ended.
-    awaitable<void> executeChange(map_switch&, milliseconds prepareTime);
+    // Sends the orders of a change until it has ended. Returns since when a step may have been held.
+    awaitable<std::optional<instant>> executeChange(rank_change&, milliseconds prepareTime);
     // Observes the states that a poll of `ids` returned.
     void observe(const group_outcome&, const std::vector<std::string>& ids, instant now);
-    awaitable<void> sendRound(map_switch&, milliseconds prepareTime);
-    awaitable<void> sendToAll(map_switch&, std::vector<rank_order_to_send>, milliseconds prepareTime);
+    awaitable<void> sendRound(rank_change&, milliseconds prepareTime);
+    awaitable<void> sendToAll(rank_change&, std::vector<rank_order_to_send>, milliseconds prepareTime);
     // `orders`: those of this round, whose replies are recorded; `sent` is sent for them, or nothing to only query the state.
-    awaitable<void> callRanks(map_switch&, std::vector<rank_order_to_send> orders, std::optional<map_order> sent, std::vector<call_target>, milliseconds budget);
-    awaitable<void> sendDirectly(map_switch&, std::vector<rank_order_to_send>);
-    void recordOutcome(map_switch&, const map_order& sent, const rank_outcome&, const std::vector<std::string>& ids);
+    awaitable<void> callRanks(rank_change&, std::vector<rank_order_to_send> orders, std::optional<map_order> sent, std::vector<call_target>, milliseconds budget);
+    awaitable<void> sendDirectly(rank_change&, std::vector<rank_order_to_send>);
+    void recordOutcome(rank_change&, const map_order& sent, const rank_outcome&, const std::vector<std::string>& ids);
     std::vector<call_target> targetsFor(const std::vector<rank_order_to_send>&) const;
     poll_plan pollPlan() const;
     std::vector<std::string> idsToPoll(group_members) const;
@@ -81,7 +82,7 @@
     std::size_t countsBytes() const;
     // Rank of this server in the monitored group, if it is known.
     std::optional<std::size_t> rankOf(const std::string& backendId) const;
-    void logEnd(const map_switch&, instant began, std::string_view event);
+    void logEnd(const rank_change&, instant began, std::string_view event);
 
     process_context& m_context;
     decision_log& m_log;
--- a/Tests/platform/map-switch/engine_model.h
+++ b/Tests/platform/map-switch/engine_model.h
@@ -1,6 +1,7 @@
 // Simulates the engines of a group in lock-step and how they carry out the orders of a placement change.
 #pragma once
 
+#include "policy/groups/hold_cleanup.h"
 #include "policy/groups/map_switch.h"
 
 #include <map>
--- a/Tests/platform/map-switch/standstill.cpp
+++ b/Tests/platform/map-switch/standstill.cpp
@@ -72,7 +72,7 @@
     }
 
 private:
-    void reply(map_switch& change, const rank_order_to_send& next)
+    void reply(rank_change& change, const rank_order_to_send& next)
     {
         const auto answer = m_group.apply(next.rank, next.order);
         const auto after = m_group.view(next.rank);
@@ -112,7 +112,7 @@
 
     void cleanUp(std::uint64_t fence)
     {
-        auto change = map_switch::cleanUp(1, ranks, fence);
+        hold_cleanup change(1, ranks, fence);
         std::array<std::optional<int>, ranks> answeredIn;
         for (int round = 0; round < maxRounds && !change.ended(); ++round) {
             if (!m_awake && round >= m_played.wakesInRound)
@@ -196,7 +196,7 @@
 constexpr std::uint64_t fence = 7;
 
 // The pending order for a rank, or an empty one.
-map_order orderFor(const map_switch& change, std::size_t rank)
+map_order orderFor(const rank_change& change, std::size_t rank)
 {
     for (const auto& next : change.pending()) {
         if (next.rank == rank)
@@ -205,7 +205,7 @@
     return {};
 }
 
-bool isPending(const map_switch& change, std::size_t rank)
+bool isPending(const rank_change& change, std::size_t rank)
 {
     return orderFor(change, rank).fence != 0;
 }
@@ -222,15 +222,15 @@
     return view;
 }
 
-void answer(map_switch& change, std::size_t rank, order_reply reply, const rank_view& after)
+void answer(rank_change& change, std::size_t rank, order_reply reply, const rank_view& after)
 {
     change.handleReply(rank, orderFor(change, rank), reply, &after);
 }
 
 // A clean-up that has claimed all ranks and secured the hold; each reading shows the rank as prepared and not armed.
-map_switch securedWith(const std::array<std::uint64_t, ranks>& prepared)
+hold_cleanup securedWith(const std::array<std::uint64_t, ranks>& prepared)
 {
-    auto change = map_switch::cleanUp(1, ranks, fence);
+    hold_cleanup change(1, ranks, fence);
     for (std::size_t rank = 0; rank < ranks; ++rank)
         answer(change, rank, order_reply::already, viewOf(prepared[rank], 0, rank == holder ? heldStep : 0));
     answer(change, holder, order_reply::already, viewOf(prepared[holder], 0, heldStep));
@@ -239,7 +239,7 @@
 
 // The same after the ranks had prepared different placements, so that all are to be disarmed: those that hold no step are marked,
 // and the one that does is armed with what it seems to have prepared.
-map_switch disarmingWith(const std::array<std::uint64_t, ranks>& prepared)
+hold_cleanup disarmingWith(const std::array<std::uint64_t, ranks>& prepared)
 {
     auto change = securedWith(prepared);
     for (std::size_t rank = 0; rank < ranks; ++rank)
@@ -256,7 +256,7 @@
 
 TEST_CASE("a claim rests on its answer: a reading without one proves nothing")
 {
-    auto change = map_switch::cleanUp(1, ranks, fence);
+    hold_cleanup change(1, ranks, fence);
     const auto current = viewOf(older, 0, 0);
     for (const auto reply : { order_reply::unanswered, order_reply::conflict, order_reply::refused }) {
         answer(change, 0, reply, current);
@@ -316,7 +316,7 @@
 
 TEST_CASE("a hold that a reading shows is ordered anew: an earlier leader may have released it since")
 {
-    auto change = map_switch::cleanUp(1, ranks, fence);
+    hold_cleanup change(1, ranks, fence);
     for (std::size_t rank = 0; rank < ranks; ++rank)
         answer(change, rank, order_reply::already, viewOf(older, older, rank == holder ? heldStep : 0));
     REQUIRE((orderFor(change, holder).kind == map_order_kind::hold));
@@ -329,7 +329,7 @@
 
 TEST_CASE("a known hold that is refused is no claim: the rank's fence is raised by another order")
 {
-    auto change = map_switch::cleanUp(1, ranks, fence, std::nullopt, { { holder, heldStep } });
+    hold_cleanup change(1, ranks, fence, std::nullopt, { { holder, heldStep } });
     REQUIRE((orderFor(change, holder).kind == map_order_kind::hold));
     answer(change, holder, order_reply::conflict, viewOf(older, 0, heldStep));
     CHECK((orderFor(change, holder).kind == map_order_kind::disarm));
@@ -337,7 +337,7 @@
 
 TEST_CASE("ranks are armed anew only when no step before the held one can begin: they may be armed for it")
 {
-    auto change = map_switch::cleanUp(1, ranks, fence);
+    hold_cleanup change(1, ranks, fence);
     auto view = viewOf(older, 0, 0);
     view.step = heldStep - 3;
     for (std::size_t rank = 0; rank < ranks; ++rank) {
@@ -352,7 +352,8 @@
     CHECK(next.order.step == heldStep - 2);
     answer(change, next.rank, order_reply::already, view);
     CHECK((change.phase() == switch_phase::arming));
-    CHECK(orderFor(change, 0).step == heldStep - 2);
+    REQUIRE_FALSE(change.pending().empty());
+    CHECK(change.pending().front().order.step == heldStep - 2);
 }
 
 TEST_CASE("the answer to an order to disarm is enough: an old reading that still shows the placement is not waited for")
@@ -467,10 +468,10 @@
 namespace {
 
 // A clean-up that has claimed all ranks but that of the silent leader, 1: rank 0 seems not to be armed.
-map_switch withoutSilentLeader()
+hold_cleanup withoutSilentLeader()
 {
     const std::uint64_t placement = placementNumber(5, 1);
-    auto change = map_switch::cleanUp(1, ranks, fence, 1);
+    hold_cleanup change(1, ranks, fence, 1);
     answer(change, 0, order_reply::already, viewOf(placement, 0, 0));
     answer(change, holder, order_reply::already, viewOf(placement, placement, heldStep));
     answer(change, holder, order_reply::already, viewOf(placement, placement, heldStep));
@@ -512,6 +513,40 @@
     }
 }
 
+TEST_CASE("what a marked reading has shown is not undone by an older one")
+{
+    const std::uint64_t placement = placementNumber(5, 1);
+    hold_cleanup change(1, 4, fence, 1, { { holder, heldStep } });
+    answer(change, 0, order_reply::already, viewOf(placement, 0, 0));
+    answer(change, 3, order_reply::already, viewOf(placement, 0, 0));
+    answer(change, holder, order_reply::already, viewOf(placement, placement, heldStep));
+    REQUIRE((change.phase() == switch_phase::securing));
+    const auto sent = orderFor(change, 0);
+    const auto armed = viewOf(placement, placement, sent.step);
+    const auto older = viewOf(placement, 0, 0);
+    change.handleReply(0, sent, order_reply::already, &armed);
+    change.handleReply(0, sent, order_reply::already, &older);
+    answer(change, 3, order_reply::already, armed);
+    // All marked ranks are armed, so the silent one may be, too.
+    CHECK((change.phase() == switch_phase::claiming));
+}
+
+TEST_CASE("an order that did not reach a rank is no refusal: it shows nothing of what the rank has prepared or holds")
+{
+    auto change = securedWith({ older, older, older });
+    answer(change, 0, order_reply::refused, viewOf(older, 0, 0));
+    CHECK((change.phase() == switch_phase::arming));
+    CHECK(isPending(change, 0));
+
+    auto undone = securedWith({ older, 0, 0 });
+    answer(undone, 0, order_reply::already, viewOf(older, 0, orderFor(undone, 0).step));
+    answer(undone, lastArmed, order_reply::already, viewOf(older, 0, orderFor(undone, lastArmed).step));
+    answer(undone, holder, order_reply::already, viewOf(0, 0, heldStep));
+    REQUIRE((undone.phase() == switch_phase::arming));
+    answer(undone, holder, order_reply::refused, viewOf(0, 0, heldStep));
+    CHECK(isPending(undone, holder));
+}
+
 TEST_CASE("marks are released: those of this clean-up if its silent rank stays silent, and those that an earlier one has left")
 {
     auto change = withoutSilentLeader();
@@ -521,7 +556,7 @@
     CHECK((orderFor(change, 0).kind == map_order_kind::release));
     CHECK(orderFor(change, 0).step == mark);
 
-    auto next = map_switch::cleanUp(1, ranks, fence + 1);
+    hold_cleanup next(1, ranks, fence + 1);
     for (std::size_t rank = 0; rank < ranks; ++rank)
         answer(next, rank, order_reply::already, viewOf(older, 0, rank == 0 ? mark : 0));
     CHECK((next.phase() == switch_phase::releasing_aborted));
--- a/Tests/platform/map-switch/test.cpp
+++ b/Tests/platform/map-switch/test.cpp
@@ -21,7 +21,7 @@
 
 // A leader that carries out one change, until the change ends or the leader is killed.
 struct leader {
-    std::optional<map_switch> change;
+    std::unique_ptr<rank_change> change;
     int rounds = 0;
     switch_phase phase = switch_phase::preparing;
     int roundsInPhase = 0;
@@ -128,9 +128,9 @@
         m_fence += 10;
         const auto ownRank = static_cast<std::size_t>(&acting - m_leaders.data());
         if (m_group.anyHold())
-            acting.change = map_switch::cleanUp(1, ranks, m_fence, m_silentRanks ? std::optional<std::size_t>(draw(ranks)) : std::nullopt, seenHolds());
+            acting.change = std::make_unique<hold_cleanup>(1, ranks, m_fence, m_silentRanks ? std::optional<std::size_t>(draw(ranks)) : std::nullopt, seenHolds());
         else
-            acting.change.emplace(placementNumber(m_fence, ownRank), std::make_shared<group_placement>(), 1, ranks, ownRank, switch_settings { 2, m_fence });
+            acting.change = std::make_unique<map_switch>(placementNumber(m_fence, ownRank), std::make_shared<group_placement>(), 1, ranks, ownRank, switch_settings { 2, m_fence });
         acting.rounds = 0;
     }
 
@@ -360,7 +360,7 @@
 namespace {
 
 // Sends the pending orders of a change, except those to ranks that cannot be reached.
-void sendReachable(group_model& group, map_switch& change, std::size_t unreachable)
+void sendReachable(group_model& group, rank_change& change, std::size_t unreachable)
 {
     for (const auto& next : change.pending()) {
         if (next.rank == unreachable)
@@ -385,7 +385,7 @@
     // Its machine freezes here, with one rank armed and its own engine unreachable.
     map_order arm = change.pending().front().order;
     REQUIRE((group.apply(1, arm) == order_reply::already));
-    auto cleanUp = map_switch::cleanUp(1, ranks, 7);
+    hold_cleanup cleanUp(1, ranks, 7);
     sendReachable(group, cleanUp, frozen);
     CHECK((cleanUp.phase() == switch_phase::claiming));
     cleanUp.cancel();
@@ -416,7 +416,7 @@
         sendReachable(group, change, ranks);
     // All are armed; the release was not sent.
     REQUIRE((change.phase() == switch_phase::releasing));
-    auto cleanUp = map_switch::cleanUp(1, ranks, 7);
+    hold_cleanup cleanUp(1, ranks, 7);
     sendReachable(group, cleanUp, frozen);
     cleanUp.cancel();
     CHECK((cleanUp.phase() == switch_phase::failed));
--- a/Tests/platform/silent-leader/test.cpp
+++ b/Tests/platform/silent-leader/test.cpp
@@ -84,7 +84,7 @@
             send(m_change, true);
     }
 
-    int send(map_switch& change, bool isLeader)
+    int send(rank_change& change, bool isLeader)
     {
         int lasts = roundMs;
         for (const auto& next : change.pending()) {
@@ -147,7 +147,7 @@
         }
         poll();
         if (m_monitor.decide(at(m_ms)) == leader_task::clean_up) {
-            m_cleanUp = map_switch::cleanUp(1, ranks, m_fence += 10, m_monitor.unobservedRank(), m_monitor.holds());
+            m_cleanUp.emplace(1, ranks, m_fence += 10, m_monitor.unobservedRank(), m_monitor.holds());
             m_cleanUpLimit = m_ms + cleanUpMs;
         } else if (readyAfter == 0 && m_monitor.complete(at(m_ms)) && m_monitor.holds().empty() && m_monitor.armedPlacement() == 0)
             readyAfter = m_ms - m_stoppedAt;
@@ -168,7 +168,7 @@
     std::vector<leadership> m_agents { ranks };
     map_switch m_change { placementNumber(5, leaderRank), std::make_shared<group_placement>(), 1, ranks, leaderRank, { 2, 5 } };
     group_monitor m_monitor { monitor_settings {} };
-    std::optional<map_switch> m_cleanUp;
+    std::optional<hold_cleanup> m_cleanUp;
 };
 
 constexpr int holdOrder = ranks;
