groups: an order's answer counts only if the state after it came over the same connection

What callers could have seen: ranks with different placements after a rank's refusal was taken for its consent.

Cause: an engine may send an answer twice, and the copy may arrive where the next answer is expected. The leader asked for a decodable state after the order, but over any connection of the pool: once the real answer had arrived behind the copy, the pool dropped that connection, a new one brought a state, and the copy counted.

Changed: rank_port::order() sends the order and reads the state over one connection, on which answers come in the order of the requests: after a copy the order's own answer comes where the state is expected, and the reply is "unanswered". The order is sent again. As many calls as before, but one probe for each hold and release that a leader sends to another machine.

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -113,7 +113,7 @@
 
 awaitable<result<void>> http_call::connect(const std::string& address, instant deadline)
 {
-    if (!m_freshConnection)
+    if (!m_connection && !m_freshConnection)
         m_connection = m_client.popIdle(address);
     m_firstOnConnection = !m_connection;
     if (m_connection)
@@ -263,6 +263,8 @@
         m_connection.reset();
         return;
     }
+    if (m_keepForNext)
+        return;
     m_connection->stream.expires_never();
     auto& idle = m_client.m_idle[m_address];
     if (idle.size() < maxIdlePerAddress)
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -36,6 +36,11 @@
     void expireAt(instant deadline);
     // Skips the pool: the server may have closed an idle connection without our noticing yet.
     void useFreshConnection() { m_freshConnection = true; }
+    // Keeps the connection after a complete answer for the next request of this call, in place of returning it to the pool. Its
+    // answers come in the order of the requests, so what the next one gets shows whether this one got its own.
+    void keepForNext(bool keep) { m_keepForNext = keep; }
+    // True if the next request goes over the same connection.
+    bool hasConnection() const { return m_connection != nullptr; }
     // True if the answer has a length or is chunked, so that its end differs from a lost connection.
     bool framed() const { return m_framed; }
     // The length that the answer's head states; empty if it states none.
@@ -63,6 +68,7 @@
     std::unique_ptr<connection> m_connection;
     bool m_cancelled = false;
     bool m_freshConnection = false;
+    bool m_keepForNext = false;
     bool m_framed = true;
     bool m_firstOnConnection = true;
     instant m_deadline {};
--- a/Source/gateway/groups/rank_link.cpp
+++ b/Source/gateway/groups/rank_link.cpp
@@ -157,41 +157,51 @@
     std::optional<map_order> order;
     if (query.order) {
         order = orderFor(query, target);
-        outcome.reply = co_await orderOwnEngine(*order, target.backendId, until);
+        order_answer answer = co_await orderOwnEngine(*order, target.backendId, until);
+        outcome.reply = answer.reply;
+        outcome.after = std::move(answer.after);
     }
     if (query.wantsExpertCounts) {
         auto counts = co_await m_port.counts(m_ownEngine);
         if (counts)
             addExpertCounts(pending->outcome.expertCounts, m_expertCounts.countSinceLast(std::move(counts.value().counts), counts.value().incarnation));
     }
-    const auto state = co_await m_port.state(m_ownEngine);
-    if (state) {
-        outcome.after = state.value();
-        if (m_onOwnState)
-            m_onOwnState(state.value());
-    } else
-        m_log.line("rank_state_unknown").add("address", m_ownEngine).add("reason", state.error().message);
+    if (!outcome.after)
+        outcome.after = co_await readOwnState();
+    if (outcome.after && m_onOwnState)
+        m_onOwnState(*outcome.after);
     if (order)
         logOrder(*order, target.backendId, outcome, order_path::own_agent);
     pending->outcome.ranks.push_back(std::move(outcome));
 }
 
-awaitable<order_reply> rank_link::orderOwnEngine(map_order order, std::string backendId, instant until)
+awaitable<std::optional<rank_view>> rank_link::readOwnState()
+{
+    const auto state = co_await m_port.state(m_ownEngine);
+    if (state)
+        co_return state.value();
+    m_log.line("rank_state_unknown").add("address", m_ownEngine).add("reason", state.error().message);
+    co_return std::nullopt;
+}
+
+awaitable<order_answer> rank_link::orderOwnEngine(map_order order, std::string backendId, instant until)
 {
     m_highestFence = std::max(m_highestFence, order.fence);
-    order_reply reply = co_await m_port.order(m_ownEngine, backendId, order);
-    if (order.kind == map_order_kind::prepare) {
-        m_prepared[order.placement] = order.contents;
-        while (m_prepared.size() > placementsKept)
-            m_prepared.erase(m_prepared.begin());
-        // An order to prepare without an answer may be executed seconds later. Sent again it starts
-        // now, and the late one finds its placement number already used.
-        while (reply == order_reply::unanswered && m_context.now() + hopMargin < until)
-            reply = co_await m_port.order(m_ownEngine, backendId, order);
-        if (reply != order_reply::fenced && reply != order_reply::refused)
-            co_await awaitPrepared(order.placement, until - hopMargin);
-    }
-    co_return reply;
+    order_answer answer = co_await m_port.order(m_ownEngine, backendId, order);
+    if (order.kind != map_order_kind::prepare)
+        co_return answer;
+    m_prepared[order.placement] = order.contents;
+    while (m_prepared.size() > placementsKept)
+        m_prepared.erase(m_prepared.begin());
+    // An order to prepare without an answer may be executed seconds later. Sent again it starts
+    // now, and the late one finds its placement number already used.
+    while (answer.reply == order_reply::unanswered && m_context.now() + hopMargin < until)
+        answer = co_await m_port.order(m_ownEngine, backendId, order);
+    if (answer.reply != order_reply::fenced && answer.reply != order_reply::refused)
+        co_await awaitPrepared(order.placement, until - hopMargin);
+    // The copy may be complete by now.
+    answer.after.reset();
+    co_return answer;
 }
 
 awaitable<void> rank_link::awaitPrepared(std::uint64_t placement, instant until)
@@ -268,9 +278,14 @@
     rank_outcome outcome;
     outcome.index = target.index;
     if (query.order) {
-        map_order order = orderFor(query, target);
-        outcome.reply = co_await orderEngineOnce(target, order);
-        outcome.after = co_await readStateAfterOrder(target.address);
+        const map_order order = orderFor(query, target);
+        order_answer answer = co_await orderEngineOnce(target, order);
+        outcome.reply = answer.reply;
+        outcome.after = std::move(answer.after);
+        if (outcome.after)
+            outcome.after->fresh = false;
+        else
+            outcome.after = co_await readEngineState(target.address);
         logOrder(order, target.backendId, outcome, order_path::past_agent);
     } else {
         outcome.after = co_await readEngineState(target.address);
@@ -280,28 +295,19 @@
 }
 
 // An order whose effect a reading does not show yet is repeated in each round, and each order from another machine has its price.
-awaitable<order_reply> rank_link::orderEngineOnce(const call_target& target, map_order order)
+awaitable<order_answer> rank_link::orderEngineOnce(const call_target& target, map_order order)
 {
     const instant now = m_context.now();
     std::erase_if(m_answeredOrders, [now](const auto& entry) { return now - entry.second.at > answeredOrderLifetime; });
     const auto known = m_answeredOrders.find(target.address);
     if (known != m_answeredOrders.end() && isSameOrder(known->second.order, order))
-        co_return known->second.reply;
-    const order_reply reply = co_await m_port.order(target.address, target.backendId, order);
-    if (isDone(reply)) {
+        co_return order_answer { known->second.reply, std::nullopt };
+    order_answer answer = co_await m_port.order(target.address, target.backendId, order);
+    if (isDone(answer.reply)) {
         order.contents.reset();
-        m_answeredOrders.insert_or_assign(target.address, answered_order { order, reply, m_context.now() });
+        m_answeredOrders.insert_or_assign(target.address, answered_order { order, answer.reply, m_context.now() });
     }
-    co_return reply;
-}
-
-awaitable<std::optional<rank_view>> rank_link::readStateAfterOrder(const std::string& address)
-{
-    auto seen = co_await readEngineState(address);
-    // Its answer may have been a copy of an earlier one: the order is sent again.
-    if (!seen)
-        m_answeredOrders.erase(address);
-    co_return seen;
+    co_return answer;
 }
 
 awaitable<rank_outcome> rank_link::orderDirectly(group_query query, call_target target)
@@ -309,7 +315,8 @@
     rank_outcome outcome;
     outcome.index = target.index;
     const map_order order = orderFor(query, target);
-    outcome.reply = co_await m_port.order(target.address, target.backendId, order);
+    const order_answer answer = co_await m_port.order(target.address, target.backendId, order);
+    outcome.reply = answer.reply;
     group_query poll = query;
     poll.order.reset();
     group_outcome seen;
--- a/Source/gateway/groups/rank_link.h
+++ b/Source/gateway/groups/rank_link.h
@@ -88,11 +88,10 @@
     // Forwards the call for a part of the ranks to the first one's agent. True if it answered for all.
     awaitable<bool> forwardCall(std::shared_ptr<pending_group_call>, group_query, std::vector<call_target>, instant until);
     // Sends the order unless the engine has carried out the same one already.
-    awaitable<order_reply> orderEngineOnce(const call_target&, map_order);
-    // A state of the rank, from before or after the order; empty if none can be had.
-    awaitable<std::optional<rank_view>> readStateAfterOrder(const std::string& address);
+    awaitable<order_answer> orderEngineOnce(const call_target&, map_order);
     awaitable<std::optional<rank_view>> readEngineState(std::string address);
-    awaitable<order_reply> orderOwnEngine(map_order, std::string backendId, instant until);
+    awaitable<std::optional<rank_view>> readOwnState();
+    awaitable<order_answer> orderOwnEngine(map_order, std::string backendId, instant until);
     awaitable<void> awaitPrepared(std::uint64_t placement, instant until);
     std::string agentAddress(const std::string& engineAddress) const;
     // Logs an order with its answer and the state that was read after it.
--- a/Source/gateway/groups/rank_port.h
+++ b/Source/gateway/groups/rank_port.h
@@ -7,6 +7,12 @@
 
 namespace rampgap {
 
+// An engine's answer to an order, and a state of the engine that was read after it.
+struct order_answer {
+    order_reply reply = order_reply::unanswered;
+    std::optional<rank_view> after;
+};
+
 class rank_port {
 public:
     virtual ~rank_port() = default;
@@ -17,7 +23,9 @@
     virtual awaitable<result<expert_counts>> counts(std::string address) = 0;
     // The experts of the placement in use that the rank holds.
     virtual awaitable<result<rank_experts>> experts(std::string address) = 0;
-    virtual awaitable<order_reply> order(std::string address, std::string backendId, map_order) = 0;
+    // Sends an order and then reads the engine's state over the same connection. The reply is `unanswered` unless this shows that
+    // the answer was the order's: after a second copy of an earlier answer the next one would not be a state.
+    virtual awaitable<order_answer> order(std::string address, std::string backendId, map_order) = 0;
     // A request that an engine answers at once under any load, as long as its process works.
     virtual http_request makeProbe() const = 0;
 };
