groups: a mark's step stays exact in JSON as long as the fences do; comments in plainer words

What callers could have seen: nothing before 2039, or before a wall clock is set beyond it. From then on a mark (2^52 plus the fence) exceeds 2^53; an engine that keeps JSON numbers as floating point would round two marks to one, and a mark is to be unique. Cause: the whole fence was added, though its sequence and rank are unique, too. Evidence: the new test "JSON carries the step of a mark exactly" with a fence of the year 2100 fails on the code before. Changed: a mark is made of the fence's sequence and rank. It stays the same when the fence is raised, too.

Also rewritten: the comments of the read-through that needed help (what a poll interval, a gap, a silent engine, a holder, a lost answer mean there), without a change of code.

--- a/Source/gateway/groups/group_leader.cpp
+++ b/Source/gateway/groups/group_leader.cpp
@@ -156,7 +156,7 @@
     std::vector<std::string> ids = std::move(known.members);
     const std::size_t size = m_monitor->groupSize();
     const std::size_t missing = size - std::min(size, ids.size());
-    // If most are missing, this agent has just started.
+    // Only an agent that has just started misses most ranks. It hears of them soon, so it does not ask servers of unknown group.
     if (missing > size / 2)
         return ids;
     const auto unknown = static_cast<std::ptrdiff_t>(std::min(missing * maxUnknownPerMissingRank, known.unknown.size()));
@@ -279,7 +279,8 @@
     logEnd(change, began, "placement_change_ended");
 }
 
-// Without its own rank this agent has no fence that is surely its own, and cannot order its engine: another one leads soon.
+// A fence holds the rank of this agent's engine. Until a poll has read that engine, for example right after a takeover, the rank
+// is not known; the next poll comes within the poll interval.
 awaitable<void> group_leader::cleanUp(const std::string& ownBackendId)
 {
     const auto ownRank = rankOf(ownBackendId);
--- a/Source/gateway/groups/group_leader.h
+++ b/Source/gateway/groups/group_leader.h
@@ -31,8 +31,8 @@
     // `linkMbps`: bandwidth of this agent's machine.
     group_leader(process_context&, decision_log&, fleet_state&, rank_link&, group_roster&, double linkMbps);
 
-    // Applies the service's published costs; starts over if they changed, once a change in progress has ended.
-    // `longestGap`: the longest time between two events that the service's strictest callers accept.
+    // Applies the engines' published costs; new ones discard what was measured, once a change in progress has ended.
+    // `longestGap`: the shortest `target_gap_ms` of the service's routes: a longer pause between two events of a stream is late.
     void configure(const engine_costs&, milliseconds longestGap);
     bool configured() const { return m_monitor.has_value(); }
     // Queries the state of all ranks, and in some polls also their expert counts.
@@ -43,7 +43,7 @@
     milliseconds pollIntervalFor(std::size_t ranks) const;
     // From the start of one poll to the start of the next.
     milliseconds pollInterval() const { return pollPlan().pause; }
-    // The monitored group; empty before the first task.
+    // Name of the group that this agent observes as its leader; empty before its first poll as one.
     std::string group() const { return m_monitor ? m_monitor->group() : std::string(); }
     // Requests at each open rank whose state is known.
     load_report_by_hash rankLoads() const;
@@ -60,7 +60,7 @@
     void applyPendingCosts();
     // Ends a change that no longer fits the group, or whose orders have had no effect for long.
     void abandonIfUseless(rank_change&, instant phaseBegan) const;
-    // Changes to another group; what was measured of the former one is discarded.
+    // Observes this group from now on. If it is another one than before, what was measured of the former is discarded.
     void followGroup(const std::string& group);
     awaitable<void> learnPlacement();
     awaitable<void> changePlacement(const std::string& ownBackendId);
--- a/Source/gateway/groups/rank_link.cpp
+++ b/Source/gateway/groups/rank_link.cpp
@@ -199,7 +199,7 @@
         answer = co_await m_port.order(m_ownEngine, backendId, order);
     if (answer.reply != order_reply::fenced && answer.reply != order_reply::refused)
         co_await awaitPrepared(order.placement, until - hopMargin);
-    // The copy may be complete by now.
+    // The state was read before the engine had copied the experts: the caller of this reads it again.
     answer.after.reset();
     co_return answer;
 }
--- a/Source/gateway/groups/rank_link.h
+++ b/Source/gateway/groups/rank_link.h
@@ -1,5 +1,5 @@
-// Calls the ranks of a group through the agents on their machines, whose view is fresh, or the engine
-// itself if its agent is silent.
+// Sends orders and queries to the ranks of a group. Each goes to the agent on the rank's machine, which passes it to its engine and
+// on to other agents; where an agent does not answer, the rank's engine is called directly.
 #pragma once
 
 #include "daemon/decision_log.h"
@@ -59,8 +59,8 @@
     // state after it through its agent.
     awaitable<rank_outcome> orderDirectly(group_query, call_target);
     awaitable<std::optional<rank_experts>> experts(std::string address);
-    // The contents of a placement that the own engine was ordered to prepare; null if that was too long
-    // ago.
+    // The contents of a placement that this agent has passed to its engine to prepare; null if it keeps them no more. It keeps the
+    // last few only.
     std::shared_ptr<const group_placement> prepared(std::uint64_t placement) const;
 
     // The highest fence of an order that was sent to the own engine; 0 if none was.
--- a/Source/gateway/groups/rank_port.h
+++ b/Source/gateway/groups/rank_port.h
@@ -23,10 +23,11 @@
     virtual awaitable<result<expert_counts>> counts(std::string address) = 0;
     // The experts of the placement in use that the rank holds.
     virtual awaitable<result<rank_experts>> experts(std::string address) = 0;
-    // Sends an order and then reads the engine's state over the same connection. The reply is `unanswered` unless this shows that
-    // the answer was the order's: after a second copy of an earlier answer the next one would not be a state.
+    // Sends an order, and then a query of the engine's state over the same connection. An engine answers in the order of the
+    // requests. If it has sent an earlier answer twice, the copy comes in place of the order's answer, and that one in place of the
+    // state: then the reply is `unanswered`, without a state.
     virtual awaitable<order_answer> order(std::string address, std::string backendId, map_order) = 0;
-    // A request that an engine answers at once under any load, as long as its process works.
+    // A request that only shows whether the engine's process works: it takes no request slot, so a loaded engine answers it, too.
     virtual http_request makeProbe() const = 0;
 };
 
--- a/Source/gateway/process/agent_process.cpp
+++ b/Source/gateway/process/agent_process.cpp
@@ -32,8 +32,8 @@
     // Long, since an agent rarely hears from each entry VM; it needs only a few that answer.
     constexpr milliseconds peerTimeout { 15'000 };
     constexpr milliseconds peerReportInterval { 400 };
-    // An agent admits no requests, so how fresh its copy is does not matter. But changes of the list of servers are not
-    // announced to it: it learns of them from the answers.
+    // An agent admits no callers' requests, so it need not prove that its copy of the configuration is fresh. It has to ask for
+    // the list of servers regularly all the same, since nobody announces changes of the list to agents.
     constexpr freshness_pace agentPace { milliseconds(0), milliseconds(250), milliseconds(250) };
     constexpr milliseconds distrustSourceAfter { 5'000 };
     // A group whose ranks were cut off opens 0.6 s after the cut, but their entries lapsed during
--- a/Source/policy/groups/group_monitor.cpp
+++ b/Source/policy/groups/group_monitor.cpp
@@ -8,8 +8,8 @@
 
     // The load may grow by half within the second that it takes to decide a change and copy its experts.
     constexpr double loadHeadroom = 1.5;
-    // Share of the longest gap that a predicted pass may take: passes are 0.15 longer while experts
-    // are copied, and vary by as much.
+    // Largest predicted pass, as a share of the longest gap that callers accept. The rest is for copies of experts, which lengthen
+    // passes by the 15 in 100 that the engines' protocol states, and for passes that differ from the prediction.
     constexpr double headroomPartOfGap = 0.75;
     constexpr double bitsPerByte = 8;
     constexpr double millisecondsPerSecond = 1'000;
@@ -130,8 +130,8 @@
     m_strayHoldSince.reset();
 }
 
-// A view that was read from another machine is some hundred ms old. Where a view read on the
-// engine's own machine has just shown another incarnation, the old one is from the incarnation before.
+// True for a reading of an engine's previous process: one that another machine took, which may be some hundred ms old, and that
+// names another start of the process than a reading which the engine's own machine took just before.
 bool group_monitor::isOutdated(const rank_view& view, instant now) const
 {
     const auto known = m_ranks.find(view.rank);
--- a/Source/policy/groups/group_monitor.h
+++ b/Source/policy/groups/group_monitor.h
@@ -49,8 +49,8 @@
     bool operator==(const monitor_settings&) const = default;
 };
 
-// Milliseconds that the copies of one change may take; at least one expert for each rank is
-// allowed. Small changes relieve the most loaded rank soonest, and the next change brings the rest.
+// The longest time, in milliseconds, that a rank may spend on copying experts for one change. One expert for each rank may always be
+// copied, even if it takes longer. Short changes take effect soon; the next one brings what is left.
 inline constexpr double maxCopyMs = 200;
 
 // Milliseconds that one expert takes to copy, by the published figures.
--- a/Source/policy/groups/hold_cleanup.cpp
+++ b/Source/policy/groups/hold_cleanup.cpp
@@ -72,7 +72,8 @@
 void hold_cleanup::noteReading(std::size_t rank, const rank_view& view)
 {
     found_rank& found = m_found[rank];
-    // Nothing but the orders of this clean-up has changed it since.
+    // The mark has shown the state that the claim left, and since the claim the rank obeys only this clean-up. A reading that comes
+    // after the one with the mark may still be older than it.
     if (found.certain)
         return;
     // Placements are prepared in increasing order only.
@@ -336,7 +337,7 @@
 
 std::uint64_t hold_cleanup::markStep() const
 {
-    return firstMarkStep + m_fence;
+    return firstMarkStep + m_fence / fencesPerChange;
 }
 
 bool hold_cleanup::skipUnclaimed()
@@ -441,7 +442,9 @@
         enterRelease(switch_phase::releasing);
 }
 
-// It has not prepared this placement: what was known of it was old.
+// The engine refuses to be armed with a placement that it has not prepared, so the reading that showed it as prepared last was
+// outdated. A clean-up that wanted to complete the change now marks all ranks to learn their states; one that undoes it names what
+// a newer reading shows.
 void hold_cleanup::handleRearmRefused(std::size_t rank)
 {
     if (!m_undoing) {
--- a/Source/policy/groups/placement_number.h
+++ b/Source/policy/groups/placement_number.h
@@ -5,8 +5,8 @@
 
 namespace rampgap {
 
-// The number modulo this is the rank of the leader that made it. It is large enough for groups of
-// hundreds of ranks: two leaders must not make the same number in the same millisecond.
+// The number modulo this is the rank of the leader that made it, so that two leaders never make the same number in the same
+// millisecond. Larger than the groups that the users plan.
 inline constexpr std::uint64_t leadersPerNumber = 1'024;
 
 constexpr std::uint64_t placementNumber(std::uint64_t sequence, std::uint64_t leaderRank)
@@ -21,11 +21,12 @@
     return number % leadersPerNumber == rank % leadersPerNumber;
 }
 
-// A change that is cancelled uses the next fence, too.
+// A change takes two fences: the orders that build it up carry the first, those that disarm and release the second. The second is
+// higher, so that a rank which has obeyed one of these refuses what is still on its way with the first.
 inline constexpr std::uint64_t fencesPerChange = 2;
 
-// Fence of a leader's change: no leader at another rank makes the same, also in the same millisecond. Two leaders with one fence
-// would not refuse each other's orders. Below 2^53 for sequences of milliseconds, so that JSON carries it exactly.
+// The first fence of a change. It holds the leader's rank, so that leaders at two ranks never use the same one: a rank would obey
+// both. `sequence`: Unix milliseconds, or a little more; up to the year 2109 the fence stays below 2^53, which JSON carries exactly.
 constexpr std::uint64_t fenceNumber(std::uint64_t sequence, std::uint64_t leaderRank)
 {
     return placementNumber(sequence, leaderRank) * fencesPerChange;
--- a/Source/policy/groups/rank_change.h
+++ b/Source/policy/groups/rank_change.h
@@ -52,8 +52,8 @@
 // The rank has carried out the order, or it had nothing to do.
 bool isDone(order_reply);
 
-// The rank that holds the step. It is not the leader's: if the leader's machine stalls, its engine
-// could not be told to release the step.
+// The rank at which a leader holds the step: the one after its own. If the leader's machine stands still, its own engine does so,
+// too, and could not be told to release the step.
 std::size_t holderFor(std::size_t leaderRank, std::size_t ranks);
 
 class rank_change {
--- a/Source/policy/groups/rank_types.h
+++ b/Source/policy/groups/rank_types.h
@@ -1,5 +1,5 @@
-// State that the engines of an expert group report as ranks, and the orders that they accept. The
-// ranks run in lock-step and must all use the same placement of experts in each step.
+// What the engine of one rank of an expert group reports, and the orders that it accepts. The engines of a group are its ranks:
+// they run each step together, and all must use the same placement of experts in it.
 #pragma once
 
 #include "policy/common/verdict.h"
@@ -15,8 +15,8 @@
 // The experts that each rank holds, indexed by layer set and rank.
 using group_placement = std::vector<std::vector<std::vector<std::uint16_t>>>;
 
-// Holds of steps from here on are marks of clean-ups: no group ever reaches such a step. The largest mark still fits into the
-// integers that JSON carries exactly.
+// A hold of a step from here on is the mark of a clean-up: no group ever reaches such a step. With a fence's sequence and rank
+// added it stays below 2^53, so that JSON carries it exactly.
 inline constexpr std::uint64_t firstMarkStep = std::uint64_t { 1 } << 52U;
 
 // State that an engine reports as a rank.
--- a/Tests/platform/map-switch/standstill.cpp
+++ b/Tests/platform/map-switch/standstill.cpp
@@ -36,7 +36,7 @@
 };
 
 struct scenario {
-    // Orders of the change that are carried out before the machines stand still.
+    // How many of the change's orders the engines carry out before some machines stand still.
     int ordersBefore = 0;
     // Machines that stand still, as a bit for each rank, and in which round of the clean-up they wake.
     unsigned frozen = 0;
@@ -417,7 +417,7 @@
     REQUIRE((change.phase() == switch_phase::securing));
     answer(change, 0, order_reply::already, viewOf(older, 0, orderFor(change, 0).step));
     answer(change, lastArmed, order_reply::already, viewOf(older, 0, orderFor(change, lastArmed).step));
-    // From before the hold.
+    // This reading shows no hold, so the holder may have prepared a placement since: nothing is decided by it.
     answer(change, holder, order_reply::already, viewOf(0, 0, 0));
     CHECK((change.phase() == switch_phase::securing));
     answer(change, holder, order_reply::already, viewOf(0, 0, heldStep));
@@ -513,6 +513,20 @@
     }
 }
 
+TEST_CASE("JSON carries the step of a mark exactly, for as long as it does the fences")
+{
+    constexpr std::uint64_t in2100 = 4'102'444'800'000;
+    constexpr std::uint64_t exact = std::uint64_t { 1 } << 53U;
+    const std::uint64_t placement = placementNumber(5, 1);
+    hold_cleanup change(1, ranks, fenceNumber(in2100, 2), 1, { { holder, heldStep } });
+    answer(change, 0, order_reply::already, viewOf(placement, 0, 0));
+    answer(change, holder, order_reply::already, viewOf(placement, placement, heldStep));
+    REQUIRE((change.phase() == switch_phase::securing));
+    REQUIRE(orderFor(change, 0).fence < exact);
+    CHECK(orderFor(change, 0).step > firstMarkStep);
+    CHECK(orderFor(change, 0).step < exact);
+}
+
 TEST_CASE("what a marked reading has shown is not undone by an older one")
 {
     const std::uint64_t placement = placementNumber(5, 1);
--- a/Tests/platform/map-switch/test.cpp
+++ b/Tests/platform/map-switch/test.cpp
@@ -1,5 +1,5 @@
-// Guards against ranks that use different placements in one step, and against a hold that is never
-// released: orders are lost or late, and two leaders are killed or frozen at any point.
+// Guards against ranks that use different placements in one step, and against a step that stays held. Random runs of two leaders
+// and three engines: orders are lost or late, machines stand still, and leaders are killed at any point.
 #include "engine_model.h"
 #include "policy/groups/placement_number.h"
 
@@ -185,7 +185,7 @@
         auto& before = acting.carriedOut[next.rank];
         const bool repeated = direct && before && isSameOrder(*before, next.order);
         const order_reply reply = repeated ? order_reply::already : m_group.apply(next.rank, next.order);
-        // The group may begin a step between the order and the reading of its state.
+        // A leader reads a rank's state some time after the rank has carried out its order: meanwhile a step may have begun.
         if (!m_settling && draw(4) == 0)
             stepGroup();
         rank_view after = m_group.view(next.rank);
@@ -196,7 +196,7 @@
             after.fresh = false;
         } else if (m_oldReadings)
             after = m_past[static_cast<std::size_t>(draw(static_cast<int>(m_past.size())))][next.rank];
-        // The answer is lost; the reading after it is, or is not.
+        // The answer to the order is lost. In half of the cases the leader still gets the state that it reads next.
         if (fault == 2 && draw(2) == 0)
             return unanswered();
         acting.change->handleReply(next.rank, next.order, fault == 2 ? order_reply::unanswered : reply, &after);
--- a/Tests/platform/silent-leader/test.cpp
+++ b/Tests/platform/silent-leader/test.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t holder = leaderRank + 1;
 constexpr int stepMs = 60;
 constexpr int roundMs = 20;
-// A round that waits for an engine that does not answer.
+// How long a round of orders takes if one of the engines does not answer.
 constexpr int silentRoundMs = 150;
 constexpr int standstillMs = 4'000;
 constexpr int cleanUpMs = 400;
