groups: the own interface takes an order for carried out only if the engine's report shows it

What callers could have seen: ranks with different maps in one step on the own interface.

Cause: an agent answered "prepared" or "committed" to any 200 of its engine, though the comment beside it promised that the report must show it; and the report came over a kept connection, where a second copy of an earlier answer could pass for it.

Cost: one connection on the machine itself for each message of a switch, a few for each rank.

--- a/Source/discovery/rank_engine.cpp
+++ b/Source/discovery/rank_engine.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/http_client.h"
 #include "discovery/json_reading.h"
+#include "policy/groups/map_participant.h"
 #include <boost/json.hpp>
 
 namespace rampgap {
@@ -11,6 +12,7 @@
 namespace {
 
     constexpr milliseconds engineTimeout { 1'000 };
+    constexpr std::size_t maxReportBytes = 4'194'304;
 
     result<rank_report> parseReport(const std::string& text)
     {
@@ -42,7 +44,8 @@
         awaitable<result<rank_report>> report() override
         {
             http_request request { http::verb::get, "/rank/report", 11 };
-            return send(std::move(request));
+            auto reported = co_await send(std::move(request));
+            co_return reported;
         }
 
         awaitable<result<rank_report>> carryOut(engine_order order, std::vector<std::uint32_t> placement, std::uint64_t fence) override
@@ -57,18 +60,29 @@
             };
             http_request request { http::verb::post, "/rank/order", 11 };
             request.body() = json::serialize(body);
-            return send(std::move(request));
+            auto reported = co_await send(std::move(request));
+            if (reported && !isCarriedOut(order, reported.value().state))
+                co_return mayHaveRun(failure_reason::backend_error, "the engine's report does not show the order");
+            co_return reported;
         }
 
     private:
+        // On a connection of its own: on a kept one a second copy of an earlier answer could pass for the state after this request.
         awaitable<result<rank_report>> send(http_request request)
         {
-            auto response = co_await m_client.fetch(m_address, std::move(request), engineTimeout);
-            if (!response)
-                co_return response.error();
-            if (response.value().result() != http::status::ok)
-                co_return mayHaveRun(failure_reason::backend_error, "the engine refused the request: " + response.value().body());
-            co_return parseReport(response.value().body());
+            http_call call(m_client);
+            call.useFreshConnection();
+            // Closed with the call, in place of returning to the pool.
+            call.keepForNext(true);
+            const auto head = co_await call.start(m_address, std::move(request), boot_clock::now() + engineTimeout);
+            if (!head)
+                co_return head.error();
+            const auto body = co_await call.readAll(maxReportBytes);
+            if (!body)
+                co_return body.error();
+            if (head.value().result() != http::status::ok)
+                co_return mayHaveRun(failure_reason::backend_error, "the engine refused the request: " + body.value());
+            co_return parseReport(body.value());
         }
 
         http_client& m_client;
--- a/Source/policy/groups/map_participant.cpp
+++ b/Source/policy/groups/map_participant.cpp
@@ -77,6 +77,21 @@
     return answer(map_message_kind::aborted, message, { engine_order_kind::abort, m_state.stagedMap, 0 });
 }
 
+bool isCarriedOut(const engine_order& order, const rank_state& after)
+{
+    switch (order.kind) {
+    case engine_order_kind::stage:
+        return after.stagedMap == order.map && after.stagedStep == order.step;
+    case engine_order_kind::commit:
+        return after.committedMap == order.map;
+    case engine_order_kind::abort:
+        return after.stagedMap != order.map;
+    case engine_order_kind::none:
+        break;
+    }
+    return true;
+}
+
 bool mayStart(const rank_state& state, step_number step)
 {
     return state.stagedMap == 0 || step < state.stagedStep;
--- a/Source/policy/groups/map_participant.h
+++ b/Source/policy/groups/map_participant.h
@@ -39,6 +39,8 @@
     rank_state m_state;
 };
 
+// True if the state that an engine reports after an order shows that it has carried out the order.
+bool isCarriedOut(const engine_order&, const rank_state& after);
 // True if no staged map keeps the engine from starting `step`.
 bool mayStart(const rank_state&, step_number step);
 
--- a/Tests/groups/switch-property/test.cpp
+++ b/Tests/groups/switch-property/test.cpp
@@ -104,6 +104,21 @@
     CHECK(switches > 1'000);
 }
 
+TEST_CASE("an order is carried out only if the engine's state after it shows it")
+{
+    const engine_order stage { engine_order_kind::stage, 5, 9 };
+    const rank_state none { 7, 1, 2, 0, 0 };
+    const rank_state staged { 7, 1, 2, 5, 9 };
+    const rank_state committed { 7, 5, 9, 0, 0 };
+    CHECK(isCarriedOut(stage, staged));
+    CHECK_FALSE(isCarriedOut(stage, none));
+    CHECK_FALSE(isCarriedOut(stage, { 7, 1, 2, 5, 11 }));
+    CHECK(isCarriedOut({ engine_order_kind::commit, 5, 9 }, committed));
+    CHECK_FALSE(isCarriedOut({ engine_order_kind::commit, 5, 9 }, none));
+    CHECK(isCarriedOut({ engine_order_kind::abort, 5, 0 }, none));
+    CHECK_FALSE(isCarriedOut({ engine_order_kind::abort, 5, 0 }, staged));
+}
+
 TEST_CASE("a rank refuses an old fence and orders for an earlier incarnation")
 {
     const rank_state idle { 10, 0, 0, 0, 0 };
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -52,6 +52,7 @@
     ("no_second_round", "map_coordinator.cpp", "std::vector<rank_message> {} : enter(coordinator_phase::confirming)", "std::vector<rank_message> {} : resolve()", "groups/switch-property"),
     ("second_map_ahead", "map_participant.cpp", "const bool switchAhead = m_state.committedStep > m_state.step;", "const bool switchAhead = false;", "groups/switch-property"),
     ("answers_of_other_maps", "map_coordinator.cpp", "if (answer.map != m_map)", "if (false)", "groups/switch-property"),
+    ("order_not_shown", "map_participant.cpp", "return after.stagedMap == order.map && after.stagedStep == order.step;", "return true;", "groups/switch-property"),
     ("late_orders_staged", "map_participant.cpp", " || message.map <= m_decided", "", "groups/switch-property"),
     ("answers_of_other_phases", "map_coordinator.cpp", "if (answer.kind != expectedAnswer(m_phase))", "if (!expectedAnswer(m_phase))", "groups/switch-property"),
     ("late_abort_drops_later_map", "map_participant.cpp", " || m_state.stagedMap > message.map", "", "groups/switch-property"),
