groups: a fence that no leader makes is not taken for a predecessor's

What callers could have seen: an agent that can change or clean up nothing any more, until it is restarted. Cause: an agent's next fence is above the highest that it has passed on. A number near the largest of 64 bits, from a damaged message, overflowed: the next fence was 6, which every rank refuses. Evidence: the new test fails without the bound (6 ==). Changed: numbers beyond 2^53, which JSON does not carry exactly and no leader makes, are ignored. Also two comments of group_monitor.cpp without the story of their tuning.

--- a/Source/policy/groups/change_numbers.cpp
+++ b/Source/policy/groups/change_numbers.cpp
@@ -14,7 +14,9 @@
 
 void change_numbers::recordFence(std::uint64_t fence)
 {
-    m_lastFence = std::max(m_lastFence, fenceSequence(fence));
+    // A larger one was made by no leader, and no fence of this process could be above it.
+    if (fence <= largestFence)
+        m_lastFence = std::max(m_lastFence, fenceSequence(fence));
 }
 
 std::uint64_t change_numbers::nextPlacement(std::size_t ownRank, std::uint64_t highestKnown, std::uint64_t wallMs)
--- a/Source/policy/groups/group_monitor.cpp
+++ b/Source/policy/groups/group_monitor.cpp
@@ -13,11 +13,9 @@
     constexpr double headroomPartOfGap = 0.75;
     constexpr double bitsPerByte = 8;
     constexpr double millisecondsPerSecond = 1'000;
-    // Smallest gain that justifies a change, as a share of the predicted step time: of a change
-    // that copies nothing, and for each second of copying. Steps take 0.15 longer while experts are
-    // copied, and demand stays for 3 s or more between shifts. With 0.9 for each second, experts that
-    // take 0.4 s to copy would be copied only once a shift, and the most loaded rank would have 2.0
-    // times the mean load instead of 1.6.
+    // The smallest gain that justifies a change, as a share of the predicted step time: for a change that copies nothing, and on top
+    // of it for each second of copying, in which steps take longer. A larger share would leave most of a shift of demand unanswered
+    // where experts take long to copy.
     constexpr double freeChangeGain = 0.03;
     constexpr double gainPerCopySecond = 0.15;
     // The same for a group with headroom: fewer copies, and passes that are hardly longer.
@@ -191,9 +189,8 @@
     return m_currentSkew - m_plannedSkew > minGain * m_currentSkew ? leader_task::change_placement : leader_task::none;
 }
 
-// Load pattern: demand shifts each three seconds, at half of the load that the group can carry.
-// The first two changes after a shift bring nearly all that callers notice; three or four more
-// only take the last 0.1 off the skew, and copies are expensive.
+// A group whose passes are short enough for its callers gains nothing that they notice from the last changes after a shift of
+// demand, and each copy of experts has its price.
 bool group_monitor::hasHeadroom() const
 {
     if (m_longestGap <= milliseconds(0) || m_settings.costs.stepMs <= 0)
--- a/Source/policy/groups/placement_number.h
+++ b/Source/policy/groups/placement_number.h
@@ -32,6 +32,9 @@
     return placementNumber(sequence, leaderRank) * fencesPerChange;
 }
 
+// JSON carries integers up to here exactly.
+inline constexpr std::uint64_t largestFence = (std::uint64_t { 1 } << 53U) - 1;
+
 // The sequence that a fence was made of.
 constexpr std::uint64_t fenceSequence(std::uint64_t fence)
 {
--- a/Tests/platform/placement-number/test.cpp
+++ b/Tests/platform/placement-number/test.cpp
@@ -74,3 +74,13 @@
     numbers.recordFence(earlier + 1);
     CHECK(numbers.nextFence(3, now) > earlier + 1);
 }
+
+TEST_CASE("a fence that no leader makes, as from a damaged message, does not raise this leader's own beyond what can be counted")
+{
+    constexpr std::uint64_t now = 1'800'000'000'000;
+    change_numbers numbers;
+    numbers.recordFence(~std::uint64_t { 0 });
+    const auto fence = numbers.nextFence(3, now);
+    CHECK(fence == change_numbers().nextFence(3, now));
+    CHECK(numbers.nextFence(3, now) > fence);
+}
