logs: what a server sent in place of an event of its stream, and which rule it broke

No line of the log said anything of what came between the first and the last event of a run.

Each event now goes by one judge, `event_judge`, which takes the place of `stream_continuation`, and the first that does not belong to its stream is logged as `stream_violation` (request, backend, rule, framing, events before it, the ids before and at fault, the first 32 bytes if they are no event) and counted by rule.

Ruled out: a log line for each event, which would not be bounded by the number of faults.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -1,6 +1,5 @@
 #include "daemon/answer_relay.h"
 
-#include "policy/requests/event_filter.h"
 #include <algorithm>
 
 namespace rampgap {
@@ -188,12 +187,11 @@
 namespace {
 
     // Relays the pieces of an answer that has begun, after `first`, which has been read already.
-    awaitable<relay_outcome> relayPieces(http_call& call, std::string first, bool isStream, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options options)
+    awaitable<relay_outcome> relayPieces(http_call& call, std::string first, bool isStream, event_filter& filter, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options options)
     {
         const bool events = options.wholeEvents && isStream;
         const bool lengthKnown = call.statedLength().has_value();
         held_bytes held(options.heldAnswers, unsharedAnswerBytes);
-        event_filter filter(options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps);
         // A run that is to go on after the last event has none.
         const bool mayBeEmpty = options.checkContinuation && !progress.lastEventId.empty();
         answer_copy copy(options.recordLimit);
@@ -227,14 +225,10 @@
             copy.append(piece);
             std::vector<stream_event> passed;
             std::string complete;
-            if (events && last)
-                complete = filter.takeRest();
-            if (events && !last) {
-                auto pushed = filter.push(piece);
+            if (events) {
+                passed = last ? filter.finish() : filter.push(piece);
                 progress.run.repeated = filter.repeated();
-                if (!pushed)
-                    co_return cutOutcome(call, pushed.error().message);
-                passed = std::move(pushed.value());
+                progress.run.violation = filter.violation();
                 complete = takeBytes(passed);
             }
             const std::string_view out = events ? std::string_view(complete) : piece;
@@ -249,6 +243,8 @@
                     progress.recordEvent(event);
                 progress.bytes += out.size();
             }
+            if (filter.isRefused())
+                co_return cutOutcome(call, "the server that was to go on with the stream leaves events out, or repeats too much of it");
             first.clear();
             if (filter.heldBytes() > maxEventBytes || !held.resize(filter.heldBytes()))
                 co_return cutOutcome(call, "an event of the answer is larger than may be held");
@@ -278,7 +274,8 @@
             held.resize(0);
             progress.begun = true;
             const bool connected = co_await exchange.begin(std::move(head));
-            co_return co_await relayPieces(call, std::move(answer.body), false, exchange, connected, progress, std::move(options));
+            event_filter unused({});
+            co_return co_await relayPieces(call, std::move(answer.body), false, unused, exchange, connected, progress, std::move(options));
         }
         const bool broken = co_await isBrokenOff(call, progress.run, options);
         if (broken)
@@ -339,7 +336,9 @@
         progress.begun = true;
         callerConnected = co_await exchange.begin(std::move(head));
     }
-    co_return co_await relayPieces(call, {}, isStream, exchange, callerConnected, progress, std::move(options));
+    event_filter_input input { options.contract, options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps };
+    event_filter filter(std::move(input));
+    co_return co_await relayPieces(call, {}, isStream, filter, exchange, callerConnected, progress, std::move(options));
 }
 
 } // namespace rampgap
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -5,8 +5,7 @@
 #include "daemon/http_client.h"
 #include "daemon/http_server.h"
 #include "policy/requests/answer_end.h"
-#include "policy/requests/event_id_steps.h"
-#include "policy/requests/event_stream_parser.h"
+#include "policy/requests/event_filter.h"
 
 #include <functional>
 #include <optional>
@@ -25,6 +24,8 @@
     // Events that the caller had already, and that it was not sent again.
     std::uint64_t repeated = 0;
     answer_end_sign sign = answer_end_sign::none;
+    // What showed that the server sends something else than the stream.
+    std::optional<violation_report> violation;
 };
 
 // What has been relayed so far; the same object continues when a stream is resumed.
@@ -51,6 +52,8 @@
 struct relay_options {
     // Relay only complete server-sent events, so that a stream that breaks off ends between two of them.
     bool wholeEvents = false;
+    // What the server's protocol promises of the events of a stream.
+    event_contract contract = event_contract::standard;
     // Check that the events of a stream go on after `relay_progress::lastEventId`.
     bool checkContinuation = false;
     // What the ids of the service's events rise by; learned from whole runs. Null: not known.
--- a/Source/daemon/metrics.cpp
+++ b/Source/daemon/metrics.cpp
@@ -16,6 +16,9 @@
     constexpr const char* answerEndName = "rampgap_unframed_ends_total";
     constexpr const char* answerEndHelp = "Ends of answers with neither a length nor chunks, by the sign that told them from a break";
 
+    constexpr const char* violationName = "rampgap_stream_violations_total";
+    constexpr const char* violationHelp = "Runs of streams whose server sent something else, by the rule that it broke";
+
     constexpr std::array<metric_row, metricCount> rows { {
         { metric::requests_received, "rampgap_requests_received_total", "Requests received from callers or entry VMs", false },
         { metric::requests_answered, "rampgap_requests_answered_total", "Requests answered whole by a backend server", false },
@@ -141,6 +144,14 @@
     counter->Increment();
 }
 
+void metrics::countViolation(stream_violation violation)
+{
+    prometheus::Counter*& counter = m_violations.at(static_cast<std::size_t>(violation));
+    if (!counter)
+        counter = &prometheus::BuildCounter().Name(violationName).Help(violationHelp).Register(*m_registry).Add({ { "rule", std::string(toString(violation)) } });
+    counter->Increment();
+}
+
 std::string metrics::serialize() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/Source/daemon/metrics.h
+++ b/Source/daemon/metrics.h
@@ -3,6 +3,7 @@
 
 #include "policy/common/verdict.h"
 #include "policy/requests/answer_end.h"
+#include "policy/requests/stream_violation.h"
 
 #include <array>
 #include <map>
@@ -98,6 +99,8 @@
     void countFailure(const failure&);
     // Counts the end of an answer with neither a length nor chunks under the sign by which it was told from a break.
     void countAnswerEnd(answer_end_sign);
+    // Counts a run of a stream that was refuted, under the rule that its server broke.
+    void countViolation(stream_violation);
     std::string serialize() const;
 
 private:
@@ -107,6 +110,7 @@
     std::array<prometheus::Histogram*, latencyCount> m_latencies {};
     std::map<std::pair<verdict, failure_reason>, prometheus::Counter*> m_failures;
     std::array<prometheus::Counter*, answerEndSignCount> m_answerEnds {};
+    std::array<prometheus::Counter*, streamViolationCount> m_violations {};
 };
 
 } // namespace rampgap
--- a/Source/gateway/requests/request_codec.h
+++ b/Source/gateway/requests/request_codec.h
@@ -4,6 +4,7 @@
 
 #include "daemon/http_message.h"
 #include "policy/common/verdict.h"
+#include "policy/requests/event_judge.h"
 
 #include <optional>
 #include <string>
@@ -95,6 +96,8 @@
     // `firstOnConnection`: nothing was sent on the connection before the request, so the reply cannot belong to an earlier one.
     virtual reply_verdict classify(const http_head&, const gateway_request&, bool firstOnConnection) const = 0;
     virtual server_notice readNotice(const http_head&) const = 0;
+    // What servers promise of the events of the streams on streaming routes.
+    virtual event_contract streamContract() const = 0;
     // A request that a server answers at once under any load, as long as its process works.
     virtual http_request makeProbe() const = 0;
     // The answer to the caller of a request that failed.
--- a/Source/gateway/requests/stream_report.cpp
+++ b/Source/gateway/requests/stream_report.cpp
@@ -29,6 +29,14 @@
     line.add("framing", run.framing).add("run_events", run.events).add("first_id", loggedId(run.firstId)).add("last_id", loggedId(run.lastId)).add("end_sign", toString(run.sign));
 }
 
+void logViolation(decision_log& log, const gateway_request& request, const std::string& backend, const std::string& address, const relayed_run& run, duration took)
+{
+    const violation_report& found = *run.violation;
+    auto line = log.requestLine("stream_violation");
+    line.add("request", request.id).add("backend", backend).add("address", address).add("rule", toString(found.violation)).add("framing", run.framing);
+    line.add("run_events", run.events).add("after_id", loggedId(found.previousId)).add("id", loggedId(found.id)).add("bytes", found.excerpt).add("took_ms", took);
+}
+
 void logStreamEnd(decision_log& log, const gateway_request& request, const std::vector<stream_run>& runs, std::string_view outcome)
 {
     const bool isPlainSuccess = runs.empty() || (runs.size() == 1 && outcome == "complete" && runs.front().relayed.sign == answer_end_sign::framed);
--- a/Source/gateway/requests/stream_report.h
+++ b/Source/gateway/requests/stream_report.h
@@ -14,6 +14,8 @@
 
 // Adds a run's fields to the line of its attempt; none if no answer came.
 void addRun(log_line&, const relayed_run&);
+// One line for a run whose server sent something else than the stream: which rule it broke, at which event.
+void logViolation(decision_log&, const gateway_request&, const std::string& backend, const std::string& address, const relayed_run&, duration took);
 // One line for a stream that is not one framed answer of one server. `outcome`: what its caller saw.
 void logStreamEnd(decision_log&, const gateway_request&, const std::vector<stream_run>&, std::string_view outcome);
 
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -416,6 +416,8 @@
     relay_options options;
     options.wholeEvents = true;
     options.checkContinuation = request.route.resumable;
+    if (request.route.repeat == repeat_rule::streaming)
+        options.contract = m_codec.streamContract();
     if (streams)
         options.idSteps = idStepsOf(request.service);
     options.bufferUnframed = true;
@@ -455,6 +457,10 @@
     auto relayed = co_await relayAnswer(call, std::move(head), exchange, state.relay, options);
     if (!call.framed() && state.relay.run.sign != answer_end_sign::none)
         m_context.counters().countAnswerEnd(state.relay.run.sign);
+    if (state.relay.run.violation) {
+        m_context.counters().countViolation(state.relay.run.violation->violation);
+        logViolation(m_log, request.parsed, backend.id, backend.address, state.relay.run, m_context.now() - sentAt);
+    }
     if (streams)
         state.streamRuns.push_back({ backend.id, state.relay.run });
     if (relayed.end == relay_end::truncated)
--- a/Source/policy/requests/event_filter.cpp
+++ b/Source/policy/requests/event_filter.cpp
@@ -1,47 +1,85 @@
 #include "policy/requests/event_filter.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace rampgap {
 
-event_filter::event_filter(std::string lastId, std::shared_ptr<event_id_steps> steps)
-    : m_continuation(std::move(lastId), steps ? steps->usual() : std::nullopt)
-    , m_steps(std::move(steps))
+event_filter::event_filter(event_filter_input input)
+    : m_judge(input.contract, input.lastId, input.steps ? input.steps->usual() : std::nullopt)
+    , m_steps(std::move(input.steps))
+    , m_previousId(std::move(input.lastId))
 {
 }
 
-result<std::vector<stream_event>> event_filter::push(std::string_view bytes)
+std::vector<stream_event> event_filter::push(std::string_view bytes)
 {
-    auto events = m_parser.push(bytes);
-    bool drops = false;
-    for (auto& event : events) {
-        learnStep(event);
-        switch (m_continuation.check(event)) {
-        case continuation_verdict::send:
+    std::vector<stream_event> sendable;
+    for (auto& event : m_parser.push(bytes)) {
+        const auto verdict = m_judge.judge(event);
+        apply(verdict, std::move(event), sendable);
+        if (m_refused)
             break;
-        case continuation_verdict::drop:
-            event.bytes.clear();
-            drops = true;
-            break;
-        case continuation_verdict::gap:
-            return mayHaveRun(failure_reason::backend_error, "the server that was to go on with the stream left events out");
-        case continuation_verdict::too_many_repeated:
-            return mayHaveRun(failure_reason::backend_error, "the server that was to go on with the stream repeats too much of it");
-        }
     }
-    if (drops)
-        std::erase_if(events, [](const stream_event& event) { return event.bytes.empty(); });
-    return events;
+    return sendable;
+}
+
+std::vector<stream_event> event_filter::finish()
+{
+    std::vector<stream_event> sendable;
+    auto rest = m_parser.takeRest();
+    if (!rest.bytes.empty()) {
+        const auto verdict = m_judge.judgeRest(rest);
+        apply(verdict, std::move(rest), sendable);
+    }
+    if (!m_violation)
+        release(sendable);
+    return sendable;
+}
+
+std::string event_filter::takeLarge()
+{
+    std::string bytes = m_parser.takeHeld();
+    const auto& event = m_parser.current();
+    if (!event.foreignLine.empty())
+        reportViolation(stream_violation::no_field, event);
+    return m_violation ? std::string() : bytes;
+}
+
+void event_filter::apply(event_verdict verdict, stream_event event, std::vector<stream_event>& sendable)
+{
+    if (verdict.action == event_action::refuse) {
+        reportViolation(verdict.violation, event);
+        m_refused = verdict.violation == stream_violation::gap || verdict.violation == stream_violation::repeats;
+    }
+    recordId(event);
+    if (verdict.action != event_action::drop && !m_refused)
+        sendable.push_back(std::move(event));
+}
+
+void event_filter::release(std::vector<stream_event>& sendable)
+{
+    for (auto& event : m_held)
+        sendable.push_back(std::move(event));
+    m_held.clear();
+    m_heldBytes = 0;
+}
+
+void event_filter::reportViolation(stream_violation violation, const stream_event& event)
+{
+    const std::string& shown = violation == stream_violation::no_event ? event.bytes : event.foreignLine;
+    if (!m_violation)
+        m_violation = violation_report { violation, m_previousId, event.id.value_or(""), excerptOf(shown) };
 }
 
-void event_filter::learnStep(const stream_event& event)
+void event_filter::recordId(const stream_event& event)
 {
-    if (!m_steps || !event.id)
+    if (!event.id)
         return;
     const auto number = eventNumber(*event.id);
-    if (number && m_previous)
+    if (m_steps && number && m_previous)
         m_steps->record(*m_previous, *number);
     m_previous = number;
+    m_previousId = *event.id;
 }
 
 } // namespace rampgap
--- a/Source/policy/requests/event_filter.h
+++ b/Source/policy/requests/event_filter.h
@@ -1,38 +1,75 @@
 // Passes on the events of one run of a stream that its caller does not have yet.
 #pragma once
 
-#include "policy/common/verdict.h"
 #include "policy/requests/event_id_steps.h"
+#include "policy/requests/event_judge.h"
 #include "policy/requests/event_stream_parser.h"
-#include "policy/requests/stream_continuation.h"
 
 #include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 namespace rampgap {
 
+// What the caller of a stream has, and what is known of the streams of its service.
+struct event_filter_input {
+    event_contract contract = event_contract::standard;
+    // Id of the last event that the caller has; empty: the run begins the stream.
+    std::string lastId;
+    // Of the service's ids, which the run adds to. May be null.
+    std::shared_ptr<event_id_steps> steps;
+};
+
+// Which event of a run showed that it is not to be used, for the log.
+struct violation_report {
+    stream_violation violation = stream_violation::none;
+    // Id of the event before, and of this one.
+    std::string previousId;
+    std::string id;
+    // The start of the bytes that are no event, escaped; empty if they are one.
+    std::string excerpt;
+
+    bool operator==(const violation_report&) const = default;
+};
+
 class event_filter {
 public:
-    // `lastId`: of the last event that the caller has; empty: the run begins the stream. `steps`: of the service's ids, which
-    // the run adds to; may be null.
-    event_filter(std::string lastId, std::shared_ptr<event_id_steps> steps);
-
-    // The events that are whole now that `bytes` have come, without those that the caller has. The failure of a run that does
-    // not go on where the caller's events end.
-    result<std::vector<stream_event>> push(std::string_view bytes);
-    std::string takeRest() { return m_parser.takeRest(); }
+    explicit event_filter(event_filter_input);
+
+    // The events that are whole now that `bytes` have come, without those that the caller has. After a violation nothing more
+    // of the run is to be used.
+    std::vector<stream_event> push(std::string_view bytes);
+    // At the sound end of the answer: the events that were held, and the rest.
+    std::vector<stream_event> finish();
+    // The bytes of the event that is not whole yet, for one that is too large to be kept until it is.
+    std::string takeLarge();
+    const std::optional<violation_report>& violation() const { return m_violation; }
+    // The run is not to be used any further.
+    bool isRefused() const { return m_refused; }
     bool inEvent() const { return m_parser.inEvent(); }
-    std::size_t heldBytes() const { return m_parser.heldBytes(); }
+    std::size_t heldBytes() const { return m_parser.heldBytes() + m_heldBytes; }
     // Events that the caller had already.
-    std::size_t repeated() const { return m_continuation.repeated(); }
+    std::size_t repeated() const { return m_judge.repeated(); }
 
 private:
-    void learnStep(const stream_event&);
+    // Adds what may be sent now that the event was judged.
+    void apply(event_verdict, stream_event, std::vector<stream_event>& sendable);
+    void release(std::vector<stream_event>& sendable);
+    void reportViolation(stream_violation, const stream_event&);
+    void recordId(const stream_event&);
 
     event_stream_parser m_parser;
-    stream_continuation m_continuation;
+    event_judge m_judge;
     std::shared_ptr<event_id_steps> m_steps;
-    // Id of the event before.
+    // Number and id of the event before.
     std::optional<std::uint64_t> m_previous;
+    std::string m_previousId;
+    // An event that is to be confirmed by the next one, and the comments after it.
+    std::vector<stream_event> m_held;
+    std::size_t m_heldBytes = 0;
+    std::optional<violation_report> m_violation;
+    bool m_refused = false;
 };
 
 } // namespace rampgap
--- a/Source/policy/requests/event_stream_parser.cpp
+++ b/Source/policy/requests/event_stream_parser.cpp
@@ -1,5 +1,6 @@
 #include "policy/requests/event_stream_parser.h"
 
+#include "policy/requests/stream_violation.h"
 #include <algorithm>
 #include <utility>
 
@@ -8,6 +9,8 @@
 namespace {
 
     constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+    // Longer ones are no names that a protocol gives to a field.
+    constexpr std::size_t maxFieldName = 64;
 
     // Each byte of all streams comes by here: twice as fast as a search for either of two characters.
     std::size_t findLineEnd(std::string_view bytes)
@@ -17,6 +20,16 @@
         return std::min(newline, feed);
     }
 
+    bool isNameByte(unsigned char byte)
+    {
+        return (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z') || (byte >= '0' && byte <= '9') || byte == '-' || byte == '_';
+    }
+
+    bool mayBeFieldName(std::string_view name)
+    {
+        return !name.empty() && name.size() <= maxFieldName && std::all_of(name.begin(), name.end(), isNameByte);
+    }
+
 } // namespace
 
 // An event that ends with CR is passed on at once: the LF that may follow adds nothing to it, and is passed on by itself.
@@ -26,7 +39,7 @@
     while (!bytes.empty()) {
         if (std::exchange(m_afterReturn, false) && bytes.front() == '\n') {
             bytes.remove_prefix(1);
-            if (m_event.bytes.empty()) {
+            if (!inEvent()) {
                 events.push_back({ "\n", std::nullopt, false });
             } else {
                 m_event.bytes.push_back('\n');
@@ -44,24 +57,31 @@
         m_afterReturn = isReturn && end + 1 == bytes.size();
         m_event.bytes.append(bytes.substr(0, end));
         const std::size_t lineSize = m_event.bytes.size() - m_lineBegin;
-        if (lineSize > 0)
+        const bool isBlank = lineSize == 0 && !m_lineTaken;
+        if (lineSize > 0 && !m_lineTaken)
             readLine(std::string_view(m_event.bytes).substr(m_lineBegin, lineSize));
         m_event.bytes.append(bytes.substr(end, isPair ? 2 : 1));
         bytes.remove_prefix(end + (isPair ? 2 : 1));
         m_lineBegin = m_event.bytes.size();
-        if (lineSize == 0) {
+        m_lineTaken = false;
+        if (isBlank) {
             events.push_back(std::exchange(m_event, {}));
             m_lineBegin = 0;
+            m_eventTaken = false;
         }
         m_firstLine = false;
     }
     return events;
 }
 
+// The standard takes any line for a field, the unknown ones to be ignored. A field that a later version of a server adds has a
+// name and a colon; other bytes come from no server that writes events.
 void event_stream_parser::readLine(std::string_view line)
 {
     if (m_firstLine && line.starts_with(byteOrderMark))
         line.remove_prefix(byteOrderMark.size());
+    if (line.empty())
+        return;
     const auto colon = line.find(':');
     const auto name = line.substr(0, colon);
     auto value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
@@ -71,12 +91,35 @@
         m_event.hasData = true;
     else if (name == "id" && value.find('\0') == std::string_view::npos)
         m_event.id = std::string(value);
+    else if (name.empty() || name == "event" || name == "retry")
+        m_event.hasOther = true;
+    else if (colon != std::string_view::npos && mayBeFieldName(name))
+        m_event.hasUnknownField = true;
+    else if (m_event.foreignLine.empty())
+        m_event.foreignLine = line.substr(0, maxExcerptBytes);
+}
+
+stream_event event_stream_parser::takeRest()
+{
+    const std::size_t lineSize = m_event.bytes.size() - m_lineBegin;
+    if (lineSize > 0 && !m_lineTaken)
+        readLine(std::string_view(m_event.bytes).substr(m_lineBegin, lineSize));
+    m_lineBegin = 0;
+    m_lineTaken = false;
+    m_eventTaken = false;
+    return std::exchange(m_event, {});
 }
 
-std::string event_stream_parser::takeRest()
+std::string event_stream_parser::takeHeld()
 {
+    const std::size_t lineSize = m_event.bytes.size() - m_lineBegin;
+    // The name of the field is known by now: what follows is its value.
+    if (lineSize > 0 && !m_lineTaken)
+        readLine(std::string_view(m_event.bytes).substr(m_lineBegin, lineSize));
+    m_lineTaken = m_lineTaken || lineSize > 0;
+    m_eventTaken = true;
     m_lineBegin = 0;
-    return std::exchange(m_event, {}).bytes;
+    return std::exchange(m_event.bytes, {});
 }
 
 } // namespace rampgap
--- a/Tests/platform/event-stream/test.cpp
+++ b/Tests/platform/event-stream/test.cpp
@@ -1,8 +1,8 @@
 // Fault: events that are passed on late, split or counted wrong, and runs of a stream that do not go on where the one before
 // ended: pieces twice, missing, or of another answer.
 #include "policy/requests/event_id_steps.h"
+#include "policy/requests/event_judge.h"
 #include "policy/requests/event_stream_parser.h"
-#include "policy/requests/stream_continuation.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -80,6 +80,33 @@
     return { "id: " + std::to_string(id) + "\ndata: x\n\n", std::to_string(id), true };
 }
 
+// The one event that the text is.
+stream_event eventOf(const std::string& text)
+{
+    event_stream_parser parser;
+    const auto events = parser.push(text);
+    REQUIRE(events.size() == 1);
+    return events.front();
+}
+
+constexpr event_verdict sends { event_action::send, stream_violation::none };
+constexpr event_verdict drops { event_action::drop, stream_violation::none };
+constexpr event_verdict holds { event_action::hold, stream_violation::none };
+
+event_verdict refuses(stream_violation violation)
+{
+    return { event_action::refuse, violation };
+}
+
+// A judge of a stream that has shown events 1 to 5.
+event_judge judgeAfterFive(event_contract contract, std::optional<std::uint64_t> usualStep = 1)
+{
+    event_judge judge(contract, "", usualStep);
+    for (std::uint64_t number = 1; number <= 5; ++number)
+        CHECK((judge.judge(numbered(number)) == sends));
+    return judge;
+}
+
 } // namespace
 
 TEST_CASE("events are the same, and their bytes are the stream's, in whatever pieces they come")
@@ -91,7 +118,7 @@
         std::string bytes;
         for (const auto& event : events)
             bytes += event.bytes;
-        RC_ASSERT(bytes + parser.takeRest() == text);
+        RC_ASSERT(bytes + parser.takeRest().bytes == text);
         std::vector<stream_event> expected = parseWhole(text);
         std::erase_if(expected, [](const auto& event) { return !event.isEvent(); });
         std::vector<stream_event> found = events;
@@ -126,17 +153,18 @@
         const auto step = *rc::gen::inRange<std::uint64_t>(1, 9);
         const auto sent = *rc::gen::inRange<std::uint64_t>(1, 40);
         const auto first = *rc::gen::inRange<std::uint64_t>(1, 60);
-        stream_continuation continuation(std::to_string(sent * step), step);
+        const auto contract = *rc::gen::element(event_contract::standard, event_contract::numbered);
+        event_judge judge(contract, std::to_string(sent * step), step);
         std::uint64_t last = sent;
         for (std::uint64_t number = first; number < first + 60; ++number) {
-            const auto verdict = continuation.check(numbered(number * step));
-            if (verdict == continuation_verdict::gap) {
+            const auto verdict = judge.judge(numbered(number * step));
+            if (verdict == refuses(stream_violation::gap)) {
                 RC_ASSERT(number == first);
                 RC_ASSERT(first > sent + 1);
                 return;
             }
-            RC_ASSERT((verdict == continuation_verdict::send) == (number > sent));
-            if (verdict == continuation_verdict::send)
+            RC_ASSERT(verdict == (number > sent ? sends : drops));
+            if (verdict == sends)
                 RC_ASSERT(number == std::exchange(last, number) + 1);
         }
         RC_ASSERT(first <= sent + 1);
@@ -145,31 +173,31 @@
 
 TEST_CASE("nothing sound is broken off where ids are missing, no numbers, or rise by no usual step")
 {
-    stream_continuation unknown("12", std::nullopt);
-    CHECK((unknown.check(numbered(17)) == continuation_verdict::send));
-    stream_continuation words("b", 1);
-    CHECK((words.check({ "id: b\ndata: x\n\n", "b", true }) == continuation_verdict::drop));
-    CHECK((words.check({ "id: c\ndata: x\n\n", "c", true }) == continuation_verdict::send));
-    CHECK((words.check({ "id: b\ndata: x\n\n", "b", true }) == continuation_verdict::send));
-    stream_continuation none("12", 1);
-    CHECK((none.check({ "data: x\n\n", std::nullopt, true }) == continuation_verdict::send));
-    CHECK((none.check({ ": comment\n\n", std::nullopt, false }) == continuation_verdict::send));
+    event_judge unknown(event_contract::standard, "12", std::nullopt);
+    CHECK((unknown.judge(numbered(17)) == sends));
+    event_judge words(event_contract::standard, "b", 1);
+    CHECK((words.judge({ "id: b\ndata: x\n\n", "b", true }) == drops));
+    CHECK((words.judge({ "id: c\ndata: x\n\n", "c", true }) == sends));
+    CHECK((words.judge({ "id: b\ndata: x\n\n", "b", true }) == sends));
+    event_judge none(event_contract::standard, "12", 1);
+    CHECK((none.judge({ "data: x\n\n", std::nullopt, true }) == sends));
+    CHECK((none.judge({ ": comment\n\n", std::nullopt, false }) == sends));
     // What follows a repeated event without an id of its own is repeated with it, but for the last one that the caller has.
-    stream_continuation anew("12", 1);
-    CHECK((anew.check(numbered(11)) == continuation_verdict::drop));
-    CHECK((anew.check({ "data: x\n\n", std::nullopt, true }) == continuation_verdict::drop));
-    CHECK((anew.check(numbered(12)) == continuation_verdict::drop));
-    CHECK((anew.check({ "data: x\n\n", std::nullopt, true }) == continuation_verdict::send));
+    event_judge anew(event_contract::standard, "12", 1);
+    CHECK((anew.judge(numbered(11)) == drops));
+    CHECK((anew.judge({ "data: x\n\n", std::nullopt, true }) == drops));
+    CHECK((anew.judge(numbered(12)) == drops));
+    CHECK((anew.judge({ "data: x\n\n", std::nullopt, true }) == sends));
 }
 
 TEST_CASE("a run that repeats without end is left")
 {
-    stream_continuation continuation("5000", 1);
-    auto verdict = continuation_verdict::drop;
+    event_judge judge(event_contract::standard, "5000", 1);
+    event_verdict verdict = drops;
     std::uint64_t asked = 0;
-    while (verdict == continuation_verdict::drop && asked < 5'000)
-        verdict = continuation.check(numbered(++asked));
-    CHECK((verdict == continuation_verdict::too_many_repeated));
+    while (verdict == drops && asked < 5'000)
+        verdict = judge.judge(numbered(++asked));
+    CHECK((verdict == refuses(stream_violation::repeats)));
     CHECK(asked < 5'000);
 }
 
@@ -200,3 +228,119 @@
     CHECK_FALSE(mayNameEvent("1\x01"));
     CHECK_FALSE(mayNameEvent(std::string(300, '1')));
 }
+
+TEST_CASE("an event with the wrong id, or bytes that are no event, are refused in a stream of numbered events")
+{
+    const std::vector<std::pair<std::string, stream_violation>> cases {
+        { "data: x\n\n", stream_violation::no_id },
+        { "id:\ndata: x\n\n", stream_violation::empty_id },
+        { "id\ndata: x\n\n", stream_violation::empty_id },
+        { "id: a\ndata: x\n\n", stream_violation::no_number },
+        { "id: 99999999999999999999\ndata: x\n\n", stream_violation::no_number },
+        { "id: -6\ndata: x\n\n", stream_violation::no_number },
+        { std::string("id: 6\0\ndata: x\n\n", 16), stream_violation::no_id },
+        { "id: 5\ndata: x\n\n", stream_violation::not_rising },
+        { "id: 3\ndata: x\n\n", stream_violation::not_rising },
+        { "garbage\n\n", stream_violation::no_field },
+        { "\x80\xff: a\n\n", stream_violation::no_field },
+        { "two words: a\n\n", stream_violation::no_field },
+        { "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", stream_violation::no_field },
+        { "!!\nid: 6\ndata: x\n\n", stream_violation::no_field },
+        { "id: 6\ndata: x\n!!\n\n", stream_violation::no_field },
+        { " \n\n", stream_violation::no_field },
+        { "x-new: 1\n\n", stream_violation::no_event },
+    };
+    for (const auto& [text, violation] : cases) {
+        auto judge = judgeAfterFive(event_contract::numbered);
+        CAPTURE(text);
+        CHECK(toString(judge.judge(eventOf(text)).violation) == toString(violation));
+    }
+    // From the first event on.
+    event_judge first(event_contract::numbered, "", std::nullopt);
+    CHECK((first.judge(eventOf("data: x\n\n")) == refuses(stream_violation::no_id)));
+}
+
+TEST_CASE("comments, blank lines, fields of a later version and other lines of the standard are let through in both kinds of streams")
+{
+    for (const auto contract : { event_contract::standard, event_contract::numbered }) {
+        auto judge = judgeAfterFive(contract);
+        for (const std::string text : { ": ping\n\n", ":\n\n", "\n", "retry: 1000\n\n", "event: x\n\n", ": ping\nx-new: 1\n\n" })
+            CHECK((judge.judge(eventOf(text)) == sends));
+        CHECK((judge.judge(eventOf("x-weight-versions: 3\nid: 6\ndata: x\n\n")) == sends));
+        CHECK((judge.judge(eventOf("event: x\r\nid: 7\r\ndata: x\r\nx_new-2: y\r\nretry: 3\r\n\r\n")) == sends));
+        CHECK((judge.judge(eventOf("id: 8\n\n")) == sends));
+        event_judge marked(contract, "", std::nullopt);
+        CHECK((marked.judge(eventOf("\xEF\xBB\xBFid: 1\ndata: x\n\n")) == sends));
+    }
+}
+
+TEST_CASE("an id far above the one before waits for the next event, and is refused if that one is lower")
+{
+    auto garbage = judgeAfterFive(event_contract::numbered);
+    CHECK((garbage.judge(numbered(900)) == holds));
+    CHECK((garbage.judge(numbered(6)) == refuses(stream_violation::far_id)));
+    // Several tokens in one event.
+    auto sound = judgeAfterFive(event_contract::numbered);
+    CHECK((sound.judge(numbered(9)) == holds));
+    CHECK((sound.judge(numbered(10)) == sends));
+    // Without a usual step ids rise by several, by turns.
+    auto unknown = judgeAfterFive(event_contract::numbered, std::nullopt);
+    CHECK((unknown.judge(numbered(11)) == sends));
+    CHECK((unknown.judge(numbered(12)) == sends));
+    CHECK((unknown.judge(numbered(900)) == holds));
+    // Ids that begin high, such as times, are not far.
+    event_judge times(event_contract::numbered, "", std::nullopt);
+    CHECK((times.judge(numbered(1'700'000'000'000)) == sends));
+    CHECK((times.judge(numbered(1'700'000'000'940)) == sends));
+}
+
+TEST_CASE("events without ids, with the same id, and an end without one, are let through where nothing is promised")
+{
+    event_judge unnumbered(event_contract::standard, "", std::nullopt);
+    for (int event = 0; event < 5; ++event)
+        CHECK((unnumbered.judge(eventOf("data: x\n\n")) == sends));
+    // An id now and then.
+    event_judge marks(event_contract::standard, "", std::nullopt);
+    for (std::uint64_t number = 10; number < 50; number += 10) {
+        CHECK((marks.judge(numbered(number)) == sends));
+        CHECK((marks.judge(eventOf("data: x\n\n")) == sends));
+    }
+    event_judge times(event_contract::standard, "", std::nullopt);
+    for (const std::uint64_t number : { 1, 2, 3, 4, 4, 4, 9 })
+        CHECK((times.judge(numbered(number)) == sends));
+    auto ended = judgeAfterFive(event_contract::standard);
+    CHECK((ended.judge(eventOf("data: [DONE]\n\n")) == holds));
+    CHECK((ended.judge(eventOf(": bye\n\n")) == sends));
+}
+
+TEST_CASE("what a stream's own events have shown refutes an event without an id, and an id that goes back")
+{
+    auto unnumbered = judgeAfterFive(event_contract::standard);
+    CHECK((unnumbered.judge(eventOf("data: x\n\n")) == holds));
+    CHECK((unnumbered.judge(numbered(6)) == refuses(stream_violation::no_id)));
+    auto empty = judgeAfterFive(event_contract::standard);
+    CHECK((empty.judge(eventOf("id:\ndata: x\n\n")) == holds));
+    CHECK((empty.judge(numbered(6)) == refuses(stream_violation::empty_id)));
+    auto back = judgeAfterFive(event_contract::standard);
+    CHECK((back.judge(numbered(3)) == refuses(stream_violation::not_rising)));
+}
+
+TEST_CASE("an answer that says where it ends, and ends inside an event, is not whole")
+{
+    for (const std::string rest : { "id: 6\ndata: x\n", "id: 6\ndata: x", "id: 6" }) {
+        event_stream_parser parser;
+        parser.push(rest);
+        auto judge = judgeAfterFive(event_contract::numbered);
+        CHECK((judge.judgeRest(parser.takeRest()) == refuses(stream_violation::unfinished)));
+    }
+    for (const auto contract : { event_contract::standard, event_contract::numbered }) {
+        event_stream_parser parser;
+        parser.push("garb");
+        auto judge = judgeAfterFive(contract);
+        CHECK((judge.judgeRest(parser.takeRest()) == refuses(stream_violation::no_field)));
+    }
+    event_stream_parser parser;
+    parser.push("data: [DONE]");
+    event_judge judge(event_contract::standard, "", std::nullopt);
+    CHECK((judge.judgeRest(parser.takeRest()) == sends));
+}
