relay: a stream is left at the first of its server's bytes that are no event of it

Cause: the relay compared ids only where a run goes on with another one's stream, the parser skipped lines that are no field, and an event stream with a stated length of up to 64 KB, or one of the own interface with chunks, was not read at all. What the stream itself had shown, and the platform's promise that each event has a rising id, was not asked.

Ruled out: that the relay joins bytes wrongly itself (no sound stream altered).

Now each event of each run goes by event_judge, on every relay and framing; what breaks a rule is not sent, the run is left, and the stream goes on elsewhere or breaks off. What no promise decides waits for the next event (an id far ahead, a last event without an id), so that nothing sound is broken off. Events beyond 256 KB are passed on as they come where their caller may get a part of one, as before. The body of an answer that is no stream is not joined to one on the own interface either, and the type's name is compared without letter case.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -181,16 +181,56 @@
 bool isEventStream(const http_head& head)
 {
     const auto type = head[http::field::content_type];
-    return std::string_view(type.data(), type.size()).starts_with("text/event-stream");
+    const auto name = type.substr(0, type.find_first_of("; \t"));
+    return boost::beast::iequals(name, "text/event-stream");
 }
 
 namespace {
 
-    // Relays the pieces of an answer that has begun, after `first`, which has been read already.
-    awaitable<relay_outcome> relayPieces(http_call& call, std::string first, bool isStream, event_filter& filter, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options options)
+    // The next piece of the body, within the longest silence; empty at its end.
+    awaitable<result<std::string_view>> readPiece(http_call& call, const relay_options& options)
+    {
+        if (options.silenceLimit > milliseconds(0))
+            call.expireAt(std::min(options.deadline, boot_clock::now() + options.silenceLimit));
+        const auto read = co_await call.read();
+        co_return read;
+    }
+
+    void recordPiece(std::string_view piece, relay_progress& progress, relay_options& options)
+    {
+        if (!piece.empty())
+            progress.recordBytes(boot_clock::now());
+        if (const auto action = std::exchange(options.onFirstBytes, nullptr))
+            action();
+    }
+
+    // The failure of a stream whose bytes have ended too early; empty if it is whole.
+    awaitable<std::optional<failure>> findBreak(const http_call& call, const event_filter& filter, bool mayBeEmpty, relay_progress& progress, const relay_options& options)
+    {
+        const bool isEmpty = progress.run.events == 0 && !mayBeEmpty;
+        if (options.wholeEvents && !call.framed() && (filter.inEvent() || isEmpty)) {
+            progress.run.sign = filter.inEvent() ? answer_end_sign::inside_event : answer_end_sign::no_event;
+            co_return mayHaveRun(failure_reason::connection_lost, "the stream ended inside an event, or before the first one");
+        }
+        const bool broken = co_await isBrokenOff(call, progress.run, options);
+        if (!broken)
+            co_return std::nullopt;
+        co_return brokenOffFailure(progress.run);
+    }
+
+    // The bytes that may be sent now that a piece has come, or the end of the answer. An event that is too large to be held is
+    // passed on as it comes, if its caller may get a part of one.
+    std::string takeSendable(event_filter& filter, std::vector<stream_event>& events, bool partsAllowed)
+    {
+        std::string bytes = takeBytes(events);
+        if (partsAllowed && !filter.violation() && filter.heldBytes() > maxEventBytes)
+            bytes += filter.takeLarge();
+        return bytes;
+    }
+
+    // Relays the events of a stream, each of them with its last byte, once it was judged.
+    awaitable<relay_outcome> relayEvents(http_call& call, event_filter& filter, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options& options)
     {
-        const bool events = options.wholeEvents && isStream;
-        const bool lengthKnown = call.statedLength().has_value();
         held_bytes held(options.heldAnswers, unsharedAnswerBytes);
         // A run that is to go on after the last event has none.
         const bool mayBeEmpty = options.checkContinuation && !progress.lastEventId.empty();
@@ -199,56 +239,76 @@
         for (;;) {
             if (!callerConnected && !options.finishWithoutCaller)
                 co_return incompleteOutcome(true, std::nullopt);
-            if (options.silenceLimit > milliseconds(0))
-                call.expireAt(std::min(options.deadline, boot_clock::now() + options.silenceLimit));
+            const auto piece = co_await readPiece(call, options);
+            if (!piece)
+                co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, piece.error());
+            recordPiece(piece.value(), progress, options);
+            const bool last = piece.value().empty();
+            if (last) {
+                const auto broken = co_await findBreak(call, filter, mayBeEmpty, progress, options);
+                if (broken)
+                    co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, broken);
+            }
+            auto events = last ? filter.finish() : filter.push(piece.value());
+            progress.run.repeated = filter.repeated();
+            progress.run.violation = filter.violation();
+            const std::string out = takeSendable(filter, events, !last && !options.wholeEvents);
+            copy.append(out);
+            if (!out.empty() && options.onEventGap) {
+                if (const auto gap = gaps.recordEvent(boot_clock::now()))
+                    options.onEventGap(*gap);
+            }
+            if (callerConnected && !out.empty()) {
+                callerConnected = co_await exchange.write(out);
+                gaps.recordWritten(boot_clock::now());
+                for (const auto& event : events)
+                    progress.recordEvent(event);
+                progress.bytes += out.size();
+            }
+            if (filter.violation())
+                co_return cutOutcome(call, "the server sent something else than its stream: " + std::string(toString(filter.violation()->violation)));
+            if (filter.heldBytes() > maxEventBytes || !held.resize(filter.heldBytes()))
+                co_return cutOutcome(call, "an event of the answer is larger than may be held");
+            if (!last)
+                continue;
+            if (callerConnected)
+                callerConnected = co_await exchange.finish();
+            relay_outcome outcome;
+            outcome.end = callerConnected ? relay_end::complete : relay_end::caller_gone;
+            outcome.recorded = copy.take();
+            co_return outcome;
+        }
+    }
+
+    // Relays the pieces of a plain answer that has begun, after `first`, which has been read already.
+    awaitable<relay_outcome> relayPieces(http_call& call, std::string first, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options options)
+    {
+        const bool lengthKnown = call.statedLength().has_value();
+        answer_copy copy(options.recordLimit);
+        for (;;) {
+            if (!callerConnected && !options.finishWithoutCaller)
+                co_return incompleteOutcome(true, std::nullopt);
             std::string_view piece = first;
             if (first.empty()) {
-                const auto read = co_await call.read();
+                const auto read = co_await readPiece(call, options);
                 if (!read)
                     co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, read.error());
                 piece = read.value();
             }
+            recordPiece(piece, progress, options);
             const bool last = piece.empty();
-            if (!last)
-                progress.recordBytes(boot_clock::now());
-            if (const auto action = std::exchange(options.onFirstBytes, nullptr))
-                action();
-            if (last && events && !call.framed() && (filter.inEvent() || (progress.run.events == 0 && !mayBeEmpty))) {
-                progress.run.sign = filter.inEvent() ? answer_end_sign::inside_event : answer_end_sign::no_event;
-                co_return incompleteOutcome(false, mayHaveRun(failure_reason::connection_lost, "the stream ended inside an event, or before the first one"));
-            }
             if (last) {
                 const bool broken = co_await isBrokenOff(call, progress.run, options);
                 if (broken)
                     co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, brokenOffFailure(progress.run));
             }
             copy.append(piece);
-            std::vector<stream_event> passed;
-            std::string complete;
-            if (events) {
-                passed = last ? filter.finish() : filter.push(piece);
-                progress.run.repeated = filter.repeated();
-                progress.run.violation = filter.violation();
-                complete = takeBytes(passed);
-            }
-            const std::string_view out = events ? std::string_view(complete) : piece;
-            if (events && !out.empty() && options.onEventGap) {
-                if (const auto gap = gaps.recordEvent(boot_clock::now()))
-                    options.onEventGap(*gap);
+            if (callerConnected && !last) {
+                callerConnected = co_await exchange.write(piece);
+                progress.bytes += piece.size();
             }
-            if (callerConnected && !out.empty()) {
-                callerConnected = co_await exchange.write(out);
-                gaps.recordWritten(boot_clock::now());
-                for (const auto& event : passed)
-                    progress.recordEvent(event);
-                progress.bytes += out.size();
-            }
-            if (filter.isRefused())
-                co_return cutOutcome(call, "the server that was to go on with the stream leaves events out, or repeats too much of it");
             first.clear();
-            if (filter.heldBytes() > maxEventBytes || !held.resize(filter.heldBytes()))
-                co_return cutOutcome(call, "an event of the answer is larger than may be held");
-            if (!isStream && !lengthKnown && progress.bytes > maxUnframedBytes)
+            if (!lengthKnown && progress.bytes > maxUnframedBytes)
                 co_return cutOutcome(call, "the answer has no stated length and does not end");
             if (!last)
                 continue;
@@ -274,8 +334,7 @@
             held.resize(0);
             progress.begun = true;
             const bool connected = co_await exchange.begin(std::move(head));
-            event_filter unused({});
-            co_return co_await relayPieces(call, std::move(answer.body), false, unused, exchange, connected, progress, std::move(options));
+            co_return co_await relayPieces(call, std::move(answer.body), exchange, connected, progress, std::move(options));
         }
         const bool broken = co_await isBrokenOff(call, progress.run, options);
         if (broken)
@@ -319,14 +378,17 @@
     if (length && *length > maxStatedBytes)
         co_return cutOutcome(call, "the answer states a length of " + std::to_string(*length) + " bytes");
     const bool isStream = isEventStream(head);
+    const bool isSuccess = http::to_status_class(head.result()) == http::status_class::successful;
     progress.run = {};
     progress.run.framing = length ? "length" : call.framed() ? "chunks"
                                                              : "none";
+    // Its body would be joined to the stream.
+    if (progress.begun && !(isStream && isSuccess))
+        co_return cutOutcome(call, "the server that was to go on with the stream answered " + std::to_string(head.result_int()) + " " + headerText(head, "Content-Type"));
     dropHopHeaders(head);
     if (exchange.request().method() == http::verb::head)
         co_return co_await relayHeadOnly(call, std::move(head), exchange, progress);
-    const bool goesOn = isStream && options.checkContinuation && !progress.lastEventId.empty();
-    if (length && *length <= wholeAnswerBytes && !progress.begun && !goesOn)
+    if (length && *length <= wholeAnswerBytes && !progress.begun && !isStream)
         co_return co_await relaySmall(call, std::move(head), exchange, progress, std::move(options));
     // A long answer of known length is passed on as it comes: held whole, 200 of 1 MB for slow callers would exceed the VM's memory.
     if (options.bufferUnframed && !isStream && !length && !progress.begun)
@@ -336,9 +398,12 @@
         progress.begun = true;
         callerConnected = co_await exchange.begin(std::move(head));
     }
-    event_filter_input input { options.contract, options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps };
-    event_filter filter(std::move(input));
-    co_return co_await relayPieces(call, {}, isStream, filter, exchange, callerConnected, progress, std::move(options));
+    if (isStream) {
+        event_filter_input input { options.contract, options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps };
+        event_filter filter(std::move(input));
+        co_return co_await relayEvents(call, filter, exchange, callerConnected, progress, options);
+    }
+    co_return co_await relayPieces(call, {}, exchange, callerConnected, progress, std::move(options));
 }
 
 } // namespace rampgap
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -50,7 +50,8 @@
 };
 
 struct relay_options {
-    // Relay only complete server-sent events, so that a stream that breaks off ends between two of them.
+    // Relay only complete server-sent events, so that a stream that breaks off ends between two of them. Otherwise an event that
+    // is too large to be held is relayed as it comes.
     bool wholeEvents = false;
     // What the server's protocol promises of the events of a stream.
     event_contract contract = event_contract::standard;
--- a/Source/gateway/requests/upstream_dispatcher.cpp
+++ b/Source/gateway/requests/upstream_dispatcher.cpp
@@ -442,12 +442,6 @@
     if (streams && m_slots.measuresPasses(request))
         options.onEventGap = [this, &request, server = backendHash(backend.id)](duration gap) { m_slots.recordGap(request, server, gap); };
     const bool serverFailed = head.result_int() >= 500;
-    // Its body would be joined to the stream.
-    const bool goesOn = streams && http::to_status_class(head.result()) == http::status_class::successful;
-    if (state.relay.begun && !goesOn) {
-        call.cancel();
-        co_return attempt_outcome { mayHaveRun(failure_reason::backend_error, "the engine that was to resume the stream answered " + std::to_string(head.result_int()) + " " + headerText(head, "Content-Type")), attempt_result::failed };
-    }
     // If an engine fails a repeatable request, another engine may answer it.
     const bool retryElsewhere = serverFailed && request.route.repeatable() && state.runs < request.route.maxAttempts && request.timeLeft(m_context.now()) > request.route.latencyTarget;
     if (retryElsewhere) {
--- a/Source/policy/requests/event_filter.cpp
+++ b/Source/policy/requests/event_filter.cpp
@@ -17,7 +17,7 @@
     for (auto& event : m_parser.push(bytes)) {
         const auto verdict = m_judge.judge(event);
         apply(verdict, std::move(event), sendable);
-        if (m_refused)
+        if (m_violation)
             break;
     }
     return sendable;
@@ -49,11 +49,20 @@
 {
     if (verdict.action == event_action::refuse) {
         reportViolation(verdict.violation, event);
-        m_refused = verdict.violation == stream_violation::gap || verdict.violation == stream_violation::repeats;
+        return;
     }
+    // The next event confirms the one that is held. What is no event keeps its place after it.
+    if (event.isEvent())
+        release(sendable);
     recordId(event);
-    if (verdict.action != event_action::drop && !m_refused)
+    if (verdict.action == event_action::drop)
+        return;
+    if (verdict.action == event_action::hold || !m_held.empty()) {
+        m_heldBytes += event.bytes.size();
+        m_held.push_back(std::move(event));
+    } else {
         sendable.push_back(std::move(event));
+    }
 }
 
 void event_filter::release(std::vector<stream_event>& sendable)
@@ -67,8 +76,7 @@
 void event_filter::reportViolation(stream_violation violation, const stream_event& event)
 {
     const std::string& shown = violation == stream_violation::no_event ? event.bytes : event.foreignLine;
-    if (!m_violation)
-        m_violation = violation_report { violation, m_previousId, event.id.value_or(""), excerptOf(shown) };
+    m_violation = violation_report { violation, m_previousId, event.id.value_or(""), excerptOf(shown) };
 }
 
 void event_filter::recordId(const stream_event& event)
--- a/Source/policy/requests/event_filter.h
+++ b/Source/policy/requests/event_filter.h
@@ -45,8 +45,6 @@
     // The bytes of the event that is not whole yet, for one that is too large to be kept until it is.
     std::string takeLarge();
     const std::optional<violation_report>& violation() const { return m_violation; }
-    // The run is not to be used any further.
-    bool isRefused() const { return m_refused; }
     bool inEvent() const { return m_parser.inEvent(); }
     std::size_t heldBytes() const { return m_parser.heldBytes() + m_heldBytes; }
     // Events that the caller had already.
@@ -69,7 +67,6 @@
     std::vector<stream_event> m_held;
     std::size_t m_heldBytes = 0;
     std::optional<violation_report> m_violation;
-    bool m_refused = false;
 };
 
 } // namespace rampgap
