relay: what a service's ids rise by is learned from sound runs, and three of them at least

Callers of a service could miss a piece of a resumed stream: one event with a far higher id, from a server that sent garbage, raised the largest step that was learned for the whole service, so that there was no usual step any more and gaps were not looked for until it had faded (4,096 steps).

Cause: each pair of ids was learned as it came, from runs that were refuted or broken off, too, and one was enough. Evidence: by reading, and platform.event-stream: garbage of one run, a run that was refuted, and a stream's own first run; the class the tests use did not exist before, the old one forgot its usual step after one larger step by its own test.

A run's steps now count once its answer ended soundly, and a step counts as one that the ids may rise by once three such runs have shown it; until a service is known, the only step of the stream's own earlier run says what the next one may rise by. The test that one larger step makes a usual one unknown becomes: three runs with one do, one does not. What it costs: a sound resumed run whose first event is one that the service has shown in fewer than three of its last runs is tried at another server. Ruled out: learning by server, which would take a table that grows with the fleet.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -280,6 +280,19 @@
         }
     }
 
+    // Relays the events of one run; what its ids rise by is kept for the stream's next run, and for the service if it is whole.
+    awaitable<relay_outcome> relayRun(http_call& call, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options options)
+    {
+        event_filter_input input { options.contract, options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps, progress.shownSteps };
+        event_filter filter(std::move(input));
+        auto outcome = co_await relayEvents(call, filter, exchange, callerConnected, progress, options);
+        if (!filter.steps().counts().empty())
+            progress.shownSteps = filter.steps();
+        if (outcome.end == relay_end::complete)
+            filter.learn();
+        co_return outcome;
+    }
+
     // Relays the pieces of a plain answer that has begun, after `first`, which has been read already.
     awaitable<relay_outcome> relayPieces(http_call& call, std::string first, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options options)
     {
@@ -398,11 +411,8 @@
         progress.begun = true;
         callerConnected = co_await exchange.begin(std::move(head));
     }
-    if (isStream) {
-        event_filter_input input { options.contract, options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps };
-        event_filter filter(std::move(input));
-        co_return co_await relayEvents(call, filter, exchange, callerConnected, progress, options);
-    }
+    if (isStream)
+        co_return co_await relayRun(call, exchange, callerConnected, progress, std::move(options));
     co_return co_await relayPieces(call, {}, exchange, callerConnected, progress, std::move(options));
 }
 
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -38,6 +38,8 @@
     // A server can be asked to go on after the last event sent: it had an id, or there was none yet.
     bool mayGoOn = true;
     std::uint64_t bytes = 0;
+    // What the ids rose by in the last run that showed any step.
+    run_steps shownSteps;
     // Of the current server.
     relayed_run run;
     // When the first and the latest bytes of the body arrived, and the longest pause between two reads.
--- a/Source/policy/requests/event_filter.cpp
+++ b/Source/policy/requests/event_filter.cpp
@@ -4,8 +4,20 @@
 
 namespace rampgap {
 
+namespace {
+
+    // Until enough streams of the service were seen, a stream's own runs say what its ids rise by.
+    std::optional<std::uint64_t> usualStep(const event_filter_input& input)
+    {
+        if (!input.steps)
+            return std::nullopt;
+        return input.steps->isKnown() ? input.steps->usual() : input.shown.only();
+    }
+
+} // namespace
+
 event_filter::event_filter(event_filter_input input)
-    : m_judge(input.contract, input.lastId, input.steps ? input.steps->usual() : std::nullopt)
+    : m_judge(input.contract, input.lastId, usualStep(input))
     , m_steps(std::move(input.steps))
     , m_previousId(std::move(input.lastId))
 {
@@ -45,6 +57,12 @@
     return m_violation ? std::string() : bytes;
 }
 
+void event_filter::learn()
+{
+    if (m_steps)
+        m_steps->record(m_runSteps);
+}
+
 void event_filter::apply(event_verdict verdict, stream_event event, std::vector<stream_event>& sendable)
 {
     if (verdict.action == event_action::refuse) {
@@ -84,8 +102,8 @@
     if (!event.id)
         return;
     const auto number = eventNumber(*event.id);
-    if (m_steps && number && m_previous)
-        m_steps->record(*m_previous, *number);
+    if (number && m_previous)
+        m_runSteps.record(*m_previous, *number);
     m_previous = number;
     m_previousId = *event.id;
 }
--- a/Source/policy/requests/event_filter.h
+++ b/Source/policy/requests/event_filter.h
@@ -17,8 +17,10 @@
     event_contract contract = event_contract::standard;
     // Id of the last event that the caller has; empty: the run begins the stream.
     std::string lastId;
-    // Of the service's ids, which the run adds to. May be null.
+    // Of the service's ids; a run that ended soundly adds to them. May be null.
     std::shared_ptr<event_id_steps> steps;
+    // The steps that the stream's earlier runs have shown.
+    run_steps shown {};
 };
 
 // Which event of a run showed that it is not to be used, for the log.
@@ -47,6 +49,10 @@
     const std::optional<violation_report>& violation() const { return m_violation; }
     bool inEvent() const { return m_parser.inEvent(); }
     std::size_t heldBytes() const { return m_parser.heldBytes() + m_heldBytes; }
+    // The steps that the run has shown so far.
+    const run_steps& steps() const { return m_runSteps; }
+    // The answer is whole: what its ids rise by counts for the service.
+    void learn();
     // Events that the caller had already.
     std::size_t repeated() const { return m_judge.repeated(); }
 
@@ -60,6 +66,7 @@
     event_stream_parser m_parser;
     event_judge m_judge;
     std::shared_ptr<event_id_steps> m_steps;
+    run_steps m_runSteps;
     // Number and id of the event before.
     std::optional<std::uint64_t> m_previous;
     std::string m_previousId;
--- a/Source/policy/requests/event_id_steps.cpp
+++ b/Source/policy/requests/event_id_steps.cpp
@@ -1,5 +1,6 @@
 #include "policy/requests/event_id_steps.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace rampgap {
@@ -12,6 +13,13 @@
     constexpr int maxSeen = 4'096;
     // Of 10 steps, as many must be the usual one: the last event of a stream may hold fewer tokens.
     constexpr int usualOfTen = 9;
+    // Runs that must have shown a step before it counts as one that the service's ids may rise by: a single server's garbage
+    // must not decide it.
+    constexpr int minRuns = 3;
+    // Different steps that are remembered, of a run and of a service: one with more has no usual step.
+    constexpr std::size_t maxSteps = 16;
+    // Steps from which a run's only one is told.
+    constexpr int minOfRun = 3;
 
 } // namespace
 
@@ -25,30 +33,57 @@
     return number;
 }
 
-void event_id_steps::record(std::uint64_t previous, std::uint64_t next)
+void run_steps::record(std::uint64_t previous, std::uint64_t next)
 {
     if (next <= previous)
         return;
     const std::uint64_t step = next - previous;
-    if (step > m_largest) {
-        m_largest = step;
-        m_atLargest = 0;
+    if (m_counts.size() < maxSteps || m_counts.contains(step))
+        ++m_counts[step];
+}
+
+std::optional<std::uint64_t> run_steps::only() const
+{
+    if (m_counts.size() != 1 || m_counts.begin()->second < minOfRun)
+        return std::nullopt;
+    return m_counts.begin()->first;
+}
+
+void event_id_steps::record(const run_steps& run)
+{
+    for (const auto& [step, count] : run.counts()) {
+        if (m_steps.size() >= maxSteps && !m_steps.contains(step)) {
+            const auto rarest = std::min_element(m_steps.begin(), m_steps.end(), [](const auto& left, const auto& right) { return left.second.runs < right.second.runs; });
+            m_steps.erase(rarest);
+        }
+        auto& seen = m_steps[step];
+        ++seen.runs;
+        seen.steps += count;
+        m_seen += count;
     }
-    m_atLargest += step == m_largest ? 1 : 0;
-    if (++m_seen < maxSeen)
+    if (m_seen < maxSeen)
         return;
     m_seen /= 2;
-    m_atLargest /= 2;
-    // A large step that did not come again is forgotten.
-    if (m_atLargest == 0)
-        *this = {};
+    for (auto& [step, seen] : m_steps)
+        seen = { seen.runs / 2, seen.steps / 2 };
+    std::erase_if(m_steps, [](const auto& each) { return each.second.runs == 0; });
+}
+
+bool event_id_steps::isKnown() const
+{
+    return m_seen >= minSeen;
 }
 
 std::optional<std::uint64_t> event_id_steps::usual() const
 {
-    if (m_seen < minSeen || m_atLargest * 10 < m_seen * usualOfTen)
+    if (!isKnown())
         return std::nullopt;
-    return m_largest;
+    for (auto each = m_steps.rbegin(); each != m_steps.rend(); ++each) {
+        const auto& [step, seen] = *each;
+        if (seen.runs >= minRuns)
+            return seen.steps * 10 >= m_seen * usualOfTen ? std::optional(step) : std::nullopt;
+    }
+    return std::nullopt;
 }
 
 } // namespace rampgap
--- a/Source/policy/requests/event_id_steps.h
+++ b/Source/policy/requests/event_id_steps.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 
@@ -10,16 +11,35 @@
 // An id as a number; empty if it is none.
 std::optional<std::uint64_t> eventNumber(std::string_view id);
 
-class event_id_steps {
+// What the ids of one run rise by: how often by how much.
+class run_steps {
 public:
-    // Two events that followed each other in one run.
+    // Two events that followed each other.
     void record(std::uint64_t previous, std::uint64_t next);
-    // The step that no other exceeds and nearly all have; empty if there is none, or too few were seen.
+    const std::map<std::uint64_t, int>& counts() const { return m_counts; }
+    // The step of all of them; empty if there are too few to tell, or several.
+    std::optional<std::uint64_t> only() const;
+
+private:
+    std::map<std::uint64_t, int> m_counts;
+};
+
+class event_id_steps {
+public:
+    // The steps of a run that ended soundly: what a broken one shows may be garbage.
+    void record(const run_steps&);
+    // The step that nearly all have and hardly a run exceeds; empty if there is none, or too few were seen.
     std::optional<std::uint64_t> usual() const;
+    // Enough was seen to say whether there is a usual step.
+    bool isKnown() const;
 
 private:
-    std::uint64_t m_largest = 0;
-    int m_atLargest = 0;
+    struct seen_step {
+        int runs = 0;
+        int steps = 0;
+    };
+
+    std::map<std::uint64_t, seen_step> m_steps;
     int m_seen = 0;
 };
 
--- a/Tests/platform/event-stream/test.cpp
+++ b/Tests/platform/event-stream/test.cpp
@@ -1,5 +1,6 @@
 // Fault: events that are passed on late, split or counted wrong, and runs of a stream that do not go on where the one before
 // ended: pieces twice, missing, or of another answer.
+#include "policy/requests/event_filter.h"
 #include "policy/requests/event_id_steps.h"
 #include "policy/requests/event_judge.h"
 #include "policy/requests/event_stream_parser.h"
@@ -201,24 +202,76 @@
     CHECK(asked < 5'000);
 }
 
+// A run of events whose ids rise by the steps, each so often.
+run_steps runOf(const std::vector<std::pair<std::uint64_t, int>>& steps)
+{
+    run_steps run;
+    std::uint64_t id = 1;
+    for (const auto& [step, count] : steps) {
+        for (int more = 0; more < count; ++more, id += step)
+            run.record(id, id + step);
+    }
+    return run;
+}
+
 TEST_CASE("a usual step is known once nearly all have it, and is forgotten where a service numbers otherwise")
 {
     event_id_steps steps;
-    for (std::uint64_t id = 4; id < 4 * 60; id += 4)
-        steps.record(id, id + 4);
+    steps.record(runOf({ { 4, 23 } }));
+    steps.record(runOf({ { 4, 23 } }));
+    CHECK_FALSE(steps.isKnown());
     CHECK_FALSE(steps.usual());
-    for (int more = 0; more < 10; ++more)
-        steps.record(96, 100);
+    steps.record(runOf({ { 4, 23 } }));
+    CHECK(steps.isKnown());
     CHECK(steps.usual() == 4);
     // The last event of a stream holds fewer tokens.
-    steps.record(100, 102);
+    for (int run = 0; run < 3; ++run)
+        steps.record(runOf({ { 4, 22 }, { 2, 1 } }));
     CHECK(steps.usual() == 4);
-    // Several tokens in one event, once: larger steps are possible.
-    steps.record(102, 120);
+    // Several tokens in one event, in several runs: larger steps are possible.
+    for (int run = 0; run < 3; ++run)
+        steps.record(runOf({ { 4, 22 }, { 18, 1 } }));
     CHECK_FALSE(steps.usual());
-    for (int more = 0; more < 10'000; ++more)
-        steps.record(7, 8);
+    for (int run = 0; run < 800; ++run)
+        steps.record(runOf({ { 1, 23 } }));
     CHECK(steps.usual() == 1);
+    // Many different steps, by turns.
+    event_id_steps turns;
+    for (std::uint64_t run = 0; run < 40; ++run)
+        turns.record(runOf({ { 1 + run % 5, 5 }, { 6 + run, 5 }, { 2, 5 } }));
+    CHECK(turns.isKnown());
+    CHECK_FALSE(turns.usual());
+}
+
+TEST_CASE("garbage of one run does not make larger steps usual, and a run that was refuted teaches nothing")
+{
+    const auto steps = std::make_shared<event_id_steps>();
+    for (int run = 0; run < 10; ++run)
+        steps->record(runOf({ { 1, 23 } }));
+    steps->record(runOf({ { 1, 10 }, { 900, 1 }, { 1, 10 } }));
+    CHECK(steps->usual() == 1);
+    for (int run = 0; run < 5; ++run) {
+        event_filter refuted({ event_contract::numbered, "", steps });
+        refuted.push("id: 1\ndata: x\n\nid: 90\ndata: x\n\nid: 91\ndata: x\n\nbusy\n\n");
+        CHECK(refuted.violation());
+    }
+    CHECK(steps->usual() == 1);
+}
+
+TEST_CASE("the stream's first run shows what its ids rise by while the service's step is not known yet")
+{
+    const auto steps = std::make_shared<event_id_steps>();
+    event_filter unknown({ event_contract::numbered, "5", steps });
+    CHECK(unknown.push("id: 7\ndata: x\n\n").size() == 1);
+    event_filter shown({ event_contract::numbered, "5", steps, runOf({ { 1, 4 } }) });
+    CHECK(shown.push("id: 7\ndata: x\n\n").empty());
+    REQUIRE(shown.violation());
+    CHECK((shown.violation()->violation == stream_violation::gap));
+    // By turns, or too few to tell.
+    for (const auto& run : { runOf({ { 1, 2 }, { 2, 2 } }), runOf({ { 1, 2 } }) }) {
+        event_filter turns({ event_contract::numbered, "5", steps, run });
+        CHECK(turns.push("id: 7\ndata: x\n\n").size() == 1);
+    }
 }
 
 TEST_CASE("an id that does not fit into a header names no event to go on after")
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -157,7 +157,10 @@
     ("unfinished_answers_are_whole", "event_judge.cpp", "    return refuse(stream_violation::unfinished);", "    return verdict;", "platform/event-stream"),
     ("new_fields_are_refused", "event_stream_parser.cpp", "colon != std::string_view::npos && mayBeFieldName(name)", "false", "platform/event-stream"),
     ("any_line_is_a_field", "event_stream_parser.cpp", "colon != std::string_view::npos && mayBeFieldName(name)", "true", "platform/event-stream"),
-    ("any_step_is_usual", "event_id_steps.cpp", "|| m_atLargest * 10 < m_seen * usualOfTen", "", "platform/event-stream"),
+    ("one_run_makes_a_step_usual", "event_id_steps.cpp", "if (seen.runs >= minRuns)", "if (seen.runs >= 1)", "platform/event-stream"),
+    ("the_stream_s_own_steps_are_not_asked", "event_filter.cpp", "input.steps->isKnown() ? input.steps->usual() : input.shown.only();", "input.steps->usual();", "platform/event-stream"),
+    ("refuted_runs_teach", "event_filter.cpp", "        m_runSteps.record(*m_previous, *number);", "        m_runSteps.record(*m_previous, *number), learn();", "platform/event-stream"),
+    ("any_step_is_usual", "event_id_steps.cpp", "return seen.steps * 10 >= m_seen * usualOfTen ? std::optional(step) : std::nullopt;", "return step;", "platform/event-stream"),
     ("closing_forgotten", "group_directory.cpp", "if (update.phase.closings() > found->second.phase.closings())", "if (!update.phase.open)", "platform/group-state"),
     ("fixed_silence", "peer_table.cpp", "(1 + std::log(std::max(1.0, spread)))", "1.0", "platform/peers"),
 ]
