relay: a byte order mark at the start of a resumed run is not passed on in the middle of the answer

A caller whose stream was resumed by the entry VM could get the next server's byte order mark between two events: readers skip it at the start of an answer only, so that there it belongs to the name of the next line, "id", and hides that event's id.

Cause: a run's bytes were passed on unchanged, whether they begin the caller's answer or not. Evidence: by reading, from the garbage soak's work; platform.refuted-stream, the case of that name, red without the change. Nobody has seen a server that sends the mark. Ruled out: refusing such a run, which is sound by the standard. The mark is left out if bytes of an earlier run were sent in the same answer, and stays otherwise, also on a run that goes on after the caller's own Last-Event-Id.

--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -283,7 +283,7 @@
     // Relays the events of one run; what its ids rise by is kept for the stream's next run, and for the service if it is whole.
     awaitable<relay_outcome> relayRun(http_call& call, http_exchange& exchange, bool callerConnected, relay_progress& progress, relay_options options)
     {
-        event_filter_input input { options.contract, options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps, progress.shownSteps };
+        event_filter_input input { options.contract, options.checkContinuation ? progress.lastEventId : std::string(), options.idSteps, progress.shownSteps, progress.bytes > 0 };
         event_filter filter(std::move(input));
         auto outcome = co_await relayEvents(call, filter, exchange, callerConnected, progress, options);
         if (!filter.steps().counts().empty())
--- a/Source/policy/requests/event_filter.cpp
+++ b/Source/policy/requests/event_filter.cpp
@@ -20,6 +20,7 @@
     : m_judge(input.contract, input.lastId, usualStep(input))
     , m_steps(std::move(input.steps))
     , m_previousId(std::move(input.lastId))
+    , m_dropsMark(input.goesOn)
 {
 }
 
@@ -28,6 +29,7 @@
     std::vector<stream_event> sendable;
     for (auto& event : m_parser.push(bytes)) {
         const auto verdict = m_judge.judge(event);
+        dropMark(event);
         apply(verdict, std::move(event), sendable);
         if (m_violation)
             break;
@@ -83,6 +85,13 @@
     }
 }
 
+// Readers know it at the start of an answer only: between two runs it would be a part of the next line's name, and hide an id.
+void event_filter::dropMark(stream_event& event)
+{
+    if (std::exchange(m_dropsMark, false) && event.bytes.starts_with(byteOrderMark))
+        event.bytes.erase(0, byteOrderMark.size());
+}
+
 void event_filter::release(std::vector<stream_event>& sendable)
 {
     for (auto& event : m_held)
--- a/Source/policy/requests/event_filter.h
+++ b/Source/policy/requests/event_filter.h
@@ -21,6 +21,8 @@
     std::shared_ptr<event_id_steps> steps;
     // The steps that the stream's earlier runs have shown.
     run_steps shown {};
+    // Bytes of an earlier run come before those of this one in the caller's answer.
+    bool goesOn = false;
 };
 
 // Which event of a run showed that it is not to be used, for the log.
@@ -60,6 +62,8 @@
     // Adds what may be sent now that the event was judged.
     void apply(event_verdict, stream_event, std::vector<stream_event>& sendable);
     void release(std::vector<stream_event>& sendable);
+    // Takes the byte order mark off the run's first event.
+    void dropMark(stream_event&);
     void reportViolation(stream_violation, const stream_event&);
     void recordId(const stream_event&);
 
@@ -73,6 +77,8 @@
     // An event that is to be confirmed by the next one, and the comments after it.
     std::vector<stream_event> m_held;
     std::size_t m_heldBytes = 0;
+    // The first event is to be sent without a byte order mark.
+    bool m_dropsMark = false;
     std::optional<violation_report> m_violation;
 };
 
--- a/Source/policy/requests/event_stream_parser.cpp
+++ b/Source/policy/requests/event_stream_parser.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
     // Longer ones are no names that a protocol gives to a field.
     constexpr std::size_t maxFieldName = 64;
 
--- a/Source/policy/requests/event_stream_parser.h
+++ b/Source/policy/requests/event_stream_parser.h
@@ -9,6 +9,9 @@
 
 namespace rampgap {
 
+// May stand at the start of a stream, where readers skip it.
+inline constexpr std::string_view byteOrderMark = "\xEF\xBB\xBF";
+
 // One event, or one block of comments. The standard is the WHATWG's `text/event-stream`.
 struct stream_event {
     // From its first line to the end of the blank line that ends it.
--- a/Tests/platform/refuted-stream/test.cpp
+++ b/Tests/platform/refuted-stream/test.cpp
@@ -207,3 +207,15 @@
         CHECK(goesOn.body == "id: 6\ndata: f\n\n");
     }
 }
+
+TEST_CASE("a byte order mark at the start of a run that goes on does not hide the id of its first event")
+{
+    relay_progress begun;
+    begun.begun = true;
+    begun.lastEventId = "5";
+    const std::string marked = "\xEF\xBB\xBFid: 6\ndata: f\n\n";
+    CHECK(relay(answerOf(marked, framing::chunks), platformOptions(), begun).body == marked);
+    begun.bytes = 1;
+    for (const auto kind : allFramings)
+        CHECK(relay(answerOf(marked, kind), platformOptions(), begun).body == "id: 6\ndata: f\n\n");
+}
