daemon: a request that crosses the close of its connection as an agent stops is told that it has not run

Cause: the last step of an agent's planned stop closed its idle connections without a word. Entry VMs keep these connections, and one that sent a request in that moment read the end of the connection in the place of an answer. Nothing told it that the request was never read, so that it counted as possibly run, and an id that may have run is not offered to the standby. How long the moment is depends on how long either process waits for a processor, or on the way between two zones: rare alone, seen beside load.

Evidence: requests.crossing-close puts a way between entry VM and agent on which a request does not arrive any more, and stops the agent. Ruled out: the calls of engines (each on a new connection), and the handover of ids (the standby has them before the connections are closed).

Changed: `http_server::drain` has an optional notice, the last answer on each connection that its caller may take for usable. The agent sends its refusal "leaving, not run". That is true of whatever crosses it, since a connection that has had the notice is read no more but to discard; the entry VM reads it as the answer to what crossed and goes on to the standby. A connection with unexpected bytes was not reused before, either. A permit that is asked for as the connection closes gets the same refusal, which is no longer taken for an empty permit. Entry VMs send no notice to their callers, but accept what waits. The time limit, the retries and the verdicts stay as they are.

Open: a connection that the kernel lets in between the last accept and the close of the listening socket is still reset.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -35,6 +35,11 @@
         return limits;
     }
 
+    failure leavingRefusal()
+    {
+        return notRun(failure_reason::leaving, "this backend server is leaving", leavingRetryAfter);
+    }
+
     // How long the engine, which has not run the request, wants no more of them.
     std::optional<milliseconds> backoffOf(const http_head& head)
     {
@@ -211,8 +216,8 @@
     if (isStopSignalPending())
         leave();
     if (m_leaving || !m_declared) {
-        const auto reason = m_leaving ? failure_reason::leaving : failure_reason::not_ready;
-        co_await refuse(exchange, notRun(reason, m_leaving ? "this backend server is leaving" : "this backend server is not declared", leavingRetryAfter), correlation);
+        const failure refused = m_leaving ? leavingRefusal() : notRun(failure_reason::not_ready, "this backend server is not declared", leavingRetryAfter);
+        co_await refuse(exchange, refused, correlation);
         co_return;
     }
     if (const auto barred = m_engine.barred(order.value().fingerprint, order.value().parts)) {
@@ -420,7 +425,12 @@
     co_await m_keeper.giveAway();
     co_await sleepFor(m_context.io(), m_settings.process.linger);
     std::function<int()> inFlight = [this] { return m_inFlight; };
-    co_await drainConnections(m_context, *m_http, std::move(inFlight));
+    // Entry VMs keep connections, and a request may be on its way as its connection is closed. Without an answer it would count as
+    // one that may have run.
+    auto notice = makeFailure(leavingRefusal());
+    addOwnHeaders(notice);
+    std::optional<http_response> lastAnswer = std::move(notice);
+    co_await drainConnections(m_context, *m_http, std::move(inFlight), std::move(lastAnswer));
     logStateChange("stopped", "");
 }
 
--- a/Source/daemon/graceful_stop.cpp
+++ b/Source/daemon/graceful_stop.cpp
@@ -10,9 +10,9 @@
 
 } // namespace
 
-awaitable<void> drainConnections(process_context& context, http_server& server, std::function<int()> inFlight)
+awaitable<void> drainConnections(process_context& context, http_server& server, std::function<int()> inFlight, std::optional<http_response> notice)
 {
-    server.drain();
+    server.drain(std::move(notice));
     while (inFlight() > 0 || server.openConnections() > 0) {
         co_await sleepFor(context.io(), drainPoll);
     }
--- a/Source/daemon/graceful_stop.h
+++ b/Source/daemon/graceful_stop.h
@@ -7,8 +7,8 @@
 
 namespace rampgap {
 
-// Closes each connection of the server after its answer. Returns once none is open and `inFlight`
-// returns 0.
-awaitable<void> drainConnections(process_context&, http_server&, std::function<int()> inFlight);
+// Closes each connection of the server after its answer, an idle one after the notice, if there is one (`http_server::drain`).
+// Returns once none is open and `inFlight` returns 0.
+awaitable<void> drainConnections(process_context&, http_server&, std::function<int()> inFlight, std::optional<http_response> notice);
 
 } // namespace rampgap
--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -90,16 +90,8 @@
         m_buffer.max_size(std::max<std::size_t>({ m_buffer.size(), headLimit(m_limits), firstReadBytes }));
         m_held.resize(0);
         m_busy = false;
-        if (m_buffer.size() == 0) {
-            expireStreamAt(m_stream, idleSince + m_limits.idleTimeout);
-            m_idle = true;
-            m_idleSince = idleSince;
-            const auto [waitError, received] = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
-            m_idle = false;
-            if (waitError)
-                co_return false;
-            m_buffer.commit(received);
-        }
+        if (m_buffer.size() == 0 && !co_await awaitFirstBytes(idleSince))
+            co_return false;
         m_receivedAt = boot_clock::now();
         const instant deadline = m_receivedAt + m_limits.headerTimeout;
         expireStreamAt(m_stream, deadline);
@@ -171,11 +163,21 @@
     // True if no byte of a next request has arrived, not even in the socket's receive buffer.
     bool idle()
     {
-        beast::error_code error;
-        return m_idle && m_stream.socket().available(error) == 0;
+        return m_idle && !hasUnread();
     }
     void closeAfterAnswer() override { m_closeAfterAnswer = true; }
 
+    // The connection is closed after its answer, and now if it is idle. What the wait for a next request has received already is
+    // answered, so the wait is cancelled in place of closing the socket under it.
+    void drain(std::shared_ptr<const http_response> notice)
+    {
+        m_draining = true;
+        m_closeAfterAnswer = true;
+        m_closeNotice = std::move(notice);
+        if (idle())
+            m_stream.cancel();
+    }
+
     void drop()
     {
         m_dropped = true;
@@ -201,6 +203,7 @@
         response.keep_alive(m_request.keep_alive() && !m_closeAfterAnswer);
         if (!response.keep_alive())
             m_closeAfterAnswer = true;
+        m_promisedReuse = response.keep_alive();
         m_stream.expires_after(m_limits.writeTimeout);
         const auto [error, bytes] = co_await http::async_write(m_stream, response, asTuple);
         m_finished = !error;
@@ -214,7 +217,8 @@
         m_begun = true;
         http::response<http::empty_body> answer(std::move(head));
         answer.chunked(true);
-        answer.keep_alive(m_request.keep_alive() && !m_closeAfterAnswer);
+        m_promisedReuse = m_request.keep_alive() && !m_closeAfterAnswer;
+        answer.keep_alive(m_promisedReuse);
         http::response_serializer<http::empty_body> serializer(answer);
         m_stream.expires_after(m_limits.writeTimeout);
         const auto [error, bytes] = co_await http::async_write_header(m_stream, serializer, asTuple);
@@ -249,6 +253,14 @@
         m_finished = false;
     }
 
+    // The head of an answer may have been sent before the server began to stop: its caller takes the connection for one that it may
+    // use again.
+    awaitable<void> revokeReuse()
+    {
+        if (m_closeNotice && m_promisedReuse && m_finished && !m_callerGone)
+            co_await sendLast(*m_closeNotice);
+    }
+
     // Answers the request whose handler has failed.
     awaitable<void> answerFailedHandler()
     {
@@ -260,10 +272,41 @@
     }
 
 private:
+    // False if the connection is to be closed since no request has begun.
+    awaitable<bool> awaitFirstBytes(instant idleSince)
+    {
+        m_idleSince = idleSince;
+        beast::error_code error;
+        for (bool waits = true; waits;) {
+            // A connection that was accepted as the server stopped may still bring the request that it was opened for.
+            expireStreamAt(m_stream, m_draining ? boot_clock::now() + lingerTime : idleSince + m_limits.idleTimeout);
+            m_idle = true;
+            std::size_t received = 0;
+            std::tie(error, received) = co_await m_stream.async_read_some(m_buffer.prepare(firstReadBytes), asTuple);
+            m_idle = false;
+            m_buffer.commit(received);
+            waits = error == asio::error::operation_aborted && m_draining && hasUnread();
+        }
+        if (error == asio::error::operation_aborted && m_closeNotice && !m_dropped)
+            co_await sendLast(*m_closeNotice);
+        co_return !error;
+    }
+
+    bool hasUnread()
+    {
+        beast::error_code error;
+        return m_stream.socket().available(error) > 0;
+    }
+
     awaitable<void> refuse(failure refused)
+    {
+        co_await sendLast(makeFailure(refused));
+    }
+
+    awaitable<void> sendLast(http_response response)
     {
         m_closeAfterAnswer = true;
-        const bool sent = co_await send(makeFailure(refused));
+        const bool sent = co_await send(std::move(response));
         if (!sent)
             co_return;
         beast::error_code error;
@@ -307,6 +350,9 @@
     bool m_closeAfterAnswer = false;
     bool m_callerGone = false;
     bool m_dropped = false;
+    bool m_draining = false;
+    bool m_promisedReuse = false;
+    std::shared_ptr<const http_response> m_closeNotice;
 };
 
 result<std::unique_ptr<http_server>> http_server::listen(process_context& context, const std::string& address, http_limits limits, http_handler& handler)
@@ -351,25 +397,27 @@
     while (!m_draining) {
         const std::uint64_t epoch = m_dropEpoch;
         auto [error, socket] = co_await m_acceptor.async_accept(asTuple);
-        if (m_draining)
-            co_return;
-        if (error) {
+        if (error && !m_draining)
             co_await sleepFor(m_context.io(), acceptBackoff);
-            continue;
-        }
-        const bool full = openConnections() >= m_limits.maxConnections && !closeLongestIdle();
-        if (epoch != m_dropEpoch || full) {
-            socket.close(error);
-            continue;
-        }
-        const connection_id id = m_nextId++;
-        auto accepted = std::make_shared<connection>(std::move(socket), m_limits, m_unsent, m_heldRequests);
-        m_connections.emplace(id, accepted);
-        m_context.counters().set(metric::connections, openConnections());
-        startTask(m_context, "connection", serve(id, std::move(accepted)));
+        else if (!error && epoch == m_dropEpoch)
+            admit(std::move(socket));
     }
 }
 
+void http_server::admit(tcp::socket socket)
+{
+    // A socket that is not kept is closed with its object.
+    if (openConnections() >= m_limits.maxConnections && !closeLongestIdle())
+        return;
+    const connection_id id = m_nextId++;
+    auto accepted = std::make_shared<connection>(std::move(socket), m_limits, m_unsent, m_heldRequests);
+    if (m_draining)
+        accepted->drain(m_closeNotice);
+    m_connections.emplace(id, accepted);
+    m_context.counters().set(metric::connections, openConnections());
+    startTask(m_context, "connection", serve(id, std::move(accepted)));
+}
+
 // Callers that keep connections open without using them must not shut the others out.
 bool http_server::closeLongestIdle()
 {
@@ -407,34 +455,44 @@
         }
         co_await client.flushBody();
         client.endRequest();
-        if (!client.keepAlive())
+        if (!client.keepAlive()) {
+            co_await client.revokeReuse();
             break;
+        }
         idleSince = m_context.now();
     }
 }
 
-void http_server::drain()
+void http_server::drain(std::optional<http_response> notice)
 {
     m_draining = true;
+    if (notice)
+        m_closeNotice = std::make_shared<const http_response>(std::move(*notice));
+    for (auto& [id, client] : m_connections)
+        client->drain(m_closeNotice);
+    // The kernel resets the connections that nobody has accepted as the listening socket is closed, and what their callers have
+    // sent on them would count as possibly run.
+    acceptAll([this](tcp::socket socket) { admit(std::move(socket)); });
     beast::error_code ignored;
     m_acceptor.close(ignored);
-    for (auto& [id, client] : m_connections) {
-        if (client->idle())
-            client->close();
-        else
-            client->closeAfterAnswer();
-    }
 }
 
-void http_server::dropUnread()
+void http_server::acceptAll(const std::function<void(tcp::socket)>& action)
 {
-    ++m_dropEpoch;
     beast::error_code error;
     m_acceptor.non_blocking(true, error);
     while (!error) {
-        tcp::socket unaccepted(m_context.io());
-        m_acceptor.accept(unaccepted, error);
+        tcp::socket waiting(m_context.io());
+        m_acceptor.accept(waiting, error);
+        if (!error)
+            action(std::move(waiting));
     }
+}
+
+void http_server::dropUnread()
+{
+    ++m_dropEpoch;
+    acceptAll([](const tcp::socket&) {});
     for (auto& [id, client] : m_connections) {
         if (!client->busy())
             client->drop();
--- a/Source/daemon/http_server.h
+++ b/Source/daemon/http_server.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 namespace rampgap {
@@ -73,8 +74,9 @@
 
     // Closes each connection after the answer to its next request; new connections are still accepted.
     void announceClose() { m_announceClose = true; }
-    // Stops accepting; closes idle connections now and the others after their answer.
-    void drain();
+    // Stops accepting; closes idle connections now and the others after their answer. With a notice, each idle connection is
+    // sent it first: a caller whose next request crosses the close then reads in its place that the request has not run.
+    void drain(std::optional<http_response> notice = std::nullopt);
     // Drops every connection without a request in progress, and those not accepted yet: requests
     // that are unread there may have been sent long ago.
     void dropUnread();
@@ -86,6 +88,9 @@
     http_server(process_context&, tcp::acceptor, http_limits, http_handler&);
 
     awaitable<void> acceptLoop();
+    void admit(tcp::socket);
+    // Accepts the connections that wait in the kernel.
+    void acceptAll(const std::function<void(tcp::socket)>& action);
     awaitable<void> serve(connection_id, std::shared_ptr<connection>);
     awaitable<void> serveRequests(connection&);
     // Closes the connection that has been idle for longest, to make room for a new one; false if none is idle.
@@ -99,6 +104,7 @@
     http_handler& m_handler;
     bool m_draining = false;
     bool m_announceClose = false;
+    std::shared_ptr<const http_response> m_closeNotice;
     connection_id m_nextId = 1;
     std::uint64_t m_dropEpoch = 0;
     std::unordered_map<connection_id, std::shared_ptr<connection>> m_connections;
--- a/Source/entry/entry_server.cpp
+++ b/Source/entry/entry_server.cpp
@@ -237,7 +237,8 @@
     co_await sleepFor(m_context.io(), m_settings.process.linger);
     m_refusing = true;
     std::function<int()> inFlight = [this] { return m_inFlight; };
-    co_await drainConnections(m_context, *m_http, std::move(inFlight));
+    std::optional<http_response> noNotice;
+    co_await drainConnections(m_context, *m_http, std::move(inFlight), std::move(noNotice));
     logStateChange("stopped", "");
 }
 
--- a/Source/entry/request_dispatcher.cpp
+++ b/Source/entry/request_dispatcher.cpp
@@ -223,6 +223,12 @@
         failed.reason = failure_reason::connection_lost;
         co_return failed;
     }
+    // An agent that stops answers what crosses the close of a kept connection by its refusal.
+    if (auto refused = failureFromHeaders(response.value())) {
+        refused->ran = verdict::not_run;
+        noteRefusal(id, *refused);
+        co_return *refused;
+    }
     const std::string text = headerText(response.value(), header::permit);
     m_permits[id] = { text, asked };
     co_return text;
--- a/Source/harness/test_fleet.cpp
+++ b/Source/harness/test_fleet.cpp
@@ -145,7 +145,7 @@
         + "[model assistant]\n[service filings]\npath = /filings\nnot_repeatable = yes\n";
     for (const auto& plan : m_backends) {
         const auto& agent = *m_agents.at(plan.name);
-        text += "[backend " + plan.name + "]\nzone = " + plan.zone + "\naddress = " + agent.address() + "\npeer_address = " + agent.peerAddress()
+        text += "[backend " + plan.name + "]\nzone = " + plan.zone + "\naddress = " + (m_ways.contains(plan.name) ? m_ways.at(plan.name) : agent.address()) + "\npeer_address = " + agent.peerAddress()
             + "\nserves = " + plan.serves + "\nslots = " + std::to_string(plan.slots) + "\n";
         const auto added = extra.find(plan.name);
         if (added != extra.end())
--- a/Source/harness/test_fleet.h
+++ b/Source/harness/test_fleet.h
@@ -77,6 +77,8 @@
     void setAgentFlags(std::vector<std::string> flags) { m_agentFlags = std::move(flags); }
     void setEntryFlags(std::vector<std::string> flags) { m_entryFlags = std::move(flags); }
     void setRules(const std::string& rules) { m_rules = rules; }
+    // Entry VMs reach the agent's requests by this address.
+    void setWayTo(const std::string& agent, const std::string& address) { m_ways[agent] = address; }
     // Further sections of the declaration.
     void setExtraSections(const std::string& sections) { m_extraSections = sections; }
     const declaration& lastPublished() const { return m_published; }
@@ -98,6 +100,7 @@
     std::vector<std::string> m_agentFlags;
     std::vector<std::string> m_entryFlags;
     std::string m_extraSections;
+    std::map<std::string, std::string> m_ways;
     declaration m_published;
     std::uint64_t m_vmVersion = 0;
 };
