membership: a server that left the list is not kept for a moment on arm64

On x86-64 such a server is out of the list at once.

Cause: the time of the removal and the time until which a server is kept were two readings of the clock in one call. Which of two arguments is evaluated first is not specified: g++ evaluates the second one first on x86-64, so the end came before the removal, and the first one first on arm64, so that the end came some nanoseconds after it and the server counted as one that may come back.

Ruled out: the order of ranks and the record of removals (the retained removal prevails, as it should); equal readings of the clock, which were suspected: they would have removed the server.

Why it works: one reading for both, so a server that is not in doubt is kept until the very time of its removal, which removes it, in any order. Looked for elsewhere: calls with two readings of the clock or of the random numbers, or a value that is moved in the same call (six more, none where the order matters); plain char, whose sign differs (all bytes are read as unsigned); bit-fields and shared memory between threads (none in the programs).

--- a/Source/gateway/fleet/fleet_state.cpp
+++ b/Source/gateway/fleet/fleet_state.cpp
@@ -225,7 +225,10 @@
     const std::string id = m_decoder.backendId(change.item.key);
     if (change.removed) {
         const bool isUncertain = listUncertainFor() > milliseconds(0) && !change.retained;
-        m_backends.unlist(id, m_context.now(), isUncertain ? m_listUncertainUntil : m_context.now());
+        // The clock is read once: with a reading for each argument, the second one evaluated is later, and which that is differs between
+        // processors. A server that is gone would be kept, and get requests, until the next periodic work.
+        const instant now = m_context.now();
+        m_backends.unlist(id, now, isUncertain ? m_listUncertainUntil : now);
         m_log.line("backend_unlisted").add("backend", id).add("source", source).add("doubt_ms", listUncertainFor()).add("outcome", isUncertain ? "kept for now" : "removed");
         return;
     }
