--- a/Tests/platform/store-epoch/test.cpp
+++ b/Tests/platform/store-epoch/test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <deque>
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 using namespace rampgap;
 
@@ -46,7 +47,7 @@
         auto opened = http_server::listen(context, "127.0.0.1:0", {}, store);
         REQUIRE(opened);
         server = std::move(opened.value());
-        client.emplace(context, "127.0.0.1:" + std::to_string(server->port()));
+        client.emplace(context, log, "127.0.0.1:" + std::to_string(server->port()));
     }
 
     result<published_snapshot> list()
@@ -69,6 +70,7 @@
     }
 
     process_context context { "entry", "a", "entry" };
+    decision_log log { "entry", STDERR_FILENO };
     scripted_store store;
     std::unique_ptr<http_server> server;
     std::optional<platform::store_client> client;
