configuration: one that cannot be read does not hide the one in force from a VM that starts

What callers saw: an entry VM that started while the store had a configuration that cannot be read refused all requests with 503 ("no configuration has been read yet"), though its peers served.

Cause: who had an earlier configuration kept it in force, but only to itself. A VM that starts merges what peers hold of the store, and that was the unreadable item. Ruled out: to retain a server's entry in the same way. The one that cannot be read may say that the server leaves; requests would go to a server that is gone.

Why it works: the configuration in force is retained as after a restoration of the store, so the digests of the VMs differ and a VM that starts fetches it; a readable one that is at least as late replaces it. Its version still decides, so nothing goes back.

--- a/Source/policy/configuration/published_state.cpp
+++ b/Source/policy/configuration/published_state.cpp
@@ -43,8 +43,11 @@
         m_retained.retain(m_items, next);
     std::set<std::string> unlisted;
     for (const auto& [key, item] : m_items) {
-        if (next.contains(key))
+        const auto found = next.find(key);
+        if (found != next.end()) {
+            keepReadable(item, found->second, changes);
             continue;
+        }
         unlisted.insert(key);
         // An item missing from a restored store may merely have been lost by it.
         if (!restored && meaning == removal::gone)
@@ -77,6 +80,8 @@
         const auto* current = listed(change.item.key);
         if (current && current->revision >= change.item.revision)
             continue;
+        if (const auto inForce = m_items.find(change.item.key); inForce != m_items.end() && !change.removed)
+            keepReadable(inForce->second, change.item, fresh);
         if (change.removed && current && meaning == removal::gone)
             m_retained.recordRemoval(*current);
         if (change.removed) {
@@ -100,6 +105,13 @@
     m_removed.pop_front();
 }
 
+// An unreadable item is still reported as a change, so that it is logged.
+void published_state::keepReadable(const published_item& inForce, const published_item& next, std::vector<published_change>& changes)
+{
+    if (inForce.value != next.value && m_retained.keepReadable(inForce, next))
+        changes.push_back({ next, false });
+}
+
 const published_item* published_state::listed(const std::string& key) const
 {
     const auto found = m_listed.find(key);
--- a/Source/policy/configuration/published_state.h
+++ b/Source/policy/configuration/published_state.h
@@ -102,6 +102,8 @@
 private:
     void recordRemoved(const std::string& key, store_revision);
     const published_item* listed(const std::string& key) const;
+    // `next` is about to replace what is in force under its key.
+    void keepReadable(const published_item& inForce, const published_item& next, std::vector<published_change>&);
     void updateInForce(const std::string& key, std::vector<published_change>&);
 
     // Items as the store lists them, and items in force.
--- a/Source/policy/configuration/retained_items.cpp
+++ b/Source/policy/configuration/retained_items.cpp
@@ -73,6 +73,16 @@
     updateDigest();
 }
 
+// Retained, and not only left in force here, because a process that starts learns retained items from its peers.
+bool retained_items::keepReadable(const published_item& inForce, const published_item& listed)
+{
+    if (!m_order.staysInForceUnlisted(inForce) || m_order.rank(listed) || !m_order.rank(inForce))
+        return false;
+    m_items[inForce.key] = { inForce, false };
+    updateDigest();
+    return true;
+}
+
 // A peer that was cut off may retain an item whose removal it has missed.
 bool retained_items::wasRemoved(const retained_item& retained) const
 {
--- a/Source/policy/configuration/retained_items.h
+++ b/Source/policy/configuration/retained_items.h
@@ -1,4 +1,4 @@
-// Items that were confirmed but that a restored store has lost.
+// Items that were confirmed but that the store has lost: it was restored, or something unreadable was written in their place.
 #pragma once
 
 #include "policy/configuration/item_order.h"
@@ -16,7 +16,7 @@
     bool operator==(const retained_item&) const = default;
 };
 
-// Items kept from before a restoration or learned from peers. Each replaces what the store lists
+// Items kept from before a restoration or an unreadable change, or learned from peers. Each replaces what the store lists
 // until the store lists the same version again, or a newer one.
 class retained_items {
 public:
@@ -30,6 +30,9 @@
     void recordRemoval(const published_item&);
     // The store was restored: `inForce` was in force before, it now lists `listed`.
     void retain(const items_by_key& inForce, const items_by_key& listed);
+    // `inForce` is to stay in force if it is of a kind that stays in force unlisted, and the store now lists an item that cannot be read in
+    // its place. True if it does.
+    bool keepReadable(const published_item& inForce, const published_item& listed);
     // Merges an item that a peer retains. True if this changes what is retained here. `listed` is
     // the store's item under the same key, null if there is none.
     bool merge(const retained_item&, const published_item* listed);
--- a/Tests/platform/published-state/test.cpp
+++ b/Tests/platform/published-state/test.cpp
@@ -193,3 +193,58 @@
     CHECK(rule.refusedFor(std::nullopt, zero) == milliseconds(0));
     CHECK(freshness_rule(false, milliseconds(5'000), milliseconds(0)).mayUseKeys(std::nullopt, zero));
 }
+
+namespace {
+
+// Items under "c" stay in force while they are not listed. A value that is no number cannot be read.
+class numbered_items : public item_order {
+public:
+    std::optional<item_rank> rank(const published_item& read) const override
+    {
+        const bool isNumber = !read.value.empty() && read.value.find_first_not_of("0123456789") == std::string::npos;
+        return isNumber ? std::optional(item_rank { std::stoull(read.value), item_stage::current }) : std::nullopt;
+    }
+    bool staysInForceUnlisted(const published_item& kept) const override { return kept.key == "c"; }
+    bool endsByRemoval(const published_item& removed) const override { return removed.key != "c"; }
+};
+
+} // namespace
+
+// The configuration was overwritten with something unreadable: who had it kept it in force, and who started later never had one.
+TEST_CASE("an unreadable configuration does not hide the one in force from a process that starts")
+{
+    const numbered_items order;
+    for (const bool listedAgain : { false, true }) {
+        published_state state(order);
+        state.apply(published_snapshot { { item("c", "1", 1), item("s", "1", 1) }, 1, 1 });
+        const std::vector<published_change> odd { { item("c", "odd", 2), false }, { item("s", "odd", 2), false } };
+        const auto changes = listedAgain ? state.apply(published_snapshot { { odd[0].item, odd[1].item }, 2, 1 }) : state.apply(odd, { 1, 1 }, 2);
+        CHECK(std::count(changes.begin(), changes.end(), odd[0]) == 1);
+        CHECK(state.items().at("c").value == "1");
+        // A server's entry that became unreadable may be the one that says that it leaves.
+        CHECK(state.items().at("s").value == "odd");
+        REQUIRE(state.retained().all().size() == 1);
+        CHECK(state.retained().isIndefinite(state.retained().all().at("c")));
+        published_state started(order);
+        started.apply(published_snapshot { { odd[0].item, odd[1].item }, 2, 1 });
+        started.mergeRetained({ state.retained().all().at("c") }, true);
+        CHECK(started.items().at("c").value == "1");
+        CHECK(started.retained().digest() == state.retained().digest());
+        state.apply({ { item("c", "2", 3), false } }, { 1, 2 }, 3);
+        CHECK(state.items().at("c").value == "2");
+        CHECK(state.retained().all().empty());
+    }
+}
+
+TEST_CASE("an unreadable item is not kept in place of a readable one, nor anything in its place if there was none")
+{
+    const numbered_items order;
+    published_state state(order);
+    state.apply(published_snapshot { { item("c", "odd", 1) }, 1, 1 });
+    // It is reported once.
+    CHECK(state.apply({ { item("c", "odder", 2), false } }, { 1, 1 }, 2).size() == 1);
+    CHECK(state.retained().all().empty());
+    state.apply({ { item("c", "1", 3), false } }, { 1, 2 }, 3);
+    CHECK(state.items().at("c").value == "1");
+    CHECK(state.retained().all().empty());
+}
