agents: a rank whose entry cannot be read is kept as long as one whose entry is missing

What callers could have seen: a group whose leader loses sight of a rank, until the next entry of its server 1.2 s later, because one entry could not be read. Cause: such an entry removed the server at once, in agents too, which keep a rank whose entry is missing for 20 s since they send it no requests. Evidence: the new case of platform.odd-items fails with the line before it (2 checks of 233), and is green now. Ruled out: keeping it in entry VMs. They drop it at once, as before: the entry may say that the server leaves. Why it works: both go the same way, with the time for which the process keeps servers; it is 0 in an entry VM.

--- a/Source/gateway/fleet/fleet_state.cpp
+++ b/Source/gateway/fleet/fleet_state.cpp
@@ -234,8 +234,10 @@
     }
     auto decoded = m_decoder.backend(change.item);
     if (!decoded) {
-        // An entry that cannot be decoded names no server to send to, even if an earlier one did.
-        m_backends.remove(id);
+        // An entry that cannot be decoded names no server to send to, even if an earlier one did: it may say that the server leaves. An agent
+        // keeps the rank for as long as it keeps one whose entry is missing.
+        const instant now = m_context.now();
+        m_backends.unlist(id, now, now);
         m_log.line("backend_entry_refused").add("backend", id).add("revision", change.item.revision).add("reason", decoded.error().message).add("outcome", "no server");
         return;
     }
--- a/Tests/platform/odd-items/values.cpp
+++ b/Tests/platform/odd-items/values.cpp
@@ -100,6 +100,21 @@
     }
 }
 
+TEST_CASE("an agent keeps a rank whose entry became odd for as long as one whose entry is missing")
+{
+    for (const bool isMissing : { false, true }) {
+        vm agent { milliseconds(20'000) };
+        const std::vector<published_item> before { { "op/config", configurationText(1), 1, 1 }, { "servers/i-1", serverText("10.0.0.1:80"), 2, 2 } };
+        agent.list(before, 3);
+        if (isMissing)
+            agent.list({ before.front() }, 4);
+        else
+            agent.follow({ "servers/i-1", "odd", 4, 2 });
+        CHECK(agent.state.backends().find("i-1"));
+        CHECK(agent.state.backends().acceptsWork("i-1"));
+    }
+}
+
 TEST_CASE("a key that cannot be sent in a header field names no server")
 {
     for (const auto& id : std::vector<std::string> { "", "i 1", "i-1\r\nX-Key: k", std::string("i\0", 2), "i\x7F" }) {
