--- a/Source/gateway/fleet/fleet_state.cpp
+++ b/Source/gateway/fleet/fleet_state.cpp
@@ -225,14 +225,19 @@
     const std::string id = m_decoder.backendId(change.item.key);
     if (change.removed) {
         const bool isUncertain = listUncertainFor() > milliseconds(0) && !change.retained;
-        m_backends.unlist(id, m_context.now(), isUncertain ? m_listUncertainUntil : m_context.now());
+        // The clock is read once: with a reading for each argument, the second one evaluated is later, and which that is differs between
+        // processors. A server that is gone would be kept, and get requests, until the next periodic work.
+        const instant now = m_context.now();
+        m_backends.unlist(id, now, isUncertain ? m_listUncertainUntil : now);
         m_log.line("backend_unlisted").add("backend", id).add("source", source).add("doubt_ms", listUncertainFor()).add("outcome", isUncertain ? "kept for now" : "removed");
         return;
     }
     auto decoded = m_decoder.backend(change.item);
     if (!decoded) {
-        // An entry that cannot be decoded names no server to send to, even if an earlier one did.
-        m_backends.remove(id);
+        // An entry that cannot be decoded names no server to send to, even if an earlier one did: it may say that the server leaves. An agent
+        // keeps the rank for as long as it keeps one whose entry is missing.
+        const instant now = m_context.now();
+        m_backends.unlist(id, now, now);
         m_log.line("backend_entry_refused").add("backend", id).add("revision", change.item.revision).add("reason", decoded.error().message).add("outcome", "no server");
         return;
     }
