requests: an answer that never has a body is whole with its head, also without a length

What callers saw: 204 and 304 without a length, the usual form of these, counted as answers that end with their connection. The server was looked at before the caller got one, and if it had ended meanwhile, or did not answer the look in time, the caller got 502 for a whole answer. Cause: http_call::framed() asked for a length or chunks. The parser knows better: such an answer is done with its head. Evidence: platform.odd-framing ("an answer without a body ...": the judge was called, 2 checks) and platform.cut-answer ("an answer with all of its bytes ...": 204 was not complete, 12 checks) fail on the code before. Ruled out: an answer to HEAD, which was asked for as such and relayed on another way. After: both pass; answers with neither length nor chunks are judged as before (platform.unframed-answer).

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -167,7 +167,8 @@
         cancel();
         co_return mayHaveRun(failure_reason::connection_lost, "cut off from " + m_address);
     }
-    m_framed = m_connection->parser->chunked() || m_connection->parser->content_length().has_value();
+    // An answer that never has a body is whole with its head, also without a length.
+    m_framed = !m_connection->parser->need_eof();
     co_return m_connection->parser->get().base();
 }
 
--- a/Source/daemon/http_client.h
+++ b/Source/daemon/http_client.h
@@ -41,7 +41,7 @@
     void keepForNext(bool keep) { m_keepForNext = keep; }
     // True if the next request goes over the same connection.
     bool hasConnection() const { return m_connection != nullptr; }
-    // True if the answer has a length or is chunked, so that its end differs from a lost connection.
+    // True if the end of the answer differs from a lost connection: it has a length, is chunked or never has a body.
     bool framed() const { return m_framed; }
     // The length that the answer's head states; empty if it states none.
     std::optional<std::uint64_t> statedLength() const;
--- a/Tests/platform/cut-answer/test.cpp
+++ b/Tests/platform/cut-answer/test.cpp
@@ -47,6 +47,7 @@
         { "stream, unframed", stream + "\r\n" + events, events, http::verb::get, true },
         { "plain, unframed", plain + "\r\nanswer", "answer", http::verb::get, true },
         { "HEAD", plain + "Content-Length: 6\r\n\r\n", "", http::verb::head },
+        { "no content", "HTTP/1.1 204 No Content\r\nX-Server-Signature: s\r\n\r\n", "" },
     };
 }
 
--- a/Tests/platform/odd-framing/test.cpp
+++ b/Tests/platform/odd-framing/test.cpp
@@ -167,6 +167,8 @@
         checkPassedOn(head + "Content-Length: 4\r\n\r\nbody", "", false);
         checkPassedOn(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "", false);
         checkPassedOn(head + "Content-Length: 4\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nother", "", false);
+        const auto seen = relayOdd(head + "Connection: close\r\n\r\n", after_answer::close);
+        CHECK_MESSAGE((seen.body.has_value() && !seen.judged), std::string(status));
     }
 }
 
