http: an answer without a body is followed by nothing

What callers saw: an engine's 204 or 304 without a length, or with a long one, was sent on in chunks, so that the last chunk's "0" stood on the caller's connection where its next answer was due; between an agent and its entry VM it spoiled the next answer, which became 502. A refusal or a page of the process's own to a HEAD request came with its body, which the caller reads as its next answer, too. Cause: begin() framed each answer in chunks, and send() wrote each body, whatever the status and the method. Ruled out: the relay, which takes answers to HEAD apart; the HTTP client, which drops a connection with bytes after the answer where these have arrived by then. Changed: the server of callers' connections writes a head only for 204, 304 and HEAD, in one place for all answers.

--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -51,6 +51,12 @@
         return notRun(failure_reason::invalid_request, "malformed HTTP: " + error.message());
     }
 
+    // Callers read an answer with such a status to the end of its head.
+    bool hasBody(const http_head& head)
+    {
+        return head.result() != http::status::no_content && head.result() != http::status::not_modified;
+    }
+
     // Refuses framing that two programs may interpret differently: it allows request smuggling.
     std::optional<failure> framingFailure(const http_request& request)
     {
@@ -90,6 +96,7 @@
         m_buffer.max_size(std::max<std::size_t>({ m_buffer.size(), headLimit(m_limits), firstReadBytes }));
         m_held.resize(0);
         m_busy = false;
+        m_headOnly = false;
         if (m_buffer.size() == 0) {
             expireStreamAt(m_stream, idleSince + m_limits.idleTimeout);
             m_idle = true;
@@ -131,6 +138,7 @@
         if (m_dropped)
             co_return false;
         m_request = m_parser->release();
+        m_headOnly = m_request.method() == http::verb::head;
         m_busy = true;
         m_begun = false;
         m_finished = false;
@@ -202,7 +210,15 @@
         if (!response.keep_alive())
             m_closeAfterAnswer = true;
         m_stream.expires_after(m_limits.writeTimeout);
-        const auto [error, bytes] = co_await http::async_write(m_stream, response, asTuple);
+        beast::error_code error;
+        std::size_t bytes = 0;
+        if (m_headOnly) {
+            // The caller would read a body as its next answer.
+            http::response_serializer<http::string_body> serializer(response);
+            std::tie(error, bytes) = co_await http::async_write_header(m_stream, serializer, asTuple);
+        } else {
+            std::tie(error, bytes) = co_await http::async_write(m_stream, response, asTuple);
+        }
         m_finished = !error;
         if (error)
             handleCallerGone();
@@ -212,27 +228,35 @@
     awaitable<bool> begin(http_head head) override
     {
         m_begun = true;
+        const bool writesBody = hasBody(head) && !m_headOnly;
         http::response<http::empty_body> answer(std::move(head));
-        answer.chunked(true);
+        if (writesBody)
+            answer.chunked(true);
         answer.keep_alive(m_request.keep_alive() && !m_closeAfterAnswer);
         http::response_serializer<http::empty_body> serializer(answer);
         m_stream.expires_after(m_limits.writeTimeout);
         const auto [error, bytes] = co_await http::async_write_header(m_stream, serializer, asTuple);
         if (error)
             handleCallerGone();
-        m_body.emplace(m_stream, m_unsent, chunk_writer::limits {}, [this] { handleCallerGone(); });
+        if (writesBody)
+            m_body.emplace(m_stream, m_unsent, chunk_writer::limits {}, [this] { handleCallerGone(); });
         co_return !error;
     }
 
     awaitable<bool> write(std::string_view bytes) override
     {
+        if (!m_body)
+            co_return !m_callerGone;
         const bool connected = co_await m_body->write(bytes, shared_from_this());
         co_return connected && !m_callerGone;
     }
 
     awaitable<bool> finish() override
     {
-        m_finished = co_await m_body->finish(shared_from_this());
+        if (m_body)
+            m_finished = co_await m_body->finish(shared_from_this());
+        else
+            m_finished = !m_callerGone;
         co_return m_finished;
     }
 
@@ -302,6 +326,8 @@
     std::function<void()> m_onGone;
     bool m_idle = false;
     bool m_busy = false;
+    // The request under way is answered without a body.
+    bool m_headOnly = false;
     bool m_begun = false;
     bool m_finished = false;
     bool m_closeAfterAnswer = false;
