http: an answer with another transfer coding than chunks is refused

What callers would have got: a 200 with coded bytes as its body, and no word of the coding. Cause: the HTTP library takes "gzip, chunked" for chunks and "gzip" for an answer without a length, or with the length that stands after it; the relay drops the field as one of the connection's. Evidence: platform.odd-framing ("a transfer coding other than chunks ..." and the fourth line of "a length and a transfer coding together ...") fails on the code before: the body was passed on as a whole answer. Ruled out: Content-Encoding, which the platform's entry VM refuses and the own interface passes on with the answer. Changed: the HTTP client ends the call before anything is passed on; the caller gets 502, "may have run", and another engine may answer what can be repeated. No request asks for a coding: TE is not passed on. After: all these lines are refused, and "CHUNKED" in any letter case is taken for chunks.

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -30,6 +30,14 @@
     constexpr int maxInterimAnswers = 8;
     constexpr unsigned firstFinalStatus = 200;
 
+    // Chunks are taken out of an answer, and what remains is passed on as its body: under any other coding these are not its bytes. Where a
+    // length stands beside the coding, the two tell of different ends.
+    bool hasUnknownCoding(const http_head& head)
+    {
+        const auto codings = head.count(http::field::transfer_encoding);
+        return codings > 1 || (codings == 1 && !beast::iequals(head[http::field::transfer_encoding], "chunked"));
+    }
+
     failure connectionFailure(verdict ran, const std::string& what, const beast::error_code& error)
     {
         const bool timedOut = error == beast::error::timeout;
@@ -187,6 +195,8 @@
         const unsigned status = head.result_int();
         if (status == static_cast<unsigned>(http::status::switching_protocols))
             co_return mayHaveRun(failure_reason::backend_error, m_address + " switches to a protocol that nobody asked for");
+        if (status >= firstFinalStatus && hasUnknownCoding(head))
+            co_return mayHaveRun(failure_reason::backend_error, "the answer of " + m_address + " has the transfer coding '" + headerText(head, "Transfer-Encoding") + "', which nobody asked for");
         if (status >= firstFinalStatus)
             co_return boost::outcome_v2::success();
     }
--- a/Tests/platform/odd-framing/test.cpp
+++ b/Tests/platform/odd-framing/test.cpp
@@ -147,6 +147,16 @@
     checkRefused(ok + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
     checkRefused(ok + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
     checkRefused(ok + "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n\r\nbody");
+    checkRefused(ok + "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+TEST_CASE("a transfer coding other than chunks is refused: the relay would drop its name and pass the coded bytes on as the body")
+{
+    for (const char* coding : { "gzip", "deflate", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "chunke", "chunked;a=b", "" })
+        checkRefused(ok + "Transfer-Encoding: " + coding + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    checkRefused(ok + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    checkRefused(ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    checkPassedOn(ok + "transfer-encoding: CHUNKED\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", true);
 }
 
 TEST_CASE("chunks that are none break the answer off")
