http: a status below 100 is no interim answer

What callers would have got: the body of an answer, where it looks like an answer itself, as the answer to their request. Cause: each status below 200 counted as an interim answer, whose head the final one follows. From 000 to 099 the library reads such a head as that of an answer with a body, and the client threw the head away and read the body as the next head. Evidence: platform.odd-framing ("a status below 100 ...") fails on the code before: the answer inside the body was passed on as complete. Ruled out: 100 to 199, which never have a body; 101 was refused before. After: both lines are refused, and an interim answer of a status that the library has no name for (199) is skipped as before.

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -28,6 +28,7 @@
     constexpr std::uint32_t maxHeadBytes = 65'000;
     // Interim answers that a server may send before the final one: each is as large as a head may be.
     constexpr int maxInterimAnswers = 8;
+    constexpr unsigned firstInterimStatus = 100;
     constexpr unsigned firstFinalStatus = 200;
 
     // Chunks are taken out of an answer, and what remains is passed on as its body: under any other coding these are not its bytes. Where a
@@ -195,6 +196,9 @@
         const unsigned status = head.result_int();
         if (status == static_cast<unsigned>(http::status::switching_protocols))
             co_return mayHaveRun(failure_reason::backend_error, m_address + " switches to a protocol that nobody asked for");
+        // What follows the head may be its body: it must not be read as the answer.
+        if (status < firstInterimStatus)
+            co_return mayHaveRun(failure_reason::backend_error, m_address + " answers with the status " + std::to_string(status) + ", which is none of HTTP's");
         if (status >= firstFinalStatus && hasUnknownCoding(head))
             co_return mayHaveRun(failure_reason::backend_error, "the answer of " + m_address + " has the transfer coding '" + headerText(head, "Transfer-Encoding") + "', which nobody asked for");
         if (status >= firstFinalStatus)
--- a/Tests/platform/odd-framing/test.cpp
+++ b/Tests/platform/odd-framing/test.cpp
@@ -159,6 +159,14 @@
     checkPassedOn(ok + "transfer-encoding: CHUNKED\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", true);
 }
 
+TEST_CASE("a status below 100 is no interim answer: what follows it is not read as the answer")
+{
+    checkRefused("HTTP/1.1 099 Odd\r\nContent-Length: 44\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody");
+    checkRefused("HTTP/1.1 000 Odd\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody");
+    checkRefused("HTTP/1.1 101 Switching Protocols\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody");
+    checkPassedOn("HTTP/1.1 199 Odd\r\n\r\n" + ok + "Content-Length: 4\r\n\r\nbody", "body", true);
+}
+
 TEST_CASE("chunks that are none break the answer off")
 {
     const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
