http: fields of a server's connection are not passed on to callers

What callers got: Proxy-Connection, Upgrade, TE and Trailer of the server's connection, and those that its Connection field lists, as if they were of their own connection. A client that follows "Upgrade", or waits for the trailers that are not passed on, is misled. Cause: the relay drops four names (Connection, Keep-Alive, Transfer-Encoding, Content-Length); the way of the request drops all, also the listed ones. Evidence: platform.odd-framing ("fields of an answer that concern its connection only ...") fails on the code before for six of seven names. Ruled out: Set-Cookie and Location, which are the answer's own and stay; trailers, which become no headers (a case of the same test). Changed: the HTTP client returns the head without these fields; what it needs of them itself it reads before. All callers of it get the same. After: all names are gone, the answer's own fields stay.

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -39,6 +39,20 @@
         return codings > 1 || (codings == 1 && !beast::iequals(head[http::field::transfer_encoding], "chunked"));
     }
 
+    // Fields that concern the connection to the server only, by their names or since "Connection" lists them. A caller that got them
+    // would take them for its own connection's.
+    void eraseConnectionFields(http_head& head)
+    {
+        std::vector<std::string> listed { "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade", "Connection" };
+        const auto [begin, end] = head.equal_range(http::field::connection);
+        for (auto field = begin; field != end; ++field) {
+            for (const auto& name : http::token_list(field->value()))
+                listed.emplace_back(name);
+        }
+        for (const auto& name : listed)
+            head.erase(name);
+    }
+
     failure connectionFailure(verdict ran, const std::string& what, const beast::error_code& error)
     {
         const bool timedOut = error == beast::error::timeout;
@@ -178,7 +192,9 @@
     }
     // An answer that never has a body is whole with its head, also without a length.
     m_framed = !m_connection->parser->need_eof();
-    co_return m_connection->parser->get().base();
+    http_head head = m_connection->parser->get().base();
+    eraseConnectionFields(head);
+    co_return head;
 }
 
 awaitable<result<void>> http_call::readHead(bool hasBody)
--- a/Tests/platform/odd-framing/test.cpp
+++ b/Tests/platform/odd-framing/test.cpp
@@ -210,6 +210,17 @@
     checkRefused(ok + "Content-Length: 5\r\n\r\nbody");
 }
 
+TEST_CASE("fields of an answer that concern its connection only are not passed on")
+{
+    const auto seen = relayOdd(ok + "Connection: keep-alive, X-Hop\r\nConnection: x-other\r\nX-Hop: a\r\nX-Other: b\r\nKeep-Alive: timeout=5\r\nProxy-Connection: keep-alive\r\nUpgrade: h2c\r\nTE: trailers\r\nTrailer: X-Sum\r\nX-Kept: c\r\nSet-Cookie: d\r\nLocation: /e\r\nContent-Length: 4\r\n\r\nbody");
+    REQUIRE(seen.body.has_value());
+    for (const char* name : { "X-Hop", "X-Other", "Keep-Alive", "Proxy-Connection", "Upgrade", "TE", "Trailer" })
+        CHECK_MESSAGE(seen.head.count(name) == 0, std::string(name));
+    CHECK(seen.head["X-Kept"] == "c");
+    CHECK(seen.head["Set-Cookie"] == "d");
+    CHECK(seen.head["Location"] == "/e");
+}
+
 TEST_CASE("a trailer does not become a header")
 {
     const auto seen = relayOdd(ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-Late: a\r\n\r\n");
