http: a time for which a connection is kept may be any number

What would have happened: a server that states "timeout=" makes the process compute beyond the range of its numbers, which is no defined program; here the connection was closed after each request, so that it cost a new one. Cause: the time was read without a bound and multiplied by 1,000. Evidence: platform.odd-framing ("a time for which a connection is kept ...") fails on the code before for two of four large numbers: the connection is not used again. Ruled out: 0, negative numbers and words, which keep no connection, before and after. After: a time beyond an hour counts as an hour, which is beyond the ten seconds for which a connection is kept at most.

--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -1,12 +1,14 @@
 #include "daemon/http_client.h"
 
 #include "daemon/boot_timer.h"
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
@@ -24,6 +26,8 @@
     // Below the servers' idle timeout, so that a server seldom closes a connection as it is reused.
     constexpr milliseconds maxIdleTime { 10'000 };
     constexpr milliseconds closingMargin { 500 };
+    // A longer time that a server states says no more: it is beyond `maxIdleTime`.
+    constexpr std::int64_t maxStatedSeconds = 3'600;
     // The HTTP library ends the process if a field of a head or trailer has 65,534 bytes or more.
     constexpr std::uint32_t maxHeadBytes = 65'000;
     // Interim answers that a server may send before the final one: each is as large as a head may be.
@@ -68,8 +72,12 @@
         const auto at = text.find(key);
         if (at == std::string::npos)
             return maxIdleTime;
-        const std::int64_t seconds = std::atoll(text.c_str() + at + key.size());
-        return std::min(maxIdleTime, milliseconds(seconds * 1'000) - closingMargin);
+        std::int64_t seconds = 0;
+        const auto parsed = std::from_chars(text.data() + at + key.size(), text.data() + text.size(), seconds);
+        // Beyond the numbers' range on either side of zero.
+        if (parsed.ec == std::errc::result_out_of_range)
+            seconds = text[at + key.size()] == '-' ? 0 : maxStatedSeconds;
+        return std::min(maxIdleTime, milliseconds(std::clamp<std::int64_t>(seconds, 0, maxStatedSeconds) * 1'000) - closingMargin);
     }
 
     // True if the server closed the connection or sent data without a request.
--- a/Tests/platform/odd-framing/test.cpp
+++ b/Tests/platform/odd-framing/test.cpp
@@ -210,6 +210,14 @@
     checkRefused(ok + "Content-Length: 5\r\n\r\nbody");
 }
 
+TEST_CASE("a time for which a connection is kept that is no time does not keep it, and one beyond all bounds is no fault")
+{
+    for (const char* time : { "0", "-1", "x", "", "-99999999999999999999" })
+        checkPassedOn(ok + "Keep-Alive: timeout=" + time + "\r\nContent-Length: 4\r\n\r\nbody", "body", false);
+    for (const char* time : { "5", "9223372036854775807", "99999999999999999999", "9223372036854776" })
+        checkPassedOn(ok + "Keep-Alive: timeout=" + time + "\r\nContent-Length: 4\r\n\r\nbody", "body", true);
+}
+
 TEST_CASE("fields of an answer that concern its connection only are not passed on")
 {
     const auto seen = relayOdd(ok + "Connection: keep-alive, X-Hop\r\nConnection: x-other\r\nX-Hop: a\r\nX-Other: b\r\nKeep-Alive: timeout=5\r\nProxy-Connection: keep-alive\r\nUpgrade: h2c\r\nTE: trailers\r\nTrailer: X-Sum\r\nX-Kept: c\r\nSet-Cookie: d\r\nLocation: /e\r\nContent-Length: 4\r\n\r\nbody");
