agent: an engine's headers do not speak for its agent

What callers saw: a request that may run only once ran, its engine answered 200, and the caller was told 503, "not run". With the reason "stale_permit" the entry VM also took itself for paused: it dropped its permits and the connections of all callers that it had not read from. Cause: an agent passed all fields of its engine's answer on, and an entry VM reads Rampgap-Verdict, Rampgap-Reason and Rampgap-Retry-After-Ms as the agent's refusal, whatever the status. Only the fields that the agent sets itself were safe. Ruled out: Rampgap-Load, -Clock, -Permit and -Backend, which the agent sets anew. What an engine may say (limit, leaving, a back-off) is read by the agent before. Changed: the agent drops all fields with its own prefix from an engine's answer.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -35,6 +35,18 @@
         return limits;
     }
 
+    // Entry VMs act on these as their agent's words: on a refusal they give up their permits, or send an id to another agent.
+    void eraseOwnNames(http_head& head)
+    {
+        constexpr std::string_view prefix = "Rampgap-";
+        for (auto field = head.begin(); field != head.end();) {
+            const auto next = std::next(field);
+            if (boost::beast::iequals(field->name_string().substr(0, prefix.size()), prefix))
+                head.erase(field);
+            field = next;
+        }
+    }
+
     // How long the engine, which has not run the request, wants no more of them.
     std::optional<milliseconds> backoffOf(const http_head& head)
     {
@@ -370,8 +382,7 @@
             m_guard.ledger().release(*order.onceId);
         co_return notRun(failure_reason::server_backoff, "the engine asked to back off", backoff);
     }
-    head.value().erase(std::string(header::limitPerSecond));
-    head.value().erase(std::string(header::leaving));
+    eraseOwnNames(head.value());
     const int status = static_cast<int>(head.value().result_int());
     const std::string contentType(head.value()[http::field::content_type]);
     addOwnHeaders(head.value());
