--- a/Tests/platform/order-answer/test.cpp
+++ b/Tests/platform/order-answer/test.cpp
@@ -22,10 +22,16 @@
 const std::string accepted = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const std::string fenced = "HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\n\r\n";
 
+std::string answerWith(const std::string& status, const std::string& body)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string report = R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":1,"step":7})";
+
 std::string state()
 {
-    const std::string body = R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":1,"step":7})";
-    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return answerWith("200 OK", report);
 }
 
 // Refuses each order, and answers each query with its state.
@@ -51,6 +57,10 @@
 
     // Sent before the answer to each order, as an earlier answer's second copy that arrives late.
     std::string copy;
+    // The copy alone answers the order, and the order's answer comes where that to the query is due.
+    bool shifted = false;
+    std::string orderAnswer = fenced;
+    std::string stateAnswer = state();
     int connections = 0;
 
 private:
@@ -62,7 +72,9 @@
             if (error)
                 co_return;
             const bool isOrder = std::string_view(request.data(), size).starts_with("POST");
-            const std::string sent = isOrder ? copy + fenced : state();
+            std::string sent = isOrder ? copy + orderAnswer : stateAnswer;
+            if (shifted)
+                sent = isOrder ? copy : orderAnswer;
             co_await asio::async_write(socket, asio::buffer(sent), asTuple);
         }
     }
@@ -75,6 +87,23 @@
     engine server { context.io() };
     platform::rank_client client { context, "127.0.0.1" };
 
+    // The state as the client reads it; empty if it cannot.
+    std::optional<rank_view> read()
+    {
+        std::optional<rank_view> view;
+        asio::co_spawn(context.io(), server.serve(), asio::detached);
+        asio::co_spawn(
+            context.io(), [&]() -> awaitable<void> {
+                const auto answer = co_await client.state(server.address());
+                if (answer)
+                    view = answer.value();
+                context.io().stop();
+            },
+            asio::detached);
+        context.io().run_for(maxWait);
+        return view;
+    }
+
     order_answer order()
     {
         map_order sent;
@@ -113,3 +142,32 @@
     CHECK(answer.after->step == 7);
     CHECK(run.server.connections == 1);
 }
+
+TEST_CASE("the answer to an order is not taken for the state after it, whatever its body is")
+{
+    for (const char* body : { "{}", R"({"sequence":3})", R"({"error":"the step has begun"})" }) {
+        setting run;
+        run.server.orderAnswer = answerWith("200 OK", body);
+        run.server.copy = accepted;
+        run.server.shifted = true;
+        const auto answer = run.order();
+        CHECK_MESSAGE((answer.reply == order_reply::unanswered), std::string(body));
+        CHECK_FALSE(answer.after.has_value());
+    }
+}
+
+TEST_CASE("a report with a status of failure is no state, and shows nothing of an order")
+{
+    for (const char* status : { "500 Internal Server Error", "503 Service Unavailable", "421 Misdirected Request", "204 No Content", "404 Not Found" }) {
+        setting run;
+        run.server.stateAnswer = answerWith(status, report);
+        CHECK_MESSAGE((run.order().reply == order_reply::unanswered), std::string(status));
+        setting polled;
+        polled.server.stateAnswer = answerWith(status, report);
+        CHECK_MESSAGE(!polled.read().has_value(), std::string(status));
+    }
+    setting sound;
+    const auto view = sound.read();
+    REQUIRE(view.has_value());
+    CHECK(view->step == 7);
+}
