groups: a report with numbers that no group can have is not read

What could have happened: an agent that leads a group ends for want of memory, or takes one rank for another. Ruled out: negative and broken ranks, which the JSON library refused; epochs and steps, which may be any number: nothing in one report refutes them.

--- a/Tests/platform/decoding/test.cpp
+++ b/Tests/platform/decoding/test.cpp
@@ -328,6 +328,29 @@
     CHECK(encodeOrder(order) == R"({"operation":"retention","epoch":3,"fencing_token":9,"step":80})");
 }
 
+TEST_CASE("a report whose rank or size no group can have is not read: it would stand for another rank, or for more than memory holds")
+{
+    const auto reportOf = [](const std::string& rank, const std::string& size) {
+        return decodeReport(R"({"group":{"name":"g0","epoch":3,"rank":)" + rank + R"(,"state":"open"},"size":)" + size + R"(,"step":77})");
+    };
+    CHECK(reportOf("11", "12"));
+    for (const char* rank : { "12", "-1", "4294967296", "18446744073709551615", "1.5", "1e400" })
+        CHECK_MESSAGE(!reportOf(rank, "12"), std::string(rank));
+    for (const char* size : { "0", "-12", "4294967295", "4294967308", "100000", "1e400" })
+        CHECK_MESSAGE(!reportOf("5", size), std::string(size));
+}
+
+TEST_CASE("a pace that is no number of use counts as usual, and counts of requests beyond all bounds are not read")
+{
+    for (const char* pace : { "-1", "1e400", "-1e400", "null", "\"2\"" }) {
+        const auto view = decodeReport(R"({"group":{"name":"g0","epoch":3,"rank":0,"state":"open"},"size":1,"pace":)" + std::string(pace) + "}");
+        REQUIRE_MESSAGE(view, std::string(pace));
+        CHECK_MESSAGE(view.value().pace == 1, std::string(pace));
+    }
+    for (const char* count : { "4294967295", "2147483648", "-1" })
+        CHECK_MESSAGE(!decodeReport(R"({"queued":)" + std::string(count) + "}"), std::string(count));
+}
+
 TEST_CASE("a request with a method that the HTTP library does not know reaches the engine by its name")
 {
     http_request request = callerRequest();
