limits: a limit beyond all numbers of requests does not stop its server

What callers would have seen: 503 for each request to a server that states a limit like 1e300 in place of none. Not seen in a run of real engines. Cause: the arbiter counts grants as an int. A number of tokens beyond its range becomes another one, which the language does not define: the lowest int on x86-64, so that nothing is granted; on arm64 so with infinity, which a limit above 3.4e38 becomes on the way to the peers. Evidence: platform.server-limit ("a limit beyond any number of requests ...") fails on the code before on arm64 for infinity (0 granted, 3 asked); on x86-64 it was not run, there 1e10 is enough by reading. Changed: a limit above a million a second counts as a million. A line in the check of mutations guards it. After: all four limits grant what is asked.

--- a/Source/policy/limits/limit_arbiter.cpp
+++ b/Source/policy/limits/limit_arbiter.cpp
@@ -8,6 +8,9 @@
 
     // A grant is used at any moment of its lifetime, so that a window of time may also see requests of grants from before it.
     constexpr double safetyFactor = 0.9;
+    // More requests a second than one server has connections for. Tokens are counted as whole numbers, whose range a limit without
+    // this bound may leave: nothing would be granted then.
+    constexpr double maxPerSecond = 1'000'000;
     // As many requests as a server accepts in this time can be granted at once.
     constexpr double burstSeconds = 1;
     // One token for any requester and one that is reserved for the more urgent.
@@ -65,7 +68,7 @@
 // A bucket starts empty: the server may have had another arbiter a moment ago.
 grant_answer limit_arbiter::answer(const std::string& requester, const grant_question& query, double perSecond, instant now)
 {
-    const double rate = std::max(safetyFactor * perSecond, minPerSecond) * visibleFraction();
+    const double rate = std::max(safetyFactor * std::min(perSecond, maxPerSecond), minPerSecond) * visibleFraction();
     auto& entry = m_buckets.try_emplace(query.server, bucket { token_bucket(0, now), rate, {}, {} }).first->second;
     entry.tokens.fill(rate, std::max(minBurst, rate * burstSeconds), now);
     entry.perSecond = rate;
--- a/Tests/platform/server-limit/office.cpp
+++ b/Tests/platform/server-limit/office.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <doctest/doctest.h>
+#include <limits>
 #include <rapidcheck.h>
 
 using namespace rampgap;
@@ -89,3 +90,12 @@
     CHECK(granted >= 4);
     CHECK(granted <= 8);
 }
+
+TEST_CASE("a limit beyond any number of requests holds nobody up")
+{
+    for (const double limit : { 1e9, 1e10, 1e300, std::numeric_limits<double>::infinity() }) {
+        limit_arbiter arbiter;
+        arbiter.answer("a", { server, 3, 0 }, limit, at(0));
+        CHECK_MESSAGE(arbiter.answer("a", { server, 3, 0 }, limit, at(1'000)).granted == 3, limit);
+    }
+}
--- a/Utilities/mutation-check.py
+++ b/Utilities/mutation-check.py
@@ -126,6 +126,7 @@
     ("grants_beyond_the_limit", "limit_arbiter.cpp", "static_cast<int>(entry.tokens.tokens() - reserve)", "query.wanted", "platform/server-limit"),
     ("arbiter_begins_full", "limit_arbiter.cpp", "entry.tokens.take(granted);", "", "platform/server-limit"),
     ("part_of_the_fleet_grants_all", "limit_arbiter.cpp", "minPerSecond) * visibleFraction()", "minPerSecond)", "platform/server-limit"),
+    ("huge_limit_grants_nothing", "limit_arbiter.cpp", "std::min(perSecond, maxPerSecond)", "perSecond", "platform/server-limit"),
     ("limit_outlives_the_life", "server_limits.cpp", "m_forgottenAt[server] = now;", "", "platform/server-limit"),
     ("grants_never_void", "server_limits.cpp", "return expiry > now && expiry <= latestExpiry;", "return expiry <= latestExpiry;", "platform/server-limit"),
     ("less_urgent_take_it", "server_limits.cpp", "moreUrgentUnserved(priority, now) ? now + grantLifetime / 2 : instant::max()", "instant::max()", "platform/server-limit"),
