agent: each request to an engine has a connection of its own

Cause: an engine that sends an answer twice leaves a copy on the kept connection. The pool finds bytes that have arrived by then; a copy that comes with or after the next request is read as its answer, and all later ones are late by one. On the platform's interface answers name their requests; on the own one they don't, so that nothing refutes the copy. Evidence: requests.copied-answer fails on the code before: two of five callers get the prompt of the caller before them, of the other workspace. Ruled out: telling a copy by its bytes: two answers may be equal; looking at the connection once more before each request: the copy can come after it. Changed: repeatable requests take a new connection, too, closed after the answer. Cost: one connection on the machine itself for each request; not measured. After: each gets its own.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -346,10 +346,11 @@
     request.set(header::timeoutMs, std::to_string(std::max<std::int64_t>(1, left.count())));
     request.erase(std::string(header::permit));
     http_call call(m_client);
-    // Engines' replies do not name their requests: on a connection that carried another request, a second copy of a refusal
-    // would be taken for this one's, and the request would be run again.
-    if (once)
-        call.useFreshConnection();
+    // Engines' replies do not name their requests: on a connection that carried another request, a second copy of its answer
+    // would be passed on as this one's, and after one of a refusal this request would be run again.
+    call.useFreshConnection();
+    // Closed with the call, in place of returning to the pool.
+    call.keepForNext(true);
     const instant sentAt = m_context.now();
     const server_incarnation life = m_engine.life();
     // What may run only once is not cut off: its answer is kept for a repeat of the call.
