agent: a stored answer keeps its content coding

What callers saw: the repeat of a request that may run only once was answered with the engine's coded bytes (gzip) as a plain body. Cause: of an answer's head the ledger keeps the status and the content type. Accept-Encoding goes to the engine and Content-Encoding comes back with the first answer, but not with the stored one. Evidence: requests.stored-answer fails on the code before: the second answer has no Content-Encoding. Ruled out: the platform's interface, which refuses coded answers and stores none. Other fields of the head (Location, Set-Cookie) are still left out of a repeat. Changed: the ledger keeps the coding, and a repeat gets it. After: both answers have it, and the engine ran once.

--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -240,6 +240,8 @@
         if (claimed.value()) {
             m_context.counters().add(metric::duplicates_answered);
             auto response = makeResponse(claimed.value()->status, claimed.value()->contentType, claimed.value()->body);
+            if (!claimed.value()->contentEncoding.empty())
+                response.set(http::field::content_encoding, claimed.value()->contentEncoding);
             addOwnHeaders(response);
             co_await exchange.send(std::move(response));
             co_return;
@@ -386,6 +388,7 @@
     eraseOwnNames(head.value());
     const int status = static_cast<int>(head.value().result_int());
     const std::string contentType(head.value()[http::field::content_type]);
+    const std::string contentEncoding(head.value()[http::field::content_encoding]);
     addOwnHeaders(head.value());
     relay_progress progress;
     relay_options options;
@@ -397,7 +400,7 @@
     const auto outcome = co_await relayAnswer(call, std::move(head.value()), exchange, progress, options);
     m_context.counters().add(metric::bytes_relayed, static_cast<double>(progress.bytes));
     if (once && outcome.recorded)
-        m_guard.ledger().finish(*order.onceId, { status, contentType, *outcome.recorded }, m_context.now());
+        m_guard.ledger().finish(*order.onceId, { status, contentType, *outcome.recorded, contentEncoding }, m_context.now());
     else if (once)
         m_guard.ledger().finishWithoutAnswer(*order.onceId, m_context.now());
     if (outcome.end == relay_end::complete) {
--- a/Source/policy/requests/request_ledger.h
+++ b/Source/policy/requests/request_ledger.h
@@ -15,6 +15,8 @@
     int status = 0;
     std::string contentType;
     std::string body;
+    // Without it a caller would take coded bytes for the body.
+    std::string contentEncoding {};
 
     bool operator==(const stored_answer&) const = default;
 };
