--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -40,6 +40,18 @@
         return notRun(failure_reason::leaving, "this backend server is leaving", leavingRetryAfter);
     }
 
+    // Entry VMs act on these as their agent's words: on a refusal they give up their permits, or send an id to another agent.
+    void eraseOwnNames(http_head& head)
+    {
+        constexpr std::string_view prefix = "Rampgap-";
+        for (auto field = head.begin(); field != head.end();) {
+            const auto next = std::next(field);
+            if (boost::beast::iequals(field->name_string().substr(0, prefix.size()), prefix))
+                head.erase(field);
+            field = next;
+        }
+    }
+
     // How long the engine, which has not run the request, wants no more of them.
     std::optional<milliseconds> backoffOf(const http_head& head)
     {
@@ -233,6 +245,8 @@
         if (claimed.value()) {
             m_context.counters().add(metric::duplicates_answered);
             auto response = makeResponse(claimed.value()->status, claimed.value()->contentType, claimed.value()->body);
+            if (!claimed.value()->contentEncoding.empty())
+                response.set(http::field::content_encoding, claimed.value()->contentEncoding);
             addOwnHeaders(response);
             co_await exchange.send(std::move(response));
             co_return;
@@ -339,10 +353,11 @@
     request.set(header::timeoutMs, std::to_string(std::max<std::int64_t>(1, left.count())));
     request.erase(std::string(header::permit));
     http_call call(m_client);
-    // Engines' replies do not name their requests: on a connection that carried another request, a second copy of a refusal
-    // would be taken for this one's, and the request would be run again.
-    if (once)
-        call.useFreshConnection();
+    // Engines' replies do not name their requests: on a connection that carried another request, a second copy of its answer
+    // would be passed on as this one's, and after one of a refusal this request would be run again.
+    call.useFreshConnection();
+    // Closed with the call, in place of returning to the pool.
+    call.keepForNext(true);
     const instant sentAt = m_context.now();
     const server_incarnation life = m_engine.life();
     // What may run only once is not cut off: its answer is kept for a repeat of the call.
@@ -375,10 +390,10 @@
             m_guard.ledger().release(*order.onceId);
         co_return notRun(failure_reason::server_backoff, "the engine asked to back off", backoff);
     }
-    head.value().erase(std::string(header::limitPerSecond));
-    head.value().erase(std::string(header::leaving));
+    eraseOwnNames(head.value());
     const int status = static_cast<int>(head.value().result_int());
     const std::string contentType(head.value()[http::field::content_type]);
+    const std::string contentEncoding(head.value()[http::field::content_encoding]);
     addOwnHeaders(head.value());
     relay_progress progress;
     relay_options options;
@@ -390,7 +405,7 @@
     const auto outcome = co_await relayAnswer(call, std::move(head.value()), exchange, progress, options);
     m_context.counters().add(metric::bytes_relayed, static_cast<double>(progress.bytes));
     if (once && outcome.recorded)
-        m_guard.ledger().finish(*order.onceId, { status, contentType, *outcome.recorded }, m_context.now());
+        m_guard.ledger().finish(*order.onceId, { status, contentType, *outcome.recorded, contentEncoding }, m_context.now());
     else if (once)
         m_guard.ledger().finishWithoutAnswer(*order.onceId, m_context.now());
     if (outcome.end == relay_end::complete) {
--- a/Source/daemon/http_client.cpp
+++ b/Source/daemon/http_client.cpp
@@ -1,12 +1,14 @@
 #include "daemon/http_client.h"
 
 #include "daemon/boot_timer.h"
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
@@ -24,12 +26,37 @@
     // Below the servers' idle timeout, so that a server seldom closes a connection as it is reused.
     constexpr milliseconds maxIdleTime { 10'000 };
     constexpr milliseconds closingMargin { 500 };
+    // A longer time that a server states says no more: it is beyond `maxIdleTime`.
+    constexpr std::int64_t maxStatedSeconds = 3'600;
     // The HTTP library ends the process if a field of a head or trailer has 65,534 bytes or more.
     constexpr std::uint32_t maxHeadBytes = 65'000;
     // Interim answers that a server may send before the final one: each is as large as a head may be.
     constexpr int maxInterimAnswers = 8;
+    constexpr unsigned firstInterimStatus = 100;
     constexpr unsigned firstFinalStatus = 200;
 
+    // Chunks are taken out of an answer, and what remains is passed on as its body: under any other coding these are not its bytes. Where a
+    // length stands beside the coding, the two tell of different ends.
+    bool hasUnknownCoding(const http_head& head)
+    {
+        const auto codings = head.count(http::field::transfer_encoding);
+        return codings > 1 || (codings == 1 && !beast::iequals(head[http::field::transfer_encoding], "chunked"));
+    }
+
+    // Fields that concern the connection to the server only, by their names or since "Connection" lists them. A caller that got them
+    // would take them for its own connection's.
+    void eraseConnectionFields(http_head& head)
+    {
+        std::vector<std::string> listed { "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade", "Connection" };
+        const auto [begin, end] = head.equal_range(http::field::connection);
+        for (auto field = begin; field != end; ++field) {
+            for (const auto& name : http::token_list(field->value()))
+                listed.emplace_back(name);
+        }
+        for (const auto& name : listed)
+            head.erase(name);
+    }
+
     failure connectionFailure(verdict ran, const std::string& what, const beast::error_code& error)
     {
         const bool timedOut = error == beast::error::timeout;
@@ -45,8 +72,12 @@
         const auto at = text.find(key);
         if (at == std::string::npos)
             return maxIdleTime;
-        const std::int64_t seconds = std::atoll(text.c_str() + at + key.size());
-        return std::min(maxIdleTime, milliseconds(seconds * 1'000) - closingMargin);
+        std::int64_t seconds = 0;
+        const auto parsed = std::from_chars(text.data() + at + key.size(), text.data() + text.size(), seconds);
+        // Beyond the numbers' range on either side of zero.
+        if (parsed.ec == std::errc::result_out_of_range)
+            seconds = text[at + key.size()] == '-' ? 0 : maxStatedSeconds;
+        return std::min(maxIdleTime, milliseconds(std::clamp<std::int64_t>(seconds, 0, maxStatedSeconds) * 1'000) - closingMargin);
     }
 
     // True if the server closed the connection or sent data without a request.
@@ -167,8 +198,11 @@
         cancel();
         co_return mayHaveRun(failure_reason::connection_lost, "cut off from " + m_address);
     }
-    m_framed = m_connection->parser->chunked() || m_connection->parser->content_length().has_value();
-    co_return m_connection->parser->get().base();
+    // An answer that never has a body is whole with its head, also without a length.
+    m_framed = !m_connection->parser->need_eof();
+    http_head head = m_connection->parser->get().base();
+    eraseConnectionFields(head);
+    co_return head;
 }
 
 awaitable<result<void>> http_call::readHead(bool hasBody)
@@ -186,6 +220,11 @@
         const unsigned status = head.result_int();
         if (status == static_cast<unsigned>(http::status::switching_protocols))
             co_return mayHaveRun(failure_reason::backend_error, m_address + " switches to a protocol that nobody asked for");
+        // What follows the head may be its body: it must not be read as the answer.
+        if (status < firstInterimStatus)
+            co_return mayHaveRun(failure_reason::backend_error, m_address + " answers with the status " + std::to_string(status) + ", which is none of HTTP's");
+        if (status >= firstFinalStatus && hasUnknownCoding(head))
+            co_return mayHaveRun(failure_reason::backend_error, "the answer of " + m_address + " has the transfer coding '" + headerText(head, "Transfer-Encoding") + "', which nobody asked for");
         if (status >= firstFinalStatus)
             co_return boost::outcome_v2::success();
     }
