--- a/Source/daemon/http_server.cpp
+++ b/Source/daemon/http_server.cpp
@@ -97,8 +97,11 @@
         m_held.resize(0);
         m_busy = false;
         m_headOnly = false;
-        if (m_buffer.size() == 0 && !co_await awaitFirstBytes(idleSince))
-            co_return false;
+        if (m_buffer.size() == 0) {
+            const bool begun = co_await awaitFirstBytes(idleSince);
+            if (!begun)
+                co_return false;
+        }
         m_receivedAt = boot_clock::now();
         const instant deadline = m_receivedAt + m_limits.headerTimeout;
         expireStreamAt(m_stream, deadline);
