tests: the body of an error that has the type of a stream is passed on unchanged

With a route that may be resumed, events of another run can follow under the error's status. The test fails on this code for status 400 and 500, with a stated length and with chunks (24 checks); on a probe with such answers got the bodies whole. Not covered: answers without length or chunks, which broke off before.

--- a/Tests/platform/refuted-stream/test.cpp
+++ b/Tests/platform/refuted-stream/test.cpp
@@ -219,3 +219,18 @@
     for (const auto kind : allFramings)
         CHECK(relay(answerOf(marked, kind), platformOptions(), begun).body == "id: 6\ndata: f\n\n");
 }
+
+TEST_CASE("the body of an error that has the type of a stream is not judged by the rules of events, but passed on unchanged")
+{
+    for (const auto kind : { framing::length, framing::chunks }) {
+        for (const std::string status : { "400 x", "500 x" }) {
+            for (const std::string body : { "busy", "event: error\ndata: too long\n\n" }) {
+                CAPTURE(body);
+                const auto result = relay(answerOf(body, kind, "text/event-stream", status), platformOptions());
+                CHECK((result.outcome.end == relay_end::complete));
+                CHECK(result.finished);
+                CHECK(result.body == body);
+            }
+        }
+    }
+}
