tests: an event that is too large to be held does not overtake the event that waits for it

Where a caller may get parts of an event, takeSendable sends the bytes of a large event as they come, also while an event without an id waits in event_filter for what follows: the caller gets the later bytes first, and never the one that waits. These bytes are passed on before judge() was asked about their event, which is refused when it is whole. Relays of the platform's routes hold whole events and are not concerned.

--- a/Tests/platform/refuted-stream/test.cpp
+++ b/Tests/platform/refuted-stream/test.cpp
@@ -234,3 +234,14 @@
         }
     }
 }
+
+TEST_CASE("an event that is too large to be held does not overtake the event that waits for it")
+{
+    const std::string ids = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    const std::string answer = ids + "data: mark\n\ndata: " + std::string(600'000, 'x') + "\n\n";
+    for (const auto kind : { framing::length, framing::none }) {
+        const auto result = relay(answerOf(answer, kind), {});
+        CHECK(result.body.starts_with(ids));
+        CHECK(answer.starts_with(result.body));
+    }
+}
