tests: events whose ids rise evenly by more than is usual do not wait one after the other

Each event of a sound stream reaches its caller one event late if its ids rise by more than the service's usual step, since longestStep takes the usual one alone and forgets what the run has shown; and near 2^63, where eight times the first id is more than fits into 64 bits, also while no step is usual. A route that is one in 100 of a service's streams is never learned: three runs with a step must be kept, and their number is halved with every 2,048 steps. The test fails on this code (15 checks for the rarer route, 8 near 2^63).

--- a/Tests/platform/event-stream/test.cpp
+++ b/Tests/platform/event-stream/test.cpp
@@ -407,3 +407,18 @@
     REQUIRE(filter.violation());
     CHECK((*filter.violation() == violation_report { stream_violation::no_field, "1", "2", "<\\x22\\x80>" }));
 }
+
+TEST_CASE("events whose ids rise evenly, by more than is usual for the service or near the largest number, do not wait one after the other")
+{
+    // Another route of the same service, too rare to be learned from.
+    event_judge rare(event_contract::numbered, "", 1);
+    for (const std::uint64_t number : { 10, 20, 30, 40 })
+        CHECK_FALSE(rare.judge(numbered(number)).action == event_action::refuse);
+    for (std::uint64_t number = 50; number < 200; number += 10)
+        CHECK((rare.judge(numbered(number)) == sends));
+    // Eight times the first id is more than fits into a number.
+    event_judge high(event_contract::numbered, "", std::nullopt);
+    constexpr std::uint64_t first = 1ULL << 63U;
+    for (std::uint64_t number = first; number < first + 9; ++number)
+        CHECK((high.judge(numbered(number)) == sends));
+}
