tests: a stream whose own events rise by more than is usual is not broken off where it goes on

A run that goes on is refused as a gap at each server, and the stream is lost, where the service's usual step is smaller than the stream's: the steps that the stream's earlier runs have shown are asked for only while the service is unknown. If they are by turns they are not asked at all, and the first event of the run that goes on waits for the one after it.

--- a/Tests/platform/event-stream/test.cpp
+++ b/Tests/platform/event-stream/test.cpp
@@ -422,3 +422,16 @@
     for (std::uint64_t number = first; number < first + 9; ++number)
         CHECK((high.judge(numbered(number)) == sends));
 }
+
+TEST_CASE("a stream whose own events rise by more than is usual for the service is not broken off where it goes on")
+{
+    const auto steps = std::make_shared<event_id_steps>();
+    for (int run = 0; run < 10; ++run)
+        steps->record(runOf({ { 1, 23 } }));
+    event_filter goesOn({ event_contract::numbered, "60", steps, runOf({ { 10, 5 } }) });
+    CHECK(goesOn.push("id: 70\ndata: x\n\n").size() == 1);
+    CHECK_FALSE(goesOn.violation());
+    // By turns: the largest of its steps is no sign that events are missing.
+    event_filter turns({ event_contract::numbered, "60", std::make_shared<event_id_steps>(), runOf({ { 10, 5 }, { 14, 5 } }) });
+    CHECK(turns.push("id: 72\ndata: x\n\n").size() == 1);
+}
