--- a/Source/agent/agent_server.cpp
+++ b/Source/agent/agent_server.cpp
@@ -404,6 +404,10 @@
     options.recordLimit = once ? maxStoredAnswer : 0;
     const auto outcome = co_await relayAnswer(call, std::move(head.value()), exchange, progress, options);
     m_context.counters().add(metric::bytes_relayed, static_cast<double>(progress.bytes));
+    if (const auto& found = progress.run.violation) {
+        m_context.counters().countViolation(found->violation);
+        logWarning("stream_violation", "request=" + order.correlation + " engine=" + m_settings.engine + " rule=" + std::string(toString(found->violation)) + " run_events=" + std::to_string(progress.run.events) + " after_id=\"" + excerptOf(found->previousId) + "\" bytes=\"" + found->excerpt + "\"");
+    }
     if (once && outcome.recorded)
         m_guard.ledger().finish(*order.onceId, { status, contentType, *outcome.recorded, contentEncoding }, m_context.now());
     else if (once)
--- a/Source/daemon/answer_relay.cpp
+++ b/Source/daemon/answer_relay.cpp
@@ -180,6 +180,8 @@
 
 bool isEventStream(const http_head& head)
 {
+    if (http::to_status_class(head.result()) != http::status_class::successful)
+        return false;
     const auto type = head[http::field::content_type];
     const auto name = type.substr(0, type.find_first_of("; \t"));
     return boost::beast::iequals(name, "text/event-stream");
@@ -250,9 +252,9 @@
                     co_return incompleteOutcome(exchange.callerGone() && !options.finishWithoutCaller, broken);
             }
             auto events = last ? filter.finish() : filter.push(piece.value());
+            const std::string out = takeSendable(filter, events, !last && !options.wholeEvents);
             progress.run.repeated = filter.repeated();
             progress.run.violation = filter.violation();
-            const std::string out = takeSendable(filter, events, !last && !options.wholeEvents);
             copy.append(out);
             if (!out.empty() && options.onEventGap) {
                 if (const auto gap = gaps.recordEvent(boot_clock::now()))
@@ -265,6 +267,7 @@
                     progress.recordEvent(event);
                 progress.bytes += out.size();
             }
+            progress.mayGoOn = progress.mayGoOn && !filter.mayLastBeGarbage();
             if (filter.violation())
                 co_return cutOutcome(call, "the server sent something else than its stream: " + std::string(toString(filter.violation()->violation)));
             if (filter.heldBytes() > maxEventBytes || !held.resize(filter.heldBytes()))
@@ -346,6 +349,7 @@
         if (!answer.whole) {
             held.resize(0);
             progress.begun = true;
+            progress.mayGoOn = false;
             const bool connected = co_await exchange.begin(std::move(head));
             co_return co_await relayPieces(call, std::move(answer.body), exchange, connected, progress, std::move(options));
         }
@@ -391,12 +395,11 @@
     if (length && *length > maxStatedBytes)
         co_return cutOutcome(call, "the answer states a length of " + std::to_string(*length) + " bytes");
     const bool isStream = isEventStream(head);
-    const bool isSuccess = http::to_status_class(head.result()) == http::status_class::successful;
     progress.run = {};
     progress.run.framing = length ? "length" : call.framed() ? "chunks"
                                                              : "none";
     // Its body would be joined to the stream.
-    if (progress.begun && !(isStream && isSuccess))
+    if (progress.begun && !isStream)
         co_return cutOutcome(call, "the server that was to go on with the stream answered " + std::to_string(head.result_int()) + " " + headerText(head, "Content-Type"));
     dropHopHeaders(head);
     if (exchange.request().method() == http::verb::head)
@@ -409,6 +412,8 @@
     bool callerConnected = true;
     if (!progress.begun) {
         progress.begun = true;
+        // Nothing goes on after a part of a plain answer.
+        progress.mayGoOn = isStream;
         callerConnected = co_await exchange.begin(std::move(head));
     }
     if (isStream)
--- a/Source/daemon/answer_relay.h
+++ b/Source/daemon/answer_relay.h
@@ -99,6 +99,7 @@
 // how to end it.
 awaitable<relay_outcome> relayAnswer(http_call&, http_head, http_exchange&, relay_progress&, relay_options);
 
+// A success that is a stream of events; the body of a failure is passed on as it is, whatever its type.
 bool isEventStream(const http_head&);
 
 } // namespace rampgap
--- a/Source/policy/requests/event_filter.cpp
+++ b/Source/policy/requests/event_filter.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 event_filter::event_filter(event_filter_input input)
-    : m_judge(input.contract, input.lastId, usualStep(input))
+    : m_judge(input.contract, input.lastId, usualStep(input), input.shown.largest())
     , m_steps(std::move(input.steps))
     , m_previousId(std::move(input.lastId))
     , m_dropsMark(input.goesOn)
@@ -34,7 +34,7 @@
     for (auto event = events.begin(); event != events.end() && !m_violation; ++event) {
         const auto verdict = m_judge.judge(*event);
         dropMark(*event);
-        if (inPlace && m_held.empty() && verdict.action == event_action::send) {
+        if (inPlace && !m_held && verdict.action == event_action::send) {
             recordId(*event);
             continue;
         }
@@ -53,6 +53,7 @@
         const auto verdict = m_judge.judgeRest(rest);
         apply(verdict, std::move(rest), sendable);
     }
+    m_endedFar = m_held && m_judge.heldFor() == stream_violation::far_id;
     if (!m_violation)
         release(sendable);
     return sendable;
@@ -64,12 +65,26 @@
     const auto& event = m_parser.current();
     if (event.hasForeignLine)
         reportViolation(stream_violation::no_field, event, bytes);
-    return m_violation ? std::string() : bytes;
+    else if (m_held && event.isEvent())
+        reportViolation(m_judge.heldFor(), event, {});
+    if (m_violation)
+        return {};
+    if (!m_held)
+        return bytes;
+    // A comment keeps its place after the event that is held.
+    m_held->bytes += bytes;
+    return {};
+}
+
+// An id that has been is garbage, or the one before it is: then the caller would miss what lies between.
+bool event_filter::mayLastBeGarbage() const
+{
+    return m_violation && m_violation->violation == stream_violation::not_rising && m_judge.lastRoseMost();
 }
 
 void event_filter::learn()
 {
-    if (m_steps)
+    if (m_steps && !m_endedFar)
         m_steps->record(m_runSteps);
 }
 
@@ -85,12 +100,12 @@
     recordId(event);
     if (verdict.action == event_action::drop)
         return;
-    if (verdict.action == event_action::hold || !m_held.empty()) {
-        m_heldBytes += event.bytes.size();
-        m_held.push_back(std::move(event));
-    } else {
+    if (verdict.action == event_action::hold)
+        m_held = std::move(event);
+    else if (m_held)
+        m_held->bytes += event.bytes;
+    else
         sendable.push_back(std::move(event));
-    }
 }
 
 // Readers know it at the start of an answer only: between two runs it would be a part of the next line's name, and hide an id.
@@ -102,10 +117,9 @@
 
 void event_filter::release(std::vector<stream_event>& sendable)
 {
-    for (auto& event : m_held)
-        sendable.push_back(std::move(event));
-    m_held.clear();
-    m_heldBytes = 0;
+    if (m_held)
+        sendable.push_back(std::move(*m_held));
+    m_held.reset();
 }
 
 void event_filter::reportViolation(stream_violation violation, const stream_event& event, std::string_view bytes)
--- a/Source/policy/requests/event_filter.h
+++ b/Source/policy/requests/event_filter.h
@@ -49,8 +49,10 @@
     // The bytes of the event that is not whole yet, for one that is too large to be kept until it is.
     std::string takeLarge();
     const std::optional<violation_report>& violation() const { return m_violation; }
+    // After a violation: the last event that was sent may be garbage as well, so that no server is to go on after it.
+    bool mayLastBeGarbage() const;
     bool inEvent() const { return m_parser.inEvent(); }
-    std::size_t heldBytes() const { return m_parser.heldBytes() + m_heldBytes; }
+    std::size_t heldBytes() const { return m_parser.heldBytes() + (m_held ? m_held->bytes.size() : 0); }
     // The steps that the run has shown so far.
     const run_steps& steps() const { return m_runSteps; }
     // The answer is whole: what its ids rise by counts for the service.
@@ -75,9 +77,10 @@
     // Number and id of the event before.
     std::optional<std::uint64_t> m_previous;
     std::string m_previousId;
-    // An event that is to be confirmed by the next one, and the comments after it.
-    std::vector<stream_event> m_held;
-    std::size_t m_heldBytes = 0;
+    // An event that is to be confirmed by the next one, with the comments after it.
+    std::optional<stream_event> m_held;
+    // The run ended with an id that no other one has confirmed.
+    bool m_endedFar = false;
     // The first event is to be sent without a byte order mark.
     bool m_dropsMark = false;
     std::optional<violation_report> m_violation;
--- a/Source/policy/requests/event_id_steps.cpp
+++ b/Source/policy/requests/event_id_steps.cpp
@@ -13,6 +13,9 @@
     constexpr int maxSeen = 4'096;
     // Of 10 steps, as many must be the usual one: the last event of a stream may hold fewer tokens.
     constexpr int usualOfTen = 9;
+    // A step that did not come again in so many times half of that is forgotten: one of few routes may have it, and would be taken for
+    // garbage.
+    constexpr int maxUnseen = 4;
     // Runs that must have shown a step before it counts as one that the service's ids may rise by: a single server's garbage
     // must not decide it.
     constexpr int minRuns = 3;
@@ -52,6 +55,12 @@
         m_counts[m_newest] += m_newestCount;
 }
 
+std::uint64_t run_steps::largest() const
+{
+    const std::uint64_t newest = m_newestCount > 0 ? m_newest : 0;
+    return m_counts.empty() ? newest : std::max(newest, m_counts.rbegin()->first);
+}
+
 std::map<std::uint64_t, int> run_steps::counts() const
 {
     run_steps all = *this;
@@ -74,16 +83,19 @@
             m_steps.erase(rarest);
         }
         auto& seen = m_steps[step];
-        ++seen.runs;
+        seen.runs = std::min(seen.runs + 1, maxSeen);
+        seen.halvedUnseen = 0;
         seen.steps += count;
         m_seen += count;
     }
     if (m_seen < maxSeen)
         return;
     m_seen /= 2;
-    for (auto& [step, seen] : m_steps)
-        seen = { seen.runs / 2, seen.steps / 2 };
-    std::erase_if(m_steps, [](const auto& each) { return each.second.runs == 0; });
+    for (auto& [step, seen] : m_steps) {
+        seen.steps /= 2;
+        ++seen.halvedUnseen;
+    }
+    std::erase_if(m_steps, [](const auto& each) { return each.second.halvedUnseen > maxUnseen; });
 }
 
 bool event_id_steps::isKnown() const
--- a/Source/policy/requests/event_id_steps.h
+++ b/Source/policy/requests/event_id_steps.h
@@ -18,6 +18,8 @@
     void record(std::uint64_t previous, std::uint64_t next);
     std::map<std::uint64_t, int> counts() const;
     bool empty() const { return m_newestCount == 0; }
+    // 0 if there is none.
+    std::uint64_t largest() const;
     // The step of all of them; empty if there are too few to tell, or several.
     std::optional<std::uint64_t> only() const;
 
@@ -44,6 +46,8 @@
     struct seen_step {
         int runs = 0;
         int steps = 0;
+        // How often the counts were halved since it was seen last.
+        int halvedUnseen = 0;
     };
 
     std::map<std::uint64_t, seen_step> m_steps;
--- a/Source/policy/requests/event_stream_parser.cpp
+++ b/Source/policy/requests/event_stream_parser.cpp
@@ -37,6 +37,8 @@
 
 std::string_view findForeignLine(std::string_view eventBytes)
 {
+    if (eventBytes.starts_with(byteOrderMark))
+        eventBytes.remove_prefix(byteOrderMark.size());
     while (!eventBytes.empty()) {
         const auto end = std::min(findLineEnd(eventBytes), eventBytes.size());
         const auto line = eventBytes.substr(0, end);
@@ -109,7 +111,9 @@
         m_event.hasData = true;
     else if (name == "id" && value.find('\0') == std::string_view::npos)
         m_event.id = std::string(value);
-    else if (name.empty() || name == "event" || name == "retry")
+    else if (name == "event")
+        m_event.hasOther = m_event.hasType = true;
+    else if (name.empty() || name == "retry")
         m_event.hasOther = true;
     else if (colon != std::string_view::npos && mayBeFieldName(name))
         m_event.hasUnknownField = true;
--- a/Source/policy/requests/event_stream_parser.h
+++ b/Source/policy/requests/event_stream_parser.h
@@ -21,6 +21,8 @@
     bool hasData = false;
     // It has a comment, an "event" line or a "retry" line.
     bool hasOther = false;
+    // It has an "event" line: readers may handle it apart from the others.
+    bool hasType = false;
     // It has a line with a field that the standard does not know: readers ignore it.
     bool hasUnknownField = false;
     // It has a line that is neither a field nor a comment.
